--- /dev/null
+++ b/tests/features/frame.feature
@@ -0,0 +1,4 @@
+Feature: Product frame
+  Scenario: The package states its version
+    Given the installed package
+    Then its version has three parts
--- /dev/null
+++ b/tests/run.py
@@ -0,0 +1,122 @@
+"""Run every check and close with the line `N passed, N failed`."""
+
+import concurrent.futures
+import json
+import os
+import pathlib
+import subprocess
+import sys
+import tempfile
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+FIRST_PORT = 10_000
+PORTS_PER_FEATURE = 400
+PARALLEL_FEATURES = 4
+FEATURE_TIMEOUT_SECONDS = 900
+
+
+def run_command(name, arguments):
+    """Run one tool and return (name, passed, output)."""
+    result = subprocess.run(
+        [sys.executable, "-m", *arguments],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        stdin=subprocess.DEVNULL,
+    )
+    return name, result.returncode == 0, result.stdout + result.stderr
+
+
+def run_feature(index, feature):
+    """Run one feature file; return (scenario, passed, output) rows."""
+    port = FIRST_PORT + index * PORTS_PER_FEATURE
+    environment = {**os.environ, "JUJUBEPASS_TEST_PORT": str(port)}
+    with tempfile.TemporaryDirectory() as folder:
+        report = pathlib.Path(folder) / "report.json"
+        command = [sys.executable, "-m", "behave", "--no-color", "--format=json"]
+        command += [f"--outfile={report}", "--format=progress3", str(feature)]
+        try:
+            result = subprocess.run(
+                command,
+                cwd=ROOT,
+                capture_output=True,
+                text=True,
+                env=environment,
+                stdin=subprocess.DEVNULL,
+                timeout=FEATURE_TIMEOUT_SECONDS,
+            )
+            output = result.stdout + result.stderr
+            rows = read_report(report, feature.stem)
+            if result.returncode and all(passed for _, passed in rows):
+                rows.append((f"{feature.stem}: run", False))
+        except subprocess.TimeoutExpired as error:
+            output = str(error)
+            rows = [(f"{feature.stem}: run", False)]
+    return [(name, passed, output) for name, passed in rows]
+
+
+def read_report(report, stem):
+    """Read scenario verdicts from behave's JSON report."""
+    try:
+        features = json.loads(report.read_text())
+    except (OSError, ValueError):
+        return [(f"{stem}: run", False)]
+    rows = []
+    for feature in features:
+        for element in feature.get("elements", []):
+            if element["type"] == "background":
+                continue
+            passed = element.get("status") == "passed"
+            rows.append((f"{stem}: {element['name']}", passed))
+    return rows
+
+
+def read_known_red():
+    """Read the names of checks that may fail for a known fault."""
+    lines = (ROOT / "KNOWN-RED.txt").read_text().splitlines()
+    return {line.split("|")[0].strip() for line in lines if "|" in line}
+
+
+def main():
+    """Run all checks, print failures and the closing line."""
+    chosen = sys.argv[1:]
+    features = sorted((ROOT / "tests/features").glob("*.feature"))
+    numbered = list(enumerate(features))
+    if chosen:
+        numbered = [(i, f) for i, f in numbered if f.stem in chosen]
+    results = []
+    if not chosen:
+        results.append(run_command("format", ["ruff", "format", "--check", "."]))
+        results.append(run_command("lint", ["ruff", "check", "."]))
+        results.append(run_command("types", ["mypy"]))
+    with concurrent.futures.ThreadPoolExecutor(PARALLEL_FEATURES) as pool:
+        for rows in pool.map(lambda pair: run_feature(*pair), numbered):
+            results += rows
+    return report_results(results)
+
+
+def report_results(results):
+    """Print each verdict and the closing line; return the exit code."""
+    known_red = read_known_red()
+    shown = set()
+    failed = []
+    for name, passed, output in results:
+        if passed:
+            print(f"ok    {name}")
+        elif name in known_red:
+            print(f"RED   {name} (KNOWN-RED.txt)")
+        else:
+            failed.append(name)
+            if output not in shown:
+                shown.add(output)
+                print(output[-12_000:])
+            print(f"FAIL  {name}")
+    passed_count = sum(passed for _, passed, _ in results)
+    for name in sorted(known_red):
+        print(f"known red: {name}")
+    print(f"{passed_count} passed, {len(failed)} failed")
+    return 1 if failed or not passed_count else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
