--- /dev/null
+++ b/src/jujubepass/_http_client.py
@@ -0,0 +1,255 @@
+"""HTTP/1.1 client on h11 and trio that tells "not sent" from "maybe sent"."""
+
+import collections
+import collections.abc
+import contextlib
+import json
+import typing
+
+import attrs
+import h11
+import trio
+
+_RECEIVE_BYTES = 65_536
+_IDLE_CONNECTIONS_PER_ADDRESS = 64
+
+
+class ClientError(Exception):
+    """Report a request without a whole answer."""
+
+
+class NotSentError(ClientError):
+    """Report that no byte of the request left this process."""
+
+
+class InterruptedAnswerError(ClientError):
+    """Report that the request may have reached the server."""
+
+
+class AnswerTimeoutError(InterruptedAnswerError):
+    """Report that the answer did not come in time."""
+
+
+@attrs.frozen(kw_only=True)
+class Address:
+    """Name a TCP endpoint."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+def parse_address(text: str) -> Address:
+    """Parse `host:port`; raise ValueError saying what is allowed."""
+    host, separator, port = text.rpartition(":")
+    if not separator or not host or not port.isdigit() or int(port) > 65_535:
+        raise ValueError(f"{text!r} is not host:port, such as 127.0.0.1:8080")
+    return Address(host=host, port=int(port))
+
+
+@attrs.frozen(kw_only=True)
+class Answer:
+    """Hold one whole answer."""
+
+    status: int
+    headers: collections.abc.Mapping[str, str]
+    body: bytes
+
+    def read_json(self) -> typing.Any:
+        """Parse the body; raise InterruptedAnswerError when it is no JSON."""
+        try:
+            return json.loads(self.body)
+        except ValueError as error:
+            raise InterruptedAnswerError(f"answer is not JSON: {error}") from error
+
+
+class StreamedAnswer:
+    """Read one answer part by part."""
+
+    __slots__ = ("_connection", "_ended", "_stream", "headers", "status")
+
+    def __init__(
+        self,
+        *,
+        connection: h11.Connection,
+        stream: trio.abc.Stream,
+        head: h11.Response,
+    ) -> None:
+        self._connection = connection
+        self._stream = stream
+        self._ended = False
+        self.status = head.status_code
+        self.headers = {k.decode(): v.decode("latin-1") for k, v in head.headers}
+
+    async def receive(self) -> bytes:
+        """Wait for data and return all that is ready; return b"" at the end."""
+        ready = bytearray()
+        while not self._ended:
+            event = _read_event(self._connection)
+            if isinstance(event, h11.Data):
+                ready += event.data
+            elif event is h11.NEED_DATA:
+                if ready:
+                    return bytes(ready)
+                await _receive(self._connection, self._stream)
+            else:
+                self._ended = True
+        return bytes(ready)
+
+
+class Client:
+    """Send requests over pooled connections."""
+
+    def __init__(self, *, connect_timeout_seconds: float = 1.0) -> None:
+        self._connect_timeout_seconds = connect_timeout_seconds
+        self._idle: dict[Address, collections.deque[trio.SocketStream]] = (
+            collections.defaultdict(collections.deque)
+        )
+
+    async def request(
+        self,
+        method: str,
+        address: Address,
+        path: str,
+        *,
+        body: bytes = b"",
+        headers: collections.abc.Mapping[str, str] | None = None,
+        timeout_seconds: float = 5.0,
+        fresh: bool = False,
+    ) -> Answer:
+        """Send a request and return its whole answer.
+
+        Raises NotSentError, InterruptedAnswerError or AnswerTimeoutError; `fresh`
+        avoids pooled connections, so that NotSentError is certain.
+        """
+        sent = False
+        try:
+            with trio.fail_after(timeout_seconds):
+                opened = self.open(
+                    method, address, path, body=body, headers=headers, fresh=fresh
+                )
+                async with opened as answer:
+                    sent = True
+                    parts = []
+                    while part := await answer.receive():
+                        parts.append(part)
+                    return Answer(
+                        status=answer.status,
+                        headers=answer.headers,
+                        body=b"".join(parts),
+                    )
+        except trio.TooSlowError as error:
+            where = "the answer's end" if sent else "the answer"
+            raise AnswerTimeoutError(f"{address} timed out before {where}") from error
+
+    @contextlib.asynccontextmanager
+    async def open(
+        self,
+        method: str,
+        address: Address,
+        path: str,
+        *,
+        body: bytes = b"",
+        headers: collections.abc.Mapping[str, str] | None = None,
+        fresh: bool = False,
+    ) -> collections.abc.AsyncIterator[StreamedAnswer]:
+        """Send a request and yield its answer as a stream.
+
+        A request that meets a pooled connection closed by the server is sent again,
+        unless `fresh`.
+        """
+        data = _write_request(method, address, path, body, headers or {})
+        stream, connection, head = await self._exchange(address, data, fresh)
+        try:
+            yield StreamedAnswer(connection=connection, stream=stream, head=head)
+        finally:
+            self._release(address, stream, connection)
+
+    async def _exchange(
+        self, address: Address, data: tuple[h11.Request, bytes], fresh: bool
+    ) -> tuple[trio.SocketStream, h11.Connection, h11.Response]:
+        while True:
+            idle = self._idle[address]
+            pooled = bool(idle) and not fresh
+            stream = idle.pop() if pooled else await self._connect(address)
+            connection = h11.Connection(h11.CLIENT)
+            try:
+                head = await _send_and_receive_head(stream, connection, data)
+                return stream, connection, head
+            except InterruptedAnswerError:
+                await trio.aclose_forcefully(stream)
+                if not pooled:
+                    raise
+            except BaseException:
+                stream.socket.close()
+                raise
+
+    async def _connect(self, address: Address) -> trio.SocketStream:
+        try:
+            with trio.fail_after(self._connect_timeout_seconds):
+                return await trio.open_tcp_stream(address.host, address.port)
+        except (OSError, trio.TooSlowError) as error:
+            raise NotSentError(f"cannot connect to {address}: {error}") from error
+
+    def _release(
+        self, address: Address, stream: trio.SocketStream, connection: h11.Connection
+    ) -> None:
+        idle = self._idle[address]
+        reusable = connection.our_state is h11.DONE
+        reusable = reusable and connection.their_state is h11.DONE
+        if reusable and len(idle) < _IDLE_CONNECTIONS_PER_ADDRESS:
+            idle.append(stream)
+        else:
+            stream.socket.close()
+
+
+def _write_request(
+    method: str,
+    address: Address,
+    path: str,
+    body: bytes,
+    headers: collections.abc.Mapping[str, str],
+) -> tuple[h11.Request, bytes]:
+    fields = [("host", str(address)), ("content-length", str(len(body)))]
+    fields += list(headers.items())
+    return h11.Request(method=method, target=path, headers=fields), body
+
+
+async def _send_and_receive_head(
+    stream: trio.SocketStream,
+    connection: h11.Connection,
+    request: tuple[h11.Request, bytes],
+) -> h11.Response:
+    head, body = request
+    data = (connection.send(head) or b"") + (
+        connection.send(h11.Data(data=body)) or b""
+    )
+    data += connection.send(h11.EndOfMessage()) or b""
+    # A server that refuses early closes its side before it has read everything.
+    with contextlib.suppress(trio.BrokenResourceError):
+        await stream.send_all(data)
+    while True:
+        event = _read_event(connection)
+        if isinstance(event, h11.Response):
+            return event
+        if event is h11.NEED_DATA:
+            await _receive(connection, stream)
+        elif not isinstance(event, h11.InformationalResponse):
+            raise InterruptedAnswerError("connection closed before the answer")
+
+
+def _read_event(connection: h11.Connection) -> object:
+    try:
+        return connection.next_event()
+    except h11.RemoteProtocolError as error:
+        raise InterruptedAnswerError(f"answer broke off: {error}") from error
+
+
+async def _receive(connection: h11.Connection, stream: trio.abc.Stream) -> None:
+    try:
+        data = await stream.receive_some(_RECEIVE_BYTES)
+    except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+        raise InterruptedAnswerError(f"connection broke: {error}") from error
+    connection.receive_data(bytes(data))
--- /dev/null
+++ b/src/jujubepass/_http_server.py
@@ -0,0 +1,360 @@
+"""HTTP/1.1 server on h11 and trio with bounded input."""
+
+import collections.abc
+import functools
+import json
+import logging
+import typing
+
+import attrs
+import h11
+import trio
+
+_LOGGER = logging.getLogger(__name__)
+
+_RECEIVE_BYTES = 65_536
+_CLOSE_TIMEOUT_SECONDS = 0.2
+_JSON = "application/json"
+
+
+@attrs.frozen(kw_only=True)
+class ServerLimits:
+    """Bound what one listener accepts."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 1_048_576
+    connections: int = 2_000
+    receive_timeout_seconds: float = 10.0
+    idle_timeout_seconds: float = 75.0
+
+
+@attrs.frozen(kw_only=True)
+class Request:
+    """Hold one received request."""
+
+    method: str
+    path: str
+    headers: collections.abc.Mapping[str, str]
+    body: bytes
+    peer: str
+
+
+@attrs.frozen(kw_only=True)
+class RejectedInputError(Exception):
+    """Report input that the listener refuses."""
+
+    status: int
+    code: str
+    detail: str
+
+
+_INTERNAL_ERROR = RejectedInputError(
+    status=500,
+    code="internal_error",
+    detail="The node failed to serve this request; see its log.",
+)
+
+
+class Handler(typing.Protocol):
+    """Serve one request by writing to its responder."""
+
+    async def __call__(self, request: Request, responder: "Responder") -> None:
+        """Serve the request."""
+
+
+class Responder:
+    """Write one response."""
+
+    __slots__ = ("_connection", "_stream", "started")
+
+    def __init__(self, *, connection: h11.Connection, stream: trio.abc.Stream) -> None:
+        self._connection = connection
+        self._stream = stream
+        self.started = False
+
+    async def start(
+        self, status: int, headers: collections.abc.Mapping[str, str]
+    ) -> None:
+        """Send the status line and headers."""
+        self.started = True
+        event = h11.Response(
+            status_code=status, headers=[(k, v) for k, v in headers.items()]
+        )
+        await self._stream.send_all(self._connection.send(event) or b"")
+
+    async def write(self, data: bytes) -> None:
+        """Send part of the body."""
+        await self._stream.send_all(self._connection.send(h11.Data(data=data)) or b"")
+
+    async def finish(self) -> None:
+        """End the body."""
+        await self._stream.send_all(self._connection.send(h11.EndOfMessage()) or b"")
+
+    async def send(
+        self,
+        status: int,
+        body: bytes,
+        *,
+        content_type: str = _JSON,
+        headers: collections.abc.Mapping[str, str] | None = None,
+    ) -> None:
+        """Send a whole response in one write."""
+        self.started = True
+        fields = [("content-type", content_type), ("content-length", str(len(body)))]
+        fields += list((headers or {}).items())
+        event = h11.Response(status_code=status, headers=fields)
+        parts = [self._connection.send(event) or b""]
+        parts.append(self._connection.send(h11.Data(data=body)) or b"")
+        parts.append(self._connection.send(h11.EndOfMessage()) or b"")
+        await self._stream.send_all(b"".join(parts))
+
+    async def send_json(self, status: int, value: object) -> None:
+        """Send a whole JSON response."""
+        await self.send(status, json.dumps(value).encode())
+
+    async def send_problem(
+        self,
+        status: int,
+        code: str,
+        detail: str,
+        *,
+        retry_after_seconds: int | None = None,
+        extra: collections.abc.Mapping[str, object] | None = None,
+    ) -> None:
+        """Send problem+json with a stable code."""
+        problem = {
+            "type": f"urn:jujubepass:problem:{code}",
+            "title": code.replace("_", " "),
+            "status": status,
+            "code": code,
+            "detail": detail,
+            **(extra or {}),
+        }
+        headers = {}
+        if retry_after_seconds is not None:
+            headers["retry-after"] = str(retry_after_seconds)
+        await self.send(
+            status,
+            json.dumps(problem).encode(),
+            content_type="application/problem+json",
+            headers=headers,
+        )
+
+
+class Server:
+    """Serve a listener until told to stop."""
+
+    def __init__(self, *, handler: Handler, limits: ServerLimits | None = None) -> None:
+        self._handler = handler
+        self._limits = limits or ServerLimits()
+        self._stopping = trio.Event()
+        self._idle_scopes: set[trio.CancelScope] = set()
+        self.connections = 0
+        self.running_requests = 0
+
+    async def serve(
+        self,
+        host: str,
+        port: int,
+        *,
+        task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Accept connections until `stop`, then finish running requests."""
+        listeners = await trio.open_tcp_listeners(port, host=host, backlog=1024)
+        bound_port = listeners[0].socket.getsockname()[1]
+        async with trio.open_nursery() as connections:
+            async with trio.open_nursery() as accepting:
+                serve = functools.partial(
+                    trio.serve_listeners,
+                    self._serve_connection,
+                    listeners,
+                    handler_nursery=connections,
+                )
+                accepting.start_soon(serve)
+                task_status.started(bound_port)
+                await self._stopping.wait()
+                accepting.cancel_scope.cancel()
+
+    def stop(self) -> None:
+        """Stop accepting; idle connections close, running requests finish."""
+        self._stopping.set()
+        for scope in list(self._idle_scopes):
+            scope.cancel()
+
+    async def _serve_connection(self, stream: trio.SocketStream) -> None:
+        if self.connections >= self._limits.connections:
+            await trio.aclose_forcefully(stream)
+            return
+        self.connections += 1
+        try:
+            await self._serve_requests(stream)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            _LOGGER.debug("peer closed the connection")
+        finally:
+            self.connections -= 1
+            deadline = trio.current_time() + _CLOSE_TIMEOUT_SECONDS
+            with trio.CancelScope(shield=True, deadline=deadline):
+                await _close(stream)
+            await trio.aclose_forcefully(stream)
+
+    async def _serve_requests(self, stream: trio.SocketStream) -> None:
+        connection = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self._limits.header_bytes
+        )
+        peer = str(stream.socket.getpeername()[0])
+        while True:
+            responder = Responder(connection=connection, stream=stream)
+            try:
+                request = await self._receive(connection, stream, peer)
+            except RejectedInputError as error:
+                await _reject(connection, responder, error)
+                return
+            if request is None:
+                return
+            self.running_requests += 1
+            try:
+                await self._handle(request, responder, connection, stream)
+            finally:
+                self.running_requests -= 1
+            if self._stopping.is_set() or connection.our_state is not h11.DONE:
+                return
+            if connection.their_state is not h11.DONE:
+                return
+            connection.start_next_cycle()
+
+    async def _handle(
+        self,
+        request: Request,
+        responder: Responder,
+        connection: h11.Connection,
+        stream: trio.SocketStream,
+    ) -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_watch_peer, connection, stream, nursery.cancel_scope)
+            try:
+                await self._handler(request, responder)
+            except RejectedInputError as error:
+                await _reject(connection, responder, error)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                _LOGGER.debug("caller closed the connection")
+            except h11.LocalProtocolError as error:
+                _LOGGER.warning("response cut short: %s", error)
+            except Exception:
+                _LOGGER.exception("handler failed: %s %s", request.method, request.path)
+                await _reject(connection, responder, _INTERNAL_ERROR)
+            nursery.cancel_scope.cancel()
+
+    async def _receive(
+        self, connection: h11.Connection, stream: trio.SocketStream, peer: str
+    ) -> Request | None:
+        head = await self._receive_head(connection, stream)
+        if head is None:
+            return None
+        headers = {k.decode(): v.decode("latin-1") for k, v in head.headers}
+        if int(headers.get("content-length", "0")) > self._limits.body_bytes:
+            raise _oversized(self._limits.body_bytes)
+        if connection.they_are_waiting_for_100_continue:
+            go_ahead = h11.InformationalResponse(status_code=100, headers=[])
+            await stream.send_all(connection.send(go_ahead) or b"")
+        body = bytearray()
+        with trio.move_on_after(self._limits.receive_timeout_seconds):
+            while True:
+                event = await _next_event(connection, stream)
+                if isinstance(event, h11.EndOfMessage):
+                    return Request(
+                        method=head.method.decode(),
+                        path=head.target.decode("latin-1"),
+                        headers=headers,
+                        body=bytes(body),
+                        peer=peer,
+                    )
+                if not isinstance(event, h11.Data):
+                    return None
+                body += event.data
+                if len(body) > self._limits.body_bytes:
+                    raise _oversized(self._limits.body_bytes)
+        raise _slow_sender(self._limits.receive_timeout_seconds)
+
+    async def _receive_head(
+        self, connection: h11.Connection, stream: trio.SocketStream
+    ) -> h11.Request | None:
+        with trio.CancelScope() as idle:
+            self._idle_scopes.add(idle)
+            idle.deadline = trio.current_time() + self._limits.idle_timeout_seconds
+            if self._stopping.is_set():
+                idle.cancel()
+            try:
+                while not connection.trailing_data[0]:
+                    data = await stream.receive_some(_RECEIVE_BYTES)
+                    connection.receive_data(bytes(data))
+                    break
+            except trio.BrokenResourceError:
+                return None
+            finally:
+                self._idle_scopes.discard(idle)
+        if idle.cancelled_caught:
+            return None
+        with trio.move_on_after(self._limits.receive_timeout_seconds):
+            event = await _next_event(connection, stream)
+            return event if isinstance(event, h11.Request) else None
+        raise _slow_sender(self._limits.receive_timeout_seconds)
+
+
+async def _next_event(connection: h11.Connection, stream: trio.abc.Stream) -> object:
+    while True:
+        try:
+            event = connection.next_event()
+        except h11.RemoteProtocolError as error:
+            raise RejectedInputError(
+                status=error.error_status_hint,
+                code="malformed_http",
+                detail=f"{error}. Send a valid HTTP/1.1 request.",
+            ) from error
+        if event is not h11.NEED_DATA:
+            return event
+        connection.receive_data(bytes(await stream.receive_some(_RECEIVE_BYTES)))
+
+
+async def _watch_peer(
+    connection: h11.Connection,
+    stream: trio.SocketStream,
+    scope: trio.CancelScope,
+) -> None:
+    """Cancel the request when its caller hangs up."""
+    try:
+        while True:
+            data = await stream.receive_some(_RECEIVE_BYTES)
+            if not data:
+                break
+            connection.receive_data(bytes(data))
+    except trio.BrokenResourceError:
+        _LOGGER.debug("caller reset the connection")
+    scope.cancel()
+
+
+async def _reject(
+    connection: h11.Connection, responder: Responder, error: RejectedInputError
+) -> None:
+    can_answer = connection.our_state in (h11.IDLE, h11.SEND_RESPONSE)
+    if can_answer and not responder.started:
+        await responder.send_problem(error.status, error.code, error.detail)
+
+
+async def _close(stream: trio.SocketStream) -> None:
+    """Close without a reset that would discard the answer on its way."""
+    try:
+        await stream.send_eof()
+        while await stream.receive_some(_RECEIVE_BYTES):
+            continue
+    except (trio.BrokenResourceError, trio.ClosedResourceError):
+        _LOGGER.debug("connection was gone already")
+
+
+def _oversized(limit: int) -> RejectedInputError:
+    detail = f"The body is over {limit} bytes. Send a smaller one."
+    return RejectedInputError(status=413, code="body_too_large", detail=detail)
+
+
+def _slow_sender(seconds: float) -> RejectedInputError:
+    detail = f"The request did not arrive within {seconds:g} s. Send it again faster."
+    return RejectedInputError(status=408, code="slow_sender", detail=detail)
--- /dev/null
+++ b/src/jujubepass/ids.py
@@ -0,0 +1,19 @@
+"""Identifiers that must not be mixed up."""
+
+import typing
+
+AccountId = typing.NewType("AccountId", str)
+AttemptId = typing.NewType("AttemptId", str)
+BackendServerId = typing.NewType("BackendServerId", str)
+ChangeId = typing.NewType("ChangeId", str)
+ChangeNumber = typing.NewType("ChangeNumber", int)
+Epoch = typing.NewType("Epoch", int)
+FailureDomainId = typing.NewType("FailureDomainId", str)
+FencingNumber = typing.NewType("FencingNumber", int)
+IdempotencyKey = typing.NewType("IdempotencyKey", str)
+ModelId = typing.NewType("ModelId", str)
+NodeId = typing.NewType("NodeId", str)
+RegionId = typing.NewType("RegionId", str)
+RequestId = typing.NewType("RequestId", str)
+ServiceId = typing.NewType("ServiceId", str)
+TemplateId = typing.NewType("TemplateId", str)
