Read settings from INI into checked classes

A node needs typed settings before anything else can start. Every key is declared once, with its bounds, unit and meaning, and cattrs structures each section with detailed validation, so all problems of a file come at once. Validators of attrs alone were ruled out as the source of messages: they stop at the first faulty field of a class; each field's rule runs in its own structure hook instead.

--- /dev/null
+++ b/src/jujubepass/_ini.py
@@ -0,0 +1,367 @@
+"""INI text read into attrs classes, with every problem reported at once."""
+
+import collections.abc
+import configparser
+import difflib
+import enum
+import math
+import re
+import typing
+
+import attrs
+import cattrs
+import cattrs.errors
+import cattrs.gen
+
+from jujubepass import _http_client
+
+Sections = dict[str, dict[str, str]]
+
+_RULE = "jujubepass.rule"
+_SHOWN_CHARACTERS = 80
+_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
+_NAME_MEANING = "1 to 63 letters, digits, dots, underscores or hyphens"
+_Schema = typing.TypeVar("_Schema")
+
+
+@attrs.frozen(kw_only=True)
+class Problem:
+    """Describe one fault in an INI file and what is allowed instead."""
+
+    file: str
+    section: str = ""
+    key: str = ""
+    value: str = ""
+    what: str
+    allowed: str
+
+    def __str__(self) -> str:
+        place = f"{self.file}: [{self.section}]" if self.section else self.file
+        if self.key:
+            place += f" {self.key}"
+        value = f" = {self.value}" if self.value else ""
+        return f"{place}{value}: {self.what}; allowed: {self.allowed}"
+
+
+@attrs.frozen(kw_only=True)
+class Rule:
+    """Describe one key: its meaning, unit and bounds."""
+
+    meaning: str
+    unit: str = ""
+    minimum: float | None = None
+    maximum: float | None = None
+    pattern: re.Pattern[str] | None = None
+    pattern_meaning: str = ""
+    secret: bool = False
+
+
+class RuleBrokenError(ValueError):
+    """Report a value outside its rule."""
+
+
+def key(*, default: object = attrs.NOTHING, **rule: typing.Any) -> typing.Any:
+    """Declare one INI key as an attrs field with a `Rule`."""
+    return attrs.field(
+        default=default,
+        validator=_check_rule,
+        repr=not rule.get("secret", False),
+        metadata={_RULE: Rule(**rule)},
+    )
+
+
+def name_key(meaning: str) -> typing.Any:
+    """Declare a key that holds a name."""
+    return key(meaning=meaning, pattern=_NAME, pattern_meaning=_NAME_MEANING)
+
+
+def seconds_key(
+    default: float, meaning: str, *, minimum: float, maximum: float
+) -> typing.Any:
+    """Declare a key that holds a duration."""
+    return key(
+        default=default,
+        meaning=meaning,
+        unit="seconds",
+        minimum=minimum,
+        maximum=maximum,
+    )
+
+
+def get_rule(field: "attrs.Attribute[typing.Any]") -> Rule:
+    """Return the rule that a field was declared with."""
+    rule = field.metadata[_RULE]
+    assert isinstance(rule, Rule)
+    return rule
+
+
+def describe_allowed(field: "attrs.Attribute[typing.Any]") -> str:
+    """Say which values a field takes."""
+    rule = get_rule(field)
+    base = _find_base_type(field.type)
+    if issubclass(base, enum.Enum):
+        return "one of " + ", ".join(str(member.value) for member in base)
+    if base is _http_client.Address:
+        return "host:port, such as 127.0.0.1:8080"
+    if base is bool:
+        return "true or false"
+    if rule.pattern is not None:
+        return rule.pattern_meaning
+    if base is str:
+        return "any text but the empty one"
+    kind = "a whole number" if base is int else "a number"
+    return f"{kind}{_describe_bounds(rule)}"
+
+
+def read_sections(file: str, text: str) -> tuple[Sections, list[Problem]]:
+    """Split INI text into its sections; syntax faults come as problems."""
+    problems: list[Problem] = []
+    parser = _make_parser(strict=True)
+    try:
+        parser.read_string(text, source=file)
+    except (configparser.DuplicateSectionError, configparser.DuplicateOptionError) as e:
+        problems.append(_describe_duplicate(file, e))
+        parser = _make_parser(strict=False)
+        try:
+            parser.read_string(text, source=file)
+        except configparser.Error as error:
+            problems += _describe_syntax(file, error)
+    except configparser.Error as error:
+        problems += _describe_syntax(file, error)
+    sections = {
+        name: {k: v or "" for k, v in parser.items(name)} for name in parser.sections()
+    }
+    return sections, problems
+
+
+def structure_section(
+    schema: type[_Schema],
+    file: str,
+    section: str,
+    values: collections.abc.Mapping[str, str],
+) -> tuple[_Schema | None, list[Problem]]:
+    """Read one section into its class; None when a problem was found."""
+    try:
+        return _CONVERTER.structure(values, schema), []
+    except cattrs.errors.ClassValidationError as error:
+        return None, _describe_invalid(schema, file, section, values, error)
+
+
+def suggest(name: str, allowed: collections.abc.Iterable[str]) -> str:
+    """Name the allowed name nearest to `name`, then all of them."""
+    names = list(allowed)
+    nearest = difflib.get_close_matches(name, names, n=1, cutoff=0.0)
+    listed = ", ".join(names)
+    return f"{listed} (nearest: {nearest[0]})" if nearest else listed
+
+
+def shorten(value: str) -> str:
+    """Make a value fit into one line of a message."""
+    shown = value if len(value) <= _SHOWN_CHARACTERS else value[:_SHOWN_CHARACTERS]
+    return repr(shown) + ("..." if shown != value else "")
+
+
+def _check_rule(
+    _instance: object, field: "attrs.Attribute[typing.Any]", value: typing.Any
+) -> None:
+    rule = get_rule(field)
+    if rule.pattern is not None and not rule.pattern.fullmatch(value):
+        raise RuleBrokenError("does not fit")
+    if isinstance(value, str) and not value:
+        raise RuleBrokenError("is empty")
+    if isinstance(value, float) and not math.isfinite(value):
+        raise RuleBrokenError("is not finite")
+    if rule.minimum is not None and value < rule.minimum:
+        raise RuleBrokenError("is too low")
+    if rule.maximum is not None and value > rule.maximum:
+        raise RuleBrokenError("is too high")
+
+
+def _find_base_type(annotation: typing.Any) -> type:
+    while hasattr(annotation, "__supertype__"):
+        annotation = annotation.__supertype__
+    assert isinstance(annotation, type)
+    return annotation
+
+
+def _describe_bounds(rule: Rule) -> str:
+    if rule.minimum is not None and rule.maximum is not None:
+        return f" from {rule.minimum:.15g} to {rule.maximum:.15g}"
+    if rule.minimum is not None:
+        return f", at least {rule.minimum:.15g}"
+    return ""
+
+
+def _make_parser(*, strict: bool) -> configparser.RawConfigParser:
+    return configparser.RawConfigParser(
+        strict=strict,
+        delimiters=("=",),
+        default_section="",
+        empty_lines_in_values=False,
+    )
+
+
+def _describe_duplicate(
+    file: str,
+    error: configparser.DuplicateSectionError | configparser.DuplicateOptionError,
+) -> Problem:
+    return Problem(
+        file=file,
+        section=error.section,
+        key=getattr(error, "option", ""),
+        what=f"stands twice (line {error.lineno})",
+        allowed="each section and key once",
+    )
+
+
+def _describe_syntax(file: str, error: configparser.Error) -> list[Problem]:
+    if isinstance(error, configparser.MissingSectionHeaderError):
+        lines = [(error.lineno, "stands before any section")]
+    elif isinstance(error, configparser.ParsingError):
+        lines = [(line, "is neither a section nor a key") for line, _ in error.errors]
+    else:
+        lines = [(0, type(error).__name__)]
+    allowed = "a [section] line, then lines of key = value"
+    return [
+        Problem(file=file, what=f"line {line} {what}", allowed=allowed)
+        for line, what in lines
+    ]
+
+
+def _describe_invalid(
+    schema: type,
+    file: str,
+    section: str,
+    values: collections.abc.Mapping[str, str],
+    error: cattrs.errors.ClassValidationError,
+) -> list[Problem]:
+    fields = attrs.fields_dict(schema)
+    noted, unnoted = error.group_exceptions()
+    problems = []
+    for cause, note in noted:
+        field = fields[note.name]
+        value = values.get(note.name, "")
+        if get_rule(field).secret and value:
+            value = f"(hidden, {len(value)} characters)"
+        elif note.name in values:
+            value = shorten(value)
+        problems.append(
+            Problem(
+                file=file,
+                section=section,
+                key=note.name,
+                value=value,
+                what="is missing" if note.name not in values else str(cause),
+                allowed=describe_allowed(field),
+            )
+        )
+    for other in unnoted:
+        if not isinstance(other, cattrs.errors.ForbiddenExtraKeysError):
+            raise other
+        problems += _describe_extra(file, section, values, fields, other.extra_fields)
+    return problems
+
+
+def _describe_extra(
+    file: str,
+    section: str,
+    values: collections.abc.Mapping[str, str],
+    fields: collections.abc.Mapping[str, typing.Any],
+    extra: collections.abc.Iterable[str],
+) -> list[Problem]:
+    return [
+        Problem(
+            file=file,
+            section=section,
+            key=name,
+            what="is no key of this section",
+            allowed=suggest(name, fields),
+        )
+        for name in sorted(extra)
+    ]
+
+
+def _parse_int(text: str, _type: object) -> int:
+    try:
+        return int(text)
+    except ValueError as error:
+        raise RuleBrokenError("is not a whole number") from error
+
+
+def _parse_float(text: str, _type: object) -> float:
+    try:
+        return float(text)
+    except ValueError as error:
+        raise RuleBrokenError("is not a number") from error
+
+
+def _parse_bool(text: str, _type: object) -> bool:
+    if text not in ("true", "false"):
+        raise RuleBrokenError("is neither true nor false")
+    return text == "true"
+
+
+def _parse_address(text: str, _type: object) -> _http_client.Address:
+    try:
+        return _http_client.parse_address(text)
+    except ValueError as error:
+        raise RuleBrokenError("is not host:port") from error
+
+
+def _make_enum_hook(
+    choices: type[enum.Enum],
+) -> collections.abc.Callable[[str, object], enum.Enum]:
+    def parse(text: str, _type: object) -> enum.Enum:
+        """Find the member by its value."""
+        try:
+            return choices(text)
+        except ValueError as error:
+            raise RuleBrokenError("is not a choice") from error
+
+    return parse
+
+
+def _make_field_hook(
+    converter: cattrs.Converter, field: "attrs.Attribute[typing.Any]"
+) -> collections.abc.Callable[[str, object], object]:
+    parse = converter.get_structure_hook(_find_base_type(field.type))
+
+    def read(text: str, annotation: typing.Any) -> object:
+        """Parse the text and check the field's rule."""
+        value = parse(text, annotation)
+        _check_rule(None, field, value)
+        return value
+
+    return read
+
+
+def _make_converter() -> cattrs.Converter:
+    converter = cattrs.Converter(detailed_validation=True, forbid_extra_keys=True)
+    converter.register_structure_hook(int, _parse_int)
+    converter.register_structure_hook(float, _parse_float)
+    converter.register_structure_hook(bool, _parse_bool)
+    converter.register_structure_hook(_http_client.Address, _parse_address)
+    converter.register_structure_hook_factory(
+        lambda kind: isinstance(kind, type) and issubclass(kind, enum.Enum),
+        _make_enum_hook,
+    )
+
+    @converter.register_structure_hook_factory(
+        lambda kind: attrs.has(kind) and kind is not _http_client.Address
+    )
+    def make_section_hook(schema: typing.Any) -> typing.Any:
+        """Make the function that reads one section."""
+        overrides: dict[str, typing.Any] = {
+            field.name: cattrs.gen.override(
+                struct_hook=_make_field_hook(converter, field)
+            )
+            for field in attrs.fields(schema)
+        }
+        return cattrs.gen.make_dict_structure_fn(
+            schema, converter, _cattrs_forbid_extra_keys=True, **overrides
+        )
+
+    return converter
+
+
+_CONVERTER = _make_converter()
