--- /dev/null
+++ b/src/jujubepass/reasons.py
@@ -0,0 +1,71 @@
+"""Reasons for refusals, retries and drops; each has its own counter."""
+
+import enum
+
+
+class RefusalReason(enum.Enum):
+    """Say why a caller's request was refused."""
+
+    status: int
+
+    def __new__(cls, code: str, status: int) -> "RefusalReason":
+        """Make a member whose value is its stable code."""
+        member = object.__new__(cls)
+        member._value_ = code
+        member.status = status
+        return member
+
+    @property
+    def code(self) -> str:
+        """Return the stable code that problem+json and metrics carry."""
+        return str(self.value)
+
+    UNKNOWN_ACCOUNT = "unknown_account", 401
+    MALFORMED_REQUEST = "malformed_request", 400
+    BODY_TOO_LARGE = "body_too_large", 413
+    SLOW_SENDER = "slow_sender", 408
+    UNKNOWN_MODEL = "unknown_model", 404
+    UNKNOWN_SERVICE = "unknown_service", 404
+    MISSING_IDEMPOTENCY_KEY = "missing_idempotency_key", 400
+    IDEMPOTENCY_KEY_REUSED = "idempotency_key_reused", 422
+    DEADLINE_UNREACHABLE = "deadline_unreachable", 503
+    ACCOUNT_RATE = "account_rate", 429
+    ACCOUNT_CONCURRENCY = "account_concurrency", 429
+    NODE_OVERLOADED = "node_overloaded", 503
+    NO_ROUTE = "no_route", 503
+    BACKEND_UNAVAILABLE = "backend_unavailable", 503
+    STORE_UNAVAILABLE = "store_unavailable", 503
+    NODE_STOPPING = "node_stopping", 503
+    OUTCOME_UNKNOWN = "outcome_unknown", 502
+    RETRY_BUDGET_SPENT = "retry_budget_spent", 503
+    CIRCUIT_OPEN = "circuit_open", 503
+    NOT_READY = "not_ready", 503
+    BACKEND_LEAVING = "backend_leaving", 503
+    BACKEND_REFUSED = "backend_refused", 502
+
+
+class RetryReason(enum.Enum):
+    """Say why the node tried something again."""
+
+    STAGE_FAILED = "stage_failed"
+    STAGE_STALLED = "stage_stalled"
+    STREAM_CUT = "stream_cut"
+    STAGE_SLOW = "stage_slow"
+    ENGINE_FULL = "engine_full"
+    ENGINE_LEAVING = "engine_leaving"
+    OLD_EPOCH = "old_epoch"
+    CONNECT_FAILED = "connect_failed"
+    LOOKUP_FAILED = "lookup_failed"
+    LOOKUP_HEDGED = "lookup_hedged"
+    TABLE_CONFLICT = "table_conflict"
+    TABLE_AMBIGUOUS = "table_ambiguous"
+
+
+class DropReason(enum.Enum):
+    """Say why a token from an engine was dropped."""
+
+    OLD_EPOCH = "old_epoch"
+    DUPLICATE_TOKEN = "duplicate_token"
+    CROSSED_TOKEN = "crossed_token"
+    LAYER_GAP = "layer_gap"
+    POSITION_GAP = "position_gap"
