--- /dev/null
+++ b/src/jujubepass/_local_commands.py
@@ -0,0 +1,83 @@
+"""Commands that ask no node: serve, check, replay, settings, version."""
+
+import pathlib
+
+import attrs
+import returns.result
+import trio
+
+import jujubepass
+from jujubepass import _declaration_files, _logs, _report, _settings_reference, settings
+
+
+def serve(path: pathlib.Path) -> _report.Report | int:
+    """Run a node until it is told to stop; return its exit code."""
+    read = settings.read_settings(path)
+    if isinstance(read, returns.result.Failure):
+        return _report_problems(read.failure().problems)
+    return _run_node(read.unwrap())
+
+
+def check(
+    settings_path: pathlib.Path | None, declaration_paths: tuple[pathlib.Path, ...]
+) -> _report.Report:
+    """Check settings and declarations without a node."""
+    problems: _declaration_files.Problems = ()
+    if settings_path is not None:
+        read = settings.read_settings(settings_path)
+        problems += read.swap().map(lambda error: error.problems).value_or(())
+    if declaration_paths:
+        found = _declaration_files.read_declarations(declaration_paths)
+        problems += found.swap().value_or(())
+    if problems:
+        return _report_problems(problems)
+    if settings_path is None and not declaration_paths:
+        return _report.report_failure(
+            _report.ExitCode.BAD_INPUT,
+            "nothing to check: name --settings FILE, or declarations",
+        )
+    return _report.Report(value={"problems": []}, lines=("no problems",))
+
+
+def replay(trace: pathlib.Path, policy: str) -> _report.Report:
+    """Replay a recorded trace and compare its outcomes."""
+    return _report.report_failure(
+        _report.ExitCode.REFUSED,
+        f"this build replays no traces yet (asked for {trace} with {policy})",
+    )
+
+
+def show_settings() -> _report.Report:
+    """Show the reference of all settings."""
+    rows = [attrs.asdict(row) for row in _settings_reference.list_rows()]
+    page = _settings_reference.write_reference()
+    return _report.Report(value=rows, lines=tuple(page.splitlines()))
+
+
+def show_version() -> _report.Report:
+    """Show the version."""
+    version = jujubepass.__version__
+    return _report.Report(value={"version": version}, lines=(version,))
+
+
+def _run_node(node_settings: settings.Settings) -> int:
+    # The node's modules are needed by this command alone.
+    from jujubepass import _node  # type: ignore[attr-defined]
+
+    security = node_settings.security
+    _logs.set_up(
+        node_settings.log, secrets=(security.peer_key, security.operator_key_hash)
+    )
+    code: int = trio.run(_node.run, node_settings)
+    return code
+
+
+def _report_problems(problems: _declaration_files.Problems) -> _report.Report:
+    return _report.Report(
+        code=_report.ExitCode.BAD_INPUT,
+        value={
+            "error": f"{len(problems)} problems",
+            "problems": [attrs.asdict(problem) for problem in problems],
+        },
+        lines=tuple(map(str, problems)),
+    )
--- /dev/null
+++ b/src/jujubepass/cli.py
@@ -0,0 +1,320 @@
+"""The command line."""
+
+import collections.abc
+import pathlib
+import typing
+
+import attrs
+import cappa
+
+import jujubepass
+from jujubepass import _local_commands, _operator_commands, _report
+
+_NODE_EXAMPLE = "--node 10.0.0.5:8081"
+_CHANGE_EXAMPLE = f"{_NODE_EXAMPLE} --base 41 --author ana"
+_DEFAULT_WAIT_SECONDS = 8.0
+_EXIT_CODES = "Exit codes: " + "; ".join(
+    f"{code.value} {meaning}" for code, meaning in _report.EXIT_CODE_MEANINGS.items()
+)
+
+
+class Command(typing.Protocol):
+    """Carry out one parsed command."""
+
+    @property
+    def json(self) -> bool:
+        """Tell whether the report is printed as JSON."""
+
+    def run(self) -> _report.Report | int:
+        """Return the report to print, or an exit code alone."""
+
+
+def _describe(example: str) -> str:
+    return f"Example: jujubepass {example}\n\n{_EXIT_CODES}"
+
+
+def _declare(
+    name: str, help_line: str, example: str
+) -> collections.abc.Callable[[type], typing.Any]:
+    return cappa.command(name=name, help=help_line, description=_describe(example))
+
+
+def _option(help_line: str) -> typing.Any:
+    return cappa.Arg(long=True, help=help_line)
+
+
+_JsonFlag = typing.Annotated[bool, cappa.Arg(long="--json", help="Print JSON.")]
+_Servers = typing.Annotated[
+    list[str], cappa.Arg(help="Backend servers, by name.", num_args=-1, required=True)
+]
+
+
+@attrs.frozen(kw_only=True)
+class _LocalCommand:
+    json: _JsonFlag = False
+
+
+@attrs.frozen(kw_only=True)
+class _NodeCommand(_LocalCommand):
+    node: typing.Annotated[str, _option("Operator listener of any node, as host:port.")]
+    key_file: typing.Annotated[
+        pathlib.Path | None,
+        _option(
+            "File with the operators' key; "
+            f"without it, {_operator_commands.KEY_VARIABLE} holds the key."
+        ),
+    ] = None
+
+    def _ask(self, operation: _operator_commands.Operation) -> _report.Report:
+        target = _operator_commands.Target(node=self.node, key_file=self.key_file)
+        return _operator_commands.run(target, operation)
+
+
+@attrs.frozen(kw_only=True)
+class _ChangeCommand(_NodeCommand):
+    base: typing.Annotated[int, _option("Number that the change was planned on.")]
+    author: typing.Annotated[str, _option("Who makes the change.")]
+    change_id: typing.Annotated[
+        str | None, _option("Id of a change whose answer was lost.")
+    ] = None
+    wait_seconds: typing.Annotated[
+        float, _option("Time to wait until the change is in force everywhere.")
+    ] = _DEFAULT_WAIT_SECONDS
+
+    @property
+    def _options(self) -> _operator_commands.ChangeOptions:
+        return _operator_commands.ChangeOptions(
+            base=self.base,
+            author=self.author,
+            change_id=self.change_id,
+            wait_seconds=self.wait_seconds,
+        )
+
+
+@_declare("serve", "Run a node until SIGTERM.", "serve node.ini")
+@attrs.frozen(kw_only=True)
+class Serve(_LocalCommand):
+    """Run a node until SIGTERM."""
+
+    settings: typing.Annotated[pathlib.Path, cappa.Arg(help="Settings file.")]
+
+    def run(self) -> _report.Report | int:
+        """Run the node."""
+        return _local_commands.serve(self.settings)
+
+
+@_declare(
+    "check",
+    "Check settings and declarations without a node.",
+    "check --settings node.ini declarations/",
+)
+@attrs.frozen(kw_only=True)
+class Check(_LocalCommand):
+    """Check settings and declarations without a node."""
+
+    settings: typing.Annotated[
+        pathlib.Path | None, _option("Settings file to check.")
+    ] = None
+    declarations: typing.Annotated[
+        list[pathlib.Path], cappa.Arg(help="INI files, or folders with them.")
+    ] = attrs.field(factory=list)
+
+    def run(self) -> _report.Report:
+        """Check the files."""
+        return _local_commands.check(self.settings, tuple(self.declarations))
+
+
+@_declare(
+    "plan",
+    "Show what applying declarations would change.",
+    f"plan declarations/ {_NODE_EXAMPLE}",
+)
+@attrs.frozen(kw_only=True)
+class Plan(_NodeCommand):
+    """Show what applying declarations would change."""
+
+    declarations: typing.Annotated[
+        list[pathlib.Path],
+        cappa.Arg(help="INI files, or folders with them.", num_args=-1, required=True),
+    ]
+
+    def run(self) -> _report.Report:
+        """Compare the files with the configuration in force."""
+        return self._ask(_operator_commands.plan(tuple(self.declarations)))
+
+
+@_declare(
+    "apply",
+    "Put declarations in force.",
+    f"apply declarations/ {_CHANGE_EXAMPLE}",
+)
+@attrs.frozen(kw_only=True)
+class Apply(_ChangeCommand):
+    """Put declarations in force."""
+
+    declarations: typing.Annotated[
+        list[pathlib.Path],
+        cappa.Arg(help="INI files, or folders with them.", num_args=-1, required=True),
+    ]
+
+    def run(self) -> _report.Report:
+        """Offer the files as one change."""
+        paths = tuple(self.declarations)
+        return self._ask(_operator_commands.apply(paths, self._options))
+
+
+@_declare(
+    "retire",
+    "Take declarations out of force.",
+    f"retire old-template {_CHANGE_EXAMPLE}",
+)
+@attrs.frozen(kw_only=True)
+class Retire(_ChangeCommand):
+    """Take declarations out of force."""
+
+    names: typing.Annotated[
+        list[str],
+        cappa.Arg(help="Templates or client accounts.", num_args=-1, required=True),
+    ]
+
+    def run(self) -> _report.Report:
+        """Offer the change."""
+        return self._ask(_operator_commands.retire(tuple(self.names), self._options))
+
+
+@_declare(
+    "drain",
+    "Give backend servers no new work.",
+    f"drain engine-7 {_CHANGE_EXAMPLE}",
+)
+@attrs.frozen(kw_only=True)
+class Drain(_ChangeCommand):
+    """Give backend servers no new work."""
+
+    servers: _Servers
+
+    def run(self) -> _report.Report:
+        """Offer the change."""
+        return self._ask(_operator_commands.drain(tuple(self.servers), self._options))
+
+
+@_declare(
+    "add",
+    "Give backend servers work, also after a drain.",
+    f"add engine-7 {_CHANGE_EXAMPLE}",
+)
+@attrs.frozen(kw_only=True)
+class Add(_ChangeCommand):
+    """Give backend servers work, also after a drain."""
+
+    servers: _Servers
+
+    def run(self) -> _report.Report:
+        """Offer the change."""
+        return self._ask(_operator_commands.add(tuple(self.servers), self._options))
+
+
+@_declare("status", "Show a node's state.", f"status {_NODE_EXAMPLE}")
+@attrs.frozen(kw_only=True)
+class Status(_NodeCommand):
+    """Show a node's state."""
+
+    def run(self) -> _report.Report:
+        """Ask the node."""
+        return self._ask(_operator_commands.show_status)
+
+
+@_declare(
+    "replay",
+    "Replay a recorded trace and compare its outcomes.",
+    "replay trace.jsonl --policy naive",
+)
+@attrs.frozen(kw_only=True)
+class Replay(_LocalCommand):
+    """Replay a recorded trace and compare its outcomes."""
+
+    trace: typing.Annotated[pathlib.Path, cappa.Arg(help="Recorded trace.")]
+    policy: typing.Annotated[
+        typing.Literal["router", "naive"], _option("Policy that decides.")
+    ] = "router"
+
+    def run(self) -> _report.Report:
+        """Replay the trace."""
+        return _local_commands.replay(self.trace, self.policy)
+
+
+@_declare(
+    "explain",
+    "Show why a request was routed or refused as it was.",
+    f"explain 5f0c9a {_NODE_EXAMPLE}",
+)
+@attrs.frozen(kw_only=True)
+class Explain(_NodeCommand):
+    """Show why a request was routed or refused as it was."""
+
+    request: typing.Annotated[str, cappa.Arg(help="Id of the request.")]
+
+    def run(self) -> _report.Report:
+        """Ask the node."""
+        return self._ask(_operator_commands.explain(self.request))
+
+
+@_declare("settings", "Show the reference of all settings.", "settings")
+@attrs.frozen(kw_only=True)
+class ShowSettings(_LocalCommand):
+    """Show the reference of all settings."""
+
+    def run(self) -> _report.Report:
+        """Write the reference."""
+        return _local_commands.show_settings()
+
+
+@_declare("version", "Show the version.", "version")
+@attrs.frozen(kw_only=True)
+class Version(_LocalCommand):
+    """Show the version."""
+
+    def run(self) -> _report.Report:
+        """Name the version."""
+        return _local_commands.show_version()
+
+
+@cappa.command(
+    name="jujubepass",
+    help="Router for model pipelines over mixed accelerators.",
+    description=_describe("COMMAND --help"),
+)
+@attrs.frozen(kw_only=True)
+class Program:
+    """Hold the chosen command."""
+
+    command: cappa.Subcommands[
+        Serve
+        | Check
+        | Plan
+        | Apply
+        | Retire
+        | Drain
+        | Add
+        | Status
+        | Replay
+        | Explain
+        | ShowSettings
+        | Version
+    ]
+
+
+def run(arguments: collections.abc.Sequence[str]) -> int:
+    """Run one command line and return its exit code."""
+    program = cappa.parse(
+        Program,
+        argv=list(arguments),
+        version=jujubepass.__version__,
+        completion=False,
+    )
+    command: Command = program.command
+    result = command.run()
+    if isinstance(result, int):
+        return result
+    _report.print_report(result, as_json=command.json)
+    return int(result.code)
