--- /dev/null
+++ b/src/jujubepass/_backend_messages.py
@@ -0,0 +1,131 @@
+"""Events and commands about VMs, backend servers and their load."""
+
+import collections.abc
+import enum
+
+import attrs
+
+from jujubepass import _http_client, ids
+
+
+class VmRole(enum.Enum):
+    """Name what a VM runs."""
+
+    NODE = "node"
+    ENGINE = "engine"
+    SERVICE = "service"
+
+
+class VmState(enum.Enum):
+    """Name what the platform says of a VM."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+@attrs.frozen(kw_only=True)
+class Vm:
+    """Describe one VM as the platform lists it."""
+
+    name: str
+    role: VmRole
+    address: _http_client.Address
+    region: ids.RegionId
+    failure_domain: ids.FailureDomainId
+    state: VmState
+    accelerator: str = ""
+    service: ids.ServiceId = ids.ServiceId("")
+    checks_fencing: bool = False
+    answers_outcomes: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class VmsListed:
+    """Report the platform's list; it lags by `age_seconds` or more."""
+
+    vms: tuple[Vm, ...]
+    age_seconds: float
+
+
+@attrs.frozen(kw_only=True)
+class VmsUnlisted:
+    """Report that the platform's list could not be read."""
+
+    detail: str
+
+
+@attrs.frozen(kw_only=True)
+class LoadReport:
+    """Hold what an engine says of itself; it lags by `age_seconds` or more."""
+
+    engine: ids.BackendServerId
+    incarnation: str
+    model: ids.ModelId
+    version: str
+    first_layer: int
+    end_layer: int
+    accelerator: str
+    running: int
+    waiting: int
+    max_batch: int
+    step_seconds: float
+    prefill_tokens_per_second: float
+    kv_free_tokens: int
+    leaving: bool
+    age_seconds: float
+    link_seconds: collections.abc.Mapping[str, float]
+
+
+@attrs.frozen(kw_only=True)
+class LoadReported:
+    """Report an engine's load."""
+
+    report: LoadReport
+
+
+@attrs.frozen(kw_only=True)
+class LoadUnanswered:
+    """Report that an engine did not answer with its load."""
+
+    engine: ids.BackendServerId
+    detail: str
+
+
+@attrs.frozen(kw_only=True)
+class CacheEvent:
+    """Report that an engine stored or evicted a prefix block."""
+
+    sequence: int
+    stored: bool
+    prefix: str
+
+
+@attrs.frozen(kw_only=True)
+class CacheEventsReported:
+    """Report an engine's cache events; some may be missing."""
+
+    engine: ids.BackendServerId
+    events: tuple[CacheEvent, ...]
+    next_sequence: int
+
+
+@attrs.frozen
+class PollVms:
+    """Command a read of the platform's VM list."""
+
+
+@attrs.frozen(kw_only=True)
+class PollLoad:
+    """Command a read of an engine's load."""
+
+    engine: ids.BackendServerId
+    address: _http_client.Address
+
+
+@attrs.frozen(kw_only=True)
+class PollCache:
+    """Command a read of an engine's cache events."""
+
+    engine: ids.BackendServerId
+    address: _http_client.Address
+    after: int
--- /dev/null
+++ b/src/jujubepass/_blackboard.py
@@ -0,0 +1,49 @@
+"""Blackboard that controllers read and write; each area has one writer."""
+
+import attrs
+
+from jujubepass import (
+    _answer_area,
+    _backend_area,
+    _call_area,
+    _configuration_area,
+    _limit_area,
+    _membership_area,
+    _node_messages,
+    ids,
+)
+
+
+@attrs.frozen(kw_only=True)
+class Identity:
+    """Name this node; a restarted process has another incarnation."""
+
+    node: ids.NodeId
+    incarnation: str
+    region: ids.RegionId
+    failure_domain: ids.FailureDomainId
+
+
+@attrs.define(kw_only=True)
+class NodeArea:
+    """Hold the node's own state; written by the node controller."""
+
+    state: _node_messages.NodeState = _node_messages.NodeState.STARTING
+
+
+@attrs.frozen(kw_only=True)
+class Blackboard:
+    """Hold every area; docs/architecture.md names writers and readers."""
+
+    identity: Identity
+    node: NodeArea = attrs.field(factory=NodeArea)
+    configuration: _configuration_area.ConfigurationArea = attrs.field(
+        factory=_configuration_area.ConfigurationArea
+    )
+    membership: _membership_area.MembershipArea = attrs.field(
+        factory=_membership_area.MembershipArea
+    )
+    backends: _backend_area.BackendArea = attrs.field(factory=_backend_area.BackendArea)
+    answers: _answer_area.AnswerArea = attrs.field(factory=_answer_area.AnswerArea)
+    calls: _call_area.CallArea = attrs.field(factory=_call_area.CallArea)
+    limits: _limit_area.LimitArea = attrs.field(factory=_limit_area.LimitArea)
--- /dev/null
+++ b/src/jujubepass/_dispatch.py
@@ -0,0 +1,52 @@
+"""Dispatch of events to the controllers that decide on them."""
+
+import collections
+import collections.abc
+import typing
+
+Event = typing.Any
+Command = typing.Any
+EventHandler = collections.abc.Callable[
+    [typing.Any, float], collections.abc.Iterable[Command]
+]
+
+
+class Controller(typing.Protocol):
+    """Decide on events by reading and writing the blackboard, without I/O."""
+
+    def list_handlers(self) -> collections.abc.Mapping[type, EventHandler]:
+        """Map each event type to the method that handles it."""
+
+
+class Recorder(typing.Protocol):
+    """Keep what was dispatched."""
+
+    def record(
+        self, event: Event, now: float, commands: collections.abc.Sequence[Command]
+    ) -> None:
+        """Keep one event with the commands it led to."""
+
+
+class Dispatcher:
+    """Hand each event to its controllers, in the order they were given."""
+
+    def __init__(
+        self,
+        *,
+        controllers: collections.abc.Iterable[Controller],
+        recorder: Recorder | None = None,
+    ) -> None:
+        self._handlers: dict[type, list[EventHandler]] = collections.defaultdict(list)
+        self._recorder = recorder
+        for controller in controllers:
+            for event_type, handler in controller.list_handlers().items():
+                self._handlers[event_type].append(handler)
+
+    def dispatch(self, event: Event, now: float) -> list[Command]:
+        """Return the commands that the controllers answer the event with."""
+        commands: list[Command] = []
+        for handler in self._handlers.get(type(event), ()):
+            commands.extend(handler(event, now))
+        if self._recorder is not None:
+            self._recorder.record(event, now, commands)
+        return commands
--- /dev/null
+++ b/src/jujubepass/_engine_client.py
@@ -0,0 +1,285 @@
+"""Client of the engines: pipelines, load, cache events and cancels."""
+
+import collections.abc
+import json
+import typing
+
+import attrs
+import trio
+
+from jujubepass import _answer_messages, _backend_messages, _http_client, ids
+
+_OK = 200
+_CONFLICT = 409
+_POLL_TIMEOUT_SECONDS = 2.0
+_CANCEL_TIMEOUT_SECONDS = 2.0
+
+Post = collections.abc.Callable[[typing.Any], None]
+
+
+@attrs.define(kw_only=True)
+class EngineClient:
+    """Carry out commands to engines and post what comes back."""
+
+    client: _http_client.Client
+    post: Post
+    _scopes: dict[tuple[ids.RequestId, ids.Epoch], trio.CancelScope] = attrs.field(
+        factory=dict, init=False
+    )
+
+    async def run_attempt(self, command: _answer_messages.StartAttempt) -> None:
+        """Run an attempt and post its tokens and its end."""
+        key = (command.request, command.epoch)
+        with trio.CancelScope() as scope:
+            self._scopes[key] = scope
+            try:
+                await self._run_attempt(command)
+            finally:
+                del self._scopes[key]
+
+    async def _run_attempt(self, command: _answer_messages.StartAttempt) -> None:
+        first = command.stages[0]
+        body = json.dumps(_write_attempt(command)).encode()
+        try:
+            opened = self.client.open(
+                "POST", first.address, "/generate", body=body, fresh=True
+            )
+            async with opened as answer:
+                if answer.status != _OK:
+                    await self._post_refusal(command, answer)
+                    return
+                await self._post_lines(command, answer)
+        except _http_client.NotSentError as error:
+            fault = _answer_messages.AttemptFault.NOT_CONNECTED
+            self._post_failure(command, fault, first.engine, str(error))
+        except _http_client.ClientError as error:
+            fault = _answer_messages.AttemptFault.STREAM_CUT
+            self._post_failure(command, fault, first.engine, str(error))
+
+    async def _post_refusal(
+        self,
+        command: _answer_messages.StartAttempt,
+        answer: _http_client.StreamedAnswer,
+    ) -> None:
+        old = answer.status == _CONFLICT
+        fault = _answer_messages.AttemptFault
+        self._post_failure(
+            command,
+            fault.OLD_EPOCH if old else fault.REFUSED,
+            command.stages[0].engine,
+            f"engine answered {answer.status}",
+            _read_seconds(answer.headers.get("retry-after", "0")),
+        )
+
+    async def _post_lines(
+        self,
+        command: _answer_messages.StartAttempt,
+        answer: _http_client.StreamedAnswer,
+    ) -> None:
+        rest = b""
+        while data := await answer.receive():
+            *lines, rest = (rest + data).split(b"\n")
+            try:
+                records = [json.loads(line) for line in lines if line]
+                ended = self._post_records(command, records)
+            except (ValueError, KeyError, TypeError) as error:
+                raise _http_client.InterruptedAnswerError(
+                    f"malformed token line: {error}"
+                ) from error
+            if ended:
+                return
+        raise _http_client.InterruptedAnswerError("stream ended without an end line")
+
+    def _post_records(
+        self,
+        command: _answer_messages.StartAttempt,
+        records: collections.abc.Sequence[dict[str, typing.Any]],
+    ) -> bool:
+        tokens = tuple(_read_token(record) for record in records if "token" in record)
+        if tokens:
+            self.post(
+                _answer_messages.TokensArrived(
+                    request=command.request,
+                    attempt_epoch=command.epoch,
+                    tokens=tokens,
+                )
+            )
+        for record in records:
+            if "end" in record and record["epoch"] == command.epoch:
+                self.post(
+                    _answer_messages.AttemptEnded(
+                        request=command.request,
+                        epoch=command.epoch,
+                        end=_answer_messages.AnswerEnd(record["end"]),
+                    )
+                )
+                return True
+            if "error" in record and record["epoch"] == command.epoch:
+                fault = _answer_messages.AttemptFault.STAGE_FAILED
+                engine = ids.BackendServerId(record["engine"])
+                self._post_failure(command, fault, engine, record.get("detail", ""))
+                return True
+        return False
+
+    def _post_failure(
+        self,
+        command: _answer_messages.StartAttempt,
+        fault: _answer_messages.AttemptFault,
+        engine: ids.BackendServerId,
+        detail: str,
+        retry_after_seconds: float = 0.0,
+    ) -> None:
+        self.post(
+            _answer_messages.AttemptFailed(
+                request=command.request,
+                epoch=command.epoch,
+                fault=fault,
+                engine=engine,
+                detail=detail,
+                retry_after_seconds=retry_after_seconds,
+            )
+        )
+
+    async def cancel_attempt(self, command: _answer_messages.CancelAttempt) -> None:
+        """Stop reading an attempt and tell its engines."""
+        scope = self._scopes.get((command.request, command.epoch))
+        if scope is not None:
+            scope.cancel()
+        body = {"request": command.request, "epoch": command.epoch}
+        await self._tell(command.stages, "/cancel", body)
+
+    async def release_cache(self, command: _answer_messages.ReleaseCache) -> None:
+        """Tell engines to drop what they keep for a request."""
+        await self._tell(command.stages, "/kv/release", {"request": command.request})
+
+    async def _tell(
+        self,
+        stages: collections.abc.Iterable[_answer_messages.Stage],
+        path: str,
+        body: object,
+    ) -> None:
+        data = json.dumps(body).encode()
+        async with trio.open_nursery() as nursery:
+            for stage in stages:
+                nursery.start_soon(self._tell_one, stage.address, path, data)
+
+    async def _tell_one(
+        self, address: _http_client.Address, path: str, data: bytes
+    ) -> None:
+        try:
+            await self.client.request(
+                "POST",
+                address,
+                path,
+                body=data,
+                timeout_seconds=_CANCEL_TIMEOUT_SECONDS,
+            )
+        except _http_client.ClientError:
+            # The engine drops the work by its epoch or when the stream closes.
+            return
+
+    async def poll_load(self, command: _backend_messages.PollLoad) -> None:
+        """Read an engine's load and post it."""
+        try:
+            answer = await self.client.request(
+                "GET", command.address, "/load", timeout_seconds=_POLL_TIMEOUT_SECONDS
+            )
+            report = _read_load(command.engine, answer.read_json())
+        except (_http_client.ClientError, KeyError, TypeError, ValueError) as error:
+            self.post(
+                _backend_messages.LoadUnanswered(
+                    engine=command.engine, detail=str(error)
+                )
+            )
+            return
+        self.post(_backend_messages.LoadReported(report=report))
+
+    async def poll_cache(self, command: _backend_messages.PollCache) -> None:
+        """Read an engine's cache events and post them."""
+        path = f"/cache/events?after={command.after}"
+        try:
+            answer = await self.client.request(
+                "GET", command.address, path, timeout_seconds=_POLL_TIMEOUT_SECONDS
+            )
+            found = answer.read_json()
+            events = tuple(
+                _backend_messages.CacheEvent(
+                    sequence=event["seq"],
+                    stored=event["kind"] == "stored",
+                    prefix=event["prefix"],
+                )
+                for event in found["events"]
+            )
+            following = int(found["next"])
+        except (_http_client.ClientError, KeyError, TypeError, ValueError):
+            # The load poll reports an engine that does not answer.
+            return
+        if events:
+            self.post(
+                _backend_messages.CacheEventsReported(
+                    engine=command.engine, events=events, next_sequence=following
+                )
+            )
+
+
+def _write_attempt(command: _answer_messages.StartAttempt) -> dict[str, typing.Any]:
+    stages = [
+        {
+            "engine": stage.engine,
+            "address": str(stage.address),
+            "first_layer": stage.first_layer,
+            "end_layer": stage.end_layer,
+            "kv_from": str(stage.kv_from) if stage.kv_from else None,
+        }
+        for stage in command.stages
+    ]
+    return {
+        "request": command.request,
+        "epoch": command.epoch,
+        "model": command.model,
+        "prompt": command.prompt,
+        "sent": command.sent,
+        "max_tokens": command.max_tokens,
+        "priority": command.priority,
+        "deadline_seconds": command.deadline_seconds,
+        "stages": stages,
+    }
+
+
+def _read_token(record: dict[str, typing.Any]) -> _answer_messages.Token:
+    return _answer_messages.Token(
+        epoch=record["epoch"],
+        position=record["position"],
+        text=record["token"],
+        receipts=tuple(map(tuple, record["receipts"])),
+    )
+
+
+def _read_load(
+    engine: ids.BackendServerId, found: dict[str, typing.Any]
+) -> _backend_messages.LoadReport:
+    return _backend_messages.LoadReport(
+        engine=engine,
+        incarnation=str(found["incarnation"]),
+        model=ids.ModelId(found["model"]),
+        version=str(found["version"]),
+        first_layer=int(found["first_layer"]),
+        end_layer=int(found["end_layer"]),
+        accelerator=found["accelerator"],
+        running=int(found["running"]),
+        waiting=int(found["waiting"]),
+        max_batch=max(1, int(found["max_batch"])),
+        step_seconds=float(found["step_seconds"]),
+        prefill_tokens_per_second=float(found["prefill_tokens_per_second"]),
+        kv_free_tokens=int(found["kv_free_tokens"]),
+        leaving=bool(found["leaving"]),
+        age_seconds=float(found["as_of_seconds_ago"]),
+        link_seconds={k: float(v) for k, v in found["links"].items()},
+    )
+
+
+def _read_seconds(text: str) -> float:
+    try:
+        return float(text)
+    except ValueError:
+        return 0.0
--- /dev/null
+++ b/src/jujubepass/_limit_area.py
@@ -0,0 +1,22 @@
+"""Blackboard area of client account limits; written by the limit controller."""
+
+import attrs
+
+from jujubepass import ids
+
+
+@attrs.define(kw_only=True)
+class AccountUse:
+    """Hold one account's use on this node."""
+
+    tokens: float
+    refilled_at: float
+    running: int = 0
+
+
+@attrs.define(kw_only=True)
+class LimitArea:
+    """Hold the use of accounts and the requests that were admitted."""
+
+    uses: dict[ids.AccountId, AccountUse] = attrs.field(factory=dict)
+    admitted: dict[ids.RequestId, ids.AccountId] = attrs.field(factory=dict)
--- /dev/null
+++ b/src/jujubepass/_peer_codec.py
@@ -0,0 +1,70 @@
+"""Codec of the messages between nodes, on generated thrift structs."""
+
+import typing
+
+from thrift.protocol import TCompactProtocol
+from thrift.transport import TTransport
+
+from jujubepass import _membership_messages, _node_messages, ids
+from jujubepass.generated.peer import ttypes
+
+
+class PeerCodecError(Exception):
+    """Report bytes that hold no valid message."""
+
+
+def encode_struct(struct: typing.Any) -> bytes:
+    """Write a generated struct in the compact protocol."""
+    buffer = TTransport.TMemoryBuffer()
+    struct.write(TCompactProtocol.TCompactProtocol(buffer))
+    return typing.cast(bytes, buffer.getvalue())
+
+
+def decode_struct(struct: typing.Any, data: bytes) -> typing.Any:
+    """Fill a generated struct; raise PeerCodecError."""
+    buffer = TTransport.TMemoryBuffer(data)
+    protocol = TCompactProtocol.TCompactProtocol(
+        buffer, string_length_limit=len(data), container_length_limit=len(data)
+    )
+    try:
+        struct.read(protocol)
+    except Exception as error:
+        # The library raises its own and built-in errors alike on malformed bytes.
+        raise PeerCodecError(f"malformed peer message: {error!r}") from error
+    return struct
+
+
+def encode_command(command: _membership_messages.SendHeartbeat) -> bytes:
+    """Write the message that a command sends."""
+    heartbeat = command.heartbeat
+    return encode_struct(
+        ttypes.Message(
+            heartbeat=ttypes.Heartbeat(
+                node=heartbeat.node,
+                incarnation=heartbeat.incarnation,
+                state=heartbeat.state.value,
+                configuration_number=heartbeat.configuration_number,
+                configuration_digest=heartbeat.configuration_digest,
+            )
+        )
+    )
+
+
+def decode_event(data: bytes) -> _membership_messages.HeartbeatReceived:
+    """Read a message as the event it stands for; raise PeerCodecError."""
+    message = decode_struct(ttypes.Message(), data)
+    if message.heartbeat is None:
+        raise PeerCodecError("peer message has no field set that this node knows")
+    heartbeat = message.heartbeat
+    try:
+        return _membership_messages.HeartbeatReceived(
+            heartbeat=_membership_messages.Heartbeat(
+                node=ids.NodeId(heartbeat.node),
+                incarnation=heartbeat.incarnation,
+                state=_node_messages.NodeState(heartbeat.state),
+                configuration_number=ids.ChangeNumber(heartbeat.configuration_number),
+                configuration_digest=heartbeat.configuration_digest,
+            )
+        )
+    except (TypeError, ValueError) as error:
+        raise PeerCodecError(f"heartbeat with a bad field: {error}") from error
--- /dev/null
+++ b/src/jujubepass/_peers.py
@@ -0,0 +1,185 @@
+"""Connections between nodes: framed, authenticated, one way each."""
+
+import collections.abc
+import functools
+import hashlib
+import hmac
+import logging
+import secrets
+import struct
+
+import trio
+
+from jujubepass import _http_client, _peer_codec, ids
+from jujubepass.generated.peer import ttypes
+
+_LOGGER = logging.getLogger(__name__)
+
+_LENGTH = struct.Struct(">I")
+_MAX_FRAME_BYTES = 4_194_304
+_NONCE_BYTES = 32
+_HANDSHAKE_TIMEOUT_SECONDS = 2.0
+_SEND_TIMEOUT_SECONDS = 2.0
+_QUEUED_MESSAGES = 64
+_MAX_CONNECTIONS = 2_000
+
+MessageHandler = collections.abc.Callable[[bytes], None]
+
+
+class PeerError(Exception):
+    """Report a connection between nodes that cannot go on."""
+
+
+class PeerListener:
+    """Receive messages from nodes that hold the peer key."""
+
+    def __init__(self, *, key: bytes, handler: MessageHandler) -> None:
+        self._key = key
+        self._handler = handler
+        self._connections = 0
+        self.received_bytes = 0
+
+    async def serve(
+        self,
+        host: str,
+        port: int,
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Accept connections until cancelled."""
+        serve = functools.partial(trio.serve_tcp, self._receive, port, host=host)
+        async with trio.open_nursery() as nursery:
+            await nursery.start(serve)
+            task_status.started()
+
+    async def _receive(self, stream: trio.SocketStream) -> None:
+        if self._connections >= _MAX_CONNECTIONS:
+            await trio.aclose_forcefully(stream)
+            return
+        self._connections += 1
+        try:
+            with trio.fail_after(_HANDSHAKE_TIMEOUT_SECONDS):
+                await self._check_proof(stream)
+            while True:
+                data = await _receive_frame(stream)
+                self.received_bytes += len(data) + _LENGTH.size
+                self._handler(data)
+        except trio.EndOfChannel:
+            _LOGGER.debug("peer closed its connection")
+        except (PeerError, _peer_codec.PeerCodecError) as error:
+            _LOGGER.warning("peer connection refused: %s", error)
+        except (trio.BrokenResourceError, trio.TooSlowError):
+            _LOGGER.debug("peer connection broke")
+        finally:
+            self._connections -= 1
+            stream.socket.close()
+
+    async def _check_proof(self, stream: trio.SocketStream) -> None:
+        nonce = secrets.token_bytes(_NONCE_BYTES)
+        challenge = ttypes.Challenge(nonce=nonce)
+        await _send_frame(stream, _peer_codec.encode_struct(challenge))
+        data = await _receive_frame(stream)
+        proof = _peer_codec.decode_struct(ttypes.Proof(), data)
+        if proof.node is None or proof.mac is None:
+            raise PeerError("proof without a node or MAC")
+        expected = _sign(self._key, nonce, proof.node)
+        if not hmac.compare_digest(expected, proof.mac):
+            raise PeerError(f"{proof.node!r} does not hold the peer key")
+
+
+class PeerSender:
+    """Send messages to nodes, over one connection each."""
+
+    def __init__(self, *, node: ids.NodeId, key: bytes, nursery: trio.Nursery) -> None:
+        self._node = node
+        self._key = key
+        self._nursery = nursery
+        self._queues: dict[_http_client.Address, trio.MemorySendChannel[bytes]] = {}
+        self.sent_bytes = 0
+        self.dropped_messages = 0
+
+    def send(self, address: _http_client.Address, data: bytes) -> None:
+        """Queue a message; drop it when the peer does not keep up."""
+        queue = self._queues.get(address)
+        if queue is None:
+            queue, receiver = trio.open_memory_channel[bytes](_QUEUED_MESSAGES)
+            self._queues[address] = queue
+            self._nursery.start_soon(self._run, address, receiver)
+        try:
+            queue.send_nowait(data)
+        except trio.WouldBlock:
+            self.dropped_messages += 1
+
+    def forget(self, address: _http_client.Address) -> None:
+        """Close the connection to a node that has gone."""
+        queue = self._queues.pop(address, None)
+        if queue is not None:
+            queue.close()
+
+    async def _run(
+        self, address: _http_client.Address, messages: trio.MemoryReceiveChannel[bytes]
+    ) -> None:
+        stream: trio.SocketStream | None = None
+        try:
+            async for data in messages:
+                try:
+                    with trio.fail_after(_SEND_TIMEOUT_SECONDS):
+                        stream = stream or await self._connect(address)
+                        await _send_frame(stream, data)
+                    self.sent_bytes += len(data) + _LENGTH.size
+                except (
+                    OSError,
+                    PeerError,
+                    _peer_codec.PeerCodecError,
+                    trio.BrokenResourceError,
+                    trio.EndOfChannel,
+                    trio.TooSlowError,
+                ) as error:
+                    _LOGGER.debug("message to %s dropped: %r", address, error)
+                    self.dropped_messages += 1
+                    if stream is not None:
+                        stream.socket.close()
+                    stream = None
+        finally:
+            if stream is not None:
+                stream.socket.close()
+
+    async def _connect(self, address: _http_client.Address) -> trio.SocketStream:
+        stream = await trio.open_tcp_stream(address.host, address.port)
+        try:
+            data = await _receive_frame(stream)
+            challenge = _peer_codec.decode_struct(ttypes.Challenge(), data)
+            if challenge.nonce is None:
+                raise PeerError("challenge without a nonce")
+            mac = _sign(self._key, challenge.nonce, self._node)
+            proof = ttypes.Proof(node=self._node, mac=mac)
+            await _send_frame(stream, _peer_codec.encode_struct(proof))
+        except BaseException:
+            stream.socket.close()
+            raise
+        return stream
+
+
+def _sign(key: bytes, nonce: bytes, node: str) -> bytes:
+    return hmac.digest(key, nonce + node.encode(), hashlib.sha256)
+
+
+async def _send_frame(stream: trio.abc.Stream, data: bytes) -> None:
+    await stream.send_all(_LENGTH.pack(len(data)) + data)
+
+
+async def _receive_frame(stream: trio.abc.Stream) -> bytes:
+    (length,) = _LENGTH.unpack(await _receive_exactly(stream, _LENGTH.size))
+    if length > _MAX_FRAME_BYTES:
+        raise PeerError(f"frame of {length} bytes is over {_MAX_FRAME_BYTES}")
+    return await _receive_exactly(stream, length)
+
+
+async def _receive_exactly(stream: trio.abc.Stream, count: int) -> bytes:
+    data = bytearray()
+    while len(data) < count:
+        part = await stream.receive_some(count - len(data))
+        if not part:
+            raise trio.EndOfChannel
+        data += part
+    return bytes(data)
--- /dev/null
+++ b/src/jujubepass/_service_client.py
@@ -0,0 +1,123 @@
+"""Client of the plain services."""
+
+import collections.abc
+import typing
+
+import attrs
+import trio
+
+from jujubepass import _call_messages, _http_client, ids
+
+_ASK_TIMEOUT_SECONDS = 2.0
+
+Post = collections.abc.Callable[[typing.Any], None]
+
+
+@attrs.define(kw_only=True)
+class ServiceClient:
+    """Carry out commands to plain services and post what comes back."""
+
+    client: _http_client.Client
+    post: Post
+    _scopes: dict[ids.AttemptId, trio.CancelScope] = attrs.field(
+        factory=dict, init=False
+    )
+
+    async def send_call(self, command: _call_messages.SendCall) -> None:
+        """Send a call that may not be repeated, once, on a connection of its own."""
+        headers = {
+            "content-type": "application/json",
+            "idempotency-key": command.key,
+            "call-attempt": command.attempt,
+            "fencing-number": str(command.fencing),
+        }
+        await self._exchange(command, "POST", command.body.encode(), headers, True)
+
+    async def send_lookup(self, command: _call_messages.SendLookup) -> None:
+        """Send an idempotent call."""
+        with trio.CancelScope() as scope:
+            self._scopes[command.attempt] = scope
+            try:
+                await self._exchange(command, "GET", b"", {}, False)
+            finally:
+                del self._scopes[command.attempt]
+
+    async def cancel_lookup(self, command: _call_messages.CancelLookup) -> None:
+        """Stop waiting for a lookup's answer."""
+        scope = self._scopes.get(command.attempt)
+        if scope is not None:
+            scope.cancel()
+
+    async def _exchange(
+        self,
+        command: _call_messages.SendCall | _call_messages.SendLookup,
+        method: str,
+        body: bytes,
+        headers: dict[str, str],
+        fresh: bool,
+    ) -> None:
+        request, attempt = command.request, command.attempt
+        try:
+            answer = await self.client.request(
+                method,
+                command.address,
+                command.path,
+                body=body,
+                headers=headers,
+                timeout_seconds=command.timeout_seconds,
+                fresh=fresh,
+            )
+        except _http_client.NotSentError as error:
+            self.post(
+                _call_messages.CallUnsent(
+                    request=request, attempt=attempt, detail=str(error)
+                )
+            )
+        except _http_client.ClientError as error:
+            self.post(
+                _call_messages.CallUnclear(
+                    request=request, attempt=attempt, detail=str(error)
+                )
+            )
+        else:
+            self.post(
+                _call_messages.CallAnswered(
+                    request=request,
+                    attempt=attempt,
+                    status=answer.status,
+                    body=answer.body.decode(errors="replace"),
+                )
+            )
+
+    async def ask_outcome(self, command: _call_messages.AskOutcome) -> None:
+        """Ask what became of a call; fence older attempts where that is wanted."""
+        path = f"/outcomes/{command.key}"
+        method, body = "GET", b""
+        if command.fencing:
+            method, path = "POST", f"{path}/fence"
+            body = b'{"fencing": %d}' % command.fencing
+        try:
+            answer = await self.client.request(
+                method,
+                command.address,
+                path,
+                body=body,
+                timeout_seconds=_ASK_TIMEOUT_SECONDS,
+            )
+            found = answer.read_json()
+            state = _call_messages.OutcomeState(found["state"])
+        except (_http_client.ClientError, KeyError, TypeError, ValueError) as error:
+            self.post(
+                _call_messages.OutcomeUntold(
+                    request=command.request, attempt=command.attempt, detail=str(error)
+                )
+            )
+            return
+        self.post(
+            _call_messages.OutcomeTold(
+                request=command.request,
+                attempt=command.attempt,
+                state=state,
+                body=answer.body.decode(errors="replace"),
+            )
+        )
--- /dev/null
+++ b/src/jujubepass/counters.py
@@ -0,0 +1,24 @@
+"""Counters that decisions add to."""
+
+import typing
+
+from jujubepass import reasons
+
+
+class Counters(typing.Protocol):
+    """Count refusals, retries and dropped tokens by reason."""
+
+    def count_refusal(self, reason: reasons.RefusalReason) -> None:
+        """Count one refusal."""
+
+    def count_retry(self, reason: reasons.RetryReason) -> None:
+        """Count one retry."""
+
+    def count_drop(self, reason: reasons.DropReason) -> None:
+        """Count one dropped token."""
+
+    def count_tokens(self, count: int) -> None:
+        """Count tokens that went to callers."""
+
+    def observe_recovery(self, seconds: float) -> None:
+        """Keep the time between the tokens around a replaced attempt."""
