--- /dev/null
+++ b/src/jujubepass/_node.py
@@ -0,0 +1,256 @@
+"""Assembly of one node: blackboard, controllers, shell and listeners."""
+
+import functools
+import logging
+import signal
+import uuid
+
+import trio
+
+from jujubepass import (
+    __version__,
+    _answer_messages,
+    _answers,
+    _backend_messages,
+    _backends,
+    _blackboard,
+    _call_messages,
+    _callers,
+    _calls,
+    _configuration,
+    _configuration_messages,
+    _dispatch,
+    _engine_client,
+    _http_client,
+    _http_server,
+    _limits,
+    _lookups,
+    _mailboxes,
+    _membership,
+    _membership_messages,
+    _metrics,
+    _node_life,
+    _node_messages,
+    _operators,
+    _peer_codec,
+    _peers,
+    _routes,
+    _service_client,
+    _shell,
+    _store_messages,
+    _table_client,
+    _vm_client,
+    ids,
+    settings,
+)
+
+_LOGGER = logging.getLogger(__name__)
+
+_EXIT_DONE = 0
+
+
+async def run(node_settings: settings.Settings) -> int:
+    """Run a node until it is told to stop; return the exit code."""
+    blackboard = _make_blackboard(node_settings)
+    metrics = _metrics.Metrics(version=__version__)
+    controllers = _make_controllers(node_settings, blackboard, metrics)
+    dispatcher = _dispatch.Dispatcher(controllers=controllers)
+    async with trio.open_nursery() as nursery:
+        shell = _shell.Shell(dispatcher=dispatcher, nursery=nursery)
+        mailboxes = _mailboxes.Mailboxes()
+        verdicts = _operators.Verdicts()
+        _connect_platform(shell, node_settings)
+        _connect_backends(shell, mailboxes)
+        _connect_requests(shell, mailboxes, verdicts)
+        await _connect_peers(shell, node_settings, nursery)
+        callers = _http_server.Server(
+            handler=_callers.CallerApi(
+                blackboard=blackboard,
+                mailboxes=mailboxes,
+                metrics=metrics,
+                post=shell.post,
+                new_request_id=_new_request_id,
+            ),
+            limits=_make_limits(node_settings.listen),
+        )
+        operators = _http_server.Server(
+            handler=_operators.OperatorApi(
+                blackboard=blackboard,
+                metrics=metrics,
+                post=shell.post,
+                verdicts=verdicts,
+                key_hash=node_settings.security.operator_key_hash,
+            )
+        )
+        listen = node_settings.listen
+        nursery.start_soon(_tick, shell, node_settings.timing.tick_seconds)
+        await nursery.start(
+            operators.serve, listen.operators.host, listen.operators.port
+        )
+        async with trio.open_nursery() as serving:
+            await serving.start(
+                callers.serve, listen.callers.host, listen.callers.port
+            )
+            _LOGGER.info("node %s serves callers", blackboard.identity.node)
+            await _wait_for_signal()
+            shell.post(_node_messages.StopRequested())
+            serving.cancel_scope.deadline = (
+                trio.current_time() + node_settings.timing.shutdown_seconds
+            )
+            callers.stop()
+        nursery.cancel_scope.cancel()
+    _LOGGER.info("node %s has stopped", blackboard.identity.node)
+    return _EXIT_DONE
+
+
+async def _wait_for_signal() -> None:
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            return
+
+
+async def _tick(shell: _shell.Shell, tick_seconds: float) -> None:
+    event = _node_messages.Tick()
+    while True:
+        shell.post(event)
+        await trio.sleep(tick_seconds)
+
+
+def _new_request_id() -> ids.RequestId:
+    return ids.RequestId(uuid.uuid4().hex)
+
+
+def _make_blackboard(node_settings: settings.Settings) -> _blackboard.Blackboard:
+    node = node_settings.node
+    identity = _blackboard.Identity(
+        node=node.name,
+        incarnation=uuid.uuid4().hex,
+        region=node.region,
+        failure_domain=node.failure_domain,
+    )
+    return _blackboard.Blackboard(identity=identity)
+
+
+def _make_controllers(
+    node_settings: settings.Settings,
+    blackboard: _blackboard.Blackboard,
+    metrics: _metrics.Metrics,
+) -> list[_dispatch.Controller]:
+    """Make the controllers in the order in which they see an event."""
+    timing = node_settings.timing
+    return [
+        _node_life.NodeController(blackboard=blackboard),
+        _configuration.ConfigurationController(
+            blackboard=blackboard, poll_seconds=timing.configuration_poll_seconds
+        ),
+        _membership.MembershipController(
+            blackboard=blackboard,
+            timing=_membership.MembershipTiming(
+                heartbeat_seconds=timing.heartbeat_seconds,
+                suspect_seconds=timing.suspect_seconds,
+                dead_seconds=timing.dead_seconds,
+            ),
+        ),
+        _backends.BackendController(
+            blackboard=blackboard,
+            timing=_backends.BackendTiming(
+                load_poll_seconds=timing.load_poll_seconds,
+                vm_poll_seconds=timing.vm_poll_seconds,
+            ),
+        ),
+        _limits.LimitController(blackboard=blackboard),
+        _answers.AnswerController(
+            blackboard=blackboard,
+            routes=_routes.PredictedTimePolicy(),
+            timing=_answers.AnswerTiming(stall_seconds=timing.stall_seconds),
+            counters=metrics,
+        ),
+        _calls.CallController(blackboard=blackboard, counters=metrics),
+        _lookups.LookupController(blackboard=blackboard, counters=metrics),
+    ]
+
+
+def _make_limits(listen: settings.Listen) -> _http_server.ServerLimits:
+    return _http_server.ServerLimits(
+        header_bytes=listen.header_bytes,
+        body_bytes=listen.body_bytes,
+        connections=listen.connections,
+        receive_timeout_seconds=listen.receive_timeout_seconds,
+    )
+
+
+def _connect_platform(shell: _shell.Shell, node_settings: settings.Settings) -> None:
+    client = _http_client.Client()
+    platform = node_settings.platform
+    table = _table_client.HttpTable(
+        client=client,
+        address=platform.table,
+        timeout_seconds=platform.table_timeout_seconds,
+    )
+    vms = _vm_client.VmClient(client=client, address=platform.vms, post=shell.post)
+
+    async def transact(command: _store_messages.Transact) -> None:
+        shell.post(await table.transact(command))
+
+    async def read(command: _store_messages.ReadRows) -> None:
+        shell.post(await table.read(command))
+
+    async def scan(command: _store_messages.ScanRows) -> None:
+        shell.post(await table.scan(command))
+
+    shell.spawn_with(_store_messages.Transact, transact)
+    shell.spawn_with(_store_messages.ReadRows, read)
+    shell.spawn_with(_store_messages.ScanRows, scan)
+    shell.spawn_with(_backend_messages.PollVms, vms.poll)
+
+
+def _connect_backends(shell: _shell.Shell, mailboxes: _mailboxes.Mailboxes) -> None:
+    client = _http_client.Client()
+    engines = _engine_client.EngineClient(client=client, post=shell.post)
+    services = _service_client.ServiceClient(client=client, post=shell.post)
+
+    async def run_attempt(command: _answer_messages.StartAttempt) -> None:
+        names = [stage.engine for stage in command.stages]
+        mailboxes.note_backends(command.request, names)
+        await engines.run_attempt(command)
+
+    shell.spawn_with(_answer_messages.StartAttempt, run_attempt)
+    shell.spawn_with(_answer_messages.CancelAttempt, engines.cancel_attempt)
+    shell.spawn_with(_answer_messages.ReleaseCache, engines.release_cache)
+    shell.spawn_with(_backend_messages.PollLoad, engines.poll_load)
+    shell.spawn_with(_backend_messages.PollCache, engines.poll_cache)
+    shell.spawn_with(_call_messages.SendCall, services.send_call)
+    shell.spawn_with(_call_messages.SendLookup, services.send_lookup)
+    shell.spawn_with(_call_messages.CancelLookup, services.cancel_lookup)
+    shell.spawn_with(_call_messages.AskOutcome, services.ask_outcome)
+
+
+def _connect_requests(
+    shell: _shell.Shell,
+    mailboxes: _mailboxes.Mailboxes,
+    verdicts: _operators.Verdicts,
+) -> None:
+    shell.execute_with(_answer_messages.DeliverTokens, mailboxes.put)
+    shell.execute_with(_answer_messages.FinishAnswer, mailboxes.put)
+    shell.execute_with(_answer_messages.Refuse, mailboxes.put)
+    shell.execute_with(_call_messages.AnswerCall, mailboxes.put)
+    shell.execute_with(_configuration_messages.ChangeAccepted, verdicts.put)
+    shell.execute_with(_configuration_messages.ChangeRefused, verdicts.put)
+
+
+async def _connect_peers(
+    shell: _shell.Shell, node_settings: settings.Settings, nursery: trio.Nursery
+) -> None:
+    key = node_settings.security.peer_key.encode()
+    sender = _peers.PeerSender(node=node_settings.node.name, key=key, nursery=nursery)
+
+    def send_heartbeat(command: _membership_messages.SendHeartbeat) -> None:
+        sender.send(command.address, _peer_codec.encode_command(command))
+
+    def receive(data: bytes) -> None:
+        shell.post(_peer_codec.decode_event(data))
+
+    shell.execute_with(_membership_messages.SendHeartbeat, send_heartbeat)
+    listener = _peers.PeerListener(key=key, handler=receive)
+    listen = node_settings.listen.peers
+    await nursery.start(functools.partial(listener.serve, listen.host, listen.port))
--- /dev/null
+++ b/src/jujubepass/_operators.py
@@ -0,0 +1,156 @@
+"""HTTP interface for operators."""
+
+import collections.abc
+import hashlib
+import hmac
+import json
+import typing
+
+import attrs
+import trio
+
+from jujubepass import (
+    _blackboard,
+    _configuration_messages,
+    _http_server,
+    _metrics,
+    _node_messages,
+    ids,
+)
+
+_PROPOSAL_TIMEOUT_SECONDS = 10.0
+
+Post = collections.abc.Callable[[typing.Any], None]
+Verdict = (
+    _configuration_messages.ChangeAccepted | _configuration_messages.ChangeRefused
+)
+
+
+@attrs.define(kw_only=True)
+class Verdicts:
+    """Hand the word on a change to the operator who waits for it."""
+
+    _waiting: dict[ids.ChangeId, trio.MemorySendChannel[Verdict]] = attrs.field(
+        factory=dict, init=False
+    )
+
+    def open(self, change: ids.ChangeId) -> trio.MemoryReceiveChannel[Verdict]:
+        """Wait for the word on a change."""
+        sender, receiver = trio.open_memory_channel[Verdict](1)
+        self._waiting[change] = sender
+        return receiver
+
+    def put(self, verdict: Verdict) -> None:
+        """Hand over the word."""
+        sender = self._waiting.pop(verdict.change, None)
+        if sender is not None:
+            sender.send_nowait(verdict)
+
+
+@attrs.frozen(kw_only=True)
+class OperatorApi:
+    """Serve operators who hold the operators' key."""
+
+    blackboard: _blackboard.Blackboard
+    metrics: _metrics.Metrics
+    post: Post
+    verdicts: Verdicts
+    key_hash: str
+
+    async def __call__(
+        self, request: _http_server.Request, responder: _http_server.Responder
+    ) -> None:
+        """Serve one request."""
+        if request.path == "/metrics":
+            content_type = _metrics.CONTENT_TYPE
+            data = self.metrics.expose()
+            await responder.send(200, data, content_type=content_type)
+        elif request.path == "/healthz":
+            await responder.send(200, b"ok\n", content_type="text/plain")
+        elif request.path == "/readyz":
+            ready = self.blackboard.node.state is _node_messages.NodeState.READY
+            body = self.blackboard.node.state.value.encode() + b"\n"
+            status = 200 if ready else 503
+            await responder.send(status, body, content_type="text/plain")
+        elif not self._is_operator(request):
+            detail = "Send the operators' key as 'Authorization: Bearer KEY'."
+            await responder.send_problem(401, "unknown_operator", detail)
+        else:
+            await self._serve(request, responder)
+
+    def _is_operator(self, request: _http_server.Request) -> bool:
+        key = request.headers.get("authorization", "").removeprefix("Bearer ")
+        key_hash = hashlib.sha256(key.encode()).hexdigest()
+        return hmac.compare_digest(key_hash, self.key_hash)
+
+    async def _serve(
+        self, request: _http_server.Request, responder: _http_server.Responder
+    ) -> None:
+        asked = (request.method, request.path)
+        if asked == ("GET", "/operator/status"):
+            await responder.send_json(200, self._describe())
+        elif asked == ("POST", "/operator/changes"):
+            await self._propose(request, responder)
+        else:
+            detail = f"{request.method} {request.path} is not served here."
+            await responder.send_problem(404, "unknown_path", detail)
+
+    def _describe(self) -> dict[str, typing.Any]:
+        board = self.blackboard
+        nodes = [
+            {
+                "node": board.identity.node,
+                "state": board.node.state.value,
+                "configuration_number": board.configuration.number,
+                "configuration_digest": board.configuration.digest,
+            }
+        ]
+        nodes += [
+            {
+                "node": peer.node,
+                "state": peer.state.value,
+                "configuration_number": peer.configuration_number,
+                "configuration_digest": peer.configuration_digest,
+            }
+            for peer in board.membership.peers.values()
+        ]
+        backends = [
+            {
+                "backend": name,
+                "role": backend.vm.role.value,
+                "leaving": backend.leaving,
+                "failed_polls": backend.failed_polls,
+            }
+            for area in (board.backends.engines, board.backends.services)
+            for name, backend in area.items()
+        ]
+        return {"nodes": nodes, "backends": backends}
+
+    async def _propose(
+        self, request: _http_server.Request, responder: _http_server.Responder
+    ) -> None:
+        try:
+            fields = json.loads(request.body)
+            event = _configuration_messages.ChangeProposed(
+                change=ids.ChangeId(str(fields["change_id"])),
+                base=ids.ChangeNumber(int(fields["base"])),
+                author=str(fields["author"]),
+                sections=fields["sections"],
+            )
+        except (ValueError, KeyError, TypeError) as error:
+            detail = f"A change needs change_id, base, author, sections: {error!r}."
+            await responder.send_problem(400, "malformed_request", detail)
+            return
+        receiver = self.verdicts.open(event.change)
+        self.post(event)
+        with trio.move_on_after(_PROPOSAL_TIMEOUT_SECONDS):
+            verdict = await receiver.receive()
+            if isinstance(verdict, _configuration_messages.ChangeAccepted):
+                await responder.send_json(200, {"number": verdict.number})
+            else:
+                await responder.send_problem(
+                    verdict.status, verdict.code, verdict.detail
+                )
+            return
+        detail = "The change's outcome is not known yet; send the same change_id again."
+        await responder.send_problem(504, "outcome_unknown", detail)
--- a/src/jujubepass/declarations.py
+++ b/src/jujubepass/declarations.py
@@ -39,6 +39,14 @@
     weight: float = 1.0
     max_tokens: int = 1024
 
+    def may_use_model(self, model: ids.ModelId) -> bool:
+        """Tell whether the account may use a model; no list allows every one."""
+        return not self.models or model in self.models
+
+    def may_use_service(self, service: ids.ServiceId) -> bool:
+        """Tell whether the account may use a service; no list allows every one."""
+        return not self.services or service in self.services
+
 
 @attrs.frozen(kw_only=True)
 class Declarations:
@@ -52,6 +60,17 @@
         factory=dict
     )
     drained: frozenset[str] = frozenset()
+    _accounts_by_key_hash: dict[str, Account] = attrs.field(
+        init=False, repr=False, eq=False
+    )
+
+    @_accounts_by_key_hash.default
+    def _index_accounts(self) -> dict[str, Account]:
+        return {account.key_hash: account for account in self.accounts.values()}
+
+    def find_account_by_key_hash(self, key_hash: str) -> Account | None:
+        """Find the account whose key has this SHA-256, in hex."""
+        return self._accounts_by_key_hash.get(key_hash)
 
 
 class DeclarationError(Exception):
