--- a/src/jujubepass/_caller_input.py
+++ b/src/jujubepass/_caller_input.py
@@ -175,10 +175,9 @@
 
 
 def _read_prompt(fields: collections.abc.Mapping[str, typing.Any]) -> tuple[str, ...]:
+    text = fields.get("prompt")
     if "messages" in fields:
         text = _join_messages(fields["messages"])
-    else:
-        text = fields.get("prompt")
     if not isinstance(text, str) or not text.strip():
         raise _malformed("Send a prompt (text) or messages (a list of role, content).")
     words = tuple(text.split())
--- a/src/jujubepass/_callers.py
+++ b/src/jujubepass/_callers.py
@@ -195,6 +195,7 @@
         replies: collections.abc.Sequence[_mailboxes.Reply],
         mailbox: _mailboxes.Mailbox,
     ) -> _metrics.RequestOutcome | None:
+        """Write what is ready; return the outcome once it is known."""
         for reply in replies:
             if isinstance(reply, _answer_messages.Refuse):
                 return await self._refuse(reply)
@@ -216,6 +217,7 @@
         replies: collections.abc.Sequence[_mailboxes.Reply],
         mailbox: _mailboxes.Mailbox,
     ) -> _metrics.RequestOutcome | None:
+        """Write what is ready; return the outcome once it is known."""
         for reply in replies:
             if isinstance(reply, _answer_messages.Refuse):
                 return await self._refuse(reply)
@@ -252,6 +254,7 @@
         replies: collections.abc.Sequence[_mailboxes.Reply],
         mailbox: _mailboxes.Mailbox,
     ) -> _metrics.RequestOutcome | None:
+        """Write what is ready; return the outcome once it is known."""
         data: list[bytes] = []
         outcome = None
         for reply in replies:
--- a/src/jujubepass/_calls.py
+++ b/src/jujubepass/_calls.py
@@ -28,10 +28,12 @@
 
     @property
     def key(self) -> str:
+        """Name the call's row in the table."""
         return f"call/{self.arrived.account}/{self.arrived.key}"
 
     @property
     def attempt(self) -> ids.AttemptId:
+        """Name the only attempt of this call."""
         return ids.AttemptId(self.arrived.request)
 
 
--- a/src/jujubepass/_metrics.py
+++ b/src/jujubepass/_metrics.py
@@ -138,6 +138,14 @@
         """Count one dropped token."""
         self.drops[reason] += 1
 
+    def count_tokens(self, count: int) -> None:
+        """Count tokens that went to callers."""
+        self.tokens += count
+
+    def observe_recovery(self, seconds: float) -> None:
+        """Keep the time between the tokens around a replaced attempt."""
+        self.recovery.observe(seconds)
+
     def count_request(self, kind: RequestKind, outcome: RequestOutcome) -> None:
         """Count one request that ended."""
         self.requests[kind, outcome] += 1
--- a/src/jujubepass/_node.py
+++ b/src/jujubepass/_node.py
@@ -1,8 +1,10 @@
 """Assembly of one node: blackboard, controllers, shell and listeners."""
 
+import collections.abc
 import functools
 import logging
 import signal
+import typing
 import uuid
 
 import trio
@@ -55,54 +57,56 @@
     metrics = _metrics.Metrics(version=__version__)
     controllers = _make_controllers(node_settings, blackboard, metrics)
     dispatcher = _dispatch.Dispatcher(controllers=controllers)
+    mailboxes = _mailboxes.Mailboxes()
+    verdicts = _operators.Verdicts()
+    listen = node_settings.listen
     async with trio.open_nursery() as nursery:
         shell = _shell.Shell(dispatcher=dispatcher, nursery=nursery)
-        mailboxes = _mailboxes.Mailboxes()
-        verdicts = _operators.Verdicts()
         _connect_platform(shell, node_settings)
         _connect_backends(shell, mailboxes)
         _connect_requests(shell, mailboxes, verdicts)
         await _connect_peers(shell, node_settings, nursery)
-        callers = _http_server.Server(
-            handler=_callers.CallerApi(
-                blackboard=blackboard,
-                mailboxes=mailboxes,
-                metrics=metrics,
-                post=shell.post,
-                new_request_id=_new_request_id,
-            ),
-            limits=_make_limits(node_settings.listen),
+        operator_api = _operators.OperatorApi(
+            blackboard=blackboard,
+            metrics=metrics,
+            post=shell.post,
+            verdicts=verdicts,
+            key_hash=node_settings.security.operator_key_hash,
         )
-        operators = _http_server.Server(
-            handler=_operators.OperatorApi(
-                blackboard=blackboard,
-                metrics=metrics,
-                post=shell.post,
-                verdicts=verdicts,
-                key_hash=node_settings.security.operator_key_hash,
-            )
+        operators = _http_server.Server(handler=operator_api)
+        caller_api = _callers.CallerApi(
+            blackboard=blackboard,
+            mailboxes=mailboxes,
+            metrics=metrics,
+            post=shell.post,
+            new_request_id=_new_request_id,
         )
-        listen = node_settings.listen
+        callers = _http_server.Server(handler=caller_api, limits=_make_limits(listen))
         nursery.start_soon(_tick, shell, node_settings.timing.tick_seconds)
-        await nursery.start(
-            operators.serve, listen.operators.host, listen.operators.port
-        )
-        async with trio.open_nursery() as serving:
-            await serving.start(
-                callers.serve, listen.callers.host, listen.callers.port
-            )
-            _LOGGER.info("node %s serves callers", blackboard.identity.node)
-            await _wait_for_signal()
-            shell.post(_node_messages.StopRequested())
-            serving.cancel_scope.deadline = (
-                trio.current_time() + node_settings.timing.shutdown_seconds
-            )
-            callers.stop()
+        address = listen.operators
+        await nursery.start(operators.serve, address.host, address.port)
+        await _serve_callers(shell, callers, node_settings)
         nursery.cancel_scope.cancel()
     _LOGGER.info("node %s has stopped", blackboard.identity.node)
     return _EXIT_DONE
 
 
+async def _serve_callers(
+    shell: _shell.Shell,
+    callers: _http_server.Server,
+    node_settings: settings.Settings,
+) -> None:
+    address = node_settings.listen.callers
+    async with trio.open_nursery() as serving:
+        await serving.start(callers.serve, address.host, address.port)
+        _LOGGER.info("node %s serves callers at %s", node_settings.node.name, address)
+        await _wait_for_signal()
+        shell.post(_node_messages.StopRequested())
+        bound = trio.current_time() + node_settings.timing.shutdown_seconds
+        serving.cancel_scope.deadline = bound
+        callers.stop()
+
+
 async def _wait_for_signal() -> None:
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async for _ in signals:
@@ -189,19 +193,20 @@
     )
     vms = _vm_client.VmClient(client=client, address=platform.vms, post=shell.post)
 
-    async def transact(command: _store_messages.Transact) -> None:
-        shell.post(await table.transact(command))
+    transact = _post_outcome(shell, table.transact)
+    shell.spawn_with(_store_messages.Transact, transact)
+    shell.spawn_with(_store_messages.ReadRows, _post_outcome(shell, table.read))
+    shell.spawn_with(_store_messages.ScanRows, _post_outcome(shell, table.scan))
+    shell.spawn_with(_backend_messages.PollVms, vms.poll)
 
-    async def read(command: _store_messages.ReadRows) -> None:
-        shell.post(await table.read(command))
 
-    async def scan(command: _store_messages.ScanRows) -> None:
-        shell.post(await table.scan(command))
+def _post_outcome(
+    shell: _shell.Shell, carry_out: collections.abc.Callable[..., typing.Any]
+) -> _shell.ExecuteAsync:
+    async def _execute(command: typing.Any) -> None:
+        shell.post(await carry_out(command))
 
-    shell.spawn_with(_store_messages.Transact, transact)
-    shell.spawn_with(_store_messages.ReadRows, read)
-    shell.spawn_with(_store_messages.ScanRows, scan)
-    shell.spawn_with(_backend_messages.PollVms, vms.poll)
+    return _execute
 
 
 def _connect_backends(shell: _shell.Shell, mailboxes: _mailboxes.Mailboxes) -> None:
@@ -209,12 +214,12 @@
     engines = _engine_client.EngineClient(client=client, post=shell.post)
     services = _service_client.ServiceClient(client=client, post=shell.post)
 
-    async def run_attempt(command: _answer_messages.StartAttempt) -> None:
+    async def _run_attempt(command: _answer_messages.StartAttempt) -> None:
         names = [stage.engine for stage in command.stages]
         mailboxes.note_backends(command.request, names)
         await engines.run_attempt(command)
 
-    shell.spawn_with(_answer_messages.StartAttempt, run_attempt)
+    shell.spawn_with(_answer_messages.StartAttempt, _run_attempt)
     shell.spawn_with(_answer_messages.CancelAttempt, engines.cancel_attempt)
     shell.spawn_with(_answer_messages.ReleaseCache, engines.release_cache)
     shell.spawn_with(_backend_messages.PollLoad, engines.poll_load)
@@ -244,13 +249,13 @@
     key = node_settings.security.peer_key.encode()
     sender = _peers.PeerSender(node=node_settings.node.name, key=key, nursery=nursery)
 
-    def send_heartbeat(command: _membership_messages.SendHeartbeat) -> None:
+    def _send_heartbeat(command: _membership_messages.SendHeartbeat) -> None:
         sender.send(command.address, _peer_codec.encode_command(command))
 
-    def receive(data: bytes) -> None:
+    def _receive(data: bytes) -> None:
         shell.post(_peer_codec.decode_event(data))
 
-    shell.execute_with(_membership_messages.SendHeartbeat, send_heartbeat)
-    listener = _peers.PeerListener(key=key, handler=receive)
+    shell.execute_with(_membership_messages.SendHeartbeat, _send_heartbeat)
+    listener = _peers.PeerListener(key=key, handler=_receive)
     listen = node_settings.listen.peers
     await nursery.start(functools.partial(listener.serve, listen.host, listen.port))
--- a/src/jujubepass/_operators.py
+++ b/src/jujubepass/_operators.py
@@ -21,9 +21,7 @@
 _PROPOSAL_TIMEOUT_SECONDS = 10.0
 
 Post = collections.abc.Callable[[typing.Any], None]
-Verdict = (
-    _configuration_messages.ChangeAccepted | _configuration_messages.ChangeRefused
-)
+Verdict = _configuration_messages.ChangeAccepted | _configuration_messages.ChangeRefused
 
 
 @attrs.define(kw_only=True)
--- a/src/jujubepass/_table_client.py
+++ b/src/jujubepass/_table_client.py
@@ -54,17 +54,8 @@
     ):
         """Run a conditional transaction; 503 and a failed connect took no effect."""
         operation = command.operation
-        body = {
-            "conditions": [
-                {"key": each.key, "version": each.version}
-                for each in command.conditions
-            ],
-            "writes": [
-                {"key": each.key, "value": each.value} for each in command.writes
-            ],
-        }
         try:
-            answer = await self._post("/table/transact", body)
+            answer = await self._post("/table/transact", _write_transaction(command))
             if answer.status == _OK:
                 versions = answer.read_json()["versions"]
                 return _store_messages.Transacted(
@@ -146,6 +137,15 @@
         )
 
 
+def _write_transaction(command: _store_messages.Transact) -> dict[str, typing.Any]:
+    return {
+        "conditions": [
+            {"key": each.key, "version": each.version} for each in command.conditions
+        ],
+        "writes": [{"key": each.key, "value": each.value} for each in command.writes],
+    }
+
+
 def _parse_row(row: typing.Any) -> _store_messages.VersionedRow:
     return _store_messages.VersionedRow(
         key=row["key"], version=row["version"], value=row["value"] or {}
