--- a/src/jujubepass/_peer_codec.py
+++ b/src/jujubepass/_peer_codec.py
@@ -2,8 +2,8 @@
 
 import typing
 
-import thrift.protocol.TCompactProtocol as compact_protocol
-import thrift.transport.TTransport as thrift_transport
+import thrift.protocol.TCompactProtocol
+import thrift.transport.TTransport
 
 from jujubepass import _membership_messages, _node_messages, ids
 from jujubepass.generated.peer import ttypes
@@ -15,15 +15,15 @@
 
 def encode_struct(struct: typing.Any) -> bytes:
     """Write a generated struct in the compact protocol."""
-    buffer = thrift_transport.TMemoryBuffer()
-    struct.write(compact_protocol.TCompactProtocol(buffer))
+    buffer = thrift.transport.TTransport.TMemoryBuffer()
+    struct.write(thrift.protocol.TCompactProtocol.TCompactProtocol(buffer))
     return typing.cast(bytes, buffer.getvalue())
 
 
 def decode_struct(struct: typing.Any, data: bytes) -> typing.Any:
     """Fill a generated struct; raise PeerCodecError."""
-    buffer = thrift_transport.TMemoryBuffer(data)
-    protocol = compact_protocol.TCompactProtocol(
+    buffer = thrift.transport.TTransport.TMemoryBuffer(data)
+    protocol = thrift.protocol.TCompactProtocol.TCompactProtocol(
         buffer, string_length_limit=len(data), container_length_limit=len(data)
     )
     try:
