--- /dev/null
+++ b/standins/processes.py
@@ -0,0 +1,231 @@
+"""Processes of a trial on loopback: start, wait, pause, kill and stop."""
+
+import collections.abc
+import json
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import types
+import typing
+
+import trio
+
+from jujubepass import _http_client
+
+HOST = "127.0.0.1"
+
+_POLL_SECONDS = 0.02
+_READY_SECONDS = 20.0
+_STOP_SECONDS = 10.0
+_TAIL_BYTES = 4_000
+
+
+class TrialError(Exception):
+    """Report a process or a condition that failed."""
+
+
+class Ports:
+    """Allocate ports in order, skipping those that cannot be bound."""
+
+    def __init__(self, *, first: int, count: int = 400) -> None:
+        self._next = first
+        self._end = first + count
+
+    def take(self) -> int:
+        """Return a port that is free now."""
+        while self._next < self._end:
+            port = self._next
+            self._next += 1
+            with socket.socket() as probe:
+                probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                try:
+                    probe.bind((HOST, port))
+                except OSError:
+                    continue
+                return port
+        raise TrialError(f"no free port below {self._end}")
+
+
+def wait_for(
+    condition: collections.abc.Callable[[], typing.Any],
+    what: str,
+    timeout_seconds: float = _READY_SECONDS,
+) -> typing.Any:
+    """Poll until a condition gives a true value; return that value."""
+    deadline = time.monotonic() + timeout_seconds
+    while True:
+        value = condition()
+        if value:
+            return value
+        if time.monotonic() > deadline:
+            raise TrialError(f"{what} did not happen within {timeout_seconds:g} s")
+        time.sleep(_POLL_SECONDS)
+
+
+def can_connect(port: int) -> bool:
+    """Tell whether something listens on a port."""
+    with socket.socket() as probe:
+        probe.settimeout(1.0)
+        return probe.connect_ex((HOST, port)) == 0
+
+
+def call(
+    method: str,
+    port: int,
+    path: str,
+    body: object = None,
+    *,
+    headers: collections.abc.Mapping[str, str] | None = None,
+    timeout_seconds: float = 10.0,
+) -> _http_client.Answer:
+    """Send one request and return its whole answer; bodies other than bytes go as JSON.
+
+    Raises the HTTP client's errors.
+    """
+    data = body if isinstance(body, bytes) else b""
+    if body is not None and not isinstance(body, bytes):
+        data = json.dumps(body).encode()
+
+    async def send() -> _http_client.Answer:
+        return await _http_client.Client().request(
+            method,
+            _http_client.Address(host=HOST, port=port),
+            path,
+            body=data,
+            headers={"connection": "close", **(headers or {})},
+            timeout_seconds=timeout_seconds,
+        )
+
+    return trio.run(send)
+
+
+def answers(port: int, path: str) -> bool:
+    """Tell whether a path answers with 200."""
+    try:
+        return call("GET", port, path, timeout_seconds=1.0).status == 200
+    except _http_client.ClientError:
+        return False
+
+
+def change_knobs(port: int, **changes: object) -> None:
+    """Set knobs of a stand-in."""
+    answer = call("POST", port, "/knobs", changes)
+    if answer.status != 200:
+        raise TrialError(f"knobs refused: {answer.body.decode()}")
+
+
+def read_counts(port: int) -> typing.Any:
+    """Return the counters of a stand-in."""
+    return call("GET", port, "/counts").read_json()
+
+
+def register_vm(
+    platform_port: int,
+    name: str,
+    role: str,
+    port: int,
+    *,
+    region: str = "montevideo",
+    failure_domain: str = "a",
+    state: str = "live",
+    **properties: object,
+) -> None:
+    """Put a VM into the platform's list."""
+    vm = {
+        "role": role,
+        "address": f"{HOST}:{port}",
+        "region": region,
+        "failure_domain": failure_domain,
+        "state": state,
+        "properties": properties,
+    }
+    call("PUT", platform_port, f"/vms/{name}", vm)
+
+
+class Processes:
+    """Own the processes of one trial and their output."""
+
+    def __init__(self) -> None:
+        self._folder = tempfile.TemporaryDirectory(prefix="trial-")
+        self.folder = pathlib.Path(self._folder.name)
+        self._running: dict[str, subprocess.Popen[bytes]] = {}
+
+    def __enter__(self) -> "Processes":
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        self.close()
+
+    def start(
+        self,
+        name: str,
+        module: str,
+        *arguments: str,
+        port: int | None = None,
+        path: str | None = None,
+    ) -> None:
+        """Run a module; wait until its port accepts, or its path answers with 200."""
+        with open(self.folder / f"{name}.log", "ab") as output:
+            self._running[name] = subprocess.Popen(
+                [sys.executable, "-m", module, *arguments],
+                stdout=output,
+                stderr=subprocess.STDOUT,
+                stdin=subprocess.DEVNULL,
+            )
+        if port is not None:
+            wait_for(lambda: self._is_ready(name, port, path), f"{name} ready")
+
+    def _is_ready(self, name: str, port: int, path: str | None) -> bool:
+        if self._running[name].poll() is not None:
+            raise TrialError(f"{name} ended early:\n{self.read_output(name)}")
+        return answers(port, path) if path else can_connect(port)
+
+    def read_output(self, name: str) -> str:
+        """Return the last output of a process."""
+        data = (self.folder / f"{name}.log").read_bytes()
+        return data[-_TAIL_BYTES:].decode(errors="replace")
+
+    def get_pid(self, name: str) -> int:
+        """Return a process's id."""
+        return self._running[name].pid
+
+    def suspend(self, name: str) -> None:
+        """Pause a process, as a VM is paused."""
+        self._running[name].send_signal(signal.SIGSTOP)
+
+    def resume(self, name: str) -> None:
+        """Let a paused process go on."""
+        self._running[name].send_signal(signal.SIGCONT)
+
+    def kill(self, name: str) -> None:
+        """End a process at once."""
+        process = self._running.pop(name)
+        process.kill()
+        process.wait()
+
+    def stop(self, name: str, timeout_seconds: float = _STOP_SECONDS) -> int:
+        """Ask a process to shut down; return its exit code."""
+        process = self._running.pop(name)
+        process.send_signal(signal.SIGCONT)
+        process.terminate()
+        try:
+            return process.wait(timeout_seconds)
+        except subprocess.TimeoutExpired as error:
+            process.kill()
+            process.wait()
+            raise TrialError(f"{name} did not stop") from error
+
+    def close(self) -> None:
+        """Kill what still runs and drop the output."""
+        for name in list(self._running):
+            self.kill(name)
+        self._folder.cleanup()
--- a/standins/stages.py
+++ b/standins/stages.py
@@ -105,8 +105,7 @@
         kept = self._state.kv.get(step.request)
         covered = min(kept.tokens, step.context_tokens) if kept else 0
         if step.blocks is None:
-            missing = step.context_tokens - covered
-            return missing if missing > 1 else 0
+            return _count_prefill(step.context_tokens - covered)
         self._state.counts.kv_reused += covered > 0
         if step.kv_from and step.context_tokens - covered > 1:
             covered = max(covered, await self._import_kv(step))
@@ -120,7 +119,7 @@
             drop_odds=self._state.knobs.cache_event_drop,
             now=trio.current_time(),
         )
-        return step.context_tokens - covered
+        return _count_prefill(step.context_tokens - covered)
 
     async def _import_kv(self, step: Step) -> int:
         path = f"/kv/{step.request}?first_layer={step.first_layer}"
@@ -142,3 +141,8 @@
         await trio.sleep(link_seconds * (1 + tokens / _KV_TOKENS_PER_LINK_DELAY))
         self._state.counts.kv_imported += 1
         return tokens
+
+
+def _count_prefill(missing: int) -> int:
+    """Return the words to prefill; the step itself runs the last one."""
+    return missing if missing > 1 else 0
