Build one file, and check settings, command line and build by scenarios

The program must be one file that starts no process and writes no file. One-file bundles that unpack were ruled out. The audit's own scenario shows that it sees a child process, a written file and a foreign module. The scenario that serves a node fails here for a fault of the node's module, which does not import; it is not eased.

--- a/src/jujubepass/_local_commands.py
+++ b/src/jujubepass/_local_commands.py
@@ -62,7 +62,7 @@
 
 def _run_node(node_settings: settings.Settings) -> int:
     # The node's modules are needed by this command alone.
-    from jujubepass import _node  # type: ignore[attr-defined]
+    from jujubepass import _node
 
     security = node_settings.security
     _logs.set_up(
--- /dev/null
+++ b/tests/features/build.feature
@@ -0,0 +1,39 @@
+Feature: The program is one file
+  It starts no process and writes no file.
+
+  Scenario: Two builds of one source are equal
+    Given the built program
+    When it is built again
+    Then both files hold the same bytes
+
+  Scenario Outline: A command leaves the machine alone
+    Given the built program
+    When it runs "<command>" under audit
+    Then it exits with <code> and prints "<text>"
+    And the audit saw nothing
+
+    Examples:
+      | command                        | code | text                      |
+      | version                        | 0    | 0.                        |
+      | --help                         | 0    | Subcommands               |
+      | settings                       | 0    | lease_margin_seconds      |
+      | check --settings node.ini      | 0    | no problems               |
+      | check --settings bad.ini       | 2    | is no section             |
+      | status --node 127.0.0.1:1      | 3    | cannot connect            |
+      | stauts                         | 2    | Invalid command           |
+
+  Scenario: The audit sees processes, files and foreign modules
+    When a program that starts a process and writes a file runs under audit
+    Then the audit saw these
+      | event            |
+      | subprocess.Popen |
+      | open             |
+      | child process    |
+      | foreign module   |
+
+  Scenario: A node serves and shuts down
+    Given the built program
+    When it serves under audit until SIGTERM
+    Then it exits with 0 and prints "has stopped"
+    And the audit saw nothing
+    And its folder is empty
