--- a/src/jujubepass/_answers.py
+++ b/src/jujubepass/_answers.py
@@ -59,7 +59,7 @@
         """Route an admitted request."""
         if event.request not in self.blackboard.limits.admitted:
             return ()
-        model = self.blackboard.configuration.declarations.models[event.model]
+        model = self.blackboard.configuration.declared.models[event.model]
         answer = _answer_area.Answer(arrived=event, layers=model.layers)
         self.blackboard.answers.answers[event.request] = answer
         return self._start_attempt(answer, now)
--- a/src/jujubepass/_backends.py
+++ b/src/jujubepass/_backends.py
@@ -90,7 +90,7 @@
     def _is_leaving(self, backend: _backend_area.BackendServer) -> bool:
         listed = backend.vm.state is _backend_messages.VmState.LEAVING
         told = backend.report is not None and backend.report.leaving
-        drained = self.blackboard.configuration.declarations.drained
+        drained = self.blackboard.configuration.declared.drained
         return listed or told or backend.vm.name in drained
 
     def keep_report(
--- a/src/jujubepass/_callers.py
+++ b/src/jujubepass/_callers.py
@@ -72,7 +72,7 @@
         responder: _http_server.Responder,
     ) -> None:
         try:
-            declared = self.blackboard.configuration.declarations
+            declared = self.blackboard.configuration.declared
             account = _caller_input.find_account(request, declared)
             await serve(request, responder, account)
         except _caller_input.CallerInputError as error:
@@ -87,7 +87,7 @@
         responder: _http_server.Responder,
         account: declarations.Account,
     ) -> None:
-        declared = self.blackboard.configuration.declarations
+        declared = self.blackboard.configuration.declared
         request_id = self.new_request_id()
         checked = _caller_input.read_model_request(
             request, account, declared, request_id, trio.current_time()
@@ -105,7 +105,7 @@
         responder: _http_server.Responder,
         account: declarations.Account,
     ) -> None:
-        declared = self.blackboard.configuration.declarations
+        declared = self.blackboard.configuration.declared
         request_id = self.new_request_id()
         event = _caller_input.read_call(
             request, account, declared, request_id, trio.current_time()
@@ -119,7 +119,7 @@
         responder: _http_server.Responder,
         account: declarations.Account,
     ) -> None:
-        declared = self.blackboard.configuration.declarations
+        declared = self.blackboard.configuration.declared
         request_id = self.new_request_id()
         event = _caller_input.read_lookup(
             request, account, declared, request_id, trio.current_time()
--- a/src/jujubepass/_configuration.py
+++ b/src/jujubepass/_configuration.py
@@ -72,7 +72,7 @@
         self._sections = {k: dict(v) for k, v in row.value["sections"].items()}
         area.number = ids.ChangeNumber(row.value["number"])
         area.digest = row.value["digest"]
-        area.declarations = declarations.build_declarations(self._sections)
+        area.declared = declarations.build_declarations(self._sections)
         return ()
 
     def propose(
--- a/src/jujubepass/_configuration_area.py
+++ b/src/jujubepass/_configuration_area.py
@@ -13,6 +13,4 @@
 
     number: ids.ChangeNumber = NO_CHANGE
     digest: str = ""
-    declarations: declarations.Declarations = attrs.field(
-        factory=declarations.Declarations
-    )
+    declared: declarations.Declarations = attrs.field(factory=declarations.Declarations)
--- a/src/jujubepass/_limits.py
+++ b/src/jujubepass/_limits.py
@@ -51,7 +51,7 @@
         """Admit a request or refuse it at once."""
         if self.blackboard.node.state is not _node_messages.NodeState.READY:
             return (_refuse(event, reasons.RefusalReason.NODE_STOPPING, 1.0),)
-        declared = self.blackboard.configuration.declarations.accounts
+        declared = self.blackboard.configuration.declared.accounts
         account = declared[event.account]
         use = self._refill(account, now)
         if use.tokens < 1.0:
--- /dev/null
+++ b/tests/features/environment.py
@@ -0,0 +1,8 @@
+import os
+
+DEFAULT_FIRST_PORT = 10_000
+
+
+def before_all(context):
+    first_port = os.environ.get("JUJUBEPASS_TEST_PORT", DEFAULT_FIRST_PORT)
+    context.first_port = int(first_port)
--- /dev/null
+++ b/tests/features/steps/path_steps.py
@@ -0,0 +1,74 @@
+import json
+
+import behave
+
+from standins import model, system
+
+PROMPT = "my stairlift stops halfway with a red light"
+TOKENS = 12
+BOOKING = {"day": "2030-05-02"}
+
+
+def read_text(answer):
+    return answer.read_json()["choices"][0]["text"]
+
+
+@behave.given("a system of three nodes")
+def step_system(context):
+    context.system = system.System(first_port=context.first_port)
+    context.add_cleanup(context.system.processes.close)
+    context.system.start_all(nodes=3)
+
+
+@behave.when("a prompt goes to each node")
+def step_prompt(context):
+    context.answers = [
+        context.system.ask(node, PROMPT, max_tokens=TOKENS)
+        for node in context.system.nodes
+    ]
+
+
+@behave.then("each answer is what the model gives undisturbed")
+def step_compare(context):
+    words = PROMPT.split()
+    expected = model.expected_tokens(system.MODEL, words, TOKENS, system.LAYERS)
+    for answer in context.answers:
+        assert read_text(answer).split() == list(expected), answer
+
+
+@behave.when('a booking goes to "{first}" and again to "{second}" with the same key')
+def step_book(context, first, second):
+    context.answers = [
+        context.system.book(node, "visit-1", BOOKING) for node in (first, second)
+    ]
+
+
+@behave.then("both answers are the same and the service ran it once")
+def step_once(context):
+    first, second = context.answers
+    assert first.status == second.status == 200, context.answers
+    assert first.body == second.body, context.answers
+    assert json.loads(first.body)["run"] == 1, first
+
+
+@behave.when('a lookup goes to "{node}"')
+def step_look_up(context, node):
+    context.answer = context.system.look_up(node)
+
+
+@behave.then('it is answered by "{backend}"')
+def step_backend(context, backend):
+    assert context.answer.status == 200, context.answer
+    assert context.answer.headers["x-jujubepass-backend"] == backend, context.answer
+
+
+@behave.when("each node is told to stop")
+def step_stop(context):
+    context.codes = [
+        context.system.processes.stop(node) for node in context.system.nodes
+    ]
+
+
+@behave.then("each exits with 0")
+def step_codes(context):
+    assert context.codes == [0, 0, 0], context.codes
