--- a/standins/batching.py
+++ b/standins/batching.py
@@ -11,6 +11,8 @@
 PREFILL_WORDS_PER_STEP = 512
 """Prompt words that one step takes besides its tokens."""
 
+_LONGEST_SLEEP_SECONDS = 0.1
+
 
 @attrs.define(kw_only=True, eq=False)
 class Visit:
@@ -80,8 +82,7 @@
             words = self._prefill(batch)
             seconds = self._pace.step_seconds
             seconds += words / self._pace.prefill_tokens_per_second
-            await trio.sleep(seconds * self._pace.slow_factor)
-            await self._wait_unfrozen()
+            await self._spend(seconds)
             self.steps += 1
             for visit in batch:
                 if visit.prefill_words:
@@ -89,6 +90,15 @@
                 else:
                     visit.done.set()
 
+    async def _spend(self, seconds: float) -> None:
+        """Sleep for a step's time, at the speed of each moment."""
+        while seconds > 0:
+            factor = self._pace.slow_factor
+            slept = min(seconds * factor, _LONGEST_SLEEP_SECONDS)
+            await trio.sleep(slept)
+            await self._wait_unfrozen()
+            seconds -= slept / factor if slept < seconds * factor else seconds
+
     def _take_batch(self) -> list[Visit]:
         batch: list[Visit] = []
         while self._heap and len(batch) < self._pace.max_batch:
--- a/standins/engine_state.py
+++ b/standins/engine_state.py
@@ -20,7 +20,7 @@
 class WorkRefusedError(Exception):
     """Refuse a request or a step with a reason from docs/interfaces.md."""
 
-    def __init__(self, reason: str) -> None:
+    def __init__(self, *, reason: str) -> None:
         super().__init__(reason)
         self.reason = reason
 
@@ -151,7 +151,7 @@
         """Refuse an old or cancelled epoch and remember a new one."""
         known, cancelled = self._epochs.get(request, (0, 0))
         if epoch < known or epoch <= cancelled:
-            raise WorkRefusedError("old_epoch")
+            raise WorkRefusedError(reason="old_epoch")
         self._remember_epoch(request, epoch, cancelled)
 
     def cancel_epochs(self, request: str, epoch: int) -> None:
@@ -172,13 +172,13 @@
             self.counts.asked_after_leaving += 1
             self.counts.last_asked_after_leaving_seconds = waited
             if self.knobs.refuses_when_leaving:
-                raise WorkRefusedError("leaving")
+                raise WorkRefusedError(reason="leaving")
             self.counts.started_after_leaving += 1
         if self.knobs.full:
-            raise WorkRefusedError("full")
+            raise WorkRefusedError(reason="full")
         covered = self.actual.covers(first_layer, end_layer)
         if self.loading or model != self.actual.model or not covered:
-            raise WorkRefusedError("not_loaded")
+            raise WorkRefusedError(reason="not_loaded")
 
     def record_run(self, request: str, row: list[int]) -> None:
         """Record one run as [epoch, first_layer, end_layer, position, next_position].
--- a/standins/generation.py
+++ b/standins/generation.py
@@ -18,7 +18,7 @@
 class StageFailedError(Exception):
     """Report the engine whose step failed."""
 
-    def __init__(self, engine: str, detail: str) -> None:
+    def __init__(self, *, engine: str, detail: str) -> None:
         super().__init__(f"{engine}: {detail}")
         self.engine = engine
         self.detail = detail
@@ -192,9 +192,9 @@
                     return await runner.run(step)
                 return await self._post_step(stage, step)
         except engine_state.WorkRefusedError as error:
-            raise StageFailedError(stage.engine, error.reason) from error
+            raise StageFailedError(engine=stage.engine, detail=error.reason) from error
         except trio.TooSlowError as error:
-            raise StageFailedError(stage.engine, "timeout") from error
+            raise StageFailedError(engine=stage.engine, detail="timeout") from error
 
     async def _post_step(self, stage: Stage, step: stages.Step) -> stages.StepResult:
         try:
@@ -207,9 +207,9 @@
             )
             found = answer.read_json()
         except (_http_client.ClientError, ValueError) as error:
-            raise StageFailedError(stage.engine, str(error)) from error
+            raise StageFailedError(engine=stage.engine, detail=str(error)) from error
         if answer.status != 200:
-            raise StageFailedError(stage.engine, str(found.get("error")))
+            raise StageFailedError(engine=stage.engine, detail=str(found.get("error")))
         return stages.StepResult(**found)
 
     async def _finish_stages(self, generation: Generation) -> None:
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -91,6 +91,7 @@
         data = json.dumps(body).encode()
 
     async def send() -> _http_client.Answer:
+        """Send on a connection of its own."""
         return await _http_client.Client().request(
             method,
             _http_client.Address(host=HOST, port=port),
--- a/standins/stages.py
+++ b/standins/stages.py
@@ -57,14 +57,14 @@
         state = self._state
         await state.wait_unfrozen()
         if state.knobs.down:
-            raise engine_state.WorkRefusedError("down")
+            raise engine_state.WorkRefusedError(reason="down")
         with trio.CancelScope() as scope:
             state.scopes.add(scope)
             try:
                 return await self._run(step)
             finally:
                 state.scopes.discard(scope)
-        raise engine_state.WorkRefusedError("cancelled")
+        raise engine_state.WorkRefusedError(reason="cancelled")
 
     def end(self, request: str, epoch: int) -> None:
         """Keep the KV cache of a request whose attempt has ended."""
