--- a/standins/system.py
+++ b/standins/system.py
@@ -283,7 +283,14 @@
             "request-timeout": f"{timeout_seconds:g}",
         }
         port = self.nodes[node].callers
-        return processes.call("POST", port, "/v1/completions", body, headers=headers)
+        return processes.call(
+            "POST",
+            port,
+            "/v1/completions",
+            body,
+            headers=headers,
+            timeout_seconds=timeout_seconds + 5.0,
+        )
 
     def book(
         self,
