--- a/standins/processes.py
+++ b/standins/processes.py
@@ -31,7 +31,7 @@
 class Ports:
     """Allocate ports in order, skipping those that cannot be bound."""
 
-    def __init__(self, *, first: int, count: int = 400) -> None:
+    def __init__(self, *, first: int, count: int = 100) -> None:
         self._next = first
         self._end = first + count
 
--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -1,6 +1,6 @@
 import os
 
-DEFAULT_FIRST_PORT = 10_000
+DEFAULT_FIRST_PORT = 31_000
 
 
 def before_all(context):
--- a/tests/run.py
+++ b/tests/run.py
@@ -9,8 +9,8 @@
 import tempfile
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-FIRST_PORT = 10_000
-PORTS_PER_FEATURE = 400
+FIRST_PORT = int(os.environ.get("JUJUBEPASS_FIRST_PORT", "10000"))
+PORTS_PER_FEATURE = 100
 PARALLEL_FEATURES = 4
 FEATURE_TIMEOUT_SECONDS = 900
 
