--- a/src/jujubepass/_backend_area.py
+++ b/src/jujubepass/_backend_area.py
@@ -24,8 +24,9 @@
 
 @attrs.define(kw_only=True)
 class BackendArea:
-    """Hold backend servers by role."""
+    """Hold backend servers by role, and when the platform's list was made."""
 
+    listed_at: float = _NEVER
     engines: dict[ids.BackendServerId, BackendServer] = attrs.field(factory=dict)
     services: dict[ids.BackendServerId, BackendServer] = attrs.field(factory=dict)
 
--- a/src/jujubepass/_backend_messages.py
+++ b/src/jujubepass/_backend_messages.py
@@ -91,6 +91,13 @@
     detail: str
 
 
+@attrs.frozen(kw_only=True)
+class LeavingAnswered:
+    """Report that a backend server refused work because it is leaving."""
+
+    backend: ids.BackendServerId
+
+
 @attrs.frozen(kw_only=True)
 class CacheEvent:
     """Report that an engine stored or evicted a prefix block."""
--- a/src/jujubepass/_backends.py
+++ b/src/jujubepass/_backends.py
@@ -13,6 +13,8 @@
     ids,
 )
 
+_GONE_AFTER_POLLS = 3
+
 
 @attrs.frozen(kw_only=True)
 class BackendTiming:
@@ -24,7 +26,7 @@
 
 @attrs.define(kw_only=True)
 class BackendController:
-    """Join the VM list, load reports and operators' drains."""
+    """Join the VM list and load reports."""
 
     blackboard: _blackboard.Blackboard
     timing: BackendTiming
@@ -60,8 +62,9 @@
     def join_list(
         self, event: _backend_messages.VmsListed, now: float
     ) -> collections.abc.Iterable[_dispatch.Command]:
-        """Take over the platform's list of engines and services."""
+        """Take over the platform's list; who answers polls stays known."""
         area = self.blackboard.backends
+        area.listed_at = now - event.age_seconds
         for role, known in (
             (_backend_messages.VmRole.ENGINE, area.engines),
             (_backend_messages.VmRole.SERVICE, area.services),
@@ -70,7 +73,8 @@
                 ids.BackendServerId(vm.name): vm for vm in event.vms if vm.role is role
             }
             for name in [name for name in known if name not in listed]:
-                del known[name]
+                if known[name].failed_polls >= _GONE_AFTER_POLLS:
+                    del known[name]
             for name, vm in listed.items():
                 self._join_vm(known, name, vm)
         return ()
@@ -85,13 +89,6 @@
         if backend is None or backend.vm.address != vm.address:
             backend = known[name] = _backend_area.BackendServer(vm=vm)
         backend.vm = vm
-        backend.leaving = self._is_leaving(backend)
-
-    def _is_leaving(self, backend: _backend_area.BackendServer) -> bool:
-        listed = backend.vm.state is _backend_messages.VmState.LEAVING
-        told = backend.report is not None and backend.report.leaving
-        drained = self.blackboard.configuration.declared.drained
-        return listed or told or backend.vm.name in drained
 
     def keep_report(
         self, event: _backend_messages.LoadReported, now: float
@@ -111,7 +108,6 @@
         engine.reported_at = now - event.report.age_seconds
         engine.poll_running = False
         engine.failed_polls = 0
-        engine.leaving = self._is_leaving(engine)
         return ()
 
     def count_silence(
--- a/src/jujubepass/_blackboard.py
+++ b/src/jujubepass/_blackboard.py
@@ -7,6 +7,8 @@
     _backend_area,
     _call_area,
     _configuration_area,
+    _departure_area,
+    _http_client,
     _limit_area,
     _membership_area,
     _node_messages,
@@ -22,6 +24,7 @@
     incarnation: str
     region: ids.RegionId
     failure_domain: ids.FailureDomainId
+    address: _http_client.Address | None = None
 
 
 @attrs.define(kw_only=True)
@@ -29,6 +32,8 @@
     """Hold the node's own state; written by the node controller."""
 
     state: _node_messages.NodeState = _node_messages.NodeState.STARTING
+    pauses: int = 0
+    paused_seconds: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
@@ -44,6 +49,9 @@
         factory=_membership_area.MembershipArea
     )
     backends: _backend_area.BackendArea = attrs.field(factory=_backend_area.BackendArea)
+    departures: _departure_area.DepartureArea = attrs.field(
+        factory=_departure_area.DepartureArea
+    )
     answers: _answer_area.AnswerArea = attrs.field(factory=_answer_area.AnswerArea)
     calls: _call_area.CallArea = attrs.field(factory=_call_area.CallArea)
     limits: _limit_area.LimitArea = attrs.field(factory=_limit_area.LimitArea)
--- a/src/jujubepass/_dispatch.py
+++ b/src/jujubepass/_dispatch.py
@@ -2,8 +2,11 @@
 
 import collections
 import collections.abc
+import math
 import typing
 
+from jujubepass import _node_messages
+
 Event = typing.Any
 Command = typing.Any
 EventHandler = collections.abc.Callable[
@@ -35,15 +38,30 @@
         *,
         controllers: collections.abc.Iterable[Controller],
         recorder: Recorder | None = None,
+        pause_seconds: float = math.inf,
     ) -> None:
         self._handlers: dict[type, list[EventHandler]] = collections.defaultdict(list)
         self._recorder = recorder
+        self._pause_seconds = pause_seconds
+        self._dispatched_at: float | None = None
         for controller in controllers:
             for event_type, handler in controller.list_handlers().items():
                 self._handlers[event_type].append(handler)
 
     def dispatch(self, event: Event, now: float) -> list[Command]:
-        """Return the commands that the controllers answer the event with."""
+        """Return the commands that the controllers answer the event with.
+
+        Ticks come all the time: a gap between events means that the process was
+        paused, and controllers hear of that before anything else.
+        """
+        last = now if self._dispatched_at is None else self._dispatched_at
+        self._dispatched_at = now
+        if now - last < self._pause_seconds:
+            return self._dispatch(event, now)
+        pause = _node_messages.PauseDetected(seconds=now - last)
+        return self._dispatch(pause, now) + self._dispatch(event, now)
+
+    def _dispatch(self, event: Event, now: float) -> list[Command]:
         commands: list[Command] = []
         for handler in self._handlers.get(type(event), ()):
             commands.extend(handler(event, now))
--- a/src/jujubepass/_limits.py
+++ b/src/jujubepass/_limits.py
@@ -49,8 +49,9 @@
         self, event: Arrival, now: float
     ) -> collections.abc.Iterable[_dispatch.Command]:
         """Admit a request or refuse it at once."""
-        if self.blackboard.node.state is not _node_messages.NodeState.READY:
-            return (_refuse(event, reasons.RefusalReason.NODE_STOPPING, 1.0),)
+        state = self.blackboard.node.state
+        if not _node_messages.admits_requests(state):
+            return (_refuse(event, _explain_state(state), 1.0),)
         declared = self.blackboard.configuration.declared.accounts
         account = declared[event.account]
         use = self._refill(account, now)
@@ -89,6 +90,12 @@
         return ()
 
 
+def _explain_state(state: _node_messages.NodeState) -> reasons.RefusalReason:
+    if _node_messages.is_leaving(state):
+        return reasons.RefusalReason.NODE_STOPPING
+    return reasons.RefusalReason.NOT_READY
+
+
 def _refuse(
     event: Arrival, reason: reasons.RefusalReason, retry_after_seconds: float
 ) -> _answer_messages.Refuse:
--- a/src/jujubepass/_membership_area.py
+++ b/src/jujubepass/_membership_area.py
@@ -1,15 +1,21 @@
 """Blackboard area of the nodes; written by the membership controller."""
 
 import enum
+import zlib
 
 import attrs
 
-from jujubepass import _http_client, ids
+from jujubepass import _http_client, _membership_messages, ids
+
+_NEVER = float("-inf")
+_UNTOLD_REGION = ids.RegionId("")
+_UNTOLD_DOMAIN = ids.FailureDomainId("")
 
 
 class PeerState(enum.Enum):
     """Name what this node believes of another."""
 
+    UNKNOWN = "unknown"
     ALIVE = "alive"
     SUSPECT = "suspect"
     DEAD = "dead"
@@ -22,20 +28,66 @@
 
     node: ids.NodeId
     address: _http_client.Address
+    region: ids.RegionId = _UNTOLD_REGION
+    failure_domain: ids.FailureDomainId = _UNTOLD_DOMAIN
+    listed: bool = False
     incarnation: str = ""
-    state: PeerState = PeerState.SUSPECT
-    heard_at: float = float("-inf")
+    sequence: int = 0
+    state: PeerState = PeerState.UNKNOWN
+    accusers: frozenset[ids.NodeId] = frozenset()
+    accused_at: float = _NEVER
+    heard_at: float = _NEVER
+    watched_since: float = _NEVER
+    died_at: float = _NEVER
     configuration_number: ids.ChangeNumber = ids.ChangeNumber(0)
     configuration_digest: str = ""
 
+    @property
+    def is_member(self) -> bool:
+        """Tell whether the node counts among those that share the work."""
+        return self.state not in (PeerState.DEAD, PeerState.LEAVING)
+
 
 @attrs.define(kw_only=True)
 class MembershipArea:
     """Hold the other nodes."""
 
     peers: dict[ids.NodeId, Peer] = attrs.field(factory=dict)
+    neighbours: frozenset[ids.NodeId] = frozenset()
+    refutations: int = 0
+    ignored_heartbeats: int = 0
 
     def count_live_nodes(self) -> int:
-        """Count the nodes believed alive, this one included."""
-        alive = (PeerState.ALIVE, PeerState.SUSPECT)
-        return 1 + sum(peer.state in alive for peer in self.peers.values())
+        """Count the nodes not believed dead or leaving, this one included."""
+        return 1 + sum(peer.is_member for peer in self.peers.values())
+
+    def is_live(self, node: ids.NodeId, incarnation: str) -> bool:
+        """Tell whether another node's process is not known to have ended."""
+        peer = self.peers.get(node)
+        if peer is None or peer.incarnation != incarnation:
+            return False
+        return peer.state is not PeerState.DEAD
+
+    def list_members(self) -> list[ids.NodeId]:
+        """List the other nodes that share the work."""
+        return [node for node, peer in self.peers.items() if peer.is_member]
+
+    def compute_digest(self) -> int:
+        """Digest who lives, at which incarnation; equal views give equal digests."""
+        digest = 0
+        for node, peer in self.peers.items():
+            if peer.incarnation and peer.state is not PeerState.DEAD:
+                row = _membership_messages.NodeRow(
+                    node=node,
+                    incarnation=peer.incarnation,
+                    sequence=peer.sequence,
+                    leaving=peer.state is PeerState.LEAVING,
+                )
+                digest ^= hash_member(row)
+        return digest
+
+
+def hash_member(row: _membership_messages.NodeRow) -> int:
+    """Hash what all nodes come to believe alike of a member."""
+    text = f"{row.node}/{row.incarnation}/{row.sequence}/{row.leaving}"
+    return zlib.crc32(text.encode())
--- /dev/null
+++ b/src/jujubepass/_neighbours.py
@@ -0,0 +1,50 @@
+"""Choice of the nodes that a node exchanges heartbeats with."""
+
+import collections.abc
+import hashlib
+
+import attrs
+
+from jujubepass import ids
+
+FULL_MESH_NODES = 16
+_RING_STEPS = 1
+
+
+@attrs.frozen(kw_only=True)
+class Member:
+    """Hold what the choice depends on."""
+
+    node: ids.NodeId
+    region: ids.RegionId
+    failure_domain: ids.FailureDomainId
+
+
+def choose_neighbours(
+    own: Member, others: collections.abc.Sequence[Member]
+) -> frozenset[ids.NodeId]:
+    """Choose everyone in a small system, else the next nodes on three rings.
+
+    The rings are one's failure domain, one's region and all nodes, each in an order
+    of its own; nodes that see the same members choose each other.
+    """
+    if len(others) < FULL_MESH_NODES:
+        return frozenset(member.node for member in others)
+    domain = [each for each in others if each.failure_domain == own.failure_domain]
+    region = [each for each in others if each.region == own.region]
+    chosen = _choose_on_ring("failure domain", own, domain)
+    chosen |= _choose_on_ring("region", own, region)
+    return chosen | _choose_on_ring("all", own, others)
+
+
+def _choose_on_ring(
+    ring: str, own: Member, others: collections.abc.Sequence[Member]
+) -> frozenset[ids.NodeId]:
+    def place(node: ids.NodeId) -> bytes:
+        return hashlib.blake2b(f"{ring}/{node}".encode(), digest_size=8).digest()
+
+    nodes = sorted([own.node, *(member.node for member in others)], key=place)
+    index = nodes.index(own.node)
+    steps = [*range(-_RING_STEPS, 0), *range(1, _RING_STEPS + 1)]
+    found = {nodes[(index + step) % len(nodes)] for step in steps}
+    return frozenset(found - {own.node})
--- a/src/jujubepass/_node.py
+++ b/src/jujubepass/_node.py
@@ -4,6 +4,7 @@
 import functools
 import logging
 import signal
+import time
 import typing
 import uuid
 
@@ -56,7 +57,9 @@
     blackboard = _make_blackboard(node_settings)
     metrics = _metrics.Metrics(version=__version__)
     controllers = _make_controllers(node_settings, blackboard, metrics)
-    dispatcher = _dispatch.Dispatcher(controllers=controllers)
+    dispatcher = _dispatch.Dispatcher(
+        controllers=controllers, pause_seconds=node_settings.timing.pause_seconds
+    )
     mailboxes = _mailboxes.Mailboxes()
     verdicts = _operators.Verdicts()
     listen = node_settings.listen
@@ -124,13 +127,20 @@
     return ids.RequestId(uuid.uuid4().hex)
 
 
+def _make_incarnation() -> str:
+    """Name this process; a later start of the same node sorts after it."""
+    milliseconds = time.time_ns() // 1_000_000
+    return f"{milliseconds:012x}{uuid.uuid4().hex[:8]}"
+
+
 def _make_blackboard(node_settings: settings.Settings) -> _blackboard.Blackboard:
     node = node_settings.node
     identity = _blackboard.Identity(
         node=node.name,
-        incarnation=uuid.uuid4().hex,
+        incarnation=_make_incarnation(),
         region=node.region,
         failure_domain=node.failure_domain,
+        address=node_settings.listen.peers,
     )
     return _blackboard.Blackboard(identity=identity)
 
@@ -143,7 +153,9 @@
     """Make the controllers in the order in which they see an event."""
     timing = node_settings.timing
     return [
-        _node_life.NodeController(blackboard=blackboard),
+        _node_life.NodeController(
+            blackboard=blackboard, settling_seconds=timing.heartbeat_seconds
+        ),
         _configuration.ConfigurationController(
             blackboard=blackboard, poll_seconds=timing.configuration_poll_seconds
         ),
@@ -255,7 +267,11 @@
     def _receive(data: bytes) -> None:
         shell.post(_peer_codec.decode_event(data))
 
+    def _forget(command: _membership_messages.ForgetPeer) -> None:
+        sender.forget(command.address)
+
     shell.execute_with(_membership_messages.SendHeartbeat, _send_heartbeat)
+    shell.execute_with(_membership_messages.ForgetPeer, _forget)
     listener = _peers.PeerListener(key=key, handler=_receive)
     listen = node_settings.listen.peers
     await nursery.start(functools.partial(listener.serve, listen.host, listen.port))
--- a/src/jujubepass/_node_life.py
+++ b/src/jujubepass/_node_life.py
@@ -8,25 +8,33 @@
     _backend_messages,
     _blackboard,
     _dispatch,
+    _membership_messages,
     _node_messages,
     _store_messages,
 )
 
+_State = _node_messages.NodeState
+
 
 @attrs.define(kw_only=True)
 class NodeController:
     """Write the node area."""
 
     blackboard: _blackboard.Blackboard
+    settling_seconds: float = 1.0
     _listed: bool = attrs.field(default=False, init=False)
     _configured: bool = attrs.field(default=False, init=False)
+    _resumed_at: float = attrs.field(default=float("-inf"), init=False)
 
     def list_handlers(self) -> collections.abc.Mapping[type, _dispatch.EventHandler]:
         """Map each event type to the method that handles it."""
         return {
             _backend_messages.VmsListed: self.note_list,
             _store_messages.RowsRead: self.note_configuration,
-            _node_messages.StopRequested: self.stop,
+            _membership_messages.HeartbeatReceived: self.note_contact,
+            _node_messages.PauseDetected: self.resume,
+            _node_messages.StopRequested: self.drain,
+            _node_messages.DrainEnded: self.stop,
         }
 
     def note_list(
@@ -34,25 +42,58 @@
     ) -> collections.abc.Iterable[_dispatch.Command]:
         """Note that the VM list is known."""
         self._listed = True
-        return self._become_ready()
+        self._become_ready()
+        return self.note_contact(event, now)
 
     def note_configuration(
         self, event: _store_messages.RowsRead, now: float
     ) -> collections.abc.Iterable[_dispatch.Command]:
         """Note that the configuration was read."""
         self._configured = True
-        return self._become_ready()
+        self._become_ready()
+        return self.note_contact(event, now)
+
+    def _become_ready(self) -> None:
+        node = self.blackboard.node
+        if node.state is _State.STARTING and self._listed and self._configured:
+            node.state = _State.READY
 
-    def _become_ready(self) -> collections.abc.Iterable[_dispatch.Command]:
+    def resume(
+        self, event: _node_messages.PauseDetected, now: float
+    ) -> collections.abc.Iterable[_dispatch.Command]:
+        """Take no requests after a pause until fresh word has come."""
         node = self.blackboard.node
-        starting = node.state is _node_messages.NodeState.STARTING
-        if starting and self._listed and self._configured:
-            node.state = _node_messages.NodeState.READY
+        node.pauses += 1
+        node.paused_seconds += event.seconds
+        self._resumed_at = now
+        if node.state is _State.READY:
+            node.state = _State.RESUMING
         return ()
 
-    def stop(
+    def note_contact(
+        self,
+        event: _backend_messages.VmsListed
+        | _store_messages.RowsRead
+        | _membership_messages.HeartbeatReceived,
+        now: float,
+    ) -> collections.abc.Iterable[_dispatch.Command]:
+        """End the wait after a pause; what came while paused is read before that."""
+        node = self.blackboard.node
+        settled = now - self._resumed_at >= self.settling_seconds
+        if node.state is _State.RESUMING and settled:
+            node.state = _State.READY
+        return ()
+
+    def drain(
         self, event: _node_messages.StopRequested, now: float
     ) -> collections.abc.Iterable[_dispatch.Command]:
-        """Leave: take no new work."""
-        self.blackboard.node.state = _node_messages.NodeState.STOPPING
+        """Be not ready, but take what callers still send."""
+        self.blackboard.node.state = _State.DRAINING
+        return ()
+
+    def stop(
+        self, event: _node_messages.DrainEnded, now: float
+    ) -> collections.abc.Iterable[_dispatch.Command]:
+        """Take no new work."""
+        self.blackboard.node.state = _State.STOPPING
         return ()
--- a/src/jujubepass/settings.py
+++ b/src/jujubepass/settings.py
@@ -148,8 +148,23 @@
         minimum=0.01,
         maximum=300.0,
     )
+    pause_seconds: float = _ini.seconds_key(
+        1.0,
+        "time without any event after which the node gives up what it held",
+        minimum=0.05,
+        maximum=60.0,
+    )
+    drain_seconds: float = _ini.seconds_key(
+        5.0,
+        "time at shutdown in which the node is not ready but takes requests",
+        minimum=0.0,
+        maximum=300.0,
+    )
     shutdown_seconds: float = _ini.seconds_key(
-        30.0, "time running requests have at shutdown", minimum=0.0, maximum=3_600.0
+        30.0,
+        "time running requests have at shutdown after the drain",
+        minimum=0.0,
+        maximum=3_600.0,
     )
     stall_seconds: float = _ini.seconds_key(
         0.5, "silence that makes a stage stalled", minimum=0.01, maximum=60.0
@@ -267,6 +282,7 @@
     ("heartbeat_seconds", "suspect_seconds"),
     ("suspect_seconds", "dead_seconds"),
     ("lease_margin_seconds", "lease_seconds"),
+    ("pause_seconds", "lease_seconds"),
 )
 
 
