--- a/src/jujubepass/_local_commands.py
+++ b/src/jujubepass/_local_commands.py
@@ -1,5 +1,7 @@
 """Commands that ask no node: serve, check, replay, settings, version."""
 
+import collections.abc
+import logging
 import pathlib
 
 import attrs
@@ -9,6 +11,8 @@
 import jujubepass
 from jujubepass import _declaration_files, _logs, _report, _settings_reference, settings
 
+_LOGGER = logging.getLogger(__name__)
+
 
 def serve(path: pathlib.Path) -> _report.Report | int:
     """Run a node until it is told to stop; return its exit code."""
@@ -68,10 +72,25 @@
     _logs.set_up(
         node_settings.log, secrets=(security.peer_key, security.operator_key_hash)
     )
-    code: int = trio.run(_node.run, node_settings)
+    code = int(_report.ExitCode.REFUSED)
+    try:
+        code = trio.run(_node.run, node_settings)
+    except* OSError as errors:
+        reasons = "; ".join(_list_messages(errors))
+        _LOGGER.critical("node stopped by the system: %s", reasons, exc_info=errors)
     return code
 
 
+def _list_messages(
+    errors: BaseExceptionGroup[BaseException],
+) -> collections.abc.Iterator[str]:
+    for error in errors.exceptions:
+        if isinstance(error, BaseExceptionGroup):
+            yield from _list_messages(error)
+        else:
+            yield str(error)
+
+
 def _report_problems(problems: _declaration_files.Problems) -> _report.Report:
     return _report.Report(
         code=_report.ExitCode.BAD_INPUT,
--- a/tests/features/build.feature
+++ b/tests/features/build.feature
@@ -37,3 +37,10 @@
     Then it exits with 0 and prints "has stopped"
     And the audit saw nothing
     And its folder is empty
+
+  Scenario: A node whose address is taken says so
+    Given the built program
+    And its address for operators is taken
+    When it runs "serve node.ini" under audit
+    Then it exits with 1 and prints "Address already in use"
+    And the audit saw nothing
--- a/tests/features/steps/build_steps.py
+++ b/tests/features/steps/build_steps.py
@@ -4,6 +4,7 @@
 import pathlib
 import shlex
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -122,6 +123,12 @@
     write_settings(context)
 
 
+@behave.given("its address for operators is taken")
+def step_taken(context):
+    holder = socket.create_server((processes.HOST, context.ports["operators"]))
+    context.add_cleanup(holder.close)
+
+
 @behave.when("it is built again")
 def step_built_again(context):
     context.again = build("again")
