--- a/tests/features/steps/command_line_steps.py
+++ b/tests/features/steps/command_line_steps.py
@@ -25,7 +25,7 @@
 class FakeNode:
     """Answer operators' requests with fixed answers, in a thread."""
 
-    def __init__(self, port):
+    def __init__(self, *, port):
         self.port = port
         self.answers = {}
         self.bodies = {}
@@ -104,7 +104,7 @@
 @behave.given("a node with configuration {number:d} on nodes at {first:d} and {last:d}")
 def step_node(context, number, first, last):
     port = processes.Ports(first=int(os.environ["JUJUBEPASS_TEST_PORT"])).take()
-    context.node = FakeNode(port)
+    context.node = FakeNode(port=port)
     context.add_cleanup(context.node.close)
     nodes = [
         {"node": "n1", "configuration_number": first},
