--- a/src/jujubepass/_backends.py
+++ b/src/jujubepass/_backends.py
@@ -73,7 +73,8 @@
                 ids.BackendServerId(vm.name): vm for vm in event.vms if vm.role is role
             }
             for name in [name for name in known if name not in listed]:
-                if known[name].failed_polls >= _GONE_AFTER_POLLS:
+                polled = role is _backend_messages.VmRole.ENGINE
+                if not polled or known[name].failed_polls >= _GONE_AFTER_POLLS:
                     del known[name]
             for name, vm in listed.items():
                 self._join_vm(known, name, vm)
--- a/src/jujubepass/_node.py
+++ b/src/jujubepass/_node.py
@@ -22,6 +22,7 @@
     _calls,
     _configuration,
     _configuration_messages,
+    _departures,
     _dispatch,
     _engine_client,
     _http_client,
@@ -56,6 +57,7 @@
     """Run a node until it is told to stop; return the exit code."""
     blackboard = _make_blackboard(node_settings)
     metrics = _metrics.Metrics(version=__version__)
+    _add_gauges(metrics, blackboard)
     controllers = _make_controllers(node_settings, blackboard, metrics)
     dispatcher = _dispatch.Dispatcher(
         controllers=controllers, pause_seconds=node_settings.timing.pause_seconds
@@ -94,6 +96,35 @@
     return _EXIT_DONE
 
 
+def _add_gauges(metrics: _metrics.Metrics, blackboard: _blackboard.Blackboard) -> None:
+    node, membership = blackboard.node, blackboard.membership
+    metrics.add_counter("pauses", "Pauses of this process.", lambda: node.pauses)
+    metrics.add_counter(
+        "paused_seconds", "Time paused, in seconds.", lambda: node.paused_seconds
+    )
+    metrics.add_gauge("live_nodes", "Nodes not held dead.", membership.count_live_nodes)
+    metrics.add_counter(
+        "refutations",
+        "Times this node denied that it is dead.",
+        lambda: membership.refutations,
+    )
+    metrics.add_counter(
+        "old_heartbeats",
+        "Heartbeats ignored for an old incarnation.",
+        lambda: membership.ignored_heartbeats,
+    )
+    metrics.add_gauge(
+        "vm_list_age_seconds",
+        "Age of the list of VMs in use.",
+        lambda: trio.current_time() - blackboard.backends.listed_at,
+    )
+    metrics.add_gauge(
+        "leaving_backends",
+        "Backend servers that take no new work.",
+        lambda: len({name for name, _ in blackboard.departures.words}),
+    )
+
+
 async def _serve_callers(
     shell: _shell.Shell,
     callers: _http_server.Server,
@@ -174,6 +205,7 @@
                 vm_poll_seconds=timing.vm_poll_seconds,
             ),
         ),
+        _departures.DepartureController(blackboard=blackboard),
         _limits.LimitController(blackboard=blackboard),
         _answers.AnswerController(
             blackboard=blackboard,
--- a/src/jujubepass/_service_client.py
+++ b/src/jujubepass/_service_client.py
@@ -6,9 +6,11 @@
 import attrs
 import trio
 
-from jujubepass import _call_messages, _http_client, ids
+from jujubepass import _backend_messages, _call_messages, _http_client, ids
 
 _ASK_TIMEOUT_SECONDS = 2.0
+_UNAVAILABLE = 503
+_LEAVING = b'"leaving"'
 
 Post = collections.abc.Callable[[typing.Any], None]
 
@@ -80,6 +82,8 @@
                 )
             )
         else:
+            if answer.status == _UNAVAILABLE and _LEAVING in answer.body:
+                self.post(_backend_messages.LeavingAnswered(backend=command.backend))
             self.post(
                 _call_messages.CallAnswered(
                     request=request,
--- a/tests/member_network.py
+++ b/tests/member_network.py
@@ -55,7 +55,7 @@
             )
         self.names = {vm.address: name for name, vm in self.vms.items()}
 
-    def start(self, name, incarnation=FIRST, listed=None):
+    def start(self, name, incarnation=FIRST, listed=None, acquainted=False):
         vm = self.vms[name]
         identity = _blackboard.Identity(
             node=ids.NodeId(name),
@@ -74,18 +74,25 @@
         self.dispatchers[name] = _dispatch.Dispatcher(
             controllers=controllers, pause_seconds=PAUSE_SECONDS
         )
+        if acquainted:
+            self._acquaint(board)
         self.list_vms(name, self.vms if listed is None else listed)
 
-    def start_all(self):
+    def start_all(self, acquainted=False):
         for name in self.vms:
-            self.start(name)
-
-    def acquaint_all(self):
-        """Let every node know the others, as after some time."""
-        for board in self.boards.values():
-            for peer in board.membership.peers.values():
-                peer.incarnation = FIRST
-                peer.state = _membership_area.PeerState.ALIVE
+            self.start(name, acquainted=acquainted)
+
+    def _acquaint(self, board):
+        """Let a node know the others, as after some time."""
+        for name, vm in self.vms.items():
+            if name != board.identity.node:
+                board.membership.peers[name] = _membership_area.Peer(
+                    node=ids.NodeId(name),
+                    address=vm.address,
+                    incarnation=FIRST,
+                    state=_membership_area.PeerState.ALIVE,
+                    watched_since=self.now,
+                )
 
     def list_vms(self, name, listed):
         vms = tuple(self.vms[each] for each in listed)
