--- a/src/jujubepass/_blackboard.py
+++ b/src/jujubepass/_blackboard.py
@@ -10,6 +10,7 @@
     _limit_area,
     _membership_area,
     _node_messages,
+    _share_area,
     ids,
 )
 
@@ -47,3 +48,4 @@
     answers: _answer_area.AnswerArea = attrs.field(factory=_answer_area.AnswerArea)
     calls: _call_area.CallArea = attrs.field(factory=_call_area.CallArea)
     limits: _limit_area.LimitArea = attrs.field(factory=_limit_area.LimitArea)
+    shares: _share_area.ShareArea = attrs.field(factory=_share_area.ShareArea)
--- a/src/jujubepass/_callers.py
+++ b/src/jujubepass/_callers.py
@@ -14,7 +14,7 @@
     _call_messages,
     _caller_input,
     _http_server,
-    _limits,
+    _limit_messages,
     _mailboxes,
     _metrics,
     _node_messages,
@@ -128,7 +128,7 @@
         await self._serve(event, writer, _metrics.RequestKind.LOOKUP)
 
     async def _serve(
-        self, event: _limits.Arrival, writer: "_AnswerWriter", kind: typing.Any
+        self, event: _limit_messages.Arrival, writer: "_AnswerWriter", kind: typing.Any
     ) -> None:
         mailbox = self.mailboxes.open(event.request)
         outcome = _metrics.RequestOutcome.CALLER_GONE
@@ -145,7 +145,7 @@
             self.metrics.count_request(kind, outcome)
             if outcome is _metrics.RequestOutcome.CALLER_GONE:
                 self.post(_answer_messages.CallerLeft(request=event.request))
-            self.post(_limits.RequestEnded(request=event.request))
+            self.post(_limit_messages.RequestEnded(request=event.request))
 
 
 @attrs.define(kw_only=True)
--- /dev/null
+++ b/src/jujubepass/_limit_messages.py
@@ -0,0 +1,25 @@
+"""Events and commands of admission."""
+
+import attrs
+
+from jujubepass import _answer_messages, _call_messages, ids
+
+Arrival = (
+    _answer_messages.PromptArrived
+    | _call_messages.CallArrived
+    | _call_messages.LookupArrived
+)
+
+
+@attrs.frozen(kw_only=True)
+class RequestEnded:
+    """Report that a request's answer is out, so that its share is free."""
+
+    request: ids.RequestId
+
+
+@attrs.frozen(kw_only=True)
+class StartQueued:
+    """Command that a queued request's arrival be dispatched again, now admitted."""
+
+    event: _answer_messages.PromptArrived
--- a/src/jujubepass/_node.py
+++ b/src/jujubepass/_node.py
@@ -25,6 +25,7 @@
     _engine_client,
     _http_client,
     _http_server,
+    _limit_messages,
     _limits,
     _lookups,
     _mailboxes,
@@ -38,6 +39,9 @@
     _peers,
     _routes,
     _service_client,
+    _share_codec,
+    _share_messages,
+    _shares,
     _shell,
     _store_messages,
     _table_client,
@@ -162,6 +166,7 @@
                 vm_poll_seconds=timing.vm_poll_seconds,
             ),
         ),
+        _shares.ShareController(blackboard=blackboard),
         _limits.LimitController(blackboard=blackboard),
         _answers.AnswerController(
             blackboard=blackboard,
@@ -239,6 +244,9 @@
     shell.execute_with(_answer_messages.FinishAnswer, mailboxes.put)
     shell.execute_with(_answer_messages.Refuse, mailboxes.put)
     shell.execute_with(_call_messages.AnswerCall, mailboxes.put)
+    shell.execute_with(
+        _limit_messages.StartQueued, lambda command: shell.post(command.event)
+    )
     shell.execute_with(_configuration_messages.ChangeAccepted, verdicts.put)
     shell.execute_with(_configuration_messages.ChangeRefused, verdicts.put)
 
@@ -252,10 +260,20 @@
     def _send_heartbeat(command: _membership_messages.SendHeartbeat) -> None:
         sender.send(command.address, _peer_codec.encode_command(command))
 
+    def _send_demands(command: _share_messages.SendDemands) -> None:
+        message = _share_codec.build_demands(command)
+        sender.send(command.address, _peer_codec.encode_struct(message))
+
+    def _send_grants(command: _share_messages.SendGrants) -> None:
+        message = _share_codec.build_grants(command)
+        sender.send(command.address, _peer_codec.encode_struct(message))
+
     def _receive(data: bytes) -> None:
         shell.post(_peer_codec.decode_event(data))
 
     shell.execute_with(_membership_messages.SendHeartbeat, _send_heartbeat)
+    shell.execute_with(_share_messages.SendDemands, _send_demands)
+    shell.execute_with(_share_messages.SendGrants, _send_grants)
     listener = _peers.PeerListener(key=key, handler=_receive)
     listen = node_settings.listen.peers
     await nursery.start(functools.partial(listener.serve, listen.host, listen.port))
--- a/src/jujubepass/_peer_codec.py
+++ b/src/jujubepass/_peer_codec.py
@@ -5,7 +5,13 @@
 import thrift.protocol.TCompactProtocol
 import thrift.transport.TTransport
 
-from jujubepass import _membership_messages, _node_messages, ids
+from jujubepass import (
+    _membership_messages,
+    _node_messages,
+    _share_codec,
+    _share_messages,
+    ids,
+)
 from jujubepass.generated.peer import ttypes
 
 
@@ -50,9 +56,26 @@
     )
 
 
-def decode_event(data: bytes) -> _membership_messages.HeartbeatReceived:
+ShareEvent = _share_messages.DemandsReceived | _share_messages.GrantsReceived
+
+
+def _decode_share(message: typing.Any) -> ShareEvent | None:
+    try:
+        if message.share_demands is not None:
+            return _share_codec.read_demands(message.share_demands)
+        if message.share_grants is not None:
+            return _share_codec.read_grants(message.share_grants)
+    except _share_codec.ShareCodecError as error:
+        raise PeerCodecError(str(error)) from error
+    return None
+
+
+def decode_event(data: bytes) -> _membership_messages.HeartbeatReceived | ShareEvent:
     """Read a message as the event it stands for; raise PeerCodecError."""
     message = decode_struct(ttypes.Message(), data)
+    share = _decode_share(message)
+    if share is not None:
+        return share
     if message.heartbeat is None:
         raise PeerCodecError("peer message has no field set that this node knows")
     heartbeat = message.heartbeat
