--- /dev/null
+++ b/src/jujubepass/_call_answers.py
@@ -0,0 +1,38 @@
+"""What a backend server's answer says of an attempt."""
+
+import enum
+import json
+
+from jujubepass import _call_messages
+
+_CONFLICT = 409
+_REFUSED_STATUSES = (429, 503)
+_SERVER_ERROR = 500
+
+
+class AnswerMeaning(enum.Enum):
+    """Say whether an answered attempt ran."""
+
+    RUN = "run"
+    REFUSED = "refused"
+    OLD_FENCING = "old_fencing"
+    UNCLEAR = "unclear"
+
+
+def read_meaning(event: _call_messages.CallAnswered) -> AnswerMeaning:
+    """Tell a run from a refusal; docs/interfaces.md lists the refusals."""
+    if event.status == _CONFLICT and _is_old_fencing(event.body):
+        return AnswerMeaning.OLD_FENCING
+    if event.status in _REFUSED_STATUSES and event.retry_after_seconds is not None:
+        return AnswerMeaning.REFUSED
+    if event.status >= _SERVER_ERROR:
+        return AnswerMeaning.UNCLEAR
+    return AnswerMeaning.RUN
+
+
+def _is_old_fencing(body: str) -> bool:
+    try:
+        value = json.loads(body)
+    except ValueError:
+        return False
+    return isinstance(value, dict) and value.get("error") == "old_fencing"
--- /dev/null
+++ b/src/jujubepass/_call_control.py
@@ -0,0 +1,51 @@
+"""Assembly of the controllers of calls and lookups."""
+
+from jujubepass import (
+    _blackboard,
+    _call_journal,
+    _call_steps,
+    _call_sweep,
+    _calls,
+    _dispatch,
+    _lookups,
+    _service_balance,
+    _store_health,
+    _store_writer,
+    counters,
+)
+
+
+def make_controllers(
+    *,
+    blackboard: _blackboard.Blackboard,
+    counters: counters.Counters,
+    timing: _call_journal.CallTiming,
+    largest_group: int = _store_writer.LARGEST_GROUP,
+) -> list[_dispatch.Controller]:
+    """Make the controllers; both kinds of requests share one balance."""
+    balance = _service_balance.ServiceBalance(backends=blackboard.backends)
+    writer = _store_writer.StoreWriter(name="calls/rows", largest_group=largest_group)
+    steps = _call_steps.CallSteps(
+        blackboard=blackboard,
+        counters=counters,
+        journal=_call_journal.CallJournal(
+            blackboard=blackboard, timing=timing, writer=writer
+        ),
+        balance=balance,
+    )
+    health = _store_health.StoreHealth(
+        area=blackboard.calls, probe_seconds=timing.probe_seconds
+    )
+    return [
+        _calls.CallController(
+            blackboard=blackboard, counters=counters, steps=steps, health=health
+        ),
+        _call_sweep.CallSweepController(
+            blackboard=blackboard,
+            steps=steps,
+            writer=_store_writer.StoreWriter(name="calls/removals"),
+        ),
+        _lookups.LookupController(
+            blackboard=blackboard, counters=counters, balance=balance
+        ),
+    ]
--- a/src/jujubepass/_call_messages.py
+++ b/src/jujubepass/_call_messages.py
@@ -28,6 +28,22 @@
     deadline: float
 
 
+@attrs.frozen(kw_only=True)
+class CallAsked:
+    """Report a caller's question after the call that a key names."""
+
+    request: ids.RequestId
+    account: ids.AccountId
+    key: ids.IdempotencyKey
+
+
+@attrs.frozen(kw_only=True)
+class WallClockRead:
+    """Report the time of day, in seconds since 1970."""
+
+    seconds: float
+
+
 @attrs.frozen(kw_only=True)
 class LookupArrived:
     """Report an idempotent call; `deadline` is on the node's clock."""
@@ -41,7 +57,7 @@
 
 @attrs.frozen(kw_only=True)
 class SendCall:
-    """Command one attempt of a call that may not be repeated."""
+    """Command one attempt, unless the node's clock has reached `send_before`."""
 
     request: ids.RequestId
     attempt: ids.AttemptId
@@ -52,6 +68,7 @@
     key: ids.IdempotencyKey
     fencing: ids.FencingNumber
     timeout_seconds: float
+    send_before: float
 
 
 @attrs.frozen(kw_only=True)
@@ -81,6 +98,7 @@
     attempt: ids.AttemptId
     status: int
     body: str
+    retry_after_seconds: float | None = None
 
 
 @attrs.frozen(kw_only=True)
--- /dev/null
+++ b/src/jujubepass/_call_rows.py
@@ -0,0 +1,65 @@
+"""Rows of the call journal, one per client account and idempotency key."""
+
+import hashlib
+import typing
+import urllib.parse
+
+import attrs
+
+from jujubepass import _call_area, _store_messages, ids
+
+PREFIX = "call/"
+SHARDS = 256
+LARGEST_KEPT_ANSWER_CHARACTERS = 16_384
+
+
+@attrs.frozen(kw_only=True)
+class CallRow:
+    """Hold one row; `until` and `written_at` are wall-clock seconds."""
+
+    state: _call_area.CallState
+    digest: str
+    attempt: ids.AttemptId
+    node: ids.NodeId
+    incarnation: str
+    backend: ids.BackendServerId
+    backend_key: ids.IdempotencyKey
+    written_at: float
+    until: float
+    status: int = 0
+    body: str | None = None
+
+    def write_value(self) -> _store_messages.Row:
+        """Write the row as the table keeps it."""
+        return {**attrs.asdict(self), "state": self.state.value}
+
+
+def read_value(value: _store_messages.Row) -> CallRow:
+    """Read a row as the table keeps it."""
+    fields: dict[str, typing.Any] = dict(value)
+    fields["state"] = _call_area.CallState(fields["state"])
+    return CallRow(**fields)
+
+
+def make_row_key(account: ids.AccountId, key: ids.IdempotencyKey) -> str:
+    """Name the row of a call; its shard spreads rows over sweeping nodes."""
+    text = f"{account}/{key}"
+    shard = hashlib.sha256(text.encode()).digest()[0]
+    return f"{make_shard_prefix(shard)}{text}"
+
+
+def make_shard_prefix(shard: int) -> str:
+    """Return what all row keys of a shard begin with."""
+    return f"{PREFIX}{shard:02x}/"
+
+
+def make_backend_key(
+    account: ids.AccountId, key: ids.IdempotencyKey
+) -> ids.IdempotencyKey:
+    """Name the call towards backend servers, apart from other client accounts'."""
+    return ids.IdempotencyKey(f"{account}:{urllib.parse.quote(key, safe='')}")
+
+
+def bound_body(body: str) -> str | None:
+    """Return an answer that is small enough to be kept."""
+    return body if len(body) <= LARGEST_KEPT_ANSWER_CHARACTERS else None
--- a/src/jujubepass/_callers.py
+++ b/src/jujubepass/_callers.py
@@ -4,6 +4,7 @@
 import json
 import math
 import typing
+import urllib.parse
 
 import attrs
 import trio
@@ -25,6 +26,11 @@
 
 _COMPLETION_PATHS = ("/v1/completions", "/v1/chat/completions")
 _SERVICE_PREFIX = "/services/"
+_CALL_PREFIX = "/v1/calls/"
+_RUN_BY_REASON = {
+    reasons.RefusalReason.OUTCOME_UNKNOWN: "unknown",
+    reasons.RefusalReason.ANSWER_NOT_KEPT: "yes",
+}
 _EVENT_STREAM = "text/event-stream"
 
 Post = collections.abc.Callable[[typing.Any], None]
@@ -55,6 +61,8 @@
             await self._guard(self._serve_call, request, responder)
         elif request.path.startswith(_SERVICE_PREFIX) and request.method == "GET":
             await self._guard(self._serve_lookup, request, responder)
+        elif request.path.startswith(_CALL_PREFIX) and request.method == "GET":
+            await self._guard(self._serve_question, request, responder)
         else:
             detail = f"{request.method} {request.path} is not served here."
             await responder.send_problem(404, "unknown_path", detail)
@@ -127,8 +135,25 @@
         writer = _CallWriter(api=self, responder=responder, request=request_id)
         await self._serve(event, writer, _metrics.RequestKind.LOOKUP)
 
+    async def _serve_question(
+        self,
+        request: _http_server.Request,
+        responder: _http_server.Responder,
+        account: declarations.Account,
+    ) -> None:
+        request_id = self.new_request_id()
+        key = urllib.parse.unquote(request.path.removeprefix(_CALL_PREFIX))
+        event = _call_messages.CallAsked(
+            request=request_id, account=account.name, key=ids.IdempotencyKey(key)
+        )
+        writer = _CallWriter(api=self, responder=responder, request=request_id)
+        await self._serve(event, writer, _metrics.RequestKind.LOOKUP)
+
     async def _serve(
-        self, event: _limits.Arrival, writer: "_AnswerWriter", kind: typing.Any
+        self,
+        event: _limits.Arrival | _call_messages.CallAsked,
+        writer: "_AnswerWriter",
+        kind: typing.Any,
     ) -> None:
         mailbox = self.mailboxes.open(event.request)
         outcome = _metrics.RequestOutcome.CALLER_GONE
@@ -176,12 +201,13 @@
     ) -> _metrics.RequestOutcome:
         self.api.metrics.count_refusal(refusal.reason)
         unknown = refusal.reason is reasons.RefusalReason.OUTCOME_UNKNOWN
+        run = _RUN_BY_REASON.get(refusal.reason, "no")
         await self.responder.send_problem(
             refusal.reason.status,
             refusal.reason.code,
             refusal.detail,
             retry_after_seconds=max(1, math.ceil(refusal.retry_after_seconds)),
-            extra={"request": self.request, "run": "unknown" if unknown else "no"},
+            extra={"request": self.request, "run": run},
         )
         if unknown:
             return _metrics.RequestOutcome.UNKNOWN
--- a/src/jujubepass/_http_client.py
+++ b/src/jujubepass/_http_client.py
@@ -98,6 +98,13 @@
                 self._ended = True
         return bytes(ready)
 
+    async def receive_all(self) -> Answer:
+        """Wait for the whole answer."""
+        parts = []
+        while part := await self.receive():
+            parts.append(part)
+        return Answer(status=self.status, headers=self.headers, body=b"".join(parts))
+
 
 class Client:
     """Send requests over pooled connections."""
@@ -118,28 +125,28 @@
         headers: collections.abc.Mapping[str, str] | None = None,
         timeout_seconds: float = 5.0,
         fresh: bool = False,
+        once: bool = False,
     ) -> Answer:
         """Send a request and return its whole answer.
 
-        Raises NotSentError, InterruptedAnswerError or AnswerTimeoutError; `fresh`
-        avoids pooled connections, so that NotSentError is certain.
+        Raises NotSentError, InterruptedAnswerError or AnswerTimeoutError; NotSentError
+        is certain with `once`, and with `fresh`, which avoids pooled connections.
         """
         sent = False
         try:
             with trio.fail_after(timeout_seconds):
                 opened = self.open(
-                    method, address, path, body=body, headers=headers, fresh=fresh
+                    method,
+                    address,
+                    path,
+                    body=body,
+                    headers=headers,
+                    fresh=fresh,
+                    once=once,
                 )
                 async with opened as answer:
                     sent = True
-                    parts = []
-                    while part := await answer.receive():
-                        parts.append(part)
-                    return Answer(
-                        status=answer.status,
-                        headers=answer.headers,
-                        body=b"".join(parts),
-                    )
+                    return await answer.receive_all()
         except trio.TooSlowError as error:
             where = "the answer's end" if sent else "the answer"
             raise AnswerTimeoutError(f"{address} timed out before {where}") from error
@@ -154,21 +161,26 @@
         body: bytes = b"",
         headers: collections.abc.Mapping[str, str] | None = None,
         fresh: bool = False,
+        once: bool = False,
     ) -> collections.abc.AsyncIterator[StreamedAnswer]:
         """Send a request and yield its answer as a stream.
 
         A request that meets a pooled connection closed by the server is sent again,
-        unless `fresh`.
+        unless `fresh` or `once`.
         """
         data = _write_request(method, address, path, body, headers or {})
-        stream, connection, head = await self._exchange(address, data, fresh)
+        stream, connection, head = await self._exchange(address, data, fresh, once)
         try:
             yield StreamedAnswer(connection=connection, stream=stream, head=head)
         finally:
             self._release(address, stream, connection)
 
     async def _exchange(
-        self, address: Address, data: tuple[h11.Request, bytes], fresh: bool
+        self,
+        address: Address,
+        data: tuple[h11.Request, bytes],
+        fresh: bool,
+        once: bool,
     ) -> tuple[trio.SocketStream, h11.Connection, h11.Response]:
         while True:
             idle = self._idle[address]
@@ -180,7 +192,7 @@
                 return stream, connection, head
             except InterruptedAnswerError:
                 await trio.aclose_forcefully(stream)
-                if not pooled:
+                if once or not pooled:
                     raise
             except BaseException:
                 stream.socket.close()
--- a/src/jujubepass/_lookups.py
+++ b/src/jujubepass/_lookups.py
@@ -1,23 +1,32 @@
-"""Controller that sends idempotent calls and repeats those that fail."""
+"""Controller that sends idempotent calls, hedges slow ones and repeats failed ones."""
 
 import collections.abc
+import heapq
+import itertools
 
 import attrs
 
 from jujubepass import (
     _answer_messages,
-    _backend_area,
     _blackboard,
     _call_area,
     _call_messages,
     _dispatch,
+    _latency_window,
+    _node_messages,
+    _retry_budget,
+    _service_balance,
     counters,
     ids,
     reasons,
 )
 
 _SERVER_ERROR = 500
-_UNAVAILABLE_RETRY_SECONDS = 1.0
+_MAX_ATTEMPTS = 3
+_RETRY_AFTER_SECONDS = 1.0
+
+Commands = collections.abc.Sequence[_dispatch.Command]
+_Reason = reasons.RefusalReason
 
 
 @attrs.define(kw_only=True)
@@ -26,10 +35,24 @@
 
     blackboard: _blackboard.Blackboard
     counters: counters.Counters
+    balance: _service_balance.ServiceBalance
+    budget: _retry_budget.RetryBudget = attrs.field(factory=_retry_budget.RetryBudget)
+    latencies: _latency_window.LatencyWindow = attrs.field(
+        factory=lambda: _latency_window.LatencyWindow(
+            first_seconds=0.1, least_seconds=0.02
+        )
+    )
+    _hedges: list[tuple[float, int, ids.RequestId]] = attrs.field(
+        factory=list, init=False
+    )
+    _numbers: collections.abc.Iterator[int] = attrs.field(
+        factory=itertools.count, init=False
+    )
 
     def list_handlers(self) -> collections.abc.Mapping[type, _dispatch.EventHandler]:
         """Map each event type to the method that handles it."""
         return {
+            _node_messages.Tick: self.hedge,
             _call_messages.LookupArrived: self.start,
             _call_messages.CallAnswered: self.answer,
             _call_messages.CallUnsent: self.repeat,
@@ -43,28 +66,31 @@
         """Send an admitted lookup."""
         if event.request not in self.blackboard.limits.admitted:
             return ()
-        lookup = _call_area.Lookup(arrived=event)
+        self.budget.earn()
+        lookup = _call_area.Lookup(arrived=event, started_at=now)
         self.blackboard.calls.lookups[event.request] = lookup
-        return self._send(lookup, now)
+        commands = self._send(lookup, now)
+        if not commands:
+            return self._refuse(lookup, _Reason.BACKEND_UNAVAILABLE, now)
+        at = now + self.latencies.read_delay()
+        heapq.heappush(self._hedges, (at, next(self._numbers), event.request))
+        return commands
 
-    def _send(
-        self, lookup: _call_area.Lookup, now: float
-    ) -> collections.abc.Sequence[_dispatch.Command]:
+    def _send(self, lookup: _call_area.Lookup, now: float) -> Commands:
+        """Send one attempt, to a server not tried yet when there is one."""
         arrived = lookup.arrived
-        backend = self._choose(lookup)
+        service = arrived.service
+        backend = self.balance.choose(service, now, avoid=lookup.tried)
+        backend = backend or self.balance.choose(service, now)
         if backend is None or now >= arrived.deadline:
-            del self.blackboard.calls.lookups[arrived.request]
-            refusal = _answer_messages.Refuse(
-                request=arrived.request,
-                reason=reasons.RefusalReason.BACKEND_UNAVAILABLE,
-                detail=f"No backend server of {arrived.service} answered.",
-                retry_after_seconds=_UNAVAILABLE_RETRY_SECONDS,
-            )
-            return (refusal,)
+            return ()
         name = ids.BackendServerId(backend.vm.name)
-        attempt = ids.AttemptId(f"{arrived.request}/{len(lookup.tried)}")
+        attempt = ids.AttemptId(f"{arrived.request}/{lookup.sent}")
+        lookup.sent += 1
         lookup.tried.add(name)
         lookup.attempts[attempt] = name
+        lookup.sent_at[attempt] = now
+        self.balance.begin(name)
         return (
             _call_messages.SendLookup(
                 request=arrived.request,
@@ -76,55 +102,93 @@
             ),
         )
 
-    def _choose(self, lookup: _call_area.Lookup) -> _backend_area.BackendServer | None:
-        for backend in self.blackboard.backends.list_service(lookup.arrived.service):
-            if backend.vm.name not in lookup.tried:
-                return backend
-        return None
+    def hedge(
+        self, event: _node_messages.Tick, now: float
+    ) -> collections.abc.Iterator[_dispatch.Command]:
+        """Send a second attempt of lookups that take unusually long."""
+        while self._hedges and self._hedges[0][0] <= now:
+            request = heapq.heappop(self._hedges)[2]
+            lookup = self.blackboard.calls.lookups.get(request)
+            if lookup is None or lookup.sent > 1 or not self.budget.spend():
+                continue
+            self.counters.count_retry(reasons.RetryReason.LOOKUP_HEDGED)
+            yield from self._send(lookup, now)
 
     def answer(
         self, event: _call_messages.CallAnswered, now: float
     ) -> collections.abc.Iterable[_dispatch.Command]:
-        """Answer the caller, or repeat after a server error."""
+        """Answer the caller and cancel the loser, or repeat after a server error."""
         lookup = self.blackboard.calls.lookups.get(event.request)
         if lookup is None or event.attempt not in lookup.attempts:
             return ()
         if event.status >= _SERVER_ERROR:
-            return self._repeat(lookup, now)
-        del self.blackboard.calls.lookups[event.request]
-        return (
-            _call_messages.AnswerCall(
-                request=event.request,
-                status=event.status,
-                body=event.body,
-                backend=lookup.attempts[event.attempt],
-            ),
+            return self._repeat(lookup, event.attempt, now)
+        backend = lookup.attempts[event.attempt]
+        self.latencies.add(now - lookup.sent_at[event.attempt])
+        self.balance.note_success(backend)
+        self._end(lookup, event.attempt)
+        answer = _call_messages.AnswerCall(
+            request=event.request,
+            status=event.status,
+            body=event.body,
+            backend=backend,
         )
+        return (answer, *self._drop(lookup))
+
+    def _end(self, lookup: _call_area.Lookup, attempt: ids.AttemptId) -> None:
+        self.balance.end(lookup.attempts.pop(attempt))
+
+    def _drop(self, lookup: _call_area.Lookup) -> list[_dispatch.Command]:
+        """Forget a lookup and cancel the attempts that still run."""
+        self.blackboard.calls.lookups.pop(lookup.arrived.request, None)
+        running = list(lookup.attempts)
+        for attempt in running:
+            self._end(lookup, attempt)
+        return [_call_messages.CancelLookup(attempt=attempt) for attempt in running]
 
     def repeat(
         self,
         event: _call_messages.CallUnsent | _call_messages.CallUnclear,
         now: float,
     ) -> collections.abc.Iterable[_dispatch.Command]:
-        """Repeat a lookup without an answer at another backend server."""
+        """Repeat a lookup without an answer."""
         lookup = self.blackboard.calls.lookups.get(event.request)
         if lookup is None or event.attempt not in lookup.attempts:
             return ()
-        return self._repeat(lookup, now)
+        return self._repeat(lookup, event.attempt, now)
 
     def _repeat(
-        self, lookup: _call_area.Lookup, now: float
-    ) -> collections.abc.Sequence[_dispatch.Command]:
+        self, lookup: _call_area.Lookup, attempt: ids.AttemptId, now: float
+    ) -> collections.abc.Iterable[_dispatch.Command]:
+        """Repeat within the budget, unless another attempt still runs."""
+        self.balance.note_failure(lookup.attempts[attempt], now)
+        self._end(lookup, attempt)
+        if lookup.attempts:
+            return ()
+        if lookup.sent >= _MAX_ATTEMPTS:
+            return self._refuse(lookup, _Reason.BACKEND_UNAVAILABLE, now)
+        if not self.budget.spend():
+            return self._refuse(lookup, _Reason.RETRY_BUDGET_SPENT, now)
         self.counters.count_retry(reasons.RetryReason.LOOKUP_FAILED)
-        return self._send(lookup, now)
+        commands = self._send(lookup, now)
+        return commands or self._refuse(lookup, _Reason.BACKEND_UNAVAILABLE, now)
+
+    def _refuse(
+        self, lookup: _call_area.Lookup, reason: reasons.RefusalReason, now: float
+    ) -> Commands:
+        arrived = lookup.arrived
+        pause = self.balance.find_pause(arrived.service, now)
+        refusal = _answer_messages.Refuse(
+            request=arrived.request,
+            reason=reason,
+            detail=f"No backend server of {arrived.service} answered.",
+            retry_after_seconds=max(_RETRY_AFTER_SECONDS, pause),
+        )
+        return (refusal, *self._drop(lookup))
 
     def abandon(
         self, event: _answer_messages.CallerLeft, now: float
     ) -> collections.abc.Iterable[_dispatch.Command]:
         """Forget a lookup whose caller left."""
-        lookup = self.blackboard.calls.lookups.pop(event.request, None)
-        if lookup is None:
-            return ()
-        return tuple(
-            _call_messages.CancelLookup(attempt=attempt) for attempt in lookup.attempts
-        )
+        lookup = self.blackboard.calls.lookups.get(event.request)
+        return () if lookup is None else self._drop(lookup)
--- a/src/jujubepass/_metrics.py
+++ b/src/jujubepass/_metrics.py
@@ -82,6 +82,7 @@
         self.refusals = dict.fromkeys(reasons.RefusalReason, 0)
         self.retries = dict.fromkeys(reasons.RetryReason, 0)
         self.drops = dict.fromkeys(reasons.DropReason, 0)
+        self.unknown = dict.fromkeys(reasons.UnknownCause, 0)
         self.requests = dict.fromkeys(itertools.product(RequestKind, RequestOutcome), 0)
         self.tokens = 0
         self.first_token = _distribution.Distribution(
@@ -119,6 +120,9 @@
         self._add_enum_counter("refusals", "Requests refused.", self.refusals)
         self._add_enum_counter("retries", "Retries and why.", self.retries)
         self._add_enum_counter("drops", "Tokens dropped and why.", self.drops)
+        self._add_enum_counter(
+            "calls_unknown", "Calls whose outcome is unknown.", self.unknown
+        )
         self.add_counter("tokens", "Tokens sent to callers.", lambda: self.tokens)
         self._meter.create_observable_counter(
             "requests",
@@ -138,6 +142,10 @@
         """Count one dropped token."""
         self.drops[reason] += 1
 
+    def count_unknown(self, cause: reasons.UnknownCause) -> None:
+        """Count one call whose outcome stayed unknown."""
+        self.unknown[cause] += 1
+
     def count_tokens(self, count: int) -> None:
         """Count tokens that went to callers."""
         self.tokens += count
--- a/src/jujubepass/_node.py
+++ b/src/jujubepass/_node.py
@@ -4,6 +4,7 @@
 import functools
 import logging
 import signal
+import time
 import typing
 import uuid
 
@@ -16,9 +17,10 @@
     _backend_messages,
     _backends,
     _blackboard,
+    _call_control,
+    _call_journal,
     _call_messages,
     _callers,
-    _calls,
     _configuration,
     _configuration_messages,
     _dispatch,
@@ -26,7 +28,6 @@
     _http_client,
     _http_server,
     _limits,
-    _lookups,
     _mailboxes,
     _membership,
     _membership_messages,
@@ -49,6 +50,7 @@
 _LOGGER = logging.getLogger(__name__)
 
 _EXIT_DONE = 0
+_WALL_CLOCK_SECONDS = 1.0
 
 
 async def run(node_settings: settings.Settings) -> int:
@@ -82,6 +84,7 @@
             new_request_id=_new_request_id,
         )
         callers = _http_server.Server(handler=caller_api, limits=_make_limits(listen))
+        nursery.start_soon(_read_wall_clock, shell)
         nursery.start_soon(_tick, shell, node_settings.timing.tick_seconds)
         address = listen.operators
         await nursery.start(operators.serve, address.host, address.port)
@@ -113,6 +116,12 @@
             return
 
 
+async def _read_wall_clock(shell: _shell.Shell) -> None:
+    while True:
+        shell.post(_call_messages.WallClockRead(seconds=time.time()))
+        await trio.sleep(_WALL_CLOCK_SECONDS)
+
+
 async def _tick(shell: _shell.Shell, tick_seconds: float) -> None:
     event = _node_messages.Tick()
     while True:
@@ -169,11 +178,19 @@
             timing=_answers.AnswerTiming(stall_seconds=timing.stall_seconds),
             counters=metrics,
         ),
-        _calls.CallController(blackboard=blackboard, counters=metrics),
-        _lookups.LookupController(blackboard=blackboard, counters=metrics),
+        *_call_control.make_controllers(
+            blackboard=blackboard, counters=metrics, timing=_make_call_timing(timing)
+        ),
     ]
 
 
+def _make_call_timing(timing: settings.Timing) -> _call_journal.CallTiming:
+    return _call_journal.CallTiming(
+        send_window_seconds=timing.lease_seconds - timing.lease_margin_seconds,
+        take_over_margin_seconds=timing.lease_margin_seconds,
+    )
+
+
 def _make_limits(listen: settings.Listen) -> _http_server.ServerLimits:
     return _http_server.ServerLimits(
         header_bytes=listen.header_bytes,
--- a/src/jujubepass/_service_client.py
+++ b/src/jujubepass/_service_client.py
@@ -1,7 +1,9 @@
 """Client of the plain services."""
 
 import collections.abc
+import json
 import typing
+import urllib.parse
 
 import attrs
 import trio
@@ -25,6 +27,14 @@
 
     async def send_call(self, command: _call_messages.SendCall) -> None:
         """Send a call that may not be repeated, once, on a connection of its own."""
+        if trio.current_time() >= command.send_before:
+            unsent = _call_messages.CallUnsent(
+                request=command.request,
+                attempt=command.attempt,
+                detail="the time to send had passed",
+            )
+            self.post(unsent)
+            return
         headers = {
             "content-type": "application/json",
             "idempotency-key": command.key,
@@ -57,6 +67,7 @@
         fresh: bool,
     ) -> None:
         request, attempt = command.request, command.attempt
+        event: typing.Any
         try:
             answer = await self.client.request(
                 method,
@@ -67,31 +78,26 @@
                 timeout_seconds=command.timeout_seconds,
                 fresh=fresh,
             )
+            event = _call_messages.CallAnswered(
+                request=request,
+                attempt=attempt,
+                status=answer.status,
+                body=answer.body.decode(errors="replace"),
+                retry_after_seconds=_read_retry_after(answer),
+            )
         except _http_client.NotSentError as error:
-            self.post(
-                _call_messages.CallUnsent(
-                    request=request, attempt=attempt, detail=str(error)
-                )
+            event = _call_messages.CallUnsent(
+                request=request, attempt=attempt, detail=str(error)
             )
         except _http_client.ClientError as error:
-            self.post(
-                _call_messages.CallUnclear(
-                    request=request, attempt=attempt, detail=str(error)
-                )
-            )
-        else:
-            self.post(
-                _call_messages.CallAnswered(
-                    request=request,
-                    attempt=attempt,
-                    status=answer.status,
-                    body=answer.body.decode(errors="replace"),
-                )
+            event = _call_messages.CallUnclear(
+                request=request, attempt=attempt, detail=str(error)
             )
+        self.post(event)
 
     async def ask_outcome(self, command: _call_messages.AskOutcome) -> None:
         """Ask what became of a call; fence older attempts where that is wanted."""
-        path = f"/outcomes/{command.key}"
+        path = f"/outcomes/{urllib.parse.quote(command.key, safe=':')}"
         method, body = "GET", b""
         if command.fencing:
             method, path = "POST", f"{path}/fence"
@@ -106,7 +112,14 @@
             )
             found = answer.read_json()
             state = _call_messages.OutcomeState(found["state"])
-        except (_http_client.ClientError, KeyError, TypeError, ValueError) as error:
+            result = json.dumps({"result": found.get("result")})
+        except (
+            _http_client.ClientError,
+            AttributeError,
+            KeyError,
+            TypeError,
+            ValueError,
+        ) as error:
             self.post(
                 _call_messages.OutcomeUntold(
                     request=command.request, attempt=command.attempt, detail=str(error)
@@ -118,6 +131,11 @@
                 request=command.request,
                 attempt=command.attempt,
                 state=state,
-                body=answer.body.decode(errors="replace"),
+                body=result,
             )
         )
+
+
+def _read_retry_after(answer: _http_client.Answer) -> float | None:
+    text = answer.headers.get("retry-after", "")
+    return float(text) if text.isdecimal() else None
--- /dev/null
+++ b/src/jujubepass/_store_writer.py
@@ -0,0 +1,178 @@
+"""Grouping of many calls' row writes into few transactions."""
+
+import collections
+import collections.abc
+import enum
+
+import attrs
+
+from jujubepass import _store_messages
+
+LARGEST_GROUP = 100
+_LARGEST_GROUP_CHARACTERS = 500_000
+_TRANSACTIONS_PER_LANE = 2
+
+TransactionEvent = (
+    _store_messages.Transacted
+    | _store_messages.TransactionConflicted
+    | _store_messages.TransactionUnsent
+    | _store_messages.TransactionUnclear
+)
+
+
+class Lane(enum.Enum):
+    """Name what waits for a write: a call to be sent, or nobody."""
+
+    OPEN = "open"
+    CLOSE = "close"
+
+
+class WriteState(enum.Enum):
+    """Name what is known of a row's write."""
+
+    WRITTEN = "written"
+    CONFLICTED = "conflicted"
+    UNSENT = "unsent"
+    UNCLEAR = "unclear"
+
+
+@attrs.frozen(kw_only=True)
+class RowWrite:
+    """Hold a conditional write of one row; `version` is what it replaces."""
+
+    key: str
+    version: int
+    value: _store_messages.Row | None
+    characters: int = 0
+
+
+@attrs.frozen(kw_only=True)
+class WriteOutcome:
+    """Say what became of a row's write; `row` is what stood in its way."""
+
+    key: str
+    state: WriteState
+    version: int = 0
+    row: _store_messages.VersionedRow | None = None
+
+
+@attrs.define(kw_only=True)
+class StoreWriter:
+    """Send what is ready in one transaction as soon as its lane has room."""
+
+    name: str
+    largest_group: int = LARGEST_GROUP
+    _queues: dict[Lane, collections.deque[RowWrite]] = attrs.field(init=False)
+    _running: dict[_store_messages.OperationId, tuple[Lane, tuple[RowWrite, ...]]] = (
+        attrs.field(factory=dict, init=False)
+    )
+    _in_flight: collections.Counter[Lane] = attrs.field(
+        factory=collections.Counter, init=False
+    )
+    _count: int = attrs.field(default=0, init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._queues = {lane: collections.deque() for lane in Lane}
+
+    def add(
+        self, lane: Lane, write: RowWrite
+    ) -> collections.abc.Sequence[_store_messages.Transact]:
+        """Queue a write and return the transactions that can start."""
+        self._queues[lane].append(write)
+        return self._start(lane)
+
+    def settle(
+        self, event: TransactionEvent
+    ) -> tuple[
+        collections.abc.Sequence[WriteOutcome],
+        collections.abc.Sequence[_store_messages.Transact],
+    ]:
+        """Return what an event tells of each write, and what can start now."""
+        running = self._running.pop(event.operation, None)
+        if running is None:
+            return (), ()
+        lane, writes = running
+        self._in_flight[lane] -= 1
+        outcomes = self._read_outcomes(event, lane, writes)
+        return outcomes, self._start(lane)
+
+    def _read_outcomes(
+        self, event: TransactionEvent, lane: Lane, writes: tuple[RowWrite, ...]
+    ) -> list[WriteOutcome]:
+        if isinstance(event, _store_messages.Transacted):
+            return [
+                WriteOutcome(
+                    key=write.key,
+                    state=WriteState.WRITTEN,
+                    version=event.versions.get(write.key, 0),
+                )
+                for write in writes
+            ]
+        if isinstance(event, _store_messages.TransactionConflicted):
+            rows = {row.key: row for row in event.rows}
+            if any(write.key in rows for write in writes):
+                return self._split(lane, writes, rows)
+        unsent = isinstance(event, _store_messages.TransactionUnsent)
+        state = WriteState.UNSENT if unsent else WriteState.UNCLEAR
+        return [WriteOutcome(key=write.key, state=state) for write in writes]
+
+    def _split(
+        self,
+        lane: Lane,
+        writes: tuple[RowWrite, ...],
+        rows: collections.abc.Mapping[str, _store_messages.VersionedRow],
+    ) -> list[WriteOutcome]:
+        """Take the conflicting writes out; the others go again, first in line."""
+        rest = [write for write in writes if write.key not in rows]
+        self._queues[lane].extendleft(reversed(rest))
+        return [
+            WriteOutcome(
+                key=write.key, state=WriteState.CONFLICTED, row=rows[write.key]
+            )
+            for write in writes
+            if write.key in rows
+        ]
+
+    def _start(self, lane: Lane) -> list[_store_messages.Transact]:
+        started = []
+        queue = self._queues[lane]
+        while queue and self._in_flight[lane] < _TRANSACTIONS_PER_LANE:
+            writes = self._take(queue)
+            self._count += 1
+            operation = _store_messages.OperationId(f"{self.name}/{self._count}")
+            self._running[operation] = (lane, writes)
+            self._in_flight[lane] += 1
+            started.append(_make_transaction(operation, writes))
+        return started
+
+    def _take(self, queue: collections.deque[RowWrite]) -> tuple[RowWrite, ...]:
+        """Take a group in which no row stands twice."""
+        group: dict[str, RowWrite] = {}
+        later: list[RowWrite] = []
+        characters = 0
+        while queue and len(group) < self.largest_group:
+            write = queue.popleft()
+            characters += write.characters
+            if write.key in group:
+                later.append(write)
+            else:
+                group[write.key] = write
+            if characters >= _LARGEST_GROUP_CHARACTERS:
+                break
+        queue.extendleft(reversed(later))
+        return tuple(group.values())
+
+
+def _make_transaction(
+    operation: _store_messages.OperationId, writes: collections.abc.Iterable[RowWrite]
+) -> _store_messages.Transact:
+    return _store_messages.Transact(
+        operation=operation,
+        conditions=tuple(
+            _store_messages.Condition(key=write.key, version=write.version)
+            for write in writes
+        ),
+        writes=tuple(
+            _store_messages.Write(key=write.key, value=write.value) for write in writes
+        ),
+    )
--- a/src/jujubepass/_table_client.py
+++ b/src/jujubepass/_table_client.py
@@ -10,6 +10,7 @@
 
 _OK = 200
 _CONFLICT = 409
+_NO_EFFECT_STATUSES = (400, 401, 403, 413, 429, 503)
 
 
 class Table(typing.Protocol):
@@ -55,7 +56,9 @@
         """Run a conditional transaction; 503 and a failed connect took no effect."""
         operation = command.operation
         try:
-            answer = await self._post("/table/transact", _write_transaction(command))
+            answer = await self._post(
+                "/table/transact", _write_transaction(command), once=True
+            )
             if answer.status == _OK:
                 versions = answer.read_json()["versions"]
                 return _store_messages.Transacted(
@@ -74,9 +77,10 @@
             return _store_messages.TransactionUnclear(
                 operation=operation, detail=str(error)
             )
-        return _store_messages.TransactionUnsent(
-            operation=operation, detail=f"table service answered {answer.status}"
-        )
+        detail = f"table service answered {answer.status}"
+        if answer.status in _NO_EFFECT_STATUSES:
+            return _store_messages.TransactionUnsent(operation=operation, detail=detail)
+        return _store_messages.TransactionUnclear(operation=operation, detail=detail)
 
     async def read(
         self, command: _store_messages.ReadRows
@@ -126,7 +130,9 @@
             detail=f"table service answered {answer.status}",
         )
 
-    async def _post(self, path: str, body: object) -> _http_client.Answer:
+    async def _post(
+        self, path: str, body: object, *, once: bool = False
+    ) -> _http_client.Answer:
         return await self.client.request(
             "POST",
             self.address,
@@ -134,6 +140,7 @@
             body=json.dumps(body).encode(),
             headers={"content-type": "application/json"},
             timeout_seconds=self.timeout_seconds,
+            once=once,
         )
 
 
--- a/src/jujubepass/counters.py
+++ b/src/jujubepass/counters.py
@@ -17,6 +17,9 @@
     def count_drop(self, reason: reasons.DropReason) -> None:
         """Count one dropped token."""
 
+    def count_unknown(self, cause: reasons.UnknownCause) -> None:
+        """Count one call whose outcome stayed unknown."""
+
     def count_tokens(self, count: int) -> None:
         """Count tokens that went to callers."""
 
--- a/src/jujubepass/reasons.py
+++ b/src/jujubepass/reasons.py
@@ -42,6 +42,7 @@
     NOT_READY = "not_ready", 503
     BACKEND_LEAVING = "backend_leaving", 503
     BACKEND_REFUSED = "backend_refused", 502
+    ANSWER_NOT_KEPT = "answer_not_kept", 410
 
 
 class RetryReason(enum.Enum):
@@ -59,6 +60,20 @@
     LOOKUP_HEDGED = "lookup_hedged"
     TABLE_CONFLICT = "table_conflict"
     TABLE_AMBIGUOUS = "table_ambiguous"
+    CALL_REFUSED = "call_refused"
+    CALL_TAKEN_OVER = "call_taken_over"
+    SEND_WINDOW_PASSED = "send_window_passed"
+
+
+class UnknownCause(enum.Enum):
+    """Say why the outcome of a call stayed unknown."""
+
+    BACKEND_CANNOT_BE_ASKED = "backend_cannot_be_asked"
+    BACKEND_IS_GONE = "backend_is_gone"
+    BACKEND_IS_SILENT = "backend_is_silent"
+    ABSENT_BUT_NOT_FENCED = "absent_but_not_fenced"
+    OTHER_NODE_IS_BUSY = "other_node_is_busy"
+    STORE_IS_SILENT = "store_is_silent"
 
 
 class DropReason(enum.Enum):
--- a/standins/service.py
+++ b/standins/service.py
@@ -5,6 +5,7 @@
 import json
 import logging
 import typing
+import urllib.parse
 
 import attrs
 import cappa
@@ -130,7 +131,7 @@
     async def _serve_outcome(
         self, parts: list[str], request: _http_server.Request, responder: Responder
     ) -> None:
-        key = parts[1]
+        key = urllib.parse.unquote(parts[1])
         if not self.settings.answers_outcomes:
             await responder.send_json(404, {"error": "no_outcomes"})
             return
