--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -11,9 +11,49 @@
   5: string configuration_digest,
 }
 
+// One accepted change. The delta is JSON: sections by title, null for one deleted; one
+// value costs the pure Python codec far less than a map of maps.
+struct ConfigurationEntry {
+  1: i64 number,
+  2: binary digest,
+  3: string change,
+  4: string author,
+  5: binary delta,
+}
+
+// Changes in order; the receiver passes them on to the nodes whose region, failure
+// domain and name lie from `first` to `last`.
+struct ConfigurationChanges {
+  1: string node,
+  2: list<ConfigurationEntry> entries,
+  3: optional list<string> first,
+  4: optional list<string> last,
+}
+
+// Asks for the changes after a number, or for the sections after a title.
+struct ConfigurationQuestion {
+  1: string node,
+  2: string address,
+  3: optional i64 after_number,
+  4: optional string after_title,
+}
+
+// Some of all sections at one number, as JSON, in order of title.
+struct ConfigurationPage {
+  1: string node,
+  2: i64 number,
+  3: binary digest,
+  4: string after_title,
+  5: binary sections,
+  6: bool last,
+}
+
 // Exactly one field is set.
 struct Message {
   1: optional Heartbeat heartbeat,
+  10: optional ConfigurationChanges configuration_changes,
+  11: optional ConfigurationQuestion configuration_question,
+  12: optional ConfigurationPage configuration_page,
 }
 
 // First frames of a connection: the receiver challenges, the sender proves that it
--- a/src/jujubepass/_configuration.py
+++ b/src/jujubepass/_configuration.py
@@ -1,147 +1,157 @@
-"""Controller that accepts changes and installs what was accepted."""
+"""Controller that follows the store and installs what was accepted."""
 
 import collections.abc
-import hashlib
 import json
 
 import attrs
 
 from jujubepass import (
     _blackboard,
+    _configuration_installer,
     _configuration_messages,
+    _configuration_rows,
     _dispatch,
     _node_messages,
+    _object_messages,
     _store_messages,
-    declarations,
-    ids,
 )
 
-HEAD_KEY = "configuration/head"
-_CONFLICT = 409
-_UNAVAILABLE = 503
+POLL_PREFIX = "configuration/poll/"
+PROPOSAL_PREFIX = "configuration/proposal/"
+
+_OBJECT_PREFIX = "configuration/object/"
+_POLLED_CHANGES = 4
+_FETCHED_CHANGES = 97
+
+_Commands = collections.abc.Iterator[_dispatch.Command]
 
 
 @attrs.define(kw_only=True)
 class ConfigurationController:
-    """Write the configuration area; never install a lower number."""
+    """Install from the store; never a number below the one in force."""
 
     blackboard: _blackboard.Blackboard
+    installer: _configuration_installer.Installer
     poll_seconds: float
     _polled_at: float = attrs.field(default=float("-inf"), init=False)
-    _polls: int = attrs.field(default=0, init=False)
-    _head_version: int = attrs.field(default=0, init=False)
-    _sections: dict[str, dict[str, str]] = attrs.field(factory=dict, init=False)
-    _proposals: dict[
-        _store_messages.OperationId, _configuration_messages.ChangeProposed
-    ] = attrs.field(factory=dict, init=False)
+    _operations: int = attrs.field(default=0, init=False)
+    _object_rows: dict[_store_messages.OperationId, _store_messages.VersionedRow] = (
+        attrs.field(factory=dict, init=False)
+    )
 
     def list_handlers(self) -> collections.abc.Mapping[type, _dispatch.EventHandler]:
         """Map each event type to the method that handles it."""
         return {
             _node_messages.Tick: self.poll,
-            _store_messages.RowsRead: self.install,
-            _configuration_messages.ChangeProposed: self.propose,
-            _store_messages.Transacted: self.accept,
-            _store_messages.TransactionConflicted: self.refuse,
-            _store_messages.TransactionUnsent: self.refuse,
-            _store_messages.TransactionUnclear: self.refuse,
+            _store_messages.RowsRead: self.install_rows,
+            _store_messages.ReadFailed: self.note_outage,
+            _object_messages.ObjectRead: self.install_object,
+            _object_messages.ObjectFailed: self.forget_object,
         }
 
-    def poll(
-        self, event: _node_messages.Tick, now: float
-    ) -> collections.abc.Iterable[_dispatch.Command]:
-        """Read the head when it is due."""
-        if now - self._polled_at < self.poll_seconds:
-            return ()
-        self._polled_at = now
-        self._polls += 1
-        operation = _store_messages.OperationId(f"configuration/poll/{self._polls}")
-        return (_store_messages.ReadRows(operation=operation, keys=(HEAD_KEY,)),)
-
-    def install(
-        self, event: _store_messages.RowsRead, now: float
-    ) -> collections.abc.Iterable[_dispatch.Command]:
-        """Install a head that is newer than the one in force."""
-        if not event.operation.startswith("configuration/poll/"):
-            return ()
-        area = self.blackboard.configuration
-        row = event.rows.get(HEAD_KEY)
-        if row is None or row.value["number"] <= area.number:
-            return ()
-        self._head_version = row.version
-        self._sections = {k: dict(v) for k, v in row.value["sections"].items()}
-        area.number = ids.ChangeNumber(row.value["number"])
-        area.digest = row.value["digest"]
-        area.declared = declarations.build_declarations(self._sections)
-        return ()
+    def poll(self, event: _node_messages.Tick, now: float) -> _Commands:
+        """Read the head and the next changes when it is due."""
+        if now - self._polled_at >= self.poll_seconds:
+            self._polled_at = now
+            yield self._read(_POLLED_CHANGES)
 
-    def propose(
-        self, event: _configuration_messages.ChangeProposed, now: float
-    ) -> collections.abc.Iterable[_dispatch.Command]:
-        """Write a change against its base."""
-        area = self.blackboard.configuration
-        if event.base != area.number:
-            detail = f"The configuration moved from {event.base} to {area.number}."
-            return (_refuse(event, _CONFLICT, "base_moved", detail),)
-        sections = {**self._sections, **{k: dict(v) for k, v in event.sections.items()}}
-        try:
-            declarations.build_declarations(sections)
-        except declarations.DeclarationError as error:
-            return (_refuse(event, 422, "bad_declarations", str(error)),)
-        text = json.dumps(sections, sort_keys=True)
-        value = {
-            "number": area.number + 1,
-            "digest": hashlib.sha256(text.encode()).hexdigest()[:16],
-            "change": event.change,
-            "author": event.author,
-            "sections": sections,
-        }
-        operation = _store_messages.OperationId(f"configuration/{event.change}")
-        self._proposals[operation] = event
-        condition = _store_messages.Condition(key=HEAD_KEY, version=self._head_version)
-        return (
-            _store_messages.Transact(
-                operation=operation,
-                conditions=(condition,),
-                writes=(_store_messages.Write(key=HEAD_KEY, value=value),),
-            ),
+    def _read(self, changes: int) -> _store_messages.ReadRows:
+        number = self.blackboard.configuration.number
+        keys = _configuration_rows.list_change_keys(number, changes)
+        return _store_messages.ReadRows(
+            operation=self._name_operation(POLL_PREFIX),
+            keys=(_configuration_rows.HEAD_KEY, _configuration_rows.SNAPSHOT_KEY, *keys),
         )
 
-    def accept(
-        self, event: _store_messages.Transacted, now: float
-    ) -> collections.abc.Iterable[_dispatch.Command]:
-        """Tell the operator and read the head at once."""
-        proposal = self._proposals.pop(event.operation, None)
-        if proposal is None:
-            return ()
-        self._polled_at = float("-inf")
-        accepted = _configuration_messages.ChangeAccepted(
-            change=proposal.change,
-            number=ids.ChangeNumber(proposal.base + 1),
-            digest="",
-        )
-        return (accepted,)
+    def _name_operation(self, prefix: str) -> _store_messages.OperationId:
+        self._operations += 1
+        return _store_messages.OperationId(f"{prefix}{self._operations}")
 
-    def refuse(
+    def install_rows(self, event: _store_messages.RowsRead, now: float) -> _Commands:
+        """Install the changes read, and fetch what is still missing."""
+        if not event.operation.startswith((POLL_PREFIX, PROPOSAL_PREFIX)):
+            return
+        area = self.blackboard.configuration
+        self.installer.note_store(answers=True)
+        before = area.number
+        rows = [
+            row
+            for key, row in event.rows.items()
+            if key.startswith(_configuration_rows.CHANGE_PREFIX)
+        ]
+        rows.sort(key=_configuration_rows.read_number)
+        for row in rows:
+            if "sections" in row.value:
+                entry = _configuration_rows.read_entry(row, row.value["sections"])
+                self.installer.install([entry])
+        yield from self._finish(event.rows, before, now)
+
+    def _finish(
         self,
-        event: _store_messages.TransactionConflicted
-        | _store_messages.TransactionUnsent
-        | _store_messages.TransactionUnclear,
+        rows: collections.abc.Mapping[str, _store_messages.VersionedRow],
+        before: int,
         now: float,
+    ) -> _Commands:
+        area = self.blackboard.configuration
+        head = _configuration_rows.read_number(rows.get(_configuration_rows.HEAD_KEY))
+        if max(head, area.highest_heard) <= area.number:
+            yield from self._report(before, now, caught_up=True)
+            return
+        yield from self._report(before, now, caught_up=area.caught_up)
+        next_key = _configuration_rows.make_change_key(area.number + 1)
+        following = rows.get(next_key)
+        snapshot = rows.get(_configuration_rows.SNAPSHOT_KEY)
+        if following is not None and "object" in following.value:
+            yield from self._fetch_object(following)
+        elif area.number > before:
+            yield self._read(_FETCHED_CHANGES)
+        elif _configuration_rows.read_number(snapshot) > area.number:
+            assert snapshot is not None
+            yield from self._fetch_object(snapshot)
+
+    def _fetch_object(self, row: _store_messages.VersionedRow) -> _Commands:
+        if any(row.value == each.value for each in self._object_rows.values()):
+            return
+        operation = self._name_operation(_OBJECT_PREFIX)
+        self._object_rows[operation] = row
+        yield _object_messages.GetObject(operation=operation, name=row.value["object"])
+
+    def install_object(
+        self, event: _object_messages.ObjectRead, now: float
+    ) -> _Commands:
+        """Install a large change or a snapshot."""
+        row = self._object_rows.pop(event.operation, None)
+        if row is None:
+            return
+        before = self.blackboard.configuration.number
+        sections = json.loads(event.data)
+        if row.key == _configuration_rows.SNAPSHOT_KEY:
+            number = _configuration_rows.read_number(row)
+            self.installer.install_whole(number, row.value["digest"], sections)
+        else:
+            self.installer.install([_configuration_rows.read_entry(row, sections)])
+        caught_up = self.blackboard.configuration.caught_up
+        yield from self._report(before, now, caught_up=caught_up)
+        if self.blackboard.configuration.number > before:
+            yield self._read(_FETCHED_CHANGES)
+
+    def _report(self, before: int, now: float, *, caught_up: bool) -> _Commands:
+        area = self.blackboard.configuration
+        if area.number > before or caught_up != area.caught_up:
+            self.installer.note_installed(now, caught_up=caught_up)
+            yield _configuration_messages.ConfigurationInstalled(number=area.number)
+
+    def forget_object(
+        self, event: _object_messages.ObjectFailed, now: float
     ) -> collections.abc.Iterable[_dispatch.Command]:
-        """Tell the operator that the change is not accepted."""
-        proposal = self._proposals.pop(event.operation, None)
-        if proposal is None:
-            return ()
-        if isinstance(event, _store_messages.TransactionConflicted):
-            detail = "Another change was accepted first. Plan again."
-            return (_refuse(proposal, _CONFLICT, "base_moved", detail),)
-        return (_refuse(proposal, _UNAVAILABLE, "store_unavailable", event.detail),)
-
-
-def _refuse(
-    event: _configuration_messages.ChangeProposed, status: int, code: str, detail: str
-) -> _configuration_messages.ChangeRefused:
-    return _configuration_messages.ChangeRefused(
-        change=event.change, status=status, code=code, detail=detail
-    )
+        """Leave an object that cannot be read to the next poll."""
+        self._object_rows.pop(event.operation, None)
+        return ()
+
+    def note_outage(
+        self, event: _store_messages.ReadFailed, now: float
+    ) -> collections.abc.Iterable[_dispatch.Command]:
+        """Keep that the store does not answer."""
+        if event.operation.startswith(POLL_PREFIX):
+            self.installer.note_store(answers=False)
+        return ()
--- a/src/jujubepass/_configuration_area.py
+++ b/src/jujubepass/_configuration_area.py
@@ -1,10 +1,18 @@
-"""Blackboard area of the configuration; written by the configuration controller."""
+"""Blackboard area of the configuration; written by the configuration installer."""
+
+import collections
+import collections.abc
 
 import attrs
 
-from jujubepass import declarations, ids
+from jujubepass import _configuration_digest, _configuration_messages, declarations, ids
 
 NO_CHANGE = ids.ChangeNumber(0)
+KEPT_CHANGES = 512
+
+
+def _make_recent() -> collections.deque[_configuration_messages.Entry]:
+    return collections.deque(maxlen=KEPT_CHANGES)
 
 
 @attrs.define(kw_only=True)
@@ -12,5 +20,14 @@
     """Hold the configuration in force on this node."""
 
     number: ids.ChangeNumber = NO_CHANGE
-    digest: str = ""
+    digest: str = _configuration_digest.EMPTY
     declared: declarations.Declarations = attrs.field(factory=declarations.Declarations)
+    sections: dict[str, collections.abc.Mapping[str, str]] = attrs.field(factory=dict)
+    recent: collections.deque[_configuration_messages.Entry] = attrs.field(
+        factory=_make_recent
+    )
+    caught_up: bool = False
+    store_answers: bool = False
+    highest_heard: ids.ChangeNumber = NO_CHANGE
+    installed_at: float = float("-inf")
+    digest_mismatches: int = 0
--- /dev/null
+++ b/src/jujubepass/_configuration_installer.py
@@ -0,0 +1,102 @@
+"""Installation of accepted changes, one after the other and never backwards."""
+
+import collections.abc
+import logging
+
+import attrs
+
+from jujubepass import (
+    _configuration_area,
+    _configuration_digest,
+    _configuration_messages,
+    _declaration_changes,
+    declarations,
+    ids,
+)
+
+_LOGGER = logging.getLogger(__name__)
+
+
+@attrs.define(kw_only=True)
+class Installer:
+    """Write the configuration area."""
+
+    area: _configuration_area.ConfigurationArea
+
+    def install(
+        self, entries: collections.abc.Iterable[_configuration_messages.Entry]
+    ) -> list[_configuration_messages.Entry]:
+        """Install the entries that follow on the number in force; return them."""
+        installed = []
+        for entry in sorted(entries, key=lambda entry: entry.number):
+            if entry.number == self.area.number + 1 and self._install(entry):
+                installed.append(entry)
+        return installed
+
+    def _install(self, entry: _configuration_messages.Entry) -> bool:
+        area = self.area
+        digest = _configuration_digest.update_digest(
+            area.digest, area.sections, entry.delta
+        )
+        if digest != entry.digest:
+            area.digest_mismatches += 1
+            _LOGGER.error("change %d has another digest; not installed", entry.number)
+            return False
+        area.declared = self._update(area.declared, area.sections, entry.delta)
+        for title, section in entry.delta.items():
+            if section is None:
+                area.sections.pop(title, None)
+            else:
+                area.sections[title] = section
+        area.digest = digest
+        area.number = entry.number
+        area.recent.append(entry)
+        return True
+
+    def install_whole(
+        self,
+        number: ids.ChangeNumber,
+        digest: str,
+        sections: _configuration_messages.Sections,
+    ) -> bool:
+        """Install all sections at a number above the one in force."""
+        area = self.area
+        if number <= area.number:
+            return False
+        found = _configuration_digest.update_digest(
+            _configuration_digest.EMPTY, {}, sections
+        )
+        if found != digest:
+            area.digest_mismatches += 1
+            _LOGGER.error("snapshot %d has another digest; not installed", number)
+            return False
+        area.declared = self._update(declarations.Declarations(), {}, sections)
+        area.sections = dict(sections)
+        area.digest = digest
+        area.number = number
+        area.recent.clear()
+        return True
+
+    def note_installed(self, now: float, *, caught_up: bool) -> None:
+        """Keep when the number in force was installed, and whether it is the newest."""
+        self.area.installed_at = now
+        self.area.caught_up = caught_up
+
+    def note_heard(self, number: ids.ChangeNumber) -> None:
+        """Keep the highest number that a peer was heard to have."""
+        self.area.highest_heard = max(self.area.highest_heard, number)
+
+    def note_store(self, *, answers: bool) -> None:
+        """Keep whether the store answers."""
+        self.area.store_answers = answers
+
+    @staticmethod
+    def _update(
+        declared: declarations.Declarations,
+        sections: _configuration_messages.Sections,
+        delta: _configuration_messages.Delta,
+    ) -> declarations.Declarations:
+        update = _declaration_changes.update_declarations(declared, sections, delta)
+        for problem in update.problems:
+            _LOGGER.error("section left out: %s", problem)
+        return update.declared
--- /dev/null
+++ b/src/jujubepass/_configuration_proposals.py
@@ -0,0 +1,322 @@
+"""Controller that accepts operators' changes, one winner for each base."""
+
+import collections.abc
+import enum
+
+import attrs
+
+from jujubepass import (
+    _blackboard,
+    _configuration,
+    _configuration_digest,
+    _configuration_installer,
+    _configuration_messages,
+    _configuration_rows,
+    _declaration_changes,
+    _dispatch,
+    _ini,
+    _node_messages,
+    _object_messages,
+    _store_messages,
+    ids,
+)
+
+_CONFLICT = 409
+_UNPROCESSABLE = 422
+_UNAVAILABLE = 503
+_TIMED_OUT = 504
+_RETRY_SECONDS = 0.2
+_DEADLINE_SECONDS = 8.0
+_READ_CHANGES = 20
+
+_Commands = collections.abc.Iterator[_dispatch.Command]
+_Failed = _store_messages.TransactionUnsent | _store_messages.TransactionUnclear
+
+
+class _Stage(enum.Enum):
+    READING = "reading"
+    STORING = "storing"
+    WRITING = "writing"
+
+
+@attrs.define(kw_only=True)
+class _Proposal:
+    event: _configuration_messages.ChangeProposed
+    deadline: float
+    stage: _Stage = _Stage.READING
+    unclear: bool = False
+    retry_at: float | None = None
+    operation: _store_messages.OperationId = _store_messages.OperationId("")
+    entry: _configuration_messages.Entry | None = None
+    transact: _store_messages.Transact | None = None
+
+
+@attrs.define(kw_only=True)
+class ProposalController:
+    """Write changes to the store, and settle unclear writes by the change's id."""
+
+    blackboard: _blackboard.Blackboard
+    installer: _configuration_installer.Installer
+    _proposals: dict[ids.ChangeId, _Proposal] = attrs.field(factory=dict, init=False)
+    _operations: dict[_store_messages.OperationId, _Proposal] = attrs.field(
+        factory=dict, init=False
+    )
+    _started: int = attrs.field(default=0, init=False)
+
+    def list_handlers(self) -> collections.abc.Mapping[type, _dispatch.EventHandler]:
+        """Map each event type to the method that handles it."""
+        return {
+            _configuration_messages.ChangeProposed: self.propose,
+            _node_messages.Tick: self.retry,
+            _store_messages.RowsRead: self.decide,
+            _store_messages.ReadFailed: self.note_failure,
+            _object_messages.ObjectWritten: self.write,
+            _object_messages.ObjectFailed: self.note_failure,
+            _store_messages.Transacted: self.accept,
+            _store_messages.TransactionConflicted: self.settle,
+            _store_messages.TransactionUnsent: self.note_failure,
+            _store_messages.TransactionUnclear: self.note_unclear,
+        }
+
+    def propose(
+        self, event: _configuration_messages.ChangeProposed, now: float
+    ) -> _Commands:
+        """Read what the store holds before a change is written."""
+        if event.change not in self._proposals:
+            proposal = _Proposal(event=event, deadline=now + _DEADLINE_SECONDS)
+            self._proposals[event.change] = proposal
+            yield self._read(proposal)
+
+    def _read(self, proposal: _Proposal) -> _store_messages.ReadRows:
+        proposal.stage = _Stage.READING
+        number = self.blackboard.configuration.number
+        return _store_messages.ReadRows(
+            operation=self._begin(proposal),
+            keys=(
+                _configuration_rows.HEAD_KEY,
+                _configuration_rows.SNAPSHOT_KEY,
+                _configuration_rows.make_id_key(proposal.event.change),
+                *_configuration_rows.list_change_keys(number, _READ_CHANGES),
+            ),
+        )
+
+    def _begin(self, proposal: _Proposal) -> _store_messages.OperationId:
+        self._started += 1
+        proposal.retry_at = None
+        prefix = _configuration.PROPOSAL_PREFIX
+        operation = _store_messages.OperationId(
+            f"{prefix}{proposal.event.change}/{self._started}"
+        )
+        proposal.operation = operation
+        self._operations[operation] = proposal
+        return operation
+
+    def _end(self, operation: _store_messages.OperationId) -> _Proposal | None:
+        """Return the proposal that waits for an operation, if one still does."""
+        proposal = self._operations.pop(operation, None)
+        if proposal is None or proposal.operation != operation:
+            return None
+        change = proposal.event.change
+        return proposal if self._proposals.get(change) is proposal else None
+
+    def retry(self, event: _node_messages.Tick, now: float) -> _Commands:
+        """Ask again what had no answer, until the deadline."""
+        for proposal in list(self._proposals.values()):
+            if now >= proposal.deadline:
+                yield self._give_up(proposal)
+            elif proposal.retry_at is not None and now >= proposal.retry_at:
+                yield self._read(proposal)
+
+    def decide(self, event: _store_messages.RowsRead, now: float) -> _Commands:
+        """Refuse the change, or write it, by what the store holds."""
+        proposal = self._end(event.operation)
+        if proposal is None:
+            return
+        area = self.blackboard.configuration
+        settled = event.rows.get(
+            _configuration_rows.make_id_key(proposal.event.change)
+        )
+        head = event.rows.get(_configuration_rows.HEAD_KEY)
+        number = _configuration_rows.read_number(head)
+        if settled is not None:
+            yield self._answer_settled(proposal, settled.value)
+        elif number != area.number or proposal.event.base > number:
+            proposal.retry_at = now + _RETRY_SECONDS
+        elif proposal.event.base < number:
+            yield self._refuse_moved(proposal)
+        else:
+            yield from self._check(proposal, 0 if head is None else head.version)
+
+    def _check(self, proposal: _Proposal, head_version: int) -> _Commands:
+        area = self.blackboard.configuration
+        event = proposal.event
+        update = _declaration_changes.update_declarations(
+            area.declared, area.sections, event.sections
+        )
+        if update.problems:
+            yield self._refuse_problems(proposal, update.problems)
+            return
+        digest = _configuration_digest.update_digest(
+            area.digest, area.sections, event.sections
+        )
+        proposal.entry = _configuration_messages.Entry(
+            number=ids.ChangeNumber(area.number + 1),
+            digest=digest,
+            change=event.change,
+            author=event.author,
+            delta=event.sections,
+        )
+        operation = self._begin(proposal)
+        name = None
+        if _configuration_rows.is_large(proposal.entry):
+            name = _configuration_rows.make_delta_name(
+                self.blackboard.identity.incarnation, operation
+            )
+        proposal.transact = _configuration_rows.write_transaction(
+            operation, proposal.entry, head_version, name
+        )
+        if name is None:
+            proposal.stage = _Stage.WRITING
+            yield proposal.transact
+            return
+        proposal.stage = _Stage.STORING
+        data = _configuration_rows.write_delta(event.sections)
+        yield _object_messages.PutObject(operation=operation, name=name, data=data)
+
+    def write(self, event: _object_messages.ObjectWritten, now: float) -> _Commands:
+        """Write a large change's row, now that its object is there."""
+        proposal = self._end(event.operation)
+        if proposal is not None and proposal.transact is not None:
+            self._operations[event.operation] = proposal
+            proposal.stage = _Stage.WRITING
+            yield proposal.transact
+
+    def accept(self, event: _store_messages.Transacted, now: float) -> _Commands:
+        """Install the change, tell the operator and let the peers know."""
+        proposal = self._end(event.operation)
+        if proposal is None or proposal.entry is None:
+            return
+        entry = proposal.entry
+        if self.installer.install([entry]):
+            self.installer.note_installed(now, caught_up=True)
+            yield _configuration_messages.ConfigurationInstalled(number=entry.number)
+        yield _configuration_messages.ChangeCommitted(entry=entry)
+        yield self._accept(proposal, entry.number, entry.digest)
+
+    def _accept(
+        self, proposal: _Proposal, number: int, digest: str
+    ) -> _configuration_messages.ChangeAccepted:
+        del self._proposals[proposal.event.change]
+        return _configuration_messages.ChangeAccepted(
+            change=proposal.event.change,
+            number=ids.ChangeNumber(number),
+            digest=digest,
+        )
+
+    def _answer_settled(
+        self, proposal: _Proposal, row: _store_messages.Row
+    ) -> _configuration_messages.ChangeAccepted | _configuration_messages.ChangeRefused:
+        event = proposal.event
+        if row["content"] == _configuration_rows.hash_delta(event.sections):
+            return self._accept(proposal, row["number"], row["digest"])
+        detail = f"Change id {event.change} stands for another change. Choose a new id."
+        return self._refuse(proposal, _CONFLICT, "change_id_reused", detail)
+
+    def settle(
+        self, event: _store_messages.TransactionConflicted, now: float
+    ) -> _Commands:
+        """Read which change came first; it may be this one."""
+        proposal = self._end(event.operation)
+        if proposal is not None:
+            yield self._read(proposal)
+
+    def note_unclear(
+        self, event: _store_messages.TransactionUnclear, now: float
+    ) -> _Commands:
+        """Ask again later whether the change was written."""
+        proposal = self._end(event.operation)
+        if proposal is not None:
+            proposal.unclear = True
+            proposal.retry_at = now + _RETRY_SECONDS
+        yield from ()
+
+    def note_failure(
+        self,
+        event: _store_messages.ReadFailed
+        | _store_messages.TransactionUnsent
+        | _object_messages.ObjectFailed,
+        now: float,
+    ) -> _Commands:
+        """Refuse a change that was certainly not written; else ask again."""
+        proposal = self._end(event.operation)
+        if proposal is None:
+            return
+        if proposal.unclear:
+            proposal.retry_at = now + _RETRY_SECONDS
+        else:
+            yield self._refuse(
+                proposal, _UNAVAILABLE, "store_unavailable", f"Not written: {event.detail}"
+            )
+
+    def _give_up(
+        self, proposal: _Proposal
+    ) -> _configuration_messages.ChangeRefused:
+        if proposal.unclear or proposal.stage is _Stage.WRITING:
+            detail = (
+                "The change may be accepted; ask any node again with change id"
+                f" {proposal.event.change}."
+            )
+            return self._refuse(proposal, _TIMED_OUT, "outcome_unknown", detail)
+        detail = (
+            f"Not written: this node has number {self.blackboard.configuration.number}"
+            f" in force and could not reach base {proposal.event.base} in time."
+        )
+        return self._refuse(proposal, _UNAVAILABLE, "store_unavailable", detail)
+
+    def _refuse_moved(
+        self, proposal: _Proposal
+    ) -> _configuration_messages.ChangeRefused:
+        area = self.blackboard.configuration
+        moved = tuple(
+            _configuration_messages.Moved(
+                number=entry.number,
+                change=entry.change,
+                author=entry.author,
+                sections=tuple(entry.delta),
+            )
+            for entry in area.recent
+            if entry.number > proposal.event.base
+        )
+        detail = (
+            f"The configuration moved from {proposal.event.base} to {area.number}."
+            " Nothing was applied. Plan again."
+        )
+        return self._refuse(proposal, _CONFLICT, "base_moved", detail, moved=moved)
+
+    def _refuse_problems(
+        self, proposal: _Proposal, problems: tuple[_ini.Problem, ...]
+    ) -> _configuration_messages.ChangeRefused:
+        detail = "; ".join(map(str, problems))
+        return self._refuse(
+            proposal, _UNPROCESSABLE, "bad_declarations", detail, problems=problems
+        )
+
+    def _refuse(
+        self,
+        proposal: _Proposal,
+        status: int,
+        code: str,
+        detail: str,
+        moved: tuple[_configuration_messages.Moved, ...] = (),
+        problems: tuple[_ini.Problem, ...] = (),
+    ) -> _configuration_messages.ChangeRefused:
+        del self._proposals[proposal.event.change]
+        return _configuration_messages.ChangeRefused(
+            change=proposal.event.change,
+            status=status,
+            code=code,
+            detail=detail,
+            number=self.blackboard.configuration.number,
+            moved=moved,
+            problems=problems,
+        )
--- /dev/null
+++ b/src/jujubepass/_declaration_changes.py
@@ -0,0 +1,306 @@
+"""Changes of declarations, checked and applied without rebuilding the rest."""
+
+import collections.abc
+import typing
+
+import attrs
+
+from jujubepass import (
+    _backend_messages,
+    _declaration_schema,
+    _ini,
+    _templates,
+    declarations,
+    ids,
+)
+
+Section = collections.abc.Mapping[str, str]
+Sections = collections.abc.Mapping[str, Section]
+Delta = collections.abc.Mapping[str, Section | None]
+"""Sections set, and None for each section deleted."""
+
+Problems = list[_ini.Problem]
+
+KINDS = ("model", "service", "template", "account", "backend", "drain")
+SERVER_FILE = "change"
+
+
+@attrs.frozen(kw_only=True)
+class Update:
+    """Hold declarations after a change, and what is wrong with the change."""
+
+    declared: declarations.Declarations
+    problems: tuple[_ini.Problem, ...]
+
+
+@attrs.define(kw_only=True)
+class _Draft:
+    """Copy the kinds that a change touches, on their first touch."""
+
+    declared: declarations.Declarations
+    sections: Sections
+    delta: Delta
+    files: collections.abc.Mapping[str, str]
+    problems: Problems = attrs.field(factory=list)
+    _copies: dict[str, dict[typing.Any, typing.Any]] = attrs.field(factory=dict)
+
+    def read(self, field: str) -> collections.abc.Mapping[typing.Any, typing.Any]:
+        """Return a kind's mapping as it stands in the draft."""
+        copy = self._copies.get(field)
+        current: collections.abc.Mapping[typing.Any, typing.Any]
+        current = getattr(self.declared, field)
+        return current if copy is None else copy
+
+    def touch(self, field: str) -> dict[typing.Any, typing.Any]:
+        """Return a kind's own copy."""
+        copy = self._copies.get(field)
+        if copy is None:
+            copy = self._copies[field] = dict(getattr(self.declared, field))
+        return copy
+
+    def find_section(self, title: str) -> Section:
+        """Return a section as the change leaves it."""
+        section = self.delta.get(title) or self.sections.get(title)
+        return section or {}
+
+    def get_file(self, title: str) -> str:
+        """Name the file that a section stands in."""
+        return self.files.get(title, SERVER_FILE)
+
+    def add_problem(self, title: str, **fields: str) -> None:
+        """Keep a problem of a section."""
+        file = self.get_file(title)
+        self.problems.append(_ini.Problem(file=file, section=title, **fields))
+
+    def finish(self) -> Update:
+        """Make the declarations."""
+        copies: dict[str, typing.Any] = dict(self._copies)
+        drained = copies.pop("drains", None)
+        if drained is not None:
+            copies["drained"] = frozenset(drained)
+        declared = attrs.evolve(self.declared, **copies)
+        return Update(declared=declared, problems=tuple(self.problems))
+
+
+def update_declarations(
+    declared: declarations.Declarations,
+    sections: Sections,
+    delta: Delta,
+    files: collections.abc.Mapping[str, str] | None = None,
+) -> Update:
+    """Apply a change to what `sections` declared; a wrong section is left out."""
+    draft = _Draft(
+        declared=declared, sections=sections, delta=delta, files=files or {}
+    )
+    changed: dict[str, list[tuple[str, str]]] = {kind: [] for kind in KINDS}
+    for title in delta:
+        kind, _, name = title.partition(" ")
+        if _check_title(draft, title, kind, name):
+            changed[kind].append((title, name))
+    for kind in ("model", "service", "template", "backend", "drain"):
+        for title, name in changed[kind]:
+            _APPLY[kind](draft, title, name)
+    _apply_accounts(draft, changed["account"], changed["template"])
+    _check_deleted(draft)
+    return draft.finish()
+
+
+def merge_delta(sections: Sections, delta: Delta) -> dict[str, Section]:
+    """Return all sections as a change leaves them."""
+    merged = dict(sections)
+    for title, section in delta.items():
+        if section is None:
+            merged.pop(title, None)
+        else:
+            merged[title] = section
+    return merged
+
+
+def _check_title(draft: _Draft, title: str, kind: str, name: str) -> bool:
+    if kind not in KINDS:
+        allowed = _ini.suggest(kind, KINDS) + ", each with a name"
+        draft.add_problem(title, what="is no kind of section", allowed=allowed)
+        return False
+    if not _ini.NAME_PATTERN.fullmatch(name):
+        draft.add_problem(
+            title, what="has no valid name", allowed=f"[{kind} NAME], NAME being "
+            f"{_ini.NAME_MEANING}",
+        )
+        return False
+    return True
+
+
+def _apply_model(draft: _Draft, title: str, name: str) -> None:
+    section = draft.delta[title]
+    models = draft.touch("models")
+    if section is None:
+        models.pop(name, None)
+        return
+    read = _structure(draft, _declaration_schema.ModelSection, title, section)
+    if read is not None:
+        models[name] = declarations.Model(
+            name=ids.ModelId(name), layers=read.layers, version=read.version
+        )
+
+
+def _apply_service(draft: _Draft, title: str, name: str) -> None:
+    section = draft.delta[title]
+    services = draft.touch("services")
+    if section is None:
+        services.pop(name, None)
+        return
+    if _structure(draft, _declaration_schema.ServiceSection, title, section):
+        services[name] = declarations.Service(name=ids.ServiceId(name))
+
+
+def _apply_template(draft: _Draft, title: str, name: str) -> None:
+    section = draft.delta[title]
+    templates = draft.touch("templates")
+    if section is None:
+        templates.pop(name, None)
+        return
+    file = draft.get_file(title)
+    template, found = _templates.read_template(file, title, name, section)
+    draft.problems += found
+    if template is not None:
+        templates[name] = template
+
+
+def _apply_backend(draft: _Draft, title: str, name: str) -> None:
+    section = draft.delta[title]
+    backends = draft.touch("backends")
+    if section is None:
+        if name in backends and name not in draft.declared.drained:
+            allowed = f"drain it first: [drain {name}]"
+            draft.add_problem(title, what="is in use: it takes work", allowed=allowed)
+        backends.pop(name, None)
+        return
+    read = _structure(draft, _declaration_schema.BackendSection, title, section)
+    if read is not None:
+        backends[name] = _backend_messages.Vm(
+            name=name,
+            role=_backend_messages.VmRole(read.role.value),
+            address=read.address,
+            region=read.region,
+            failure_domain=read.failure_domain,
+            state=_backend_messages.VmState.LIVE,
+            accelerator=read.accelerator,
+            service=ids.ServiceId(read.service),
+            checks_fencing=read.checks_fencing,
+            answers_outcomes=read.answers_outcomes,
+        )
+
+
+def _apply_drain(draft: _Draft, title: str, name: str) -> None:
+    section = draft.delta[title]
+    drains = draft._copies.setdefault("drains", dict.fromkeys(draft.declared.drained))
+    if section is None:
+        drains.pop(name, None)
+    elif _structure(draft, _declaration_schema.DrainSection, title, section):
+        drains[name] = None
+
+
+_APPLY: dict[str, collections.abc.Callable[[_Draft, str, str], None]] = {
+    "model": _apply_model,
+    "service": _apply_service,
+    "template": _apply_template,
+    "backend": _apply_backend,
+    "drain": _apply_drain,
+}
+
+_Schema = typing.TypeVar("_Schema")
+
+
+def _structure(
+    draft: _Draft, schema: type[_Schema], title: str, section: Section
+) -> _Schema | None:
+    file = draft.get_file(title)
+    read, found = _ini.structure_section(schema, file, title, section)
+    draft.problems += found
+    return read
+
+
+def _apply_accounts(
+    draft: _Draft,
+    accounts: list[tuple[str, str]],
+    templates: list[tuple[str, str]],
+) -> None:
+    titles = dict(accounts)
+    if templates:
+        names = {name for title, name in templates if draft.delta[title] is not None}
+        for account in draft.declared.accounts.values():
+            if account.template in names:
+                titles.setdefault(f"account {account.name}", account.name)
+    if not titles:
+        return
+    known, index = draft.touch("accounts"), draft.touch("accounts_by_key_hash")
+    for name in titles.values():
+        before = known.pop(name, None)
+        for key_hash in before.key_hashes if before else ():
+            index.pop(key_hash, None)
+    for title, name in titles.items():
+        if title in draft.delta and draft.delta[title] is None:
+            continue
+        _apply_account(draft, title, name)
+
+
+def _apply_account(draft: _Draft, title: str, name: str) -> None:
+    section = draft.find_section(title)
+    account, found = _templates.read_account(
+        draft.get_file(title), title, name, section, draft.read("templates")
+    )
+    draft.problems += found
+    if account is None:
+        return
+    _check_names(draft, title, "models", account.models)
+    _check_names(draft, title, "services", account.services)
+    index = draft.touch("accounts_by_key_hash")
+    for key_hash in account.key_hashes:
+        other = index.setdefault(key_hash, account)
+        if other is not account:
+            what = f"is also a key of [account {other.name}]"
+            allowed = "a key of its own for each account"
+            draft.add_problem(title, key="key_hash", what=what, allowed=allowed)
+    draft.touch("accounts")[name] = account
+
+
+def _check_names(
+    draft: _Draft, title: str, field: str, names: frozenset[str]
+) -> None:
+    known = draft.read(field)
+    for name in sorted(names - known.keys()):
+        allowed = _ini.suggest(name, known) or f"one of the {field} declared"
+        draft.add_problem(
+            title, key=field, value=name, what="is not declared", allowed=allowed
+        )
+
+
+def _check_deleted(draft: _Draft) -> None:
+    """Refuse to delete what an account outside the change uses."""
+    for title, section in draft.delta.items():
+        kind, _, name = title.partition(" ")
+        if section is not None or kind not in ("model", "service", "template"):
+            continue
+        users = [
+            account.name
+            for account in draft.read("accounts").values()
+            if name in _list_names(account, kind)
+        ]
+        if users:
+            what = f"is in use by {_list_users(users)}"
+            allowed = "change those accounts first"
+            draft.add_problem(title, what=what, allowed=allowed)
+
+
+def _list_names(account: declarations.Account, kind: str) -> frozenset[str]:
+    names = {"model": account.models, "service": account.services}
+    return names.get(kind, frozenset((account.template,)))
+
+
+_SHOWN_USERS = 10
+
+
+def _list_users(users: list[ids.AccountId]) -> str:
+    shown = ", ".join(f"[account {name}]" for name in sorted(users)[:_SHOWN_USERS])
+    more = len(users) - _SHOWN_USERS
+    return f"{shown} and {more} more" if more > 0 else shown
--- a/src/jujubepass/_ini.py
+++ b/src/jujubepass/_ini.py
@@ -19,8 +19,8 @@
 
 _RULE = "jujubepass.rule"
 _SHOWN_CHARACTERS = 80
-_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
-_NAME_MEANING = "1 to 63 letters, digits, dots, underscores or hyphens"
+NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
+NAME_MEANING = "1 to 63 letters, digits, dots, underscores or hyphens"
 _Schema = typing.TypeVar("_Schema")
 
 
@@ -72,7 +72,7 @@
 
 def name_key(meaning: str) -> typing.Any:
     """Declare a key that holds a name."""
-    return key(meaning=meaning, pattern=_NAME, pattern_meaning=_NAME_MEANING)
+    return key(meaning=meaning, pattern=NAME_PATTERN, pattern_meaning=NAME_MEANING)
 
 
 def seconds_key(
@@ -165,6 +165,8 @@
     _instance: object, field: "attrs.Attribute[typing.Any]", value: typing.Any
 ) -> None:
     rule = get_rule(field)
+    if value == field.default:
+        return
     if rule.pattern is not None and not rule.pattern.fullmatch(value):
         raise RuleBrokenError("does not fit")
     if isinstance(value, str) and not value:
--- a/src/jujubepass/declarations.py
+++ b/src/jujubepass/declarations.py
@@ -1,10 +1,43 @@
 """What operators declare: models, services, templates, accounts, backend servers."""
 
 import collections.abc
+import enum
 
 import attrs
 
-from jujubepass import ids
+from jujubepass import _backend_messages, ids
+
+
+class ParameterKind(enum.Enum):
+    """Name the types of a template's parameters."""
+
+    INTEGER = "integer"
+    DECIMAL = "decimal"
+    TEXT = "text"
+    CHOICE = "choice"
+
+
+@attrs.frozen(kw_only=True)
+class Parameter:
+    """Declare one parameter that client accounts fill in."""
+
+    name: str
+    kind: ParameterKind
+    default: str = ""
+    minimum: float = float("-inf")
+    maximum: float = float("inf")
+    unit: str = ""
+    pattern: str = ""
+    choices: tuple[str, ...] = ()
+
+
+@attrs.frozen(kw_only=True)
+class Template:
+    """Declare limits, fixed or taken from parameters, that accounts share."""
+
+    name: ids.TemplateId
+    limits: collections.abc.Mapping[str, str] = attrs.field(factory=dict)
+    parameters: collections.abc.Mapping[str, Parameter] = attrs.field(factory=dict)
 
 
 @attrs.frozen(kw_only=True)
@@ -30,6 +63,7 @@
     name: ids.AccountId
     template: ids.TemplateId
     key_hash: str = attrs.field(repr=False)
+    second_key_hash: str = attrs.field(default="", repr=False)
     models: frozenset[str] = frozenset()
     services: frozenset[str] = frozenset()
     requests_per_second: float = 100.0
@@ -39,6 +73,11 @@
     weight: float = 1.0
     max_tokens: int = 1024
 
+    @property
+    def key_hashes(self) -> tuple[str, ...]:
+        """Return the hashes of the keys that are valid now."""
+        return tuple(filter(None, (self.key_hash, self.second_key_hash)))
+
     def may_use_model(self, model: ids.ModelId) -> bool:
         """Tell whether the account may use a model; no list allows every one."""
         return not self.models or model in self.models
@@ -48,6 +87,17 @@
         return not self.services or service in self.services
 
 
+def index_accounts(
+    accounts: collections.abc.Mapping[ids.AccountId, Account],
+) -> dict[str, Account]:
+    """Map each valid key hash to its account."""
+    return {
+        key_hash: account
+        for account in accounts.values()
+        for key_hash in account.key_hashes
+    }
+
+
 @attrs.frozen(kw_only=True)
 class Declarations:
     """Hold everything declared, at one configuration number."""
@@ -56,56 +106,24 @@
     services: collections.abc.Mapping[ids.ServiceId, Service] = attrs.field(
         factory=dict
     )
+    templates: collections.abc.Mapping[ids.TemplateId, Template] = attrs.field(
+        factory=dict
+    )
     accounts: collections.abc.Mapping[ids.AccountId, Account] = attrs.field(
         factory=dict
     )
+    backends: collections.abc.Mapping[ids.BackendServerId, _backend_messages.Vm] = (
+        attrs.field(factory=dict)
+    )
     drained: frozenset[str] = frozenset()
-    _accounts_by_key_hash: dict[str, Account] = attrs.field(
-        init=False, repr=False, eq=False
+    accounts_by_key_hash: collections.abc.Mapping[str, Account] = attrs.field(
+        default=attrs.Factory(
+            lambda self: index_accounts(self.accounts), takes_self=True
+        ),
+        repr=False,
+        eq=False,
     )
 
-    @_accounts_by_key_hash.default
-    def _index_accounts(self) -> dict[str, Account]:
-        return {account.key_hash: account for account in self.accounts.values()}
-
     def find_account_by_key_hash(self, key_hash: str) -> Account | None:
-        """Find the account whose key has this SHA-256, in hex."""
-        return self._accounts_by_key_hash.get(key_hash)
-
-
-class DeclarationError(Exception):
-    """Report declarations that cannot be accepted."""
-
-
-def build_declarations(
-    sections: collections.abc.Mapping[str, collections.abc.Mapping[str, str]],
-) -> Declarations:
-    """Build declarations from INI sections; raise DeclarationError."""
-    models: dict[ids.ModelId, Model] = {}
-    services: dict[ids.ServiceId, Service] = {}
-    accounts: dict[ids.AccountId, Account] = {}
-    drained: set[str] = set()
-    for title, section in sections.items():
-        kind, _, name = title.partition(" ")
-        if kind == "model":
-            model = ids.ModelId(name)
-            models[model] = Model(name=model, layers=int(section["layers"]))
-        elif kind == "service":
-            services[ids.ServiceId(name)] = Service(name=ids.ServiceId(name))
-        elif kind == "account":
-            account = ids.AccountId(name)
-            accounts[account] = Account(
-                name=account,
-                template=ids.TemplateId(section.get("template", "")),
-                key_hash=section["key_hash"],
-            )
-        elif kind == "drain":
-            drained.add(name)
-        else:
-            raise DeclarationError(f"[{title}] is no known kind of section.")
-    return Declarations(
-        models=models,
-        services=services,
-        accounts=accounts,
-        drained=frozenset(drained),
-    )
+        """Find the account one of whose keys has this SHA-256, in hex."""
+        return self.accounts_by_key_hash.get(key_hash)
