--- a/src/jujubepass/_backends.py
+++ b/src/jujubepass/_backends.py
@@ -8,6 +8,7 @@
     _backend_area,
     _backend_messages,
     _blackboard,
+    _configuration_messages,
     _dispatch,
     _node_messages,
     ids,
@@ -29,12 +30,15 @@
     blackboard: _blackboard.Blackboard
     timing: BackendTiming
     _vms_polled_at: float = attrs.field(default=float("-inf"), init=False)
+    _listed: tuple[_backend_messages.Vm, ...] = attrs.field(default=(), init=False)
+    _declared: object = attrs.field(default=None, init=False)
 
     def list_handlers(self) -> collections.abc.Mapping[type, _dispatch.EventHandler]:
         """Map each event type to the method that handles it."""
         return {
             _node_messages.Tick: self.poll,
             _backend_messages.VmsListed: self.join_list,
+            _configuration_messages.ConfigurationInstalled: self.join_declared,
             _backend_messages.LoadReported: self.keep_report,
             _backend_messages.LoadUnanswered: self.count_silence,
             _backend_messages.CacheEventsReported: self.keep_cache_events,
@@ -61,14 +65,29 @@
         self, event: _backend_messages.VmsListed, now: float
     ) -> collections.abc.Iterable[_dispatch.Command]:
         """Take over the platform's list of engines and services."""
+        self._listed = event.vms
+        return self._join()
+
+    def join_declared(
+        self, event: _configuration_messages.ConfigurationInstalled, now: float
+    ) -> collections.abc.Iterable[_dispatch.Command]:
+        """Take over the backend servers that operators added or drained."""
+        declared = self.blackboard.configuration.declared
+        seen = (declared.backends, declared.drained)
+        if seen != self._declared:
+            self._declared = seen
+            self._join()
+        return ()
+
+    def _join(self) -> collections.abc.Iterable[_dispatch.Command]:
         area = self.blackboard.backends
+        vms = {**self.blackboard.configuration.declared.backends}
+        vms.update((ids.BackendServerId(vm.name), vm) for vm in self._listed)
         for role, known in (
             (_backend_messages.VmRole.ENGINE, area.engines),
             (_backend_messages.VmRole.SERVICE, area.services),
         ):
-            listed = {
-                ids.BackendServerId(vm.name): vm for vm in event.vms if vm.role is role
-            }
+            listed = {name: vm for name, vm in vms.items() if vm.role is role}
             for name in [name for name in known if name not in listed]:
                 del known[name]
             for name, vm in listed.items():
--- a/src/jujubepass/_caller_input.py
+++ b/src/jujubepass/_caller_input.py
@@ -55,7 +55,8 @@
     key = authorization.removeprefix(_BEARER).strip()
     key_hash = hashlib.sha256(key.encode()).hexdigest()
     account = declared.find_account_by_key_hash(key_hash)
-    if account is None or not hmac.compare_digest(account.key_hash, key_hash):
+    hashes = () if account is None else account.key_hashes
+    if account is None or not any(hmac.compare_digest(h, key_hash) for h in hashes):
         raise CallerInputError(
             reason=reasons.RefusalReason.UNKNOWN_ACCOUNT,
             detail="No client account has this key. Check it with your operator.",
--- a/src/jujubepass/_configuration.py
+++ b/src/jujubepass/_configuration.py
@@ -60,7 +60,11 @@
         keys = _configuration_rows.list_change_keys(number, changes)
         return _store_messages.ReadRows(
             operation=self._name_operation(POLL_PREFIX),
-            keys=(_configuration_rows.HEAD_KEY, _configuration_rows.SNAPSHOT_KEY, *keys),
+            keys=(
+                _configuration_rows.HEAD_KEY,
+                _configuration_rows.SNAPSHOT_KEY,
+                *keys,
+            ),
         )
 
     def _name_operation(self, prefix: str) -> _store_messages.OperationId:
--- a/src/jujubepass/_configuration_codec.py
+++ b/src/jujubepass/_configuration_codec.py
@@ -9,21 +9,16 @@
 _PLACE_PARTS = 3
 
 
-def make_message(command: _configuration_messages.PeerCommand, node: str) -> typing.Any:
-    """Make the generated struct of a command."""
+def make_message(
+    command: _configuration_messages.PeerCommand,
+    node: str,
+    address: _http_client.Address,
+) -> typing.Any:
+    """Make the generated struct of a command, with the address to answer to."""
     if isinstance(command, _configuration_messages.PushChanges):
         return ttypes.Message(configuration_changes=_write_changes(command, node))
     if isinstance(command, _configuration_messages.SendPage):
         return ttypes.Message(configuration_page=_write_page(command.page, node))
-    raise TypeError(type(command).__name__)
-
-
-def make_question(
-    command: _configuration_messages.AskChanges | _configuration_messages.AskPage,
-    node: str,
-    address: _http_client.Address,
-) -> typing.Any:
-    """Make the generated struct of a question, with the address to answer to."""
     question = ttypes.ConfigurationQuestion(node=node, address=str(address))
     if isinstance(command, _configuration_messages.AskChanges):
         question.after_number = command.after
--- a/src/jujubepass/_configuration_messages.py
+++ b/src/jujubepass/_configuration_messages.py
@@ -108,7 +108,7 @@
 
 @attrs.frozen(kw_only=True)
 class AskChanges:
-    """Command a question to a peer: what came after a number?"""
+    """Command a question to a peer for what came after a number."""
 
     peer: ids.NodeId
     address: _http_client.Address
--- a/src/jujubepass/_configuration_peers.py
+++ b/src/jujubepass/_configuration_peers.py
@@ -95,7 +95,7 @@
         entries: tuple[_configuration_messages.Entry, ...],
         segment: _configuration_messages.Segment | None,
     ) -> _Commands:
-        targets = [t for name, t in self._targets.items() if self._is_alive(name)]
+        targets = filter(None, map(self._find_target, self._targets))
         for relay in _configuration_push.choose_relays(targets, segment):
             yield _configuration_messages.PushChanges(
                 peer=relay.node,
@@ -104,9 +104,12 @@
                 segment=relay.segment,
             )
 
-    def _is_alive(self, name: ids.NodeId) -> bool:
+    def _find_target(self, name: ids.NodeId) -> _configuration_push.Target | None:
         peer = self.blackboard.membership.peers.get(name)
-        return peer is not None and peer.state is not _membership_area.PeerState.DEAD
+        if peer is None or peer.state is _membership_area.PeerState.DEAD:
+            return None
+        alive = peer.state is _membership_area.PeerState.ALIVE
+        return attrs.evolve(self._targets[name], alive=alive)
 
     def install_pushed(
         self, event: _configuration_messages.ChangesPushed, now: float
@@ -221,9 +224,7 @@
         collection.sections.update(page.sections)
         collection.last_title = max(page.sections, default="")
         if not page.last:
-            yield self._ask_page(
-                event.node, target.address, collection.last_title, now
-            )
+            yield self._ask_page(event.node, target.address, collection.last_title, now)
             return
         self._collection = None
         installed = self.installer.install_whole(
--- a/src/jujubepass/_configuration_proposals.py
+++ b/src/jujubepass/_configuration_proposals.py
@@ -22,6 +22,7 @@
 )
 
 _CONFLICT = 409
+_GONE = 410
 _UNPROCESSABLE = 422
 _UNAVAILABLE = 503
 _TIMED_OUT = 504
@@ -46,7 +47,7 @@
     stage: _Stage = _Stage.READING
     unclear: bool = False
     retry_at: float | None = None
-    operation: _store_messages.OperationId = _store_messages.OperationId("")
+    operation: _store_messages.OperationId | None = None
     entry: _configuration_messages.Entry | None = None
     transact: _store_messages.Transact | None = None
 
@@ -96,6 +97,7 @@
                 _configuration_rows.HEAD_KEY,
                 _configuration_rows.SNAPSHOT_KEY,
                 _configuration_rows.make_id_key(proposal.event.change),
+                _configuration_rows.make_change_key(proposal.event.base + 1),
                 *_configuration_rows.list_change_keys(number, _READ_CHANGES),
             ),
         )
@@ -133,9 +135,7 @@
         if proposal is None:
             return
         area = self.blackboard.configuration
-        settled = event.rows.get(
-            _configuration_rows.make_id_key(proposal.event.change)
-        )
+        settled = event.rows.get(_configuration_rows.make_id_key(proposal.event.change))
         head = event.rows.get(_configuration_rows.HEAD_KEY)
         number = _configuration_rows.read_number(head)
         if settled is not None:
@@ -143,45 +143,60 @@
         elif number != area.number or proposal.event.base > number:
             proposal.retry_at = now + _RETRY_SECONDS
         elif proposal.event.base < number:
-            yield self._refuse_moved(proposal)
+            yield self._refuse_moved(proposal, event.rows)
         else:
             yield from self._check(proposal, 0 if head is None else head.version)
 
     def _check(self, proposal: _Proposal, head_version: int) -> _Commands:
         area = self.blackboard.configuration
-        event = proposal.event
+        delta = {
+            title: section
+            for title, section in proposal.event.sections.items()
+            if section != area.sections.get(title)
+        }
+        if not delta:
+            yield self._accept(proposal, area.number, area.digest)
+            return
         update = _declaration_changes.update_declarations(
-            area.declared, area.sections, event.sections
+            area.declared, area.sections, delta
         )
         if update.problems:
             yield self._refuse_problems(proposal, update.problems)
             return
-        digest = _configuration_digest.update_digest(
-            area.digest, area.sections, event.sections
-        )
+        digest = _configuration_digest.update_digest(area.digest, area.sections, delta)
         proposal.entry = _configuration_messages.Entry(
             number=ids.ChangeNumber(area.number + 1),
             digest=digest,
-            change=event.change,
-            author=event.author,
-            delta=event.sections,
+            change=proposal.event.change,
+            author=proposal.event.author,
+            delta=delta,
         )
+        yield self._store(proposal, proposal.entry, head_version)
+
+    def _store(
+        self,
+        proposal: _Proposal,
+        entry: _configuration_messages.Entry,
+        head_version: int,
+    ) -> _dispatch.Command:
         operation = self._begin(proposal)
         name = None
-        if _configuration_rows.is_large(proposal.entry):
-            name = _configuration_rows.make_delta_name(
-                self.blackboard.identity.incarnation, operation
-            )
+        if _configuration_rows.is_large(entry):
+            incarnation = self.blackboard.identity.incarnation
+            name = _configuration_rows.make_delta_name(incarnation, operation)
         proposal.transact = _configuration_rows.write_transaction(
-            operation, proposal.entry, head_version, name
+            operation,
+            entry,
+            head_version,
+            _configuration_rows.hash_delta(proposal.event.sections),
+            name,
         )
         if name is None:
             proposal.stage = _Stage.WRITING
-            yield proposal.transact
-            return
+            return proposal.transact
         proposal.stage = _Stage.STORING
-        data = _configuration_rows.write_delta(event.sections)
-        yield _object_messages.PutObject(operation=operation, name=name, data=data)
+        data = _configuration_rows.write_delta(entry.delta)
+        return _object_messages.PutObject(operation=operation, name=name, data=data)
 
     def write(self, event: _object_messages.ObjectWritten, now: float) -> _Commands:
         """Write a large change's row, now that its object is there."""
@@ -255,28 +270,37 @@
             proposal.retry_at = now + _RETRY_SECONDS
         else:
             yield self._refuse(
-                proposal, _UNAVAILABLE, "store_unavailable", f"Not written: {event.detail}"
+                proposal,
+                _UNAVAILABLE,
+                "store_unavailable",
+                f"This node wrote nothing: {event.detail}",
             )
 
-    def _give_up(
-        self, proposal: _Proposal
-    ) -> _configuration_messages.ChangeRefused:
+    def _give_up(self, proposal: _Proposal) -> _configuration_messages.ChangeRefused:
         if proposal.unclear or proposal.stage is _Stage.WRITING:
             detail = (
                 "The change may be accepted; ask any node again with change id"
                 f" {proposal.event.change}."
             )
             return self._refuse(proposal, _TIMED_OUT, "outcome_unknown", detail)
+        number = self.blackboard.configuration.number
         detail = (
-            f"Not written: this node has number {self.blackboard.configuration.number}"
-            f" in force and could not reach base {proposal.event.base} in time."
+            f"This node wrote nothing: it has number {number} in force"
+            f" and could not reach base {proposal.event.base} in time."
         )
         return self._refuse(proposal, _UNAVAILABLE, "store_unavailable", detail)
 
     def _refuse_moved(
-        self, proposal: _Proposal
+        self,
+        proposal: _Proposal,
+        rows: collections.abc.Mapping[str, _store_messages.VersionedRow],
     ) -> _configuration_messages.ChangeRefused:
         area = self.blackboard.configuration
+        base = proposal.event.base
+        if _configuration_rows.make_change_key(base + 1) not in rows:
+            # The rows of a change and of its id are removed together.
+            detail = f"Number {base} is too old to tell what became of this change."
+            return self._refuse(proposal, _GONE, "base_forgotten", detail)
         moved = tuple(
             _configuration_messages.Moved(
                 number=entry.number,
@@ -285,10 +309,10 @@
                 sections=tuple(entry.delta),
             )
             for entry in area.recent
-            if entry.number > proposal.event.base
+            if entry.number > base
         )
         detail = (
-            f"The configuration moved from {proposal.event.base} to {area.number}."
+            f"The configuration moved from {base} to {area.number}."
             " Nothing was applied. Plan again."
         )
         return self._refuse(proposal, _CONFLICT, "base_moved", detail, moved=moved)
--- a/src/jujubepass/_configuration_push.py
+++ b/src/jujubepass/_configuration_push.py
@@ -1,6 +1,7 @@
 """Choice of the nodes that pass a change on, each to a segment of the rest."""
 
 import collections.abc
+import functools
 import itertools
 
 import attrs
@@ -28,6 +29,7 @@
 
     place: Place
     address: _http_client.Address
+    alive: bool = True
 
 
 def choose_relays(
@@ -43,7 +45,8 @@
 
 
 def _make_relay(group: list[Target]) -> Relay:
-    head, rest = group[0], group[1:]
+    head = next((target for target in group if target.alive), group[0])
+    rest = [target for target in group if target is not head]
     segment = None
     if rest:
         segment = _configuration_messages.Segment(
@@ -56,7 +59,9 @@
     for depth in range(3):
         groups = [
             list(group)
-            for _, group in itertools.groupby(ordered, lambda t: t.place[: depth + 1])
+            for _, group in itertools.groupby(
+                ordered, functools.partial(_cut_place, depth)
+            )
         ]
         if 1 < len(groups) <= fan_out:
             return groups
@@ -65,6 +70,10 @@
     return groups if ordered else []
 
 
+def _cut_place(depth: int, target: Target) -> tuple[str, ...]:
+    return target.place[: depth + 1]
+
+
 def _join(groups: list[list[Target]], fan_out: int) -> list[list[Target]]:
     size, larger = divmod(len(groups), fan_out)
     joined = []
--- a/src/jujubepass/_configuration_rows.py
+++ b/src/jujubepass/_configuration_rows.py
@@ -66,6 +66,7 @@
     operation: _store_messages.OperationId,
     entry: _configuration_messages.Entry,
     head_version: int,
+    content: str,
     object_name: str | None,
 ) -> _store_messages.Transact:
     """Write a change, its id and the head in one conditional transaction."""
@@ -80,7 +81,6 @@
         if object_name is None
         else {"object": object_name}
     )
-    content = hash_delta(entry.delta)
     change_key, id_key = make_change_key(entry.number), make_id_key(entry.change)
     return _store_messages.Transact(
         operation=operation,
--- a/src/jujubepass/_configuration_snapshots.py
+++ b/src/jujubepass/_configuration_snapshots.py
@@ -18,7 +18,6 @@
 
 _PREFIX = "configuration/keep/"
 _SCANNED_ROWS = 40
-_KEPT_CHANGES = _configuration_area.KEPT_CHANGES
 
 _Commands = collections.abc.Iterator[_dispatch.Command]
 
@@ -36,6 +35,7 @@
 
     blackboard: _blackboard.Blackboard
     changes_per_snapshot: int
+    kept_changes: int = _configuration_area.KEPT_CHANGES
     _operations: int = attrs.field(default=0, init=False)
     _written: dict[_store_messages.OperationId, _Snapshot] = attrs.field(
         factory=dict, init=False
@@ -79,9 +79,7 @@
         data = json.dumps(area.sections, separators=(",", ":")).encode()
         yield _object_messages.PutObject(operation=operation, name=name, data=data)
 
-    def read_row(
-        self, event: _object_messages.ObjectWritten, now: float
-    ) -> _Commands:
+    def read_row(self, event: _object_messages.ObjectWritten, now: float) -> _Commands:
         """Read which snapshot the store names."""
         snapshot = self._written.pop(event.operation, None)
         if snapshot is not None:
@@ -116,7 +114,7 @@
             "digest": snapshot.digest,
             "object": snapshot.name,
         }
-        self._removing[operation] = snapshot.number - _KEPT_CHANGES
+        self._removing[operation] = snapshot.number - self.kept_changes
         yield _store_messages.Transact(
             operation=operation,
             conditions=(_store_messages.Condition(key=key, version=version),),
--- a/src/jujubepass/_declaration_changes.py
+++ b/src/jujubepass/_declaration_changes.py
@@ -89,9 +89,7 @@
     files: collections.abc.Mapping[str, str] | None = None,
 ) -> Update:
     """Apply a change to what `sections` declared; a wrong section is left out."""
-    draft = _Draft(
-        declared=declared, sections=sections, delta=delta, files=files or {}
-    )
+    draft = _Draft(declared=declared, sections=sections, delta=delta, files=files or {})
     changed: dict[str, list[tuple[str, str]]] = {kind: [] for kind in KINDS}
     for title in delta:
         kind, _, name = title.partition(" ")
@@ -123,8 +121,9 @@
         return False
     if not _ini.NAME_PATTERN.fullmatch(name):
         draft.add_problem(
-            title, what="has no valid name", allowed=f"[{kind} NAME], NAME being "
-            f"{_ini.NAME_MEANING}",
+            title,
+            what="has no valid name",
+            allowed=f"[{kind} NAME], NAME being {_ini.NAME_MEANING}",
         )
         return False
     return True
@@ -264,9 +263,7 @@
     draft.touch("accounts")[name] = account
 
 
-def _check_names(
-    draft: _Draft, title: str, field: str, names: frozenset[str]
-) -> None:
+def _check_names(draft: _Draft, title: str, field: str, names: frozenset[str]) -> None:
     known = draft.read(field)
     for name in sorted(names - known.keys()):
         allowed = _ini.suggest(name, known) or f"one of the {field} declared"
--- a/src/jujubepass/_declaration_files.py
+++ b/src/jujubepass/_declaration_files.py
@@ -3,21 +3,30 @@
 import collections.abc
 import pathlib
 
+import attrs
 import returns.result
 
-from jujubepass import _ini
+from jujubepass import _declaration_changes, _ini, declarations
 
 _SUFFIX = ".ini"
 
-Declarations = dict[str, str]
 Problems = tuple[_ini.Problem, ...]
 
 
+@attrs.define(kw_only=True)
+class DeclaredFiles:
+    """Hold the sections of all files, and the file of each."""
+
+    sections: dict[str, dict[str, str]] = attrs.field(factory=dict)
+    files: dict[str, str] = attrs.field(factory=dict)
+
+
 def read_declarations(
     paths: collections.abc.Iterable[pathlib.Path],
-) -> returns.result.Result[Declarations, Problems]:
+) -> returns.result.Result[DeclaredFiles, Problems]:
     """Read INI files, and those of folders; a failure holds every problem."""
-    declarations: Declarations = {}
+    paths = list(paths)
+    declared = DeclaredFiles()
     problems: list[_ini.Problem] = []
     for path in _list_files(paths):
         try:
@@ -25,16 +34,34 @@
         except (OSError, ValueError) as error:
             problems.append(_describe_unreadable(path, error))
             continue
-        if path.name in declarations:
-            problems.append(_describe_duplicate(path))
-        declarations[path.name] = text
-        _, found = _ini.read_sections(path.name, text)
+        sections, found = _ini.read_sections(str(path), text)
         problems += found
-    if not declarations and not problems:
+        for title, section in sections.items():
+            if title in declared.sections:
+                problems.append(_describe_twice(path, title, declared.files[title]))
+            declared.sections[title] = section
+            declared.files[title] = str(path)
+    if not declared.sections and not problems:
         problems.append(_describe_nothing(paths))
     if problems:
         return returns.result.Failure(tuple(problems))
-    return returns.result.Success(declarations)
+    return returns.result.Success(declared)
+
+
+def check_declarations(
+    paths: collections.abc.Iterable[pathlib.Path],
+) -> returns.result.Result[DeclaredFiles, Problems]:
+    """Read files and check them as the whole configuration."""
+    read = read_declarations(paths)
+    if isinstance(read, returns.result.Failure):
+        return read
+    declared = read.unwrap()
+    update = _declaration_changes.update_declarations(
+        declarations.Declarations(), {}, declared.sections, declared.files
+    )
+    if update.problems:
+        return returns.result.Failure(update.problems)
+    return read
 
 
 def _list_files(
@@ -53,11 +80,12 @@
     )
 
 
-def _describe_duplicate(path: pathlib.Path) -> _ini.Problem:
+def _describe_twice(path: pathlib.Path, title: str, other: str) -> _ini.Problem:
     return _ini.Problem(
         file=str(path),
-        what="has the name of another file given",
-        allowed="each file name once",
+        section=title,
+        what=f"stands in {other} too",
+        allowed="each section once over all files",
     )
 
 
--- a/src/jujubepass/_local_commands.py
+++ b/src/jujubepass/_local_commands.py
@@ -31,7 +31,7 @@
         read = settings.read_settings(settings_path)
         problems += read.swap().map(lambda error: error.problems).value_or(())
     if declaration_paths:
-        found = _declaration_files.read_declarations(declaration_paths)
+        found = _declaration_files.check_declarations(declaration_paths)
         problems += found.swap().value_or(())
     if problems:
         return _report_problems(problems)
--- a/src/jujubepass/_node.py
+++ b/src/jujubepass/_node.py
@@ -20,7 +20,12 @@
     _callers,
     _calls,
     _configuration,
+    _configuration_codec,
+    _configuration_installer,
     _configuration_messages,
+    _configuration_peers,
+    _configuration_proposals,
+    _configuration_snapshots,
     _dispatch,
     _engine_client,
     _http_client,
@@ -33,6 +38,8 @@
     _metrics,
     _node_life,
     _node_messages,
+    _object_client,
+    _object_messages,
     _operators,
     _peer_codec,
     _peers,
@@ -49,6 +56,7 @@
 _LOGGER = logging.getLogger(__name__)
 
 _EXIT_DONE = 0
+_OPERATOR_LIMITS = _http_server.ServerLimits(body_bytes=16 * 1_048_576)
 
 
 async def run(node_settings: settings.Settings) -> int:
@@ -73,7 +81,7 @@
             verdicts=verdicts,
             key_hash=node_settings.security.operator_key_hash,
         )
-        operators = _http_server.Server(handler=operator_api)
+        operators = _http_server.Server(handler=operator_api, limits=_OPERATOR_LIMITS)
         caller_api = _callers.CallerApi(
             blackboard=blackboard,
             mailboxes=mailboxes,
@@ -144,9 +152,7 @@
     timing = node_settings.timing
     return [
         _node_life.NodeController(blackboard=blackboard),
-        _configuration.ConfigurationController(
-            blackboard=blackboard, poll_seconds=timing.configuration_poll_seconds
-        ),
+        *_make_configuration(node_settings, blackboard),
         _membership.MembershipController(
             blackboard=blackboard,
             timing=_membership.MembershipTiming(
@@ -174,6 +180,32 @@
     ]
 
 
+def _make_configuration(
+    node_settings: settings.Settings, blackboard: _blackboard.Blackboard
+) -> list[_dispatch.Controller]:
+    timing = node_settings.timing
+    installer = _configuration_installer.Installer(area=blackboard.configuration)
+    return [
+        _configuration.ConfigurationController(
+            blackboard=blackboard,
+            installer=installer,
+            poll_seconds=timing.configuration_poll_seconds,
+        ),
+        _configuration_proposals.ProposalController(
+            blackboard=blackboard, installer=installer
+        ),
+        _configuration_snapshots.SnapshotController(
+            blackboard=blackboard,
+            changes_per_snapshot=timing.configuration_snapshot_changes,
+        ),
+        _configuration_peers.PeerConfigurationController(
+            blackboard=blackboard,
+            installer=installer,
+            address=node_settings.listen.peers,
+        ),
+    ]
+
+
 def _make_limits(listen: settings.Listen) -> _http_server.ServerLimits:
     return _http_server.ServerLimits(
         header_bytes=listen.header_bytes,
@@ -193,10 +225,16 @@
     )
     vms = _vm_client.VmClient(client=client, address=platform.vms, post=shell.post)
 
+    objects = _object_client.HttpObjects(client=client, address=platform.objects)
+
     transact = _post_outcome(shell, table.transact)
     shell.spawn_with(_store_messages.Transact, transact)
     shell.spawn_with(_store_messages.ReadRows, _post_outcome(shell, table.read))
     shell.spawn_with(_store_messages.ScanRows, _post_outcome(shell, table.scan))
+    shell.spawn_with(_object_messages.PutObject, _post_outcome(shell, objects.put))
+    shell.spawn_with(_object_messages.GetObject, _post_outcome(shell, objects.get))
+    delete = _post_outcome(shell, objects.delete)
+    shell.spawn_with(_object_messages.DeleteObject, delete)
     shell.spawn_with(_backend_messages.PollVms, vms.poll)
 
 
@@ -241,6 +279,8 @@
     shell.execute_with(_call_messages.AnswerCall, mailboxes.put)
     shell.execute_with(_configuration_messages.ChangeAccepted, verdicts.put)
     shell.execute_with(_configuration_messages.ChangeRefused, verdicts.put)
+    shell.execute_with(_configuration_messages.ChangeCommitted, shell.post)
+    shell.execute_with(_configuration_messages.ConfigurationInstalled, shell.post)
 
 
 async def _connect_peers(
@@ -255,7 +295,21 @@
     def _receive(data: bytes) -> None:
         shell.post(_peer_codec.decode_event(data))
 
+    _connect_configuration(shell, node_settings, sender)
     shell.execute_with(_membership_messages.SendHeartbeat, _send_heartbeat)
     listener = _peers.PeerListener(key=key, handler=_receive)
     listen = node_settings.listen.peers
     await nursery.start(functools.partial(listener.serve, listen.host, listen.port))
+
+
+def _connect_configuration(
+    shell: _shell.Shell, node_settings: settings.Settings, sender: _peers.PeerSender
+) -> None:
+    name, address = node_settings.node.name, node_settings.listen.peers
+
+    def _send(command: _configuration_messages.PeerCommand) -> None:
+        message = _configuration_codec.make_message(command, name, address)
+        sender.send(command.address, _peer_codec.encode_struct(message))
+
+    for command_type in typing.get_args(_configuration_messages.PeerCommand):
+        shell.execute_with(command_type, _send)
--- a/src/jujubepass/_node_life.py
+++ b/src/jujubepass/_node_life.py
@@ -7,9 +7,9 @@
 from jujubepass import (
     _backend_messages,
     _blackboard,
+    _configuration_messages,
     _dispatch,
     _node_messages,
-    _store_messages,
 )
 
 
@@ -25,7 +25,7 @@
         """Map each event type to the method that handles it."""
         return {
             _backend_messages.VmsListed: self.note_list,
-            _store_messages.RowsRead: self.note_configuration,
+            _configuration_messages.ConfigurationInstalled: self.note_configuration,
             _node_messages.StopRequested: self.stop,
         }
 
@@ -37,10 +37,10 @@
         return self._become_ready()
 
     def note_configuration(
-        self, event: _store_messages.RowsRead, now: float
+        self, event: _configuration_messages.ConfigurationInstalled, now: float
     ) -> collections.abc.Iterable[_dispatch.Command]:
-        """Note that the configuration was read."""
-        self._configured = True
+        """Note that the newest configuration is in force."""
+        self._configured = self.blackboard.configuration.caught_up
         return self._become_ready()
 
     def _become_ready(self) -> collections.abc.Iterable[_dispatch.Command]:
--- a/src/jujubepass/_object_client.py
+++ b/src/jujubepass/_object_client.py
@@ -90,6 +90,4 @@
             if answer.status == _OK:
                 return answer
             detail = f"object store answered {answer.status}"
-        return _object_messages.ObjectFailed(
-            operation=command.operation, detail=detail
-        )
+        return _object_messages.ObjectFailed(operation=command.operation, detail=detail)
--- a/src/jujubepass/_operator_client.py
+++ b/src/jujubepass/_operator_client.py
@@ -12,6 +12,7 @@
 
 _TIMEOUT_SECONDS = 10.0
 _SUCCESS = range(200, 300)
+_OUTCOME_UNKNOWN = "outcome_unknown"
 
 Json = typing.Any
 _Answer = typing.TypeVar("_Answer")
@@ -49,10 +50,7 @@
     change_id: ids.ChangeId
     base: ids.ChangeNumber
     author: str
-    declarations: collections.abc.Mapping[str, str] = attrs.field(factory=dict)
-    retire: tuple[str, ...] = ()
-    drain: tuple[ids.BackendServerId, ...] = ()
-    add: tuple[ids.BackendServerId, ...] = ()
+    sections: collections.abc.Mapping[str, collections.abc.Mapping[str, str] | None]
 
 
 @attrs.frozen(kw_only=True)
@@ -69,7 +67,7 @@
         return await self._read("/operator/status")
 
     async def read_configuration(self) -> Json:
-        """Read the configuration in force: its number, digest and declarations."""
+        """Read the configuration in force: its number, digest and sections."""
         return await self._read("/operator/configuration")
 
     async def read_explanation(self, request: ids.RequestId) -> Json:
@@ -85,10 +83,11 @@
         except _http_client.NotSentError as error:
             raise UnreachableError(str(error)) from error
         except _http_client.InterruptedAnswerError as error:
-            raise UnclearOutcomeError(
-                f"{error}; the change may be accepted: "
-                f"apply it again with --change-id {change.change_id}"
-            ) from error
+            raise _describe_unclear(change, str(error)) from error
+        except RefusedError as error:
+            if error.code != _OUTCOME_UNKNOWN:
+                raise
+            raise _describe_unclear(change, error.code) from error
 
     async def _read(self, path: str) -> Json:
         try:
@@ -129,6 +128,13 @@
     return trio.run(run)
 
 
+def _describe_unclear(change: Change, reason: str) -> UnclearOutcomeError:
+    return UnclearOutcomeError(
+        f"{reason}; the change may be accepted: apply it again, at any node, with"
+        f" --change-id {change.change_id} --base {change.base}"
+    )
+
+
 def _describe_refusal(status: int, value: Json) -> RefusedError:
     problem = value if isinstance(value, dict) else {}
     return RefusedError(
--- a/src/jujubepass/_operator_commands.py
+++ b/src/jujubepass/_operator_commands.py
@@ -1,7 +1,6 @@
 """Commands that ask a node: status, plan, apply, retire, drain, add, explain."""
 
 import collections.abc
-import difflib
 import os
 import pathlib
 import secrets
@@ -14,7 +13,9 @@
 from jujubepass import (
     _declaration_files,
     _http_client,
+    _ini,
     _operator_client,
+    _plans,
     _report,
     ids,
 )
@@ -22,9 +23,13 @@
 KEY_VARIABLE = "JUJUBEPASS_OPERATOR_KEY"
 
 _CHANGE_ID_BYTES = 8
-_STATUS_POLL_SECONDS = 0.2
+_STATUS_POLL_SECONDS = 0.1
+_STORE_UNAVAILABLE = "store_unavailable"
+_UNCLEAR_TRIES = 4
+_UNCLEAR_PAUSE_SECONDS = 0.5
 
 Json = typing.Any
+Section = collections.abc.Mapping[str, str]
 Operation = collections.abc.Callable[
     [_operator_client.OperatorClient], collections.abc.Awaitable[_report.Report]
 ]
@@ -42,7 +47,7 @@
 class ChangeOptions:
     """Hold what every change of the configuration names."""
 
-    base: int
+    base: int | None
     author: str
     change_id: str | None
     wait_seconds: float
@@ -86,116 +91,202 @@
 
     async def operate(client: _operator_client.OperatorClient) -> _report.Report:
         """Compare the files with the configuration in force."""
-        wanted = _read_declarations(paths)
-        current = await client.read_configuration()
-        changes = compare_declarations(current.get("declarations", {}), wanted)
-        number = current.get("number", 0)
-        value = {"base": number, "changes": changes}
-        lines = tuple(changes) or ("no changes",)
-        return _report.Report(value=value, lines=(*lines, f"base: {number}"))
+        wanted = _read_files(paths)
+        planned = _make_plan(await client.read_configuration(), wanted)
+        value = attrs.asdict(planned)
+        return _report.Report(value=value, lines=_plans.write_lines(planned))
 
     return operate
 
 
-def apply(paths: tuple[pathlib.Path, ...], options: ChangeOptions) -> Operation:
+def apply(
+    paths: tuple[pathlib.Path, ...], options: ChangeOptions, digest: str | None
+) -> Operation:
     """Put declarations in force, against the base they were planned on."""
 
     async def operate(client: _operator_client.OperatorClient) -> _report.Report:
         """Offer the files as one change."""
-        change = _make_change(options, declarations=_read_declarations(paths))
-        return await _post_change(client, change, options)
+        wanted = _read_files(paths)
+        if digest is not None:
+            await _check_digest(client, wanted, digest)
+        return await _post_change(client, dict(wanted.sections), options)
 
     return operate
 
 
-def retire(names: tuple[str, ...], options: ChangeOptions) -> Operation:
+async def _check_digest(
+    client: _operator_client.OperatorClient,
+    wanted: _declaration_files.DeclaredFiles,
+    digest: str,
+) -> None:
+    planned = _make_plan(await client.read_configuration(), wanted)
+    if planned.digest != digest:
+        raise BadInputError(
+            f"--digest {digest}: these files on number {planned.base} give"
+            f" {planned.digest}; plan again"
+        )
+
+
+def retire(kind: str, names: tuple[str, ...], options: ChangeOptions) -> Operation:
     """Take declarations out of force; refused while in use."""
-    return _offer(options, retire=names)
+
+    async def operate(client: _operator_client.OperatorClient) -> _report.Report:
+        """Delete the sections, and the drains of backend servers."""
+        sections = (await client.read_configuration())["sections"]
+        delta: dict[str, None] = {}
+        for name in names:
+            title = f"{kind} {name}"
+            if title not in sections and options.change_id is None:
+                known = [t for t in sections if t.startswith(f"{kind} ")]
+                allowed = _ini.suggest(title, known) or f"a {kind} in force"
+                raise BadInputError(f"[{title}] is not in force; allowed: {allowed}")
+            delta[title] = None
+            if kind == "backend":
+                delta[f"drain {name}"] = None
+        return await _post_change(client, delta, options)
+
+    return operate
 
 
-def drain(servers: tuple[str, ...], options: ChangeOptions) -> Operation:
+def drain(servers: tuple[str, ...], reason: str, options: ChangeOptions) -> Operation:
     """Give backend servers no new work and let running work finish."""
-    return _offer(options, drain=tuple(map(ids.BackendServerId, servers)))
-
-
-def add(servers: tuple[str, ...], options: ChangeOptions) -> Operation:
-    """Give backend servers work, also after a drain."""
-    return _offer(options, add=tuple(map(ids.BackendServerId, servers)))
-
-
-def compare_declarations(
-    current: collections.abc.Mapping[str, str],
-    wanted: collections.abc.Mapping[str, str],
-) -> list[str]:
-    """List the lines that differ, file by file."""
-    changes: list[str] = []
-    for name in sorted({*current, *wanted}):
-        changes += difflib.unified_diff(
-            current.get(name, "").splitlines(),
-            wanted.get(name, "").splitlines(),
-            fromfile=f"{name} (in force)",
-            tofile=f"{name} (wanted)",
-            lineterm="",
-        )
-    return changes
+
+    async def operate(client: _operator_client.OperatorClient) -> _report.Report:
+        """Declare the drains."""
+        known = [row["backend"] for row in (await client.read_status())["backends"]]
+        for server in servers:
+            if server not in known:
+                allowed = _ini.suggest(server, known) or "a backend server"
+                raise BadInputError(f"{server} is no backend server; {allowed}")
+        section = {"reason": reason} if reason else {}
+        delta = {f"drain {server}": section for server in servers}
+        return await _post_change(client, delta, options)
+
+    return operate
 
 
-def _offer(options: ChangeOptions, **fields: typing.Any) -> Operation:
+def add(
+    servers: tuple[str, ...],
+    declared: collections.abc.Mapping[str, str],
+    options: ChangeOptions,
+) -> Operation:
+    """Give backend servers work: end their drains, or declare a new one."""
+
     async def operate(client: _operator_client.OperatorClient) -> _report.Report:
-        """Offer the change."""
-        return await _post_change(client, _make_change(options, **fields), options)
+        """Delete the drains, and declare what is new."""
+        if declared and len(servers) > 1:
+            raise BadInputError("name one backend server with --role and the like")
+        delta: dict[str, Section | None] = {f"drain {name}": None for name in servers}
+        if declared:
+            delta[f"backend {servers[0]}"] = declared
+        return await _post_change(client, delta, options)
 
     return operate
 
 
-def _make_change(
-    options: ChangeOptions, **fields: typing.Any
-) -> _operator_client.Change:
-    change_id = options.change_id or secrets.token_hex(_CHANGE_ID_BYTES)
-    return _operator_client.Change(
-        change_id=ids.ChangeId(change_id),
-        base=ids.ChangeNumber(options.base),
+def _make_plan(
+    configuration: Json, wanted: _declaration_files.DeclaredFiles
+) -> _plans.Plan:
+    planned = _plans.make_plan(configuration, wanted)
+    if planned.problems:
+        raise BadInputError("\n".join(map(str, planned.problems)))
+    return planned
+
+
+async def _post_change(
+    client: _operator_client.OperatorClient,
+    sections: collections.abc.Mapping[str, Section | None],
+    options: ChangeOptions,
+) -> _report.Report:
+    base = options.base
+    if base is None:
+        base = (await client.read_status())["nodes"][0]["configuration_number"]
+    change = _operator_client.Change(
+        change_id=ids.ChangeId(
+            options.change_id or secrets.token_hex(_CHANGE_ID_BYTES)
+        ),
+        base=ids.ChangeNumber(base),
         author=options.author,
-        **fields,
+        sections=sections,
     )
+    answer = await _post_until_clear(client, change)
+    return await _wait_in_force(client, change, answer, options.wait_seconds)
 
 
-async def _post_change(
+async def _post_until_clear(
+    client: _operator_client.OperatorClient, change: _operator_client.Change
+) -> Json:
+    """Post a change again while its outcome is unclear; its id makes that safe."""
+    unclear: _operator_client.UnclearOutcomeError | None = None
+    for _ in range(_UNCLEAR_TRIES):
+        try:
+            return await client.post_change(change)
+        except _operator_client.UnclearOutcomeError as error:
+            unclear = error
+        except _operator_client.UnreachableError:
+            if unclear is None:
+                raise
+        except _operator_client.RefusedError as error:
+            if unclear is None or error.code != _STORE_UNAVAILABLE:
+                raise
+        await trio.sleep(_UNCLEAR_PAUSE_SECONDS)
+    assert unclear is not None
+    raise unclear
+
+
+async def _wait_in_force(
     client: _operator_client.OperatorClient,
     change: _operator_client.Change,
-    options: ChangeOptions,
+    answer: Json,
+    wait_seconds: float,
 ) -> _report.Report:
-    answer = await client.post_change(change)
     number = answer["number"]
     started = trio.current_time()
     numbers: dict[str, int] = {}
-    with trio.move_on_after(options.wait_seconds):
+    dead: list[str] = []
+    with trio.move_on_after(wait_seconds):
         while not numbers or min(numbers.values()) < number:
-            numbers = await _read_numbers(client)
+            numbers, dead = await _read_numbers(client)
+            if numbers and min(numbers.values()) >= number:
+                break
             await trio.sleep(_STATUS_POLL_SECONDS)
     reached = sum(seen >= number for seen in numbers.values())
     in_force = bool(numbers) and reached == len(numbers)
-    value = {**answer, "nodes": numbers, "in_force_everywhere": in_force}
     seconds = trio.current_time() - started
-    lines = (
+    value = {
+        **answer,
+        "change_id": change.change_id,
+        "nodes": numbers,
+        "dead_nodes": dead,
+        "in_force_everywhere": in_force,
+        "seconds": round(seconds, 3),
+    }
+    lines = [
         f"change {change.change_id} accepted as number {number}",
         f"in force on {reached} of {len(numbers)} nodes after {seconds:.1f} s",
-    )
+    ]
+    lines += [f"not in force: {n}" for n, seen in numbers.items() if seen < number]
+    lines += [f"dead, takes the newest when it starts: {name}" for name in dead]
     code = _report.ExitCode.DONE if in_force else _report.ExitCode.NOT_IN_FORCE
-    return _report.Report(code=code, value=value, lines=lines)
+    return _report.Report(code=code, value=value, lines=tuple(lines))
 
 
-async def _read_numbers(client: _operator_client.OperatorClient) -> dict[str, int]:
-    status = await client.read_status()
-    return {
+async def _read_numbers(
+    client: _operator_client.OperatorClient,
+) -> tuple[dict[str, int], list[str]]:
+    nodes = (await client.read_status()).get("nodes", ())
+    dead = [str(node["node"]) for node in nodes if node.get("state") == "dead"]
+    numbers = {
         str(node["node"]): int(node["configuration_number"])
-        for node in status.get("nodes", ())
+        for node in nodes
+        if node.get("state") != "dead"
     }
+    return numbers, dead
 
 
-def _read_declarations(
+def _read_files(
     paths: tuple[pathlib.Path, ...],
-) -> _declaration_files.Declarations:
+) -> _declaration_files.DeclaredFiles:
     read = _declaration_files.read_declarations(paths)
     if isinstance(read, returns.result.Failure):
         raise BadInputError("\n".join(map(str, read.failure())))
--- a/src/jujubepass/_operators.py
+++ b/src/jujubepass/_operators.py
@@ -11,6 +11,7 @@
 
 from jujubepass import (
     _blackboard,
+    _configuration_codec,
     _configuration_messages,
     _http_server,
     _metrics,
@@ -19,6 +20,7 @@
 )
 
 _PROPOSAL_TIMEOUT_SECONDS = 10.0
+_SHOWN_CHANGES = 20
 
 Post = collections.abc.Callable[[typing.Any], None]
 Verdict = _configuration_messages.ChangeAccepted | _configuration_messages.ChangeRefused
@@ -87,6 +89,8 @@
         asked = (request.method, request.path)
         if asked == ("GET", "/operator/status"):
             await responder.send_json(200, self._describe())
+        elif asked == ("GET", "/operator/configuration"):
+            await responder.send_json(200, self._describe_configuration())
         elif asked == ("POST", "/operator/changes"):
             await self._propose(request, responder)
         else:
@@ -101,6 +105,7 @@
                 "state": board.node.state.value,
                 "configuration_number": board.configuration.number,
                 "configuration_digest": board.configuration.digest,
+                "store_answers": board.configuration.store_answers,
             }
         ]
         nodes += [
@@ -124,6 +129,24 @@
         ]
         return {"nodes": nodes, "backends": backends}
 
+    def _describe_configuration(self) -> dict[str, typing.Any]:
+        area = self.blackboard.configuration
+        return {
+            "number": area.number,
+            "digest": area.digest,
+            "sections": area.sections,
+            "changes": [
+                {
+                    "number": entry.number,
+                    "change": entry.change,
+                    "author": entry.author,
+                    "digest": entry.digest,
+                    "sections": sorted(entry.delta),
+                }
+                for entry in list(area.recent)[-_SHOWN_CHANGES:]
+            ],
+        }
+
     async def _propose(
         self, request: _http_server.Request, responder: _http_server.Responder
     ) -> None:
@@ -133,9 +156,9 @@
                 change=ids.ChangeId(str(fields["change_id"])),
                 base=ids.ChangeNumber(int(fields["base"])),
                 author=str(fields["author"]),
-                sections=fields["sections"],
+                sections=_configuration_codec.read_delta(fields["sections"]),
             )
-        except (ValueError, KeyError, TypeError) as error:
+        except (ValueError, KeyError, TypeError, RecursionError) as error:
             detail = f"A change needs change_id, base, author, sections: {error!r}."
             await responder.send_problem(400, "malformed_request", detail)
             return
@@ -144,11 +167,25 @@
         with trio.move_on_after(_PROPOSAL_TIMEOUT_SECONDS):
             verdict = await receiver.receive()
             if isinstance(verdict, _configuration_messages.ChangeAccepted):
-                await responder.send_json(200, {"number": verdict.number})
+                answer = {"number": verdict.number, "digest": verdict.digest}
+                await responder.send_json(200, answer)
             else:
                 await responder.send_problem(
-                    verdict.status, verdict.code, verdict.detail
+                    verdict.status,
+                    verdict.code,
+                    verdict.detail,
+                    extra=_describe_refusal(verdict),
                 )
             return
         detail = "The change's outcome is not known yet; send the same change_id again."
         await responder.send_problem(504, "outcome_unknown", detail)
+
+
+def _describe_refusal(
+    refusal: _configuration_messages.ChangeRefused,
+) -> dict[str, typing.Any]:
+    return {
+        "number": refusal.number,
+        "moved": [attrs.asdict(moved) for moved in refusal.moved],
+        "problems": [attrs.asdict(problem) for problem in refusal.problems],
+    }
--- a/src/jujubepass/_peer_codec.py
+++ b/src/jujubepass/_peer_codec.py
@@ -5,7 +5,13 @@
 import thrift.protocol.TCompactProtocol
 import thrift.transport.TTransport
 
-from jujubepass import _membership_messages, _node_messages, ids
+from jujubepass import (
+    _configuration_codec,
+    _configuration_messages,
+    _membership_messages,
+    _node_messages,
+    ids,
+)
 from jujubepass.generated.peer import ttypes
 
 
@@ -50,9 +56,17 @@
     )
 
 
-def decode_event(data: bytes) -> _membership_messages.HeartbeatReceived:
+def decode_event(
+    data: bytes,
+) -> _membership_messages.HeartbeatReceived | _configuration_messages.PeerEvent:
     """Read a message as the event it stands for; raise PeerCodecError."""
     message = decode_struct(ttypes.Message(), data)
+    try:
+        configuration = _configuration_codec.read_message(message)
+    except (TypeError, ValueError, AttributeError) as error:
+        raise PeerCodecError(f"configuration with a bad field: {error}") from error
+    if configuration is not None:
+        return configuration
     if message.heartbeat is None:
         raise PeerCodecError("peer message has no field set that this node knows")
     heartbeat = message.heartbeat
--- a/src/jujubepass/_templates.py
+++ b/src/jujubepass/_templates.py
@@ -79,16 +79,7 @@
     )
     if read is None:
         return None, [attrs.evolve(each, key=prefix + each.key) for each in found]
-    parameter = declarations.Parameter(
-        name=name,
-        kind=read.type,
-        default=read.default,
-        minimum=read.minimum,
-        maximum=read.maximum,
-        unit=read.unit,
-        pattern=read.pattern,
-        choices=split_names(read.choices),
-    )
+    parameter = _make_parameter(name, read)
     wrong = _find_contradiction(parameter)
     if wrong is None:
         return parameter, []
@@ -105,6 +96,21 @@
     return None, [problem]
 
 
+def _make_parameter(
+    name: str, read: _declaration_schema.ParameterSection
+) -> declarations.Parameter:
+    return declarations.Parameter(
+        name=name,
+        kind=read.type,
+        default=read.default,
+        minimum=read.minimum,
+        maximum=read.maximum,
+        unit=read.unit,
+        pattern=read.pattern,
+        choices=split_names(read.choices),
+    )
+
+
 def _find_contradiction(
     parameter: declarations.Parameter,
 ) -> tuple[str, str, str] | None:
@@ -174,7 +180,12 @@
             continue
         problems.append(
             _ini.Problem(
-                file=file, section=title, key=key, value=value, what=what, allowed=allowed
+                file=file,
+                section=title,
+                key=key,
+                value=value,
+                what=what,
+                allowed=allowed,
             )
         )
     return problems
@@ -189,27 +200,12 @@
 ) -> tuple[declarations.Account | None, Problems]:
     """Read [account NAME] with its template; None when a problem was found."""
     keys = {k: v for k, v in values.items() if k in _KEY_NAMES}
-    given = {k: v for k, v in values.items() if k not in _RESERVED}
     key, problems = _ini.structure_section(
         _declaration_schema.KeySection, file, title, keys
     )
-    template = ids.TemplateId(values.get(TEMPLATE_KEY, ""))
-    if not template:
-        filled = given
-    elif template in templates:
-        filled, found = _fill_template(file, title, given, templates[template])
-        problems += found
-    else:
-        problems.append(
-            _ini.Problem(
-                file=file,
-                section=title,
-                key=TEMPLATE_KEY,
-                value=template,
-                what="names no template",
-                allowed=_ini.suggest(template, templates) or "a template",
-            )
-        )
+    filled, found = _find_limits(file, title, values, templates)
+    problems += found
+    if filled is None:
         return None, problems
     limits, found = _ini.structure_section(
         _declaration_schema.LimitSection, file, title, filled
@@ -220,7 +216,7 @@
     fields = {each: getattr(limits, each) for each in _PLAIN_LIMITS}
     account = declarations.Account(
         name=ids.AccountId(name),
-        template=template,
+        template=ids.TemplateId(values.get(TEMPLATE_KEY, "")),
         key_hash=key.key_hash,
         second_key_hash=key.second_key_hash,
         models=frozenset(split_names(limits.models)),
@@ -237,6 +233,29 @@
 )
 
 
+def _find_limits(
+    file: str,
+    title: str,
+    values: Values,
+    templates: collections.abc.Mapping[ids.TemplateId, declarations.Template],
+) -> tuple[dict[str, str] | None, Problems]:
+    given = {k: v for k, v in values.items() if k not in _RESERVED}
+    template = ids.TemplateId(values.get(TEMPLATE_KEY, ""))
+    if not template:
+        return given, []
+    if template in templates:
+        return _fill_template(file, title, given, templates[template])
+    problem = _ini.Problem(
+        file=file,
+        section=title,
+        key=TEMPLATE_KEY,
+        value=template,
+        what="names no template",
+        allowed=_ini.suggest(template, templates) or "a template",
+    )
+    return None, [problem]
+
+
 def _fill_template(
     file: str, title: str, given: Values, template: declarations.Template
 ) -> tuple[dict[str, str], Problems]:
@@ -251,8 +270,8 @@
         )
     for name, parameter in parameters.items():
         value = given.get(name, parameter.default)
-        what = find_fault(parameter, value) if value else "is missing"
-        if what is None:
+        fault = find_fault(parameter, value) if value else "is missing"
+        if fault is None:
             filled[name] = value
             continue
         problems.append(
@@ -261,7 +280,7 @@
                 section=title,
                 key=name,
                 value=_ini.shorten(value) if value else "",
-                what=what,
+                what=fault,
                 allowed=describe_parameter(parameter),
             )
         )
--- a/src/jujubepass/cli.py
+++ b/src/jujubepass/cli.py
@@ -72,7 +72,10 @@
 
 @attrs.frozen(kw_only=True)
 class _ChangeCommand(_NodeCommand):
-    base: typing.Annotated[int, _option("Number that the change was planned on.")]
+    base: typing.Annotated[
+        int | None,
+        _option("Number that the change was planned on; else the one in force."),
+    ] = None
     author: typing.Annotated[str, _option("Who makes the change.")]
     change_id: typing.Annotated[
         str | None, _option("Id of a change whose answer was lost.")
@@ -156,30 +159,40 @@
         list[pathlib.Path],
         cappa.Arg(help="INI files, or folders with them.", num_args=-1, required=True),
     ]
+    base: typing.Annotated[int, _option("Number that plan printed.")]
+    digest: typing.Annotated[
+        str | None, _option("Digest that plan printed; refuses any other outcome.")
+    ] = None
 
     def run(self) -> _report.Report:
         """Offer the files as one change."""
         paths = tuple(self.declarations)
-        return self._ask(_operator_commands.apply(paths, self._options))
+        operation = _operator_commands.apply(paths, self._options, self.digest)
+        return self._ask(operation)
 
 
 @_declare(
     "retire",
     "Take declarations out of force.",
-    f"retire old-template {_CHANGE_EXAMPLE}",
+    f"retire template old-counter {_CHANGE_EXAMPLE}",
 )
 @attrs.frozen(kw_only=True)
 class Retire(_ChangeCommand):
     """Take declarations out of force."""
 
+    kind: typing.Annotated[
+        typing.Literal["template", "account", "backend", "model", "service"],
+        cappa.Arg(help="What to retire."),
+    ]
     names: typing.Annotated[
-        list[str],
-        cappa.Arg(help="Templates or client accounts.", num_args=-1, required=True),
+        list[str], cappa.Arg(help="Names.", num_args=-1, required=True)
     ]
 
     def run(self) -> _report.Report:
         """Offer the change."""
-        return self._ask(_operator_commands.retire(tuple(self.names), self._options))
+        names = tuple(self.names)
+        operation = _operator_commands.retire(self.kind, names, self._options)
+        return self._ask(operation)
 
 
 @_declare(
@@ -192,10 +205,15 @@
     """Give backend servers no new work."""
 
     servers: _Servers
+    reason: typing.Annotated[str | None, _option("Why, for those who come after.")] = (
+        None
+    )
 
     def run(self) -> _report.Report:
         """Offer the change."""
-        return self._ask(_operator_commands.drain(tuple(self.servers), self._options))
+        servers = tuple(self.servers)
+        operation = _operator_commands.drain(servers, self.reason or "", self._options)
+        return self._ask(operation)
 
 
 @_declare(
@@ -208,10 +226,40 @@
     """Give backend servers work, also after a drain."""
 
     servers: _Servers
+    role: typing.Annotated[
+        typing.Literal["engine", "service"] | None,
+        _option("Role of a new backend server; then --address and the rest count."),
+    ] = None
+    address: typing.Annotated[str | None, _option("Address, as host:port.")] = None
+    region: typing.Annotated[str | None, _option("Region.")] = None
+    failure_domain: typing.Annotated[str | None, _option("Failure domain.")] = None
+    accelerator: typing.Annotated[str | None, _option("Kind of accelerator.")] = None
+    service: typing.Annotated[str | None, _option("Service that it runs.")] = None
+    checks_fencing: typing.Annotated[
+        bool, _option("It refuses old fencing numbers.")
+    ] = False
+    answers_outcomes: typing.Annotated[
+        bool, _option("It can be asked about an attempt.")
+    ] = False
 
     def run(self) -> _report.Report:
         """Offer the change."""
-        return self._ask(_operator_commands.add(tuple(self.servers), self._options))
+        servers = tuple(self.servers)
+        declared = self._declare() if self.role is not None else {}
+        return self._ask(_operator_commands.add(servers, declared, self._options))
+
+    def _declare(self) -> dict[str, str]:
+        values = {
+            "role": self.role or "",
+            "address": self.address or "",
+            "region": self.region or "",
+            "failure_domain": self.failure_domain or "",
+            "accelerator": self.accelerator or "",
+            "service": self.service or "",
+            "checks_fencing": "true" if self.checks_fencing else "",
+            "answers_outcomes": "true" if self.answers_outcomes else "",
+        }
+        return {key: value for key, value in values.items() if value}
 
 
 @_declare("status", "Show a node's state.", f"status {_NODE_EXAMPLE}")
--- a/src/jujubepass/settings.py
+++ b/src/jujubepass/settings.py
@@ -130,6 +130,13 @@
     configuration_poll_seconds: float = _ini.seconds_key(
         2.0, "period of reading the configuration head", minimum=0.01, maximum=60.0
     )
+    configuration_snapshot_changes: int = _ini.key(
+        default=500,
+        meaning="changes of the configuration from one snapshot to the next",
+        unit="changes",
+        minimum=1,
+        maximum=100_000,
+    )
     heartbeat_seconds: float = _ini.seconds_key(
         0.5, "period of heartbeats to peers", minimum=0.01, maximum=60.0
     )
--- a/tests/features/command_line.feature
+++ b/tests/features/command_line.feature
@@ -69,7 +69,9 @@
     Then it ends with code 0
     And it shows "-concurrency = 8"
     And it shows "+concurrency = 16"
+    And it shows "shop: concurrency 8 -> 16"
     And it shows "base: 41"
+    And it shows "digest: "
 
   Scenario: A change that is in force everywhere
     Given declarations
@@ -77,7 +79,7 @@
     When "jujubepass apply accounts.ini --node NODE --base 41 --author ana" runs
     Then it ends with code 0
     And it shows "in force on 2 of 2 nodes"
-    And the node was sent the declarations against base 41
+    And the node was sent the sections against base 41
 
   Scenario: A change that is not in force everywhere in time
     Given declarations
@@ -86,6 +88,24 @@
     Then it ends with code 4
     And it shows "in force on 1 of 2 nodes"
 
+  Scenario: Files that do not give the digest planned are refused
+    Given declarations
+    And a node with configuration 41 on nodes at 41 and 41
+    When "jujubepass apply accounts.ini --node NODE --base 41 --digest 00 --author ana" runs
+    Then it ends with code 2
+    And it shows "plan again"
+    And the node was sent no change
+
+  Scenario: Names that are not in force are told with the nearest
+    Given a node with configuration 41 on nodes at 41 and 41
+    When "jujubepass retire template odl --node NODE --author ana" runs
+    Then it ends with code 2
+    And it shows "nearest: template old"
+    When "jujubepass drain engin-7 --node NODE --author ana" runs
+    Then it ends with code 2
+    And it shows "nearest: engine-7"
+    And the node was sent no change
+
   Scenario: A change in conflict with another
     Given a node with configuration 42 on nodes at 42 and 42
     And its answer to "POST /operator/changes" is 409 "conflict"
@@ -96,6 +116,6 @@
   Scenario: A change whose answer is lost names the id that settles it
     Given a node with configuration 42 on nodes at 42 and 42
     And it hangs up on "POST /operator/changes"
-    When "jujubepass retire old --node NODE --base 41 --author ana --change-id c7" runs
+    When "jujubepass retire template old --node NODE --base 41 --author ana --change-id c7" runs
     Then it ends with code 3
     And it shows "--change-id c7"
--- a/tests/features/steps/command_line_steps.py
+++ b/tests/features/steps/command_line_steps.py
@@ -13,12 +13,13 @@
 import cappa
 import trio
 
-from jujubepass import _http_server, _report, cli
+from jujubepass import _configuration_digest, _http_server, _report, cli
 from standins import processes
 
 KEY = "operators-key"
 KEY_VARIABLE = "JUJUBEPASS_OPERATOR_KEY"
-ACCOUNTS = "[account shop]\nconcurrency = {}\n"
+KEY_HASH = "a" * 64
+ACCOUNTS = f"[account shop]\nkey_hash = {KEY_HASH}\nconcurrency = {{}}\n"
 START_SECONDS = 10
 
 
@@ -110,12 +111,20 @@
         {"node": "n1", "configuration_number": first},
         {"node": "n2", "configuration_number": last},
     ]
-    declared = {"accounts.ini": ACCOUNTS.format(8)}
+    shop = {"key_hash": KEY_HASH, "concurrency": "8"}
+    old = {"requests_per_second": "5"}
+    sections = {"account shop": shop, "template old": old}
+    digest = _configuration_digest.update_digest(
+        _configuration_digest.EMPTY, {}, sections
+    )
     context.node.answers = {
-        "GET /operator/status": (200, {"nodes": nodes}),
+        "GET /operator/status": (
+            200,
+            {"nodes": nodes, "backends": [{"backend": "engine-7"}]},
+        ),
         "GET /operator/configuration": (
             200,
-            {"number": number, "declarations": declared},
+            {"number": number, "digest": digest, "sections": sections},
         ),
         "POST /operator/changes": (200, {"number": number}),
     }
@@ -154,12 +163,18 @@
     assert key in json.loads(context.printed)
 
 
-@behave.then("the node was sent the declarations against base {base:d}")
+@behave.then("the node was sent the sections against base {base:d}")
 def step_sent(context, base):
     body = json.loads(context.node.bodies["POST /operator/changes"])
     assert body["base"] == base and body["author"] == "ana"
     assert body["change_id"]
-    assert body["declarations"] == {"accounts.ini": ACCOUNTS.format(16)}
+    shop = {"key_hash": KEY_HASH, "concurrency": "16"}
+    assert body["sections"] == {"account shop": shop}, body
+
+
+@behave.then("the node was sent no change")
+def step_no_change(context):
+    assert "POST /operator/changes" not in context.node.bodies
 
 
 @functools.cache
