--- a/src/jujubepass/_peer_codec.py
+++ b/src/jujubepass/_peer_codec.py
@@ -6,6 +6,8 @@
 import thrift.transport.TTransport
 
 from jujubepass import (
+    _configuration_codec,
+    _configuration_messages,
     _membership_messages,
     _node_messages,
     _share_codec,
@@ -56,10 +58,17 @@
     )
 
 
-ShareEvent = _share_messages.DemandsReceived | _share_messages.GrantsReceived
+PeerEvent = (
+    _membership_messages.HeartbeatReceived
+    | _share_messages.DemandsReceived
+    | _share_messages.GrantsReceived
+    | _configuration_messages.PeerEvent
+)
 
 
-def _decode_share(message: typing.Any) -> ShareEvent | None:
+def _decode_share(
+    message: typing.Any,
+) -> _share_messages.DemandsReceived | _share_messages.GrantsReceived | None:
     try:
         if message.share_demands is not None:
             return _share_codec.read_demands(message.share_demands)
@@ -70,12 +79,21 @@
     return None
 
 
-def decode_event(data: bytes) -> _membership_messages.HeartbeatReceived | ShareEvent:
+def _decode_configuration(
+    message: typing.Any,
+) -> _configuration_messages.PeerEvent | None:
+    try:
+        return _configuration_codec.read_message(message)
+    except (TypeError, ValueError, AttributeError) as error:
+        raise PeerCodecError(f"configuration with a bad field: {error}") from error
+
+
+def decode_event(data: bytes) -> PeerEvent:
     """Read a message as the event it stands for; raise PeerCodecError."""
     message = decode_struct(ttypes.Message(), data)
-    share = _decode_share(message)
-    if share is not None:
-        return share
+    event = _decode_share(message) or _decode_configuration(message)
+    if event is not None:
+        return event
     if message.heartbeat is None:
         raise PeerCodecError("peer message has no field set that this node knows")
     heartbeat = message.heartbeat
