Add the experiment tool and measure the data path

Cause: what lowers the cost of the data path needs one command that says how much it takes now. Ruled out: the full engine stand-in, whose own work per token is above the node's; a fleet of light engines in one process speaks the same lines. Change: bench/ with result files, plots, open-loop load and usage from /proc, and `python -m bench data-path`; the platform stand-in takes many VMs in one call.

--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,7 @@
 	$(BIN)/mypy
 
 bench: $(VENV)/ready
-	$(BIN)/python -m bench
+	$(BIN)/python -m bench $(or $(NAME),all) --seed $(or $(SEED),1)
 
 clean:
 	rm -rf build dist .mypy_cache .ruff_cache
--- /dev/null
+++ b/bench/trials.py
@@ -0,0 +1,133 @@
+"""Systems under test: a platform, a fleet of light engines and nodes."""
+
+import collections.abc
+import contextlib
+import time
+
+import attrs
+
+from bench import usage
+from standins import fleet, processes, system
+
+_PORTS_OF_SYSTEM = 200
+_READY_SECONDS = 90.0
+_CHUNK_ACCOUNTS = 500
+
+
+@attrs.frozen(kw_only=True)
+class Shape:
+    """Choose the size of a system."""
+
+    nodes: int = 1
+    engines: int = 4
+    token_seconds: float = 0.03
+
+
+@contextlib.contextmanager
+def start_system(
+    shape: Shape, first_port: int, settings: system.Overrides | None = None
+) -> collections.abc.Iterator[system.System]:
+    """Start a system; end every process of it afterwards."""
+    usage.check_memory()
+    with system.System(first_port=first_port, settings=settings) as started:
+        started.ports = processes.Ports(first=first_port, count=_PORTS_OF_SYSTEM)
+        started.start_platform()
+        start_fleet(started, shape, first_port + _PORTS_OF_SYSTEM)
+        started.start_nodes(shape.nodes, wait=False)
+        wait_until_live(started)
+        started.wait_for_number(started.apply(system.declare_basics()))
+        yield started
+
+
+def start_fleet(started: system.System, shape: Shape, first_port: int) -> None:
+    """Start the engines and list their VMs in one call."""
+    started.processes.start(
+        "fleet",
+        "standins.fleet",
+        f"--count={shape.engines}",
+        f"--first-port={first_port}",
+        f"--token-seconds={shape.token_seconds}",
+        port=first_port,
+    )
+    members = fleet.list_members(shape.engines, first_port)
+    vms = [fleet.describe_vm(member) for member in members]
+    processes.call("PUT", started.platform, "/vms", {"vms": vms})
+
+
+def wait_until_live(started: system.System) -> None:
+    """Wait until every node answers and has heard of its backend servers."""
+    for name, ports in started.nodes.items():
+        processes.wait_for(
+            lambda ports=ports: processes.answers(ports.operators, "/healthz"),
+            f"{name} answering",
+            _READY_SECONDS,
+        )
+
+
+def wait_for_engines(started: system.System) -> None:
+    """Wait until each node can route a prompt."""
+    for name in started.nodes:
+        processes.wait_for(
+            lambda name=name: started.ask(name, "hello", max_tokens=1).status == 200,
+            f"a route at {name}",
+            _READY_SECONDS,
+        )
+
+
+@attrs.frozen(kw_only=True)
+class NodeUse:
+    """Hold what a node spent over a while; the scrapes are outside of it."""
+
+    core_share: float
+    resident_bytes: int
+    rates: dict[str, float]
+
+
+def measure_nodes(
+    started: system.System,
+    seconds: float,
+    during: collections.abc.Callable[[], object] | None = None,
+) -> dict[str, NodeUse]:
+    """Measure every node over some seconds, in which `during` runs."""
+    pids = {name: started.processes.get_pid(name) for name in started.nodes}
+    ports = {name: node.operators for name, node in started.nodes.items()}
+    metrics = {name: usage.read_metrics(ports[name]) for name in pids}
+    began = {name: usage.read_usage(pid) for name, pid in pids.items()}
+    if during is not None:
+        during()
+    rest = min(each.at for each in began.values()) + seconds - time.monotonic()
+    time.sleep(max(0.0, rest))
+    ended = {name: usage.read_usage(pid) for name, pid in pids.items()}
+    uses = {}
+    for name in pids:
+        after = usage.read_metrics(ports[name])
+        elapsed = ended[name].at - began[name].at
+        spent = ended[name].processor_seconds - began[name].processor_seconds
+        uses[name] = NodeUse(
+            core_share=spent / elapsed,
+            resident_bytes=ended[name].resident_bytes,
+            rates={
+                key: (value - metrics[name].get(key, 0.0)) / elapsed
+                for key, value in after.items()
+                if value != metrics[name].get(key, 0.0)
+            },
+        )
+    return uses
+
+
+def make_key(index: int) -> str:
+    """Return the key of one of the accounts that `declare_accounts` makes."""
+    return f"bench-key-{index}"
+
+
+def declare_accounts(started: system.System, count: int, number: int) -> int:
+    """Apply client accounts in chunks; return the last configuration number."""
+    for first in range(0, count, _CHUNK_ACCOUNTS):
+        last = min(count, first + _CHUNK_ACCOUNTS)
+        sections = {
+            f"account bench-{index}": system.declare_account(make_key(index))
+            for index in range(first, last)
+        }
+        number = started.apply(sections, base=number)
+        started.wait_for_number(number)
+    return number
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -188,7 +188,9 @@
         if request.method == "GET":
             await self._show_vms(responder)
             return
-        if request.method == "PUT":
+        if request.method == "PUT" and not name:
+            self._vms |= {vm["name"]: vm for vm in json.loads(request.body)["vms"]}
+        elif request.method == "PUT":
             self._vms[name] = {**json.loads(request.body), "name": name}
         else:
             self._vms.pop(name, None)
--- /dev/null
+++ b/tests/features/steps/bench_steps.py
@@ -0,0 +1,89 @@
+import json
+import pathlib
+import subprocess
+import sys
+import tempfile
+
+import behave
+
+from bench import experiments, load
+
+PNG = b"\x89PNG\r\n\x1a\n"
+TIMEOUT_SECONDS = 240
+KEYS = ("key-a", "key-b")
+
+
+@behave.when('the experiment "{name}" runs in its tiny size')
+def step_run(context, name):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.folder = pathlib.Path(folder.name)
+    context.experiment = name
+    command = [sys.executable, "-m", "bench", name, "--seed=5", "--size=tiny"]
+    command += [f"--output={folder.name}", f"--first-port={context.first_port}"]
+    context.run = subprocess.run(
+        command, capture_output=True, text=True, timeout=TIMEOUT_SECONDS
+    )
+
+
+@behave.then("its result file holds the seed, the parameters, rows and a summary")
+def step_result(context):
+    assert context.run.returncode == 0, context.run
+    path = context.folder / f"{context.experiment}.json"
+    context.result = json.loads(path.read_text())
+    assert context.result["seed"] == 5, context.result
+    for part in ("parameters", "rows", "summary"):
+        assert context.result[part], (part, context.result)
+
+
+@behave.then('each row has "{columns}"')
+def step_columns(context, columns):
+    for row in context.result["rows"]:
+        assert set(columns.split(", ")) <= set(row), row
+
+
+@behave.then("its plot is an image")
+def step_plot(context):
+    plot = context.folder / f"{context.experiment}.png"
+    assert plot.read_bytes().startswith(PNG)
+
+
+@behave.then("it exits with 2 and names the experiments there are")
+def step_unknown(context):
+    assert context.run.returncode == 2, context.run
+    for name in experiments.NAMES:
+        assert name in context.run.stderr, context.run
+
+
+def draw(seed, per_second=50.0):
+    return load.generate_arrivals(
+        seed=seed, per_second=per_second, seconds=2.0, account_keys=KEYS
+    )
+
+
+@behave.given("two loads drawn from seed 7 and one from seed 8")
+def step_loads(context):
+    context.loads = [draw(7), draw(7), draw(8)]
+
+
+@behave.then("the first two are the same and the third is another")
+def step_same(context):
+    first, second, third = context.loads
+    assert first and first == second
+    assert first != third
+    assert all(0.0 <= each.at < 2.0 for each in first)
+
+
+@behave.then("a load written as a trace reads back the same")
+def step_trace(context):
+    written = load.write_trace(context.loads[0])
+    assert load.read_trace(written) == context.loads[0]
+
+
+@behave.then("a load over its bounds is refused")
+def step_bounds(context):
+    try:
+        draw(1, per_second=1_000_000.0)
+    except ValueError:
+        return
+    raise AssertionError("a load of millions of arrivals was drawn")
