Measure the cost of control and the throughput of route policies

Cause: CAPACITY.md needs slopes, and policies need one comparison against a bound. Ruled out: counting bytes in the HTTP client (it is being changed for speed, and a count per read is work per token); the bytes are read per connection from the kernel.

--- /dev/null
+++ b/bench/control.py
@@ -0,0 +1,93 @@
+"""What the measurements of the cost of control share."""
+
+import typing
+
+import attrs
+
+from bench import results, trials, usage
+
+_COMMAND = "jujubepass_commands_total"
+
+
+@attrs.frozen(kw_only=True)
+class Cost:
+    """Hold a node's cost of control, the middle over its nodes."""
+
+    core_share: usage.Spread
+    resident_mebibytes: usage.Spread
+    rates: dict[str, float]
+    sent: dict[str, float]
+    received: dict[str, float]
+
+
+def summarize(uses: typing.Mapping[str, trials.NodeUse]) -> Cost:
+    """Take the middle over nodes of each figure."""
+    each = list(uses.values())
+    keys = {key for use in each for key in use.rates}
+    return Cost(
+        core_share=usage.Spread.of(use.core_share for use in each),
+        resident_mebibytes=usage.Spread.of(
+            use.resident_bytes / usage.MEBIBYTE for use in each
+        ),
+        rates={
+            key: usage.Spread.of(use.rates.get(key, 0.0) for use in each).median
+            for key in keys
+        },
+        sent={
+            side: usage.Spread.of(use.sent[side] for use in each).median
+            for side in trials.SIDES
+        },
+        received={
+            side: usage.Spread.of(use.received[side] for use in each).median
+            for side in trials.SIDES
+        },
+    )
+
+
+def describe(cost: Cost) -> results.Row:
+    """Write a cost as columns of a row."""
+    row: results.Row = {
+        "core_share": cost.core_share.median,
+        "core_share_lowest": cost.core_share.lowest,
+        "core_share_highest": cost.core_share.highest,
+        "resident_mebibytes": cost.resident_mebibytes.median,
+    }
+    for side in trials.SIDES:
+        row[f"{side}_sent_bytes_per_second"] = cost.sent[side]
+        row[f"{side}_received_bytes_per_second"] = cost.received[side]
+    row["store_calls_per_second"] = sum(
+        cost.rates.get(_command(name), 0.0)
+        for name in ("ReadRows", "ScanRows", "Transact")
+    )
+    row["load_polls_per_second"] = cost.rates.get(_command("PollLoad"), 0.0)
+    return row
+
+
+def _command(name: str) -> str:
+    return f'{_COMMAND}{{command="{name}"}}'
+
+
+FIGURES = (
+    "core_share",
+    "resident_mebibytes",
+    *(f"{side}_sent_bytes_per_second" for side in trials.SIDES),
+    *(f"{side}_received_bytes_per_second" for side in trials.SIDES),
+    "store_calls_per_second",
+)
+
+
+def add_slopes(
+    result: results.Result, x: str, columns: typing.Sequence[str] = FIGURES
+) -> None:
+    """Fit each column against x, with the worst distance from the line."""
+    for column in columns:
+        xs = [float(row[x]) for row in result.rows]
+        ys = [float(row[column]) for row in result.rows]
+        line = usage.fit_line(xs, ys)
+        worst = max(
+            abs(y - line["start"] - line["slope"] * x_value)
+            for x_value, y in zip(xs, ys, strict=True)
+        )
+        result.summary[f"{column}_start"] = line["start"]
+        result.summary[f"{column}_per_{x}"] = line["slope"]
+        result.summary[f"{column}_worst_distance"] = worst
--- /dev/null
+++ b/bench/control_engines.py
@@ -0,0 +1,26 @@
+"""Cost of control against the number of engines."""
+
+from bench import control, experiments, results, trials
+
+
+def run(options: experiments.Options) -> results.Result:
+    """Measure one idle node with engines of one process."""
+    seconds = options.choose(8.0, 0.5)
+    runs = options.choose(3, 1)
+    counts = options.choose((4, 25, 50, 100), (2, 4))
+    result = results.Result(
+        name="control-engines",
+        seed=options.seed,
+        parameters={"seconds": seconds, "runs": runs, "nodes": 1},
+        plot=results.Plot(x="engines", y="core_share"),
+    )
+    for count in counts:
+        shape = trials.Shape(nodes=1, engines=count)
+        with trials.start_system(shape, options.first_port) as started:
+            trials.wait_for_engines(started)
+            for index in range(runs):
+                cost = control.summarize(trials.measure_nodes(started, seconds))
+                row = control.describe(cost)
+                result.add(engines=count, run=index, **row)
+    control.add_slopes(result, "engines")
+    return result
--- /dev/null
+++ b/bench/queue_engines.py
@@ -0,0 +1,195 @@
+"""Engines as queues with continuous batching, prefix caches and lagging reports."""
+
+import collections
+import collections.abc
+import functools
+import random
+import typing
+
+import attrs
+
+from bench import simulation
+from jujubepass import _backend_messages, _http_client, ids
+
+_PREFILL_WORDS_PER_STEP = 512
+_WORDS_PER_BLOCK = 16
+_KV_TOKENS = 10_000_000
+
+
+@attrs.frozen(kw_only=True)
+class EngineSpec:
+    """Describe one engine of a scenario."""
+
+    name: str
+    first_layer: int
+    end_layer: int
+    step_seconds: float
+    max_batch: int
+    prefill_tokens_per_second: float = 20_000.0
+    prefix_blocks: int = 512
+    failure_domain: str = "a"
+
+
+@attrs.frozen(kw_only=True)
+class Faults:
+    """Set how late engines report and how many cache events are lost."""
+
+    load_lag_seconds: float = 0.2
+    cache_event_delay_seconds: float = 0.2
+    cache_event_drop: float = 0.0
+
+
+@attrs.define(kw_only=True)
+class Visit:
+    """Ask an engine for one step of one attempt."""
+
+    attempt: typing.Any
+    words: int
+    done: simulation.Step
+
+
+class QueueEngine:
+    """Run visits in batches, each step as long as its engine's step and prefill."""
+
+    def __init__(
+        self,
+        *,
+        spec: EngineSpec,
+        clock: simulation.Simulation,
+        faults: Faults,
+        links: collections.abc.Mapping[str, float],
+        seed: int,
+    ) -> None:
+        self.spec = spec
+        self._clock = clock
+        self._faults = faults
+        self._links = links
+        self._random = random.Random(f"{spec.name}-{seed}")
+        self._waiting: collections.deque[Visit] = collections.deque()
+        self._is_running = False
+        self._active: set[int] = set()
+        self._history: collections.deque[tuple[float, int]] = collections.deque(
+            [(0.0, 0)]
+        )
+        self._prefixes: collections.OrderedDict[str, None] = collections.OrderedDict()
+        self._events: list[tuple[float, _backend_messages.CacheEvent]] = []
+        self.busy_seconds = 0.0
+
+    def join(self, attempt: typing.Any) -> None:
+        """Count an attempt as one that runs here."""
+        self._active.add(id(attempt))
+        self._history.append((self._clock.now, len(self._active)))
+
+    def leave(self, attempt: typing.Any) -> None:
+        """Count an attempt no longer."""
+        self._active.discard(id(attempt))
+        self._history.append((self._clock.now, len(self._active)))
+
+    def visit(
+        self,
+        attempt: typing.Any,
+        words: int,
+        blocks: collections.abc.Sequence[str],
+        done: simulation.Step,
+    ) -> None:
+        """Queue one step; prefill the words whose blocks are not cached."""
+        if words:
+            words = max(1, words - self._use_prefixes(blocks) * _WORDS_PER_BLOCK)
+        self._waiting.append(Visit(attempt=attempt, words=words, done=done))
+        if not self._is_running:
+            self._is_running = True
+            self._clock.schedule(0.0, self._start_step)
+
+    def _start_step(self) -> None:
+        batch: list[Visit] = []
+        while self._waiting and len(batch) < self.spec.max_batch:
+            visit = self._waiting.popleft()
+            if not visit.attempt.cancelled:
+                batch.append(visit)
+        if not batch:
+            self._is_running = False
+            return
+        words = self._prefill(batch)
+        seconds = self.spec.step_seconds + words / self.spec.prefill_tokens_per_second
+        self.busy_seconds += seconds
+        self._clock.schedule(seconds, functools.partial(self._end_step, batch))
+
+    @staticmethod
+    def _prefill(batch: list[Visit]) -> int:
+        left = _PREFILL_WORDS_PER_STEP
+        for visit in batch:
+            taken = min(left, visit.words)
+            visit.words -= taken
+            left -= taken
+        return _PREFILL_WORDS_PER_STEP - left
+
+    def _end_step(self, batch: list[Visit]) -> None:
+        for visit in batch:
+            if visit.words:
+                self._waiting.append(visit)
+            else:
+                visit.done()
+        self._start_step()
+
+    def _use_prefixes(self, blocks: collections.abc.Sequence[str]) -> int:
+        hits = 0
+        for block in blocks:
+            if block not in self._prefixes:
+                break
+            hits += 1
+        for block in blocks:
+            if block not in self._prefixes:
+                self._note(block, stored=True)
+            self._prefixes[block] = None
+            self._prefixes.move_to_end(block)
+        while len(self._prefixes) > self.spec.prefix_blocks:
+            self._note(self._prefixes.popitem(last=False)[0], stored=False)
+        return hits
+
+    def _note(self, block: str, *, stored: bool) -> None:
+        event = _backend_messages.CacheEvent(
+            sequence=len(self._events) + 1, stored=stored, prefix=block
+        )
+        self._events.append((self._clock.now, event))
+
+    def list_cache_events(
+        self, after: int
+    ) -> tuple[tuple[_backend_messages.CacheEvent, ...], int]:
+        """Return events old enough, without those lost, and the next number."""
+        until = self._clock.now - self._faults.cache_event_delay_seconds
+        found = [event for at, event in self._events[after:] if at <= until]
+        following = found[-1].sequence if found else after
+        drop = self._faults.cache_event_drop
+        kept = tuple(event for event in found if self._random.random() >= drop)
+        return kept, following
+
+    def report_load(self) -> _backend_messages.LoadReport:
+        """Return the load as it was before the lag."""
+        lag = self._faults.load_lag_seconds
+        while len(self._history) > 1 and self._history[1][0] <= self._clock.now - lag:
+            self._history.popleft()
+        active = self._history[0][1]
+        running = min(active, self.spec.max_batch)
+        return _backend_messages.LoadReport(
+            engine=ids.BackendServerId(self.spec.name),
+            incarnation="1",
+            model=ids.ModelId("m"),
+            version="1",
+            first_layer=self.spec.first_layer,
+            end_layer=self.spec.end_layer,
+            accelerator="queue",
+            running=running,
+            waiting=active - running,
+            max_batch=self.spec.max_batch,
+            step_seconds=self.spec.step_seconds,
+            prefill_tokens_per_second=self.spec.prefill_tokens_per_second,
+            kv_free_tokens=_KV_TOKENS,
+            leaving=False,
+            age_seconds=lag,
+            link_seconds=self._links,
+        )
+
+
+def make_address(index: int) -> _http_client.Address:
+    """Return an address that names an engine or node without a socket."""
+    return _http_client.Address(host="10.0.0.1", port=index)
--- a/bench/trials.py
+++ b/bench/trials.py
@@ -1,5 +1,6 @@
 """Systems under test: a platform, a fleet of light engines and nodes."""
 
+import collections
 import collections.abc
 import contextlib
 import time
@@ -12,6 +13,10 @@
 _PORTS_OF_SYSTEM = 200
 _READY_SECONDS = 90.0
 _CHUNK_ACCOUNTS = 500
+_PLATFORM = "platform"
+_PEERS = "peers"
+_ENGINES = "engines"
+SIDES = (_PLATFORM, _PEERS, _ENGINES)
 
 
 @attrs.frozen(kw_only=True)
@@ -81,6 +86,44 @@
     core_share: float
     resident_bytes: int
     rates: dict[str, float]
+    sent: dict[str, float]
+    received: dict[str, float]
+
+
+@attrs.frozen(kw_only=True)
+class Traffic:
+    """Hold the bytes that a node's connections have carried, by the other side."""
+
+    sent: collections.Counter[str] = attrs.field(factory=collections.Counter)
+    received: collections.Counter[str] = attrs.field(factory=collections.Counter)
+
+    @classmethod
+    def read(cls, started: system.System) -> dict[str, "Traffic"]:
+        """Read every node's traffic for control; callers and operators are left out."""
+        connections = usage.read_connections()
+        sides = {started.platform: _PLATFORM}
+        sides |= {node.peers: _PEERS for node in started.nodes.values()}
+        ignored = {
+            port
+            for node in started.nodes.values()
+            for port in (node.callers, node.operators)
+        }
+        found = {}
+        for name in started.nodes:
+            found[name] = cls()
+            for each in connections.get(started.processes.get_pid(name), ()):
+                if each.local_port in ignored:
+                    continue
+                side = sides.get(each.local_port) or sides.get(each.remote_port)
+                found[name].sent[side or _ENGINES] += each.sent_bytes
+                found[name].received[side or _ENGINES] += each.received_bytes
+        return found
+
+
+def _rate(
+    after: collections.Counter[str], before: collections.Counter[str], elapsed: float
+) -> dict[str, float]:
+    return {side: (after[side] - before[side]) / elapsed for side in SIDES}
 
 
 def measure_nodes(
@@ -92,12 +135,14 @@
     pids = {name: started.processes.get_pid(name) for name in started.nodes}
     ports = {name: node.operators for name, node in started.nodes.items()}
     metrics = {name: usage.read_metrics(ports[name]) for name in pids}
+    traffic = Traffic.read(started)
     began = {name: usage.read_usage(pid) for name, pid in pids.items()}
     if during is not None:
         during()
     rest = min(each.at for each in began.values()) + seconds - time.monotonic()
     time.sleep(max(0.0, rest))
     ended = {name: usage.read_usage(pid) for name, pid in pids.items()}
+    carried = Traffic.read(started)
     uses = {}
     for name in pids:
         after = usage.read_metrics(ports[name])
@@ -111,6 +156,8 @@
                 for key, value in after.items()
                 if value != metrics[name].get(key, 0.0)
             },
+            sent=_rate(carried[name].sent, traffic[name].sent, elapsed),
+            received=_rate(carried[name].received, traffic[name].received, elapsed),
         )
     return uses
 
--- a/bench/usage.py
+++ b/bench/usage.py
@@ -3,6 +3,7 @@
 import os
 import pathlib
 import re
+import subprocess
 import time
 import typing
 
@@ -12,6 +13,8 @@
 from standins import processes
 
 _NANOSECONDS = 1_000_000_000
+MEBIBYTE = 1_048_576
+
 _KIBIBYTE = 1_024
 _SAMPLE = re.compile(r"^(?P<name>\w+)(?:\{(?P<labels>[^}]*)\})? (?P<value>\S+)$", re.M)
 
@@ -93,3 +96,43 @@
     """Return the count, or what the machine allows of it."""
     allowed = os.environ.get("JUJUBEPASS_BENCH_PROCESSES", "40")
     return min(count, int(allowed))
+
+
+@attrs.frozen(kw_only=True)
+class Connection:
+    """Hold the bytes that one end of a connection has carried."""
+
+    local_port: int
+    remote_port: int
+    sent_bytes: int
+    received_bytes: int
+
+
+def read_connections() -> dict[int, list[Connection]]:
+    """List TCP connections by process id with their bytes, TCP's headers left out."""
+    command = ["ss", "--tcp", "--info", "--processes", "--no-header", "--numeric"]
+    text = subprocess.run(command, capture_output=True, text=True, check=True).stdout
+    connections: dict[int, list[Connection]] = {}
+    lines = iter(text.splitlines())
+    for line in lines:
+        info = next(lines, "")
+        fields = line.split()
+        for pid in re.findall(r"pid=(\d+)", line):
+            connection = Connection(
+                local_port=_read_port(fields[3]),
+                remote_port=_read_port(fields[4]),
+                sent_bytes=_find_count("bytes_sent", info),
+                received_bytes=_find_count("bytes_received", info),
+            )
+            connections.setdefault(int(pid), []).append(connection)
+    return connections
+
+
+def _read_port(address: str) -> int:
+    port = address.rpartition(":")[2]
+    return int(port) if port.isdigit() else 0
+
+
+def _find_count(name: str, info: str) -> int:
+    match = re.search(rf"\b{name}:(\d+)", info)
+    return int(match[1]) if match else 0
--- a/src/jujubepass/_metrics.py
+++ b/src/jujubepass/_metrics.py
@@ -30,6 +30,10 @@
     0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.7,
     1.0, 1.5, 2.0, 3.0, 5.0, 10.0, 30.0, 60.0,
 )
+_TICK_DELAY_BOUNDS_SECONDS = (
+    0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.03, 0.05,
+    0.1, 0.2, 0.5, 1.0, 2.0, 5.0,
+)
 # fmt: on
 
 ReadValue = collections.abc.Callable[[], float]
@@ -99,21 +103,34 @@
             description="Time from the last token before a fault to the next one.",
             bounds_seconds=_RECOVERY_BOUNDS_SECONDS,
         )
+        self.tick_delay = _distribution.Distribution(
+            name="tick_delay",
+            description="Delay of the controllers' timer behind its period.",
+            bounds_seconds=_TICK_DELAY_BOUNDS_SECONDS,
+        )
         self._registry = prometheus_client.CollectorRegistry()
+        self._meter = self._make_meter(version)
+        self._add_reason_counters()
+
+    def _make_meter(self, version: str) -> opentelemetry.metrics.Meter:
         reader = _Reader(
             disable_target_info=True,
             prefix="jujubepass",
             scope_info_enabled=False,
             registry=self._registry,
         )
-        reader.distributions = (self.first_token, self.between_tokens, self.recovery)
+        reader.distributions = (
+            self.first_token,
+            self.between_tokens,
+            self.recovery,
+            self.tick_delay,
+        )
         provider = opentelemetry.sdk.metrics.MeterProvider(
             metric_readers=[reader],
             resource=opentelemetry.sdk.resources.Resource({}),
             shutdown_on_exit=False,
         )
-        self._meter = provider.get_meter("jujubepass", version)
-        self._add_reason_counters()
+        return provider.get_meter("jujubepass", version)
 
     def _add_reason_counters(self) -> None:
         self._add_enum_counter("refusals", "Requests refused.", self.refusals)
@@ -160,6 +177,13 @@
         observe = _make_observer(read)
         self._meter.create_observable_gauge(name, [observe], description=description)
 
+    def add_labelled_counter(
+        self, name: str, description: str, label: str, read: ReadValues
+    ) -> None:
+        """Expose values that only grow, one for each label."""
+        observe = _make_labelled_observer(label, read)
+        self._meter.create_observable_counter(name, [observe], description=description)
+
     def add_labelled_gauge(
         self, name: str, description: str, label: str, read: ReadValues
     ) -> None:
--- a/src/jujubepass/_node.py
+++ b/src/jujubepass/_node.py
@@ -33,6 +33,7 @@
     _metrics,
     _node_life,
     _node_messages,
+    _node_metrics,
     _operators,
     _peer_codec,
     _peers,
@@ -65,7 +66,7 @@
         _connect_platform(shell, node_settings)
         _connect_backends(shell, mailboxes)
         _connect_requests(shell, mailboxes, verdicts)
-        await _connect_peers(shell, node_settings, nursery)
+        await _connect_peers(shell, node_settings, nursery, metrics)
         operator_api = _operators.OperatorApi(
             blackboard=blackboard,
             metrics=metrics,
@@ -82,7 +83,8 @@
             new_request_id=_new_request_id,
         )
         callers = _http_server.Server(handler=caller_api, limits=_make_limits(listen))
-        nursery.start_soon(_tick, shell, node_settings.timing.tick_seconds)
+        tick_seconds = node_settings.timing.tick_seconds
+        nursery.start_soon(_tick, shell, tick_seconds, metrics)
         address = listen.operators
         await nursery.start(operators.serve, address.host, address.port)
         await _serve_callers(shell, callers, node_settings)
@@ -113,11 +115,15 @@
             return
 
 
-async def _tick(shell: _shell.Shell, tick_seconds: float) -> None:
+async def _tick(
+    shell: _shell.Shell, tick_seconds: float, metrics: _metrics.Metrics
+) -> None:
     event = _node_messages.Tick()
     while True:
         shell.post(event)
-        await trio.sleep(tick_seconds)
+        due = trio.current_time() + tick_seconds
+        await trio.sleep_until(due)
+        metrics.tick_delay.observe(trio.current_time() - due)
 
 
 def _new_request_id() -> ids.RequestId:
@@ -244,7 +250,10 @@
 
 
 async def _connect_peers(
-    shell: _shell.Shell, node_settings: settings.Settings, nursery: trio.Nursery
+    shell: _shell.Shell,
+    node_settings: settings.Settings,
+    nursery: trio.Nursery,
+    metrics: _metrics.Metrics,
 ) -> None:
     key = node_settings.security.peer_key.encode()
     sender = _peers.PeerSender(node=node_settings.node.name, key=key, nursery=nursery)
@@ -257,5 +266,7 @@
 
     shell.execute_with(_membership_messages.SendHeartbeat, _send_heartbeat)
     listener = _peers.PeerListener(key=key, handler=_receive)
+    _node_metrics.add_shell_metrics(metrics, shell)
+    _node_metrics.add_peer_metrics(metrics, sender, listener)
     listen = node_settings.listen.peers
     await nursery.start(functools.partial(listener.serve, listen.host, listen.port))
--- a/src/jujubepass/_shell.py
+++ b/src/jujubepass/_shell.py
@@ -1,5 +1,6 @@
 """Shell that turns commands into I/O and I/O into events."""
 
+import collections
 import collections.abc
 import logging
 import typing
@@ -29,6 +30,9 @@
         factory=collections.deque, init=False
     )
     _dispatching: bool = attrs.field(default=False, init=False)
+    _executed: collections.Counter[type] = attrs.field(
+        factory=collections.Counter, init=False
+    )
 
     def execute_with(self, command_type: type, execute: Execute) -> None:
         """Execute a type of command at once."""
@@ -54,7 +58,12 @@
         finally:
             self._dispatching = False
 
+    def count_executed(self) -> dict[str, float]:
+        """Return how many commands of each type were executed."""
+        return {each.__name__: count for each, count in self._executed.items()}
+
     def _execute(self, command: _dispatch.Command) -> None:
+        self._executed[type(command)] += 1
         immediate = self._immediate.get(type(command))
         if immediate is not None:
             immediate(command)
