--- a/src/jujubepass/_departures.py
+++ b/src/jujubepass/_departures.py
@@ -8,6 +8,7 @@
     _backend_area,
     _backend_messages,
     _blackboard,
+    _configuration_messages,
     _departure_area,
     _dispatch,
     _membership_messages,
@@ -33,6 +34,7 @@
         """Map each event type to the method that handles it."""
         return {
             _node_messages.Tick: self.keep_drains,
+            _configuration_messages.ConfigurationInstalled: self.keep_declared,
             _backend_messages.VmsListed: self.keep_list,
             _backend_messages.LoadReported: self.keep_report,
             _backend_messages.LeavingAnswered: self.keep_answer,
@@ -55,6 +57,19 @@
             self._forget_unconfirmed(now)
         return ()
 
+    def keep_declared(
+        self, event: _configuration_messages.ConfigurationInstalled, now: float
+    ) -> collections.abc.Iterable[_dispatch.Command]:
+        """Judge backend servers that operators added or removed."""
+        self._refresh_all()
+        return ()
+
+    def _refresh_all(self) -> None:
+        self._forget_gone()
+        area = self.blackboard.backends
+        for name in (*area.engines, *area.services):
+            self._refresh(name)
+
     def _forget_unconfirmed(self, now: float) -> None:
         words = self.blackboard.departures.words
         for (name, source), word in list(words.items()):
@@ -75,14 +90,13 @@
                 for vm in event.vms
                 if vm.state is _backend_messages.VmState.LIVE
             }
+            staying.update(self.blackboard.configuration.declared.backends)
             for name in (*area.engines, *area.services):
                 if name in staying:
                     self._remove(name, _Source.LIST)
                 else:
                     self._add(name, _Source.LIST, now)
-        self._forget_gone()
-        for name in (*area.engines, *area.services):
-            self._refresh(name)
+        self._refresh_all()
         return ()
 
     def _forget_gone(self) -> None:
--- a/src/jujubepass/_node.py
+++ b/src/jujubepass/_node.py
@@ -17,29 +17,41 @@
     _backend_messages,
     _backends,
     _blackboard,
+    _call_control,
+    _call_journal,
     _call_messages,
     _callers,
-    _calls,
     _configuration,
+    _configuration_codec,
+    _configuration_installer,
     _configuration_messages,
+    _configuration_peers,
+    _configuration_proposals,
+    _configuration_snapshots,
     _departures,
     _dispatch,
     _engine_client,
     _http_client,
     _http_server,
+    _limit_messages,
     _limits,
-    _lookups,
     _mailboxes,
     _membership,
     _membership_messages,
     _metrics,
     _node_life,
     _node_messages,
+    _node_metrics,
+    _object_client,
+    _object_messages,
     _operators,
     _peer_codec,
     _peers,
     _routes,
     _service_client,
+    _share_codec,
+    _share_messages,
+    _shares,
     _shell,
     _store_messages,
     _table_client,
@@ -51,6 +63,8 @@
 _LOGGER = logging.getLogger(__name__)
 
 _EXIT_DONE = 0
+_WALL_CLOCK_SECONDS = 1.0
+_OPERATOR_LIMITS = _http_server.ServerLimits(body_bytes=16 * 1_048_576)
 
 
 async def run(node_settings: settings.Settings) -> int:
@@ -70,7 +84,7 @@
         _connect_platform(shell, node_settings)
         _connect_backends(shell, mailboxes)
         _connect_requests(shell, mailboxes, verdicts)
-        await _connect_peers(shell, node_settings, nursery)
+        await _connect_peers(shell, node_settings, nursery, metrics)
         operator_api = _operators.OperatorApi(
             blackboard=blackboard,
             metrics=metrics,
@@ -78,7 +92,7 @@
             verdicts=verdicts,
             key_hash=node_settings.security.operator_key_hash,
         )
-        operators = _http_server.Server(handler=operator_api)
+        operators = _http_server.Server(handler=operator_api, limits=_OPERATOR_LIMITS)
         caller_api = _callers.CallerApi(
             blackboard=blackboard,
             mailboxes=mailboxes,
@@ -87,7 +101,9 @@
             new_request_id=_new_request_id,
         )
         callers = _http_server.Server(handler=caller_api, limits=_make_limits(listen))
-        nursery.start_soon(_tick, shell, node_settings.timing.tick_seconds)
+        nursery.start_soon(_read_wall_clock, shell)
+        tick_seconds = node_settings.timing.tick_seconds
+        nursery.start_soon(_tick, shell, tick_seconds, metrics)
         address = listen.operators
         await nursery.start(operators.serve, address.host, address.port)
         await _serve_callers(shell, callers, node_settings)
@@ -147,11 +163,21 @@
             return
 
 
-async def _tick(shell: _shell.Shell, tick_seconds: float) -> None:
+async def _read_wall_clock(shell: _shell.Shell) -> None:
+    while True:
+        shell.post(_call_messages.WallClockRead(seconds=time.time()))
+        await trio.sleep(_WALL_CLOCK_SECONDS)
+
+
+async def _tick(
+    shell: _shell.Shell, tick_seconds: float, metrics: _metrics.Metrics
+) -> None:
     event = _node_messages.Tick()
     while True:
         shell.post(event)
-        await trio.sleep(tick_seconds)
+        due = trio.current_time() + tick_seconds
+        await trio.sleep_until(due)
+        metrics.tick_delay.observe(trio.current_time() - due)
 
 
 def _new_request_id() -> ids.RequestId:
@@ -187,9 +213,7 @@
         _node_life.NodeController(
             blackboard=blackboard, settling_seconds=timing.heartbeat_seconds
         ),
-        _configuration.ConfigurationController(
-            blackboard=blackboard, poll_seconds=timing.configuration_poll_seconds
-        ),
+        *_make_configuration(node_settings, blackboard),
         _membership.MembershipController(
             blackboard=blackboard,
             timing=_membership.MembershipTiming(
@@ -206,6 +230,7 @@
             ),
         ),
         _departures.DepartureController(blackboard=blackboard),
+        _shares.ShareController(blackboard=blackboard),
         _limits.LimitController(blackboard=blackboard),
         _answers.AnswerController(
             blackboard=blackboard,
@@ -213,8 +238,42 @@
             timing=_answers.AnswerTiming(stall_seconds=timing.stall_seconds),
             counters=metrics,
         ),
-        _calls.CallController(blackboard=blackboard, counters=metrics),
-        _lookups.LookupController(blackboard=blackboard, counters=metrics),
+        *_call_control.make_controllers(
+            blackboard=blackboard, counters=metrics, timing=_make_call_timing(timing)
+        ),
+    ]
+
+
+def _make_call_timing(timing: settings.Timing) -> _call_journal.CallTiming:
+    return _call_journal.CallTiming(
+        send_window_seconds=timing.lease_seconds - timing.lease_margin_seconds,
+        take_over_margin_seconds=timing.lease_margin_seconds,
+    )
+
+
+def _make_configuration(
+    node_settings: settings.Settings, blackboard: _blackboard.Blackboard
+) -> list[_dispatch.Controller]:
+    timing = node_settings.timing
+    installer = _configuration_installer.Installer(area=blackboard.configuration)
+    return [
+        _configuration.ConfigurationController(
+            blackboard=blackboard,
+            installer=installer,
+            poll_seconds=timing.configuration_poll_seconds,
+        ),
+        _configuration_proposals.ProposalController(
+            blackboard=blackboard, installer=installer
+        ),
+        _configuration_snapshots.SnapshotController(
+            blackboard=blackboard,
+            changes_per_snapshot=timing.configuration_snapshot_changes,
+        ),
+        _configuration_peers.PeerConfigurationController(
+            blackboard=blackboard,
+            installer=installer,
+            address=node_settings.listen.peers,
+        ),
     ]
 
 
@@ -237,10 +296,16 @@
     )
     vms = _vm_client.VmClient(client=client, address=platform.vms, post=shell.post)
 
+    objects = _object_client.HttpObjects(client=client, address=platform.objects)
+
     transact = _post_outcome(shell, table.transact)
     shell.spawn_with(_store_messages.Transact, transact)
     shell.spawn_with(_store_messages.ReadRows, _post_outcome(shell, table.read))
     shell.spawn_with(_store_messages.ScanRows, _post_outcome(shell, table.scan))
+    shell.spawn_with(_object_messages.PutObject, _post_outcome(shell, objects.put))
+    shell.spawn_with(_object_messages.GetObject, _post_outcome(shell, objects.get))
+    delete = _post_outcome(shell, objects.delete)
+    shell.spawn_with(_object_messages.DeleteObject, delete)
     shell.spawn_with(_backend_messages.PollVms, vms.poll)
 
 
@@ -283,12 +348,20 @@
     shell.execute_with(_answer_messages.FinishAnswer, mailboxes.put)
     shell.execute_with(_answer_messages.Refuse, mailboxes.put)
     shell.execute_with(_call_messages.AnswerCall, mailboxes.put)
+    shell.execute_with(
+        _limit_messages.StartQueued, lambda command: shell.post(command.event)
+    )
     shell.execute_with(_configuration_messages.ChangeAccepted, verdicts.put)
     shell.execute_with(_configuration_messages.ChangeRefused, verdicts.put)
+    shell.execute_with(_configuration_messages.ChangeCommitted, shell.post)
+    shell.execute_with(_configuration_messages.ConfigurationInstalled, shell.post)
 
 
 async def _connect_peers(
-    shell: _shell.Shell, node_settings: settings.Settings, nursery: trio.Nursery
+    shell: _shell.Shell,
+    node_settings: settings.Settings,
+    nursery: trio.Nursery,
+    metrics: _metrics.Metrics,
 ) -> None:
     key = node_settings.security.peer_key.encode()
     sender = _peers.PeerSender(node=node_settings.node.name, key=key, nursery=nursery)
@@ -296,14 +369,40 @@
     def _send_heartbeat(command: _membership_messages.SendHeartbeat) -> None:
         sender.send(command.address, _peer_codec.encode_command(command))
 
+    def _send_demands(command: _share_messages.SendDemands) -> None:
+        message = _share_codec.build_demands(command)
+        sender.send(command.address, _peer_codec.encode_struct(message))
+
+    def _send_grants(command: _share_messages.SendGrants) -> None:
+        message = _share_codec.build_grants(command)
+        sender.send(command.address, _peer_codec.encode_struct(message))
+
     def _receive(data: bytes) -> None:
         shell.post(_peer_codec.decode_event(data))
 
     def _forget(command: _membership_messages.ForgetPeer) -> None:
         sender.forget(command.address)
 
+    _connect_configuration(shell, node_settings, sender)
     shell.execute_with(_membership_messages.SendHeartbeat, _send_heartbeat)
     shell.execute_with(_membership_messages.ForgetPeer, _forget)
+    shell.execute_with(_share_messages.SendDemands, _send_demands)
+    shell.execute_with(_share_messages.SendGrants, _send_grants)
     listener = _peers.PeerListener(key=key, handler=_receive)
+    _node_metrics.add_shell_metrics(metrics, shell)
+    _node_metrics.add_peer_metrics(metrics, sender, listener)
     listen = node_settings.listen.peers
     await nursery.start(functools.partial(listener.serve, listen.host, listen.port))
+
+
+def _connect_configuration(
+    shell: _shell.Shell, node_settings: settings.Settings, sender: _peers.PeerSender
+) -> None:
+    name, address = node_settings.node.name, node_settings.listen.peers
+
+    def _send(command: _configuration_messages.PeerCommand) -> None:
+        message = _configuration_codec.make_message(command, name, address)
+        sender.send(command.address, _peer_codec.encode_struct(message))
+
+    for command_type in typing.get_args(_configuration_messages.PeerCommand):
+        shell.execute_with(command_type, _send)
--- a/src/jujubepass/_node_life.py
+++ b/src/jujubepass/_node_life.py
@@ -7,6 +7,7 @@
 from jujubepass import (
     _backend_messages,
     _blackboard,
+    _configuration_messages,
     _dispatch,
     _membership_messages,
     _node_messages,
@@ -30,7 +31,8 @@
         """Map each event type to the method that handles it."""
         return {
             _backend_messages.VmsListed: self.note_list,
-            _store_messages.RowsRead: self.note_configuration,
+            _configuration_messages.ConfigurationInstalled: self.note_configuration,
+            _store_messages.RowsRead: self.note_contact,
             _membership_messages.HeartbeatReceived: self.note_contact,
             _node_messages.PauseDetected: self.resume,
             _node_messages.StopRequested: self.drain,
@@ -46,12 +48,12 @@
         return self.note_contact(event, now)
 
     def note_configuration(
-        self, event: _store_messages.RowsRead, now: float
+        self, event: _configuration_messages.ConfigurationInstalled, now: float
     ) -> collections.abc.Iterable[_dispatch.Command]:
-        """Note that the configuration was read."""
-        self._configured = True
+        """Note that the newest configuration is in force."""
+        self._configured = self.blackboard.configuration.caught_up
         self._become_ready()
-        return self.note_contact(event, now)
+        return ()
 
     def _become_ready(self) -> None:
         node = self.blackboard.node
