--- a/src/jujubepass/_http_server.py
+++ b/src/jujubepass/_http_server.py
@@ -67,11 +67,16 @@
 class Responder:
     """Write one response."""
 
-    __slots__ = ("_connection", "_stream", "started")
+    __slots__ = ("_closing", "_connection", "_stream", "started")
 
     def __init__(
-        self, *, connection: h11.Connection, stream: trio.SocketStream
+        self,
+        *,
+        connection: h11.Connection,
+        stream: trio.SocketStream,
+        closing: collections.abc.Callable[[], bool],
     ) -> None:
+        self._closing = closing
         self._connection = connection
         self._stream = stream
         self.started = False
@@ -81,11 +86,14 @@
     ) -> None:
         """Send the status line and headers."""
         self.started = True
-        event = h11.Response(
-            status_code=status, headers=[(k, v) for k, v in headers.items()]
-        )
+        event = self._make_head(status, list(headers.items()))
         await _socket_io.send(self._stream, self._connection.send(event) or b"")
 
+    def _make_head(self, status: int, fields: list[tuple[str, str]]) -> h11.Response:
+        if self._closing():
+            fields = [*fields, ("connection", "close")]
+        return h11.Response(status_code=status, headers=fields)
+
     async def write(self, data: bytes) -> None:
         """Send part of the body."""
         await _socket_io.send(
@@ -110,7 +118,7 @@
         self.started = True
         fields = [("content-type", content_type), ("content-length", str(len(body)))]
         fields += list((headers or {}).items())
-        event = h11.Response(status_code=status, headers=fields)
+        event = self._make_head(status, fields)
         parts = [self._connection.send(event) or b""]
         parts.append(self._connection.send(h11.Data(data=body)) or b"")
         parts.append(self._connection.send(h11.EndOfMessage()) or b"")
@@ -156,6 +164,7 @@
         self._handler = handler
         self._limits = limits or ServerLimits()
         self._stopping = trio.Event()
+        self._draining = False
         self._idle_scopes: set[trio.CancelScope] = set()
         self.connections = 0
         self.running_requests = 0
@@ -183,6 +192,13 @@
                 await self._stopping.wait()
                 accepting.cancel_scope.cancel()
 
+    def drain(self) -> None:
+        """Go on accepting, but close each connection after its next answer."""
+        self._draining = True
+
+    def _is_closing(self) -> bool:
+        return self._draining or self._stopping.is_set()
+
     def stop(self) -> None:
         """Stop accepting; idle connections close, running requests finish."""
         self._stopping.set()
@@ -211,7 +227,9 @@
         )
         peer = str(stream.socket.getpeername()[0])
         while True:
-            responder = Responder(connection=connection, stream=stream)
+            responder = Responder(
+                connection=connection, stream=stream, closing=self._is_closing
+            )
             try:
                 request = await self._receive(connection, stream, peer)
             except RejectedInputError as error:
--- a/src/jujubepass/_node.py
+++ b/src/jujubepass/_node.py
@@ -3,7 +3,6 @@
 import collections.abc
 import functools
 import logging
-import signal
 import time
 import typing
 import uuid
@@ -53,6 +52,7 @@
     _share_messages,
     _shares,
     _shell,
+    _shutdown,
     _store_messages,
     _table_client,
     _vm_client,
@@ -71,7 +71,7 @@
     """Run a node until it is told to stop; return the exit code."""
     blackboard = _make_blackboard(node_settings)
     metrics = _metrics.Metrics(version=__version__)
-    _add_gauges(metrics, blackboard)
+    _node_metrics.add_life_metrics(metrics, blackboard)
     controllers = _make_controllers(node_settings, blackboard, metrics)
     dispatcher = _dispatch.Dispatcher(
         controllers=controllers, pause_seconds=node_settings.timing.pause_seconds
@@ -106,63 +106,12 @@
         nursery.start_soon(_tick, shell, tick_seconds, metrics)
         address = listen.operators
         await nursery.start(operators.serve, address.host, address.port)
-        await _serve_callers(shell, callers, node_settings)
+        await _shutdown.serve_callers(shell, callers, node_settings)
         nursery.cancel_scope.cancel()
     _LOGGER.info("node %s has stopped", blackboard.identity.node)
     return _EXIT_DONE
 
 
-def _add_gauges(metrics: _metrics.Metrics, blackboard: _blackboard.Blackboard) -> None:
-    node, membership = blackboard.node, blackboard.membership
-    metrics.add_counter("pauses", "Pauses of this process.", lambda: node.pauses)
-    metrics.add_counter(
-        "paused_seconds", "Time paused, in seconds.", lambda: node.paused_seconds
-    )
-    metrics.add_gauge("live_nodes", "Nodes not held dead.", membership.count_live_nodes)
-    metrics.add_counter(
-        "refutations",
-        "Times this node denied that it is dead.",
-        lambda: membership.refutations,
-    )
-    metrics.add_counter(
-        "old_heartbeats",
-        "Heartbeats ignored for an old incarnation.",
-        lambda: membership.ignored_heartbeats,
-    )
-    metrics.add_gauge(
-        "vm_list_age_seconds",
-        "Age of the list of VMs in use.",
-        lambda: trio.current_time() - blackboard.backends.listed_at,
-    )
-    metrics.add_gauge(
-        "leaving_backends",
-        "Backend servers that take no new work.",
-        lambda: len({name for name, _ in blackboard.departures.words}),
-    )
-
-
-async def _serve_callers(
-    shell: _shell.Shell,
-    callers: _http_server.Server,
-    node_settings: settings.Settings,
-) -> None:
-    address = node_settings.listen.callers
-    async with trio.open_nursery() as serving:
-        await serving.start(callers.serve, address.host, address.port)
-        _LOGGER.info("node %s serves callers at %s", node_settings.node.name, address)
-        await _wait_for_signal()
-        shell.post(_node_messages.StopRequested())
-        bound = trio.current_time() + node_settings.timing.shutdown_seconds
-        serving.cancel_scope.deadline = bound
-        callers.stop()
-
-
-async def _wait_for_signal() -> None:
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
-            return
-
-
 async def _read_wall_clock(shell: _shell.Shell) -> None:
     while True:
         shell.post(_call_messages.WallClockRead(seconds=time.time()))
--- a/src/jujubepass/_node_metrics.py
+++ b/src/jujubepass/_node_metrics.py
@@ -1,6 +1,8 @@
 """Metrics of what a node's shell and its peer connections do."""
 
-from jujubepass import _metrics, _peers, _shell
+import trio
+
+from jujubepass import _blackboard, _metrics, _peers, _shell
 
 
 def add_shell_metrics(metrics: _metrics.Metrics, shell: _shell.Shell) -> None:
@@ -29,3 +31,35 @@
         "Messages to other nodes that were dropped.",
         lambda: sender.dropped_messages,
     )
+
+
+def add_life_metrics(
+    metrics: _metrics.Metrics, blackboard: _blackboard.Blackboard
+) -> None:
+    """Expose pauses, membership and backend servers that leave."""
+    node, membership = blackboard.node, blackboard.membership
+    metrics.add_counter("pauses", "Pauses of this process.", lambda: node.pauses)
+    metrics.add_counter(
+        "paused_seconds", "Time paused, in seconds.", lambda: node.paused_seconds
+    )
+    metrics.add_gauge("live_nodes", "Nodes not held dead.", membership.count_live_nodes)
+    metrics.add_counter(
+        "refutations",
+        "Times this node denied that it is dead.",
+        lambda: membership.refutations,
+    )
+    metrics.add_counter(
+        "old_heartbeats",
+        "Heartbeats ignored for an old incarnation.",
+        lambda: membership.ignored_heartbeats,
+    )
+    metrics.add_gauge(
+        "vm_list_age_seconds",
+        "Age of the list of VMs in use.",
+        lambda: trio.current_time() - blackboard.backends.listed_at,
+    )
+    metrics.add_gauge(
+        "leaving_backends",
+        "Backend servers that take no new work.",
+        lambda: len({name for name, _ in blackboard.departures.words}),
+    )
--- a/src/jujubepass/_shell.py
+++ b/src/jujubepass/_shell.py
@@ -34,6 +34,10 @@
         factory=collections.Counter, init=False
     )
 
+    _running: collections.Counter[type] = attrs.field(
+        factory=collections.Counter, init=False
+    )
+
     def execute_with(self, command_type: type, execute: Execute) -> None:
         """Execute a type of command at once."""
         self._immediate[command_type] = execute
@@ -62,6 +66,10 @@
         """Return how many commands of each type were executed."""
         return {each.__name__: count for each, count in self._executed.items()}
 
+    def count_running(self, command_types: collections.abc.Iterable[type]) -> int:
+        """Count the commands of some types that are being executed in tasks."""
+        return sum(self._running[each] for each in command_types)
+
     def _execute(self, command: _dispatch.Command) -> None:
         self._executed[type(command)] += 1
         immediate = self._immediate.get(type(command))
@@ -69,6 +77,7 @@
             immediate(command)
         else:
             spawned = self._spawned[type(command)]
+            self._running[type(command)] += 1
             self.nursery.start_soon(self._guard, spawned, command)
 
     async def _guard(self, spawned: ExecuteAsync, command: _dispatch.Command) -> None:
@@ -76,3 +85,5 @@
             await spawned(command)
         except Exception:
             _LOGGER.exception("command failed: %s", type(command).__name__)
+        finally:
+            self._running[type(command)] -= 1
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -213,6 +213,17 @@
         process.kill()
         process.wait()
 
+    def terminate(self, name: str) -> None:
+        """Ask a process to shut down and go on."""
+        self._running[name].terminate()
+
+    def wait(self, name: str, timeout_seconds: float) -> int:
+        """Wait for a process that was asked to shut down; return its exit code."""
+        try:
+            return self._running[name].wait(timeout_seconds)
+        except subprocess.TimeoutExpired as error:
+            raise TrialError(f"{name} did not stop") from error
+
     def stop(self, name: str, timeout_seconds: float = _STOP_SECONDS) -> int:
         """Ask a process to shut down; return its exit code."""
         process = self._running.pop(name)
--- a/tests/features/membership.feature
+++ b/tests/features/membership.feature
@@ -1,10 +1,10 @@
 Feature: Membership of nodes
   Scenario: A killed node is dead to all, and a partition heals
     Given 9 nodes that know each other
-    When node-4 is killed
+    When member node-4 is killed
     Then every other node holds it dead
     And the rest hold each other alive
-    When node-1 is cut off from every other node
+    When member node-1 is cut off from every other node
     Then every other node holds it dead
     When the cuts end
     Then every node that runs is alive to the others
@@ -16,7 +16,7 @@
 
   Scenario: A restarted node is taken at its new incarnation only
     Given 9 nodes that know each other
-    When node-3 is started again
+    When member node-3 is started again
     Then every other node knows its second incarnation
     When a heartbeat of the first incarnation comes late to each node
     Then every other node knows its second incarnation
@@ -27,9 +27,9 @@
 
   Scenario: A paused node holds nothing against the others
     Given 9 nodes that know each other
-    When node-5 is paused for 20 seconds
-    Then node-5 holds no other node dead as it wakes
-    And node-5 is not ready until word that came after the pause
+    When member node-5 is paused for 20 seconds
+    Then member node-5 holds no other node dead as it wakes
+    And member node-5 is not ready until word that came after the pause
     And every node that runs is alive to the others
 
   Scenario: 100 nodes exchange heartbeats with few, and all learn of a death
@@ -43,7 +43,7 @@
   Scenario: A view that differs is repaired though heartbeats are lost
     Given 40 nodes in 2 regions and 6 failure domains that know each other
     And one heartbeat in 5 is lost
-    When node-7 is started again
+    When member node-7 is started again
     Then every other node knows its second incarnation
 
   Scenario: Any run of kills, pauses, cuts and restarts settles
@@ -51,9 +51,9 @@
 
   Scenario: Real processes: a killed and a paused node
     Given a system of three nodes with short times
-    When node-3 is killed
-    Then node-1 and node-2 show node-3 as dead
-    When node-2 is suspended until node-1 shows it as dead
-    And node-2 is resumed
-    Then node-2 counts one pause and becomes ready again
-    And node-1 shows node-2 as alive
+    When member node-3 is killed
+    Then members node-1 and node-2 show node-3 as dead
+    When member node-2 is suspended until node-1 shows it as dead
+    And member node-2 is resumed
+    Then member node-2 counts one pause and becomes ready again
+    And member node-1 shows node-2 as alive
--- a/tests/features/steps/membership_steps.py
+++ b/tests/features/steps/membership_steps.py
@@ -68,7 +68,7 @@
     context.network.loss = 0.2
 
 
-@behave.when("{name} is killed")
+@behave.when("member {name} is killed")
 def step_kill(context, name):
     if "system" in context:
         context.system.processes.kill(name)
@@ -102,7 +102,7 @@
     assert not [pair for pair in dead if pair[0] not in context.gone], dead
 
 
-@behave.when("{name} is cut off from every other node")
+@behave.when("member {name} is cut off from every other node")
 def step_cut_off(context, name):
     for other in context.network.vms:
         context.network.cut(name, other)
@@ -134,7 +134,7 @@
     assert not context.dead, context.dead[:3]
 
 
-@behave.when("{name} is started again")
+@behave.when("member {name} is started again")
 def step_restart(context, name):
     context.network.kill(name)
     context.network.start(name, incarnation=member_network.SECOND)
@@ -171,7 +171,7 @@
         assert not board.membership.is_live(context.restarted, member_network.FIRST)
 
 
-@behave.when("{name} is paused for {seconds:g} seconds")
+@behave.when("member {name} is paused for {seconds:g} seconds")
 def step_pause(context, name, seconds):
     network = context.network
     network.paused.add(name)
@@ -180,14 +180,14 @@
     network.paused.discard(name)
 
 
-@behave.then("{name} holds no other node dead as it wakes")
+@behave.then("member {name} holds no other node dead as it wakes")
 def step_wakes(context, name):
     context.network.step()
     dead = [viewer for viewer, _ in find_dead(context.network) if viewer == name]
     assert not dead, dead
 
 
-@behave.then("{name} is not ready until word that came after the pause")
+@behave.then("member {name} is not ready until word that came after the pause")
 def step_resuming(context, name):
     node = context.network.boards[name].node
     assert node.state is _node_messages.NodeState.RESUMING, node
@@ -274,24 +274,24 @@
     processes.wait_for(shows, f"{viewer} showing {name} as {state}")
 
 
-@behave.then("node-1 and node-2 show {name} as dead")
+@behave.then("members node-1 and node-2 show {name} as dead")
 def step_shown_dead(context, name):
     for viewer in ("node-1", "node-2"):
         wait_for_state(context, viewer, name, "dead")
 
 
-@behave.when("{name} is suspended until {viewer} shows it as dead")
+@behave.when("member {name} is suspended until {viewer} shows it as dead")
 def step_suspend(context, name, viewer):
     context.system.processes.suspend(name)
     wait_for_state(context, viewer, name, "dead")
 
 
-@behave.when("{name} is resumed")
+@behave.when("member {name} is resumed")
 def step_resume(context, name):
     context.system.processes.resume(name)
 
 
-@behave.then("{name} counts one pause and becomes ready again")
+@behave.then("member {name} counts one pause and becomes ready again")
 def step_counts(context, name):
     port = context.system.nodes[name].operators
     metrics = processes.call("GET", port, "/metrics").body.decode()
@@ -299,6 +299,6 @@
     processes.wait_for(lambda: processes.answers(port, "/readyz"), "ready again")
 
 
-@behave.then("{viewer} shows {name} as alive")
+@behave.then("member {viewer} shows {name} as alive")
 def step_shown_alive(context, viewer, name):
     wait_for_state(context, viewer, name, "alive")
