--- a/src/jujubepass/_blackboard.py
+++ b/src/jujubepass/_blackboard.py
@@ -9,9 +9,11 @@
     _configuration_area,
     _departure_area,
     _http_client,
+    _lease_area,
     _limit_area,
     _membership_area,
     _node_messages,
+    _order_area,
     _share_area,
     ids,
 )
@@ -53,6 +55,11 @@
     departures: _departure_area.DepartureArea = attrs.field(
         factory=_departure_area.DepartureArea
     )
+    leases: _lease_area.LeaseArea = attrs.field(factory=_lease_area.LeaseArea)
+    deployments: _order_area.DeploymentArea = attrs.field(
+        factory=_order_area.DeploymentArea
+    )
+    orders: _order_area.OrderArea = attrs.field(factory=_order_area.OrderArea)
     answers: _answer_area.AnswerArea = attrs.field(factory=_answer_area.AnswerArea)
     calls: _call_area.CallArea = attrs.field(factory=_call_area.CallArea)
     limits: _limit_area.LimitArea = attrs.field(factory=_limit_area.LimitArea)
--- /dev/null
+++ b/src/jujubepass/_lease_area.py
@@ -0,0 +1,30 @@
+"""Blackboard area of leases; written by the lease controller."""
+
+import attrs
+
+from jujubepass import ids
+
+
+@attrs.frozen(kw_only=True)
+class HeldLease:
+    """Hold a lease until a time on this process's own monotonic clock."""
+
+    fencing: ids.FencingNumber
+    until: float
+
+
+@attrs.define(kw_only=True)
+class LeaseArea:
+    """Hold the leases that this node may act under, and what became of others."""
+
+    held: dict[ids.LeaseId, HeldLease] = attrs.field(factory=dict)
+    taken: int = 0
+    lost: int = 0
+    released: int = 0
+
+    def find_usable(self, lease: ids.LeaseId, now: float) -> HeldLease | None:
+        """Return a lease that still holds now; ask right before each order."""
+        held = self.held.get(lease)
+        if held is None or now >= held.until:
+            return None
+        return held
--- a/src/jujubepass/_node.py
+++ b/src/jujubepass/_node.py
@@ -32,6 +32,7 @@
     _engine_client,
     _http_client,
     _http_server,
+    _leases,
     _limit_messages,
     _limits,
     _mailboxes,
@@ -44,6 +45,9 @@
     _object_client,
     _object_messages,
     _operators,
+    _order_client,
+    _order_messages,
+    _orders,
     _peer_codec,
     _peers,
     _routes,
@@ -72,6 +76,7 @@
     blackboard = _make_blackboard(node_settings)
     metrics = _metrics.Metrics(version=__version__)
     _node_metrics.add_life_metrics(metrics, blackboard)
+    _node_metrics.add_lease_metrics(metrics, blackboard)
     controllers = _make_controllers(node_settings, blackboard, metrics)
     dispatcher = _dispatch.Dispatcher(
         controllers=controllers, pause_seconds=node_settings.timing.pause_seconds
@@ -179,6 +184,14 @@
             ),
         ),
         _departures.DepartureController(blackboard=blackboard),
+        _leases.LeaseController(
+            blackboard=blackboard,
+            timing=_leases.LeaseTiming(
+                lease_seconds=timing.lease_seconds,
+                margin_seconds=timing.lease_margin_seconds,
+            ),
+        ),
+        _orders.OrderController(blackboard=blackboard),
         _shares.ShareController(blackboard=blackboard),
         _limits.LimitController(blackboard=blackboard),
         _answers.AnswerController(
@@ -282,6 +295,9 @@
     shell.spawn_with(_answer_messages.ReleaseCache, engines.release_cache)
     shell.spawn_with(_backend_messages.PollLoad, engines.poll_load)
     shell.spawn_with(_backend_messages.PollCache, engines.poll_cache)
+    orders = _order_client.OrderClient(client=client, post=shell.post)
+    shell.spawn_with(_order_messages.ReadEngineState, orders.read_state)
+    shell.spawn_with(_order_messages.SendOrder, orders.send_order)
     shell.spawn_with(_call_messages.SendCall, services.send_call)
     shell.spawn_with(_call_messages.SendLookup, services.send_lookup)
     shell.spawn_with(_call_messages.CancelLookup, services.cancel_lookup)
--- a/src/jujubepass/_node_metrics.py
+++ b/src/jujubepass/_node_metrics.py
@@ -63,3 +63,21 @@
         "Backend servers that take no new work.",
         lambda: len({name for name, _ in blackboard.departures.words}),
     )
+
+
+def add_lease_metrics(
+    metrics: _metrics.Metrics, blackboard: _blackboard.Blackboard
+) -> None:
+    """Expose leases and the orders under them."""
+    leases, orders = blackboard.leases, blackboard.orders
+    for name, description, read in (
+        ("leases_taken", "Leases taken.", lambda: leases.taken),
+        ("leases_lost", "Leases lost before release.", lambda: leases.lost),
+        ("leases_released", "Leases released.", lambda: leases.released),
+        ("orders_sent", "Orders to engines.", lambda: orders.sent),
+        ("orders_refused", "Orders with an old number.", lambda: orders.refused),
+        ("orders_withheld", "Orders whose lease ran out.", lambda: orders.withheld),
+        ("orders_unclear", "Orders without an answer.", lambda: orders.failed),
+    ):
+        metrics.add_counter(name, description, read)
+    metrics.add_gauge("leases_held", "Leases held.", lambda: len(leases.held))
