--- a/bench/simulated_nodes.py
+++ b/bench/simulated_nodes.py
@@ -11,7 +11,7 @@
     _answer_messages,
     _backend_messages,
     _dispatch,
-    _limits,
+    _limit_messages,
     _membership_messages,
     _metrics,
     _node,
@@ -272,7 +272,7 @@
 
     def _release(self, request: ids.RequestId, state: str) -> None:
         self.answers[request].state = state
-        self._post_later(0.0, _limits.RequestEnded(request=request))
+        self._post_later(0.0, _limit_messages.RequestEnded(request=request))
 
     def _poll_load(self, command: _backend_messages.PollLoad) -> None:
         report = self._engines[command.engine].report_load()
