--- a/src/jujubepass/_node.py
+++ b/src/jujubepass/_node.py
@@ -28,6 +28,7 @@
     _configuration_peers,
     _configuration_proposals,
     _configuration_snapshots,
+    _departures,
     _dispatch,
     _engine_client,
     _http_client,
@@ -70,8 +71,11 @@
     """Run a node until it is told to stop; return the exit code."""
     blackboard = _make_blackboard(node_settings)
     metrics = _metrics.Metrics(version=__version__)
+    _add_gauges(metrics, blackboard)
     controllers = _make_controllers(node_settings, blackboard, metrics)
-    dispatcher = _dispatch.Dispatcher(controllers=controllers)
+    dispatcher = _dispatch.Dispatcher(
+        controllers=controllers, pause_seconds=node_settings.timing.pause_seconds
+    )
     mailboxes = _mailboxes.Mailboxes()
     verdicts = _operators.Verdicts()
     listen = node_settings.listen
@@ -108,6 +112,35 @@
     return _EXIT_DONE
 
 
+def _add_gauges(metrics: _metrics.Metrics, blackboard: _blackboard.Blackboard) -> None:
+    node, membership = blackboard.node, blackboard.membership
+    metrics.add_counter("pauses", "Pauses of this process.", lambda: node.pauses)
+    metrics.add_counter(
+        "paused_seconds", "Time paused, in seconds.", lambda: node.paused_seconds
+    )
+    metrics.add_gauge("live_nodes", "Nodes not held dead.", membership.count_live_nodes)
+    metrics.add_counter(
+        "refutations",
+        "Times this node denied that it is dead.",
+        lambda: membership.refutations,
+    )
+    metrics.add_counter(
+        "old_heartbeats",
+        "Heartbeats ignored for an old incarnation.",
+        lambda: membership.ignored_heartbeats,
+    )
+    metrics.add_gauge(
+        "vm_list_age_seconds",
+        "Age of the list of VMs in use.",
+        lambda: trio.current_time() - blackboard.backends.listed_at,
+    )
+    metrics.add_gauge(
+        "leaving_backends",
+        "Backend servers that take no new work.",
+        lambda: len({name for name, _ in blackboard.departures.words}),
+    )
+
+
 async def _serve_callers(
     shell: _shell.Shell,
     callers: _http_server.Server,
@@ -151,13 +184,20 @@
     return ids.RequestId(uuid.uuid4().hex)
 
 
+def _make_incarnation() -> str:
+    """Name this process; a later start of the same node sorts after it."""
+    milliseconds = time.time_ns() // 1_000_000
+    return f"{milliseconds:012x}{uuid.uuid4().hex[:8]}"
+
+
 def _make_blackboard(node_settings: settings.Settings) -> _blackboard.Blackboard:
     node = node_settings.node
     identity = _blackboard.Identity(
         node=node.name,
-        incarnation=uuid.uuid4().hex,
+        incarnation=_make_incarnation(),
         region=node.region,
         failure_domain=node.failure_domain,
+        address=node_settings.listen.peers,
     )
     return _blackboard.Blackboard(identity=identity)
 
@@ -170,7 +210,9 @@
     """Make the controllers in the order in which they see an event."""
     timing = node_settings.timing
     return [
-        _node_life.NodeController(blackboard=blackboard),
+        _node_life.NodeController(
+            blackboard=blackboard, settling_seconds=timing.heartbeat_seconds
+        ),
         *_make_configuration(node_settings, blackboard),
         _membership.MembershipController(
             blackboard=blackboard,
@@ -187,6 +229,7 @@
                 vm_poll_seconds=timing.vm_poll_seconds,
             ),
         ),
+        _departures.DepartureController(blackboard=blackboard),
         _shares.ShareController(blackboard=blackboard),
         _limits.LimitController(blackboard=blackboard),
         _answers.AnswerController(
@@ -337,8 +380,12 @@
     def _receive(data: bytes) -> None:
         shell.post(_peer_codec.decode_event(data))
 
+    def _forget(command: _membership_messages.ForgetPeer) -> None:
+        sender.forget(command.address)
+
     _connect_configuration(shell, node_settings, sender)
     shell.execute_with(_membership_messages.SendHeartbeat, _send_heartbeat)
+    shell.execute_with(_membership_messages.ForgetPeer, _forget)
     shell.execute_with(_share_messages.SendDemands, _send_demands)
     shell.execute_with(_share_messages.SendGrants, _send_grants)
     listener = _peers.PeerListener(key=key, handler=_receive)
--- a/src/jujubepass/_peer_codec.py
+++ b/src/jujubepass/_peer_codec.py
@@ -8,11 +8,10 @@
 from jujubepass import (
     _configuration_codec,
     _configuration_messages,
+    _membership_codec,
     _membership_messages,
-    _node_messages,
     _share_codec,
     _share_messages,
-    ids,
 )
 from jujubepass.generated.peer import ttypes
 
@@ -44,18 +43,8 @@
 
 def encode_command(command: _membership_messages.SendHeartbeat) -> bytes:
     """Write the message that a command sends."""
-    heartbeat = command.heartbeat
-    return encode_struct(
-        ttypes.Message(
-            heartbeat=ttypes.Heartbeat(
-                node=heartbeat.node,
-                incarnation=heartbeat.incarnation,
-                state=heartbeat.state.value,
-                configuration_number=heartbeat.configuration_number,
-                configuration_digest=heartbeat.configuration_digest,
-            )
-        )
-    )
+    heartbeat = _membership_codec.write_heartbeat(command.heartbeat)
+    return encode_struct(ttypes.Message(heartbeat=heartbeat))
 
 
 PeerEvent = (
@@ -96,16 +85,8 @@
         return event
     if message.heartbeat is None:
         raise PeerCodecError("peer message has no field set that this node knows")
-    heartbeat = message.heartbeat
     try:
-        return _membership_messages.HeartbeatReceived(
-            heartbeat=_membership_messages.Heartbeat(
-                node=ids.NodeId(heartbeat.node),
-                incarnation=heartbeat.incarnation,
-                state=_node_messages.NodeState(heartbeat.state),
-                configuration_number=ids.ChangeNumber(heartbeat.configuration_number),
-                configuration_digest=heartbeat.configuration_digest,
-            )
-        )
-    except (TypeError, ValueError) as error:
+        heartbeat = _membership_codec.read_heartbeat(message.heartbeat)
+    except (TypeError, ValueError, AttributeError) as error:
         raise PeerCodecError(f"heartbeat with a bad field: {error}") from error
+    return _membership_messages.HeartbeatReceived(heartbeat=heartbeat)
--- a/src/jujubepass/_service_client.py
+++ b/src/jujubepass/_service_client.py
@@ -8,9 +8,11 @@
 import attrs
 import trio
 
-from jujubepass import _call_messages, _http_client, ids
+from jujubepass import _backend_messages, _call_messages, _http_client, ids
 
 _ASK_TIMEOUT_SECONDS = 2.0
+_UNAVAILABLE = 503
+_LEAVING = b'"leaving"'
 
 Post = collections.abc.Callable[[typing.Any], None]
 
@@ -78,6 +80,8 @@
                 timeout_seconds=command.timeout_seconds,
                 fresh=fresh,
             )
+            if answer.status == _UNAVAILABLE and _LEAVING in answer.body:
+                self.post(_backend_messages.LeavingAnswered(backend=command.backend))
             event = _call_messages.CallAnswered(
                 request=request,
                 attempt=attempt,
--- a/src/jujubepass/_shares.py
+++ b/src/jujubepass/_shares.py
@@ -8,7 +8,6 @@
 from jujubepass import (
     _blackboard,
     _dispatch,
-    _membership_area,
     _node_messages,
     _rendezvous,
     _share_area,
@@ -86,10 +85,8 @@
 
     def _count_nodes(self, now: float) -> None:
         identity = self.blackboard.identity
-        alive = (_membership_area.PeerState.ALIVE, _membership_area.PeerState.SUSPECT)
-        peers = self.blackboard.membership.peers.values()
-        live = [peer.node for peer in peers if peer.state in alive]
-        nodes = tuple(sorted([identity.node, *live]))
+        members = self.blackboard.membership.list_members()
+        nodes = tuple(sorted([identity.node, *members]))
         self._homes.set_nodes(nodes, now, keep_seconds=self.bounds.grant_seconds)
         count = len(nodes)
         while self._counts and self._counts[-1][1] <= count:
