Replace only the stage to blame, and predict times from corrected load

Cause: a stalled answer avoided every stage of its route, healthy ones too, and lost their KV cache; the stall bound was one constant; load was corrected for this node's own sends alone; a gap in the tokens left the answer hanging. Change: stages are probed with a timeout derived from their polls; silence, cuts, refusals, gaps, slow stages and deadlines each have their own way on; retries have a budget and engines a circuit breaker; a node polls a subset of the engines; naive policies stand behind the same protocols.

--- /dev/null
+++ b/bench/naive_node.py
@@ -0,0 +1,38 @@
+"""Node with the naive policies: python -m bench.naive_node serve FILE."""
+
+import sys
+
+from jujubepass import _startup
+
+_startup.avoid_child_processes()
+
+from jujubepass import (  # noqa: E402
+    _answers,
+    _attempts,
+    _blackboard,
+    _metrics,
+    _naive,
+    _node,
+    cli,
+    settings,
+)
+
+
+def make_answers(
+    node_settings: settings.Settings,
+    blackboard: _blackboard.Blackboard,
+    metrics: _metrics.Metrics,
+) -> _answers.AnswerController:
+    """Make the controller of model requests with the naive policies."""
+    attempts = _attempts.Attempts(
+        blackboard=blackboard,
+        routes=_naive.NaiveRoutePolicy(),
+        recovery=_naive.RestartPolicy(stall_seconds=node_settings.timing.stall_seconds),
+        counters=metrics,
+    )
+    return _answers.AnswerController(attempts=attempts)
+
+
+if __name__ == "__main__":
+    _node.make_answers = make_answers
+    sys.exit(cli.run(sys.argv[1:]))
--- a/src/jujubepass/_answer_area.py
+++ b/src/jujubepass/_answer_area.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from jujubepass import _answer_messages, ids
+from jujubepass import _answer_messages, _breakers, ids
 
 NO_EPOCH = ids.Epoch(0)
 
@@ -14,18 +14,50 @@
     """Hold one answer in progress."""
 
     arrived: _answer_messages.PromptArrived
+    arrived_at: float
     layers: int
+    blocks: tuple[str, ...] = ()
     epoch: ids.Epoch = NO_EPOCH
     stages: tuple[_answer_messages.Stage, ...] = ()
     expected_receipts: tuple[tuple[str, int, int], ...] = ()
     sent: list[str] = attrs.field(factory=list)
+    first_token_seconds: float = 0.0
+    token_seconds: float = 0.0
+    gap_seconds: float = 0.0
+    attempt_next_position: int = 0
+    attempt_has_token: bool = False
     progress_at: float = 0.0
-    avoided: set[ids.BackendServerId] = attrs.field(factory=set)
+    last_token_at: float | None = None
+    is_recovering: bool = False
+    attempts: int = 0
+    patience: float = 1.0
+    avoided_at: dict[ids.BackendServerId, float] = attrs.field(factory=dict)
+    retried: set[ids.BackendServerId] = attrs.field(factory=set)
+    holders: dict[ids.BackendServerId, _answer_messages.Stage] = attrs.field(
+        factory=dict
+    )
+    probe: "Probe | None" = None
+    slow_check_at: float = 0.0
+
+    @property
+    def tokens_left(self) -> int:
+        """Return how many tokens the answer may still get."""
+        return self.arrived.max_tokens - len(self.sent)
+
+
+@attrs.define(kw_only=True)
+class Probe:
+    """Hold which stages of an answer were asked whether they live."""
+
+    started_at: float
+    finds_slow: bool
+    pending: set[ids.BackendServerId]
+    silent: set[ids.BackendServerId] = attrs.field(factory=set)
 
 
 @attrs.define(kw_only=True)
 class AnswerArea:
-    """Hold answers in progress and when work went to each engine."""
+    """Hold answers in progress and what they met at each engine."""
 
     answers: dict[ids.RequestId, Answer] = attrs.field(factory=dict)
     dispatched_at: dict[ids.BackendServerId, collections.deque[float]] = attrs.field(
@@ -34,3 +66,9 @@
     running: collections.Counter[ids.BackendServerId] = attrs.field(
         factory=collections.Counter
     )
+    breakers: dict[ids.BackendServerId, _breakers.Breaker] = attrs.field(factory=dict)
+
+    def is_open(self, engine: ids.BackendServerId, now: float, heard_at: float) -> bool:
+        """Tell whether an engine's circuit breaker lets no attempt through."""
+        breaker = self.breakers.get(engine)
+        return breaker is not None and breaker.is_open(now, heard_at)
--- a/src/jujubepass/_answer_messages.py
+++ b/src/jujubepass/_answer_messages.py
@@ -29,6 +29,8 @@
     """Name how an attempt failed."""
 
     NOT_CONNECTED = "not_connected"
+    FULL = "full"
+    LEAVING = "leaving"
     REFUSED = "refused"
     OLD_EPOCH = "old_epoch"
     STAGE_FAILED = "stage_failed"
@@ -59,6 +61,7 @@
 class Token:
     """Hold a token with the layer ranges that its stages ran."""
 
+    request: ids.RequestId
     epoch: ids.Epoch
     position: int
     text: str
@@ -95,6 +98,23 @@
     retry_after_seconds: float = 0.0
 
 
+@attrs.frozen(kw_only=True)
+class EngineProbed:
+    """Report whether an engine answered a probe."""
+
+    engine: ids.BackendServerId
+    answered: bool
+
+
+@attrs.frozen(kw_only=True)
+class ProbeEngine:
+    """Command a read of an engine's load with a short timeout."""
+
+    engine: ids.BackendServerId
+    address: _http_client.Address
+    timeout_seconds: float
+
+
 @attrs.frozen(kw_only=True)
 class StartAttempt:
     """Command an attempt over a route."""
--- a/src/jujubepass/_answers.py
+++ b/src/jujubepass/_answers.py
@@ -7,40 +7,40 @@
 from jujubepass import (
     _answer_area,
     _answer_messages,
-    _blackboard,
+    _attempts,
     _dispatch,
     _node_messages,
-    _routes,
-    counters,
+    _prefixes,
+    _receipts,
+    _stall_watch,
     ids,
     reasons,
 )
 
+_Fault = _answer_messages.AttemptFault
+
 _RETRY_REASONS = {
-    _answer_messages.AttemptFault.NOT_CONNECTED: reasons.RetryReason.CONNECT_FAILED,
-    _answer_messages.AttemptFault.REFUSED: reasons.RetryReason.ENGINE_FULL,
-    _answer_messages.AttemptFault.OLD_EPOCH: reasons.RetryReason.OLD_EPOCH,
-    _answer_messages.AttemptFault.STAGE_FAILED: reasons.RetryReason.STAGE_FAILED,
-    _answer_messages.AttemptFault.STREAM_CUT: reasons.RetryReason.STREAM_CUT,
+    _Fault.NOT_CONNECTED: reasons.RetryReason.CONNECT_FAILED,
+    _Fault.FULL: reasons.RetryReason.ENGINE_FULL,
+    _Fault.LEAVING: reasons.RetryReason.ENGINE_LEAVING,
+    _Fault.REFUSED: reasons.RetryReason.ENGINE_FULL,
+    _Fault.OLD_EPOCH: reasons.RetryReason.OLD_EPOCH,
+    _Fault.STAGE_FAILED: reasons.RetryReason.STAGE_FAILED,
+    _Fault.STREAM_CUT: reasons.RetryReason.STREAM_CUT,
 }
-_NO_ROUTE_RETRY_SECONDS = 1.0
-
-
-@attrs.frozen(kw_only=True)
-class AnswerTiming:
-    """Set when an attempt counts as stalled."""
-
-    stall_seconds: float
+_KEEPS_CACHE = frozenset({_Fault.FULL, _Fault.LEAVING, _Fault.REFUSED})
+_GAP_WEIGHT = 0.2
 
 
 @attrs.define(kw_only=True)
 class AnswerController:
     """Start, watch, replace and end attempts; write the answer area."""
 
-    blackboard: _blackboard.Blackboard
-    routes: _routes.RoutePolicy
-    timing: AnswerTiming
-    counters: counters.Counters
+    attempts: _attempts.Attempts
+    _watch: _stall_watch.StallWatch = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._watch = _stall_watch.StallWatch(attempts=self.attempts)
 
     def list_handlers(self) -> collections.abc.Mapping[type, _dispatch.EventHandler]:
         """Map each event type to the method that handles it."""
@@ -50,187 +50,170 @@
             _answer_messages.AttemptEnded: self.end,
             _answer_messages.AttemptFailed: self.replace_failed,
             _answer_messages.CallerLeft: self.abandon,
+            _answer_messages.EngineProbed: self._watch.settle,
             _node_messages.Tick: self.replace_stalled,
         }
 
+    def _find_answer(self, request: ids.RequestId) -> _answer_area.Answer | None:
+        return self.attempts.blackboard.answers.answers.get(request)
+
     def start(
         self, event: _answer_messages.PromptArrived, now: float
     ) -> collections.abc.Iterable[_dispatch.Command]:
         """Route an admitted request."""
-        if event.request not in self.blackboard.limits.admitted:
+        board = self.attempts.blackboard
+        if event.request not in board.limits.admitted:
             return ()
-        model = self.blackboard.configuration.declared.models[event.model]
-        answer = _answer_area.Answer(arrived=event, layers=model.layers)
-        self.blackboard.answers.answers[event.request] = answer
-        return self._start_attempt(answer, now)
-
-    def _start_attempt(
-        self, answer: _answer_area.Answer, now: float
-    ) -> list[_dispatch.Command]:
-        arrived = answer.arrived
-        request = _routes.RouteRequest(
-            model=arrived.model,
-            layers=answer.layers,
-            prompt=arrived.prompt,
-            tokens_left=arrived.max_tokens - len(answer.sent),
-            avoided=frozenset(answer.avoided),
+        model = board.configuration.declared.models[event.model]
+        answer = _answer_area.Answer(
+            arrived=event,
+            arrived_at=now,
+            layers=model.layers,
+            blocks=_prefixes.hash_blocks(event.model, event.prompt),
         )
-        route = self.routes.plan_route(request, self.blackboard, now)
-        if route is None:
-            return self._give_up(answer)
-        answer.epoch = ids.Epoch(answer.epoch + 1)
-        answer.stages = route.stages
-        answer.expected_receipts = tuple(
-            (stage.engine, stage.first_layer, stage.end_layer) for stage in route.stages
-        )
-        answer.progress_at = now + route.first_token_seconds
-        self._count_dispatch(answer, now)
-        return [
-            _answer_messages.StartAttempt(
-                request=arrived.request,
-                epoch=answer.epoch,
-                model=arrived.model,
-                prompt=arrived.prompt,
-                sent=tuple(answer.sent),
-                max_tokens=arrived.max_tokens,
-                priority=arrived.priority,
-                deadline_seconds=arrived.deadline - now,
-                stages=route.stages,
-            )
-        ]
-
-    def _count_dispatch(self, answer: _answer_area.Answer, now: float) -> None:
-        area = self.blackboard.answers
-        for stage in answer.stages:
-            area.running[stage.engine] += 1
-            sent = area.dispatched_at[stage.engine]
-            sent.append(now)
-            engine = self.blackboard.backends.engines.get(stage.engine)
-            while engine is not None and sent and sent[0] <= engine.reported_at:
-                sent.popleft()
-
-    def _give_up(self, answer: _answer_area.Answer) -> list[_dispatch.Command]:
-        self._forget(answer)
-        return [
-            _answer_messages.Refuse(
-                request=answer.arrived.request,
-                reason=reasons.RefusalReason.NO_ROUTE,
-                detail="No route of live engines covers every layer of the model.",
-                retry_after_seconds=_NO_ROUTE_RETRY_SECONDS,
-            )
-        ]
-
-    def _forget(self, answer: _answer_area.Answer) -> None:
-        area = self.blackboard.answers
-        area.answers.pop(answer.arrived.request, None)
-        self._release_stages(answer)
-
-    def _release_stages(self, answer: _answer_area.Answer) -> None:
-        for stage in answer.stages:
-            self.blackboard.answers.running[stage.engine] -= 1
-        answer.stages = ()
+        board.answers.answers[event.request] = answer
+        commands = self.attempts.start_first(answer, now)
+        if event.request in board.answers.answers:
+            self._watch.watch(answer)
+        return commands
 
     def deliver(
         self, event: _answer_messages.TokensArrived, now: float
     ) -> collections.abc.Iterable[_dispatch.Command]:
         """Pass on the tokens that are the answer's next ones."""
-        answer = self.blackboard.answers.answers.get(event.request)
+        counters = self.attempts.counters
+        answer = self._find_answer(event.request)
         if answer is None or event.attempt_epoch != answer.epoch:
             for _ in event.tokens:
-                self.counters.count_drop(reasons.DropReason.OLD_EPOCH)
+                counters.count_drop(reasons.DropReason.OLD_EPOCH)
             return ()
+        texts, gap = self._take_tokens(answer, event.tokens, now)
+        commands: list[_dispatch.Command] = []
+        if texts:
+            self._note_progress(answer, len(texts), now)
+            commands.append(
+                _answer_messages.DeliverTokens(
+                    request=event.request, tokens=tuple(texts)
+                )
+            )
+        if gap:
+            commands += self._replace_after_gap(answer, now)
+        return commands
+
+    def _take_tokens(
+        self,
+        answer: _answer_area.Answer,
+        tokens: collections.abc.Iterable[_answer_messages.Token],
+        now: float,
+    ) -> tuple[list[str], bool]:
+        """Return the texts of the next tokens, and whether one was missing."""
         texts = []
-        for token in event.tokens:
-            reason = _find_drop_reason(answer, token)
-            if reason is not None:
-                self.counters.count_drop(reason)
+        gap = False
+        for token in tokens:
+            reason = _receipts.find_drop_reason(answer, token)
+            if reason is None:
+                answer.sent.append(token.text)
+                answer.attempt_next_position = token.position + 1
+                texts.append(token.text)
                 continue
-            answer.sent.append(token.text)
-            texts.append(token.text)
-        if not texts:
-            return ()
+            self.attempts.counters.count_drop(reason)
+            gap = gap or reason in _receipts.GAPS
+            if _receipts.is_repeated_work(answer, token, reason):
+                answer.attempt_next_position += 1
+                answer.progress_at = now
+        return texts, gap
+
+    def _note_progress(
+        self, answer: _answer_area.Answer, count: int, now: float
+    ) -> None:
+        counters = self.attempts.counters
+        counters.count_tokens(count)
+        before = answer.last_token_at
+        if answer.is_recovering:
+            answer.is_recovering = False
+            started_at = answer.arrived_at if before is None else before
+            counters.observe_recovery(now - started_at)
+            running = len(self.attempts.blackboard.answers.answers)
+            self.attempts.budget.refund_progress(running)
+        if before is None:
+            counters.observe_first_token(now - answer.arrived_at)
+        else:
+            counters.observe_between_tokens((now - before) / count)
+        if answer.attempt_has_token:
+            gap = (now - answer.progress_at) / count
+            answer.gap_seconds += _GAP_WEIGHT * (gap - answer.gap_seconds)
+        answer.attempt_has_token = True
         answer.progress_at = now
-        self.counters.count_tokens(len(texts))
-        return (
-            _answer_messages.DeliverTokens(request=event.request, tokens=tuple(texts)),
-        )
+        answer.last_token_at = now
+
+    def _replace_after_gap(
+        self, answer: _answer_area.Answer, now: float
+    ) -> list[_dispatch.Command]:
+        """Try the same engines once after a gap; then avoid the first one."""
+        self._doubt(answer, answer.stages[0].engine, now)
+        return self.attempts.replace(answer, reasons.RetryReason.TOKEN_GAP, now)
+
+    def _doubt(
+        self, answer: _answer_area.Answer, engine: ids.BackendServerId, now: float
+    ) -> None:
+        """Count an unclear fault; avoid an engine at its second one."""
+        if not answer.attempt_has_token:
+            self.attempts.count_fault(engine, now, is_certain=False)
+        if engine in answer.retried:
+            self.attempts.avoid_if_possible(answer, (engine,), now)
+        answer.retried.add(engine)
 
     def end(
         self, event: _answer_messages.AttemptEnded, now: float
     ) -> collections.abc.Iterable[_dispatch.Command]:
-        """End the answer when its current attempt has ended."""
-        answer = self.blackboard.answers.answers.get(event.request)
+        """End the answer when its current attempt has ended with every token."""
+        answer = self._find_answer(event.request)
         if answer is None or event.epoch != answer.epoch:
             return ()
-        stages = answer.stages
-        self._forget(answer)
-        return (
-            _answer_messages.FinishAnswer(request=event.request, end=event.end),
-            _answer_messages.ReleaseCache(request=event.request, stages=stages),
-        )
+        at_length = event.end is _answer_messages.AnswerEnd.LENGTH
+        if at_length and answer.tokens_left > 0:
+            return self._replace_after_gap(answer, now)
+        return self.attempts.finish(answer, event.end)
 
     def replace_failed(
         self, event: _answer_messages.AttemptFailed, now: float
     ) -> collections.abc.Iterable[_dispatch.Command]:
         """Go on over another route after a failed attempt."""
-        answer = self.blackboard.answers.answers.get(event.request)
+        answer = self._find_answer(event.request)
         if answer is None or event.epoch != answer.epoch:
             return ()
+        if answer.tokens_left <= 0:
+            return self.attempts.finish(answer, _answer_messages.AnswerEnd.LENGTH)
         if event.engine is not None:
-            answer.avoided.add(event.engine)
-        return self._replace(answer, _RETRY_REASONS[event.fault], now)
+            self._blame(answer, event.fault, event.engine, now)
+        return self.attempts.replace(answer, _RETRY_REASONS[event.fault], now)
 
-    def _replace(
+    def _blame(
         self,
         answer: _answer_area.Answer,
-        reason: reasons.RetryReason,
+        fault: _answer_messages.AttemptFault,
+        engine: ids.BackendServerId,
         now: float,
-    ) -> list[_dispatch.Command]:
-        self.counters.count_retry(reason)
-        cancel = _answer_messages.CancelAttempt(
-            request=answer.arrived.request, epoch=answer.epoch, stages=answer.stages
-        )
-        self._release_stages(answer)
-        return [cancel, *self._start_attempt(answer, now)]
+    ) -> None:
+        if fault in _KEEPS_CACHE:
+            answer.avoided_at[engine] = now
+        elif fault is _Fault.STREAM_CUT:
+            self._doubt(answer, engine, now)
+        elif fault is not _Fault.OLD_EPOCH:
+            is_certain = fault is _Fault.NOT_CONNECTED
+            self.attempts.blame(answer, engine, now, is_certain=is_certain)
 
     def replace_stalled(
         self, event: _node_messages.Tick, now: float
     ) -> collections.abc.Iterable[_dispatch.Command]:
-        """Replace attempts that gave no token in time."""
-        commands: list[_dispatch.Command] = []
-        for answer in list(self.blackboard.answers.answers.values()):
-            if now - answer.progress_at > self.timing.stall_seconds:
-                answer.avoided.update(stage.engine for stage in answer.stages)
-                reason = reasons.RetryReason.STAGE_STALLED
-                commands += self._replace(answer, reason, now)
-        return commands
+        """Deal with answers that are silent or slow, or whose deadline has passed."""
+        return self._watch.check_due(now)
 
     def abandon(
         self, event: _answer_messages.CallerLeft, now: float
     ) -> collections.abc.Iterable[_dispatch.Command]:
         """Stop work for a caller that left."""
-        answer = self.blackboard.answers.answers.get(event.request)
+        answer = self._find_answer(event.request)
         if answer is None:
             return ()
-        stages = answer.stages
-        self._forget(answer)
-        return (
-            _answer_messages.CancelAttempt(
-                request=event.request, epoch=answer.epoch, stages=stages
-            ),
-            _answer_messages.ReleaseCache(request=event.request, stages=stages),
-        )
-
-
-def _find_drop_reason(
-    answer: _answer_area.Answer, token: _answer_messages.Token
-) -> reasons.DropReason | None:
-    if token.epoch != answer.epoch:
-        return reasons.DropReason.OLD_EPOCH
-    if token.position < len(answer.sent):
-        return reasons.DropReason.DUPLICATE_TOKEN
-    if token.position > len(answer.sent):
-        return reasons.DropReason.POSITION_GAP
-    if token.receipts != answer.expected_receipts:
-        return reasons.DropReason.LAYER_GAP
-    return None
+        return self.attempts.abandon(answer)
--- /dev/null
+++ b/src/jujubepass/_attempts.py
@@ -0,0 +1,288 @@
+"""Starts, replaces and ends the attempts of one answer."""
+
+import collections.abc
+
+import attrs
+
+from jujubepass import (
+    _answer_area,
+    _answer_messages,
+    _blackboard,
+    _breakers,
+    _dispatch,
+    _engine_costs,
+    _recovery,
+    _retry_budget,
+    _routes,
+    counters,
+    ids,
+    reasons,
+)
+
+_NO_ROUTE_RETRY_SECONDS = 1.0
+_MOST_ATTEMPTS = 64
+_DEADLINE_TOLERANCE = 0.8
+_FORGIVE_SECONDS = 1.0
+
+
+@attrs.define(kw_only=True)
+class Attempts:
+    """Turn decisions about one answer into commands; write the answer area."""
+
+    blackboard: _blackboard.Blackboard
+    routes: _routes.RoutePolicy
+    recovery: _recovery.RecoveryPolicy
+    counters: counters.Counters
+    budget: _retry_budget.RetryBudget = attrs.field(
+        factory=_retry_budget.RetryBudget, init=False
+    )
+
+    def plan_route(
+        self,
+        answer: _answer_area.Answer,
+        now: float,
+        *,
+        only: frozenset[ids.BackendServerId] | None = None,
+        ignores_breakers: bool = False,
+    ) -> _routes.Route | None:
+        """Plan the rest of an answer."""
+        sent = len(self.recovery.list_kept_tokens(answer))
+        request = _engine_costs.RouteRequest(
+            model=answer.arrived.model,
+            layers=answer.layers,
+            prompt_tokens=len(answer.arrived.prompt),
+            sent_tokens=sent,
+            tokens_left=answer.arrived.max_tokens - sent,
+            avoided=frozenset(answer.avoided_at),
+            blocks=answer.blocks,
+            holders=answer.holders,
+            only=only,
+            ignores_breakers=ignores_breakers,
+        )
+        return self.routes.plan_route(request, self.blackboard, now)
+
+    def start_first(
+        self, answer: _answer_area.Answer, now: float
+    ) -> list[_dispatch.Command]:
+        """Start the first attempt, unless it cannot end in time."""
+        self.budget.add_request(len(self.blackboard.answers.answers))
+        route = self.plan_route(answer, now)
+        if route is None:
+            return self.give_up(answer, now)
+        seconds = route.predict_seconds(answer.tokens_left) * _DEADLINE_TOLERANCE
+        if now + seconds > answer.arrived.deadline:
+            return self.refuse(
+                answer,
+                reasons.RefusalReason.DEADLINE_UNREACHABLE,
+                f"Not run: the answer would take about {seconds:.1f} s.",
+                _NO_ROUTE_RETRY_SECONDS,
+            )
+        return [self.start(answer, route, now)]
+
+    def start(
+        self, answer: _answer_area.Answer, route: _routes.Route, now: float
+    ) -> _dispatch.Command:
+        """Start an attempt over a route."""
+        arrived = answer.arrived
+        answer.epoch = ids.Epoch(answer.epoch + 1)
+        answer.attempts += 1
+        answer.stages = route.stages
+        answer.expected_receipts = tuple(
+            (stage.engine, stage.first_layer, stage.end_layer) for stage in route.stages
+        )
+        answer.first_token_seconds = route.first_token_seconds
+        answer.token_seconds = route.token_seconds
+        answer.gap_seconds = route.token_seconds
+        answer.attempt_next_position = len(self.recovery.list_kept_tokens(answer))
+        answer.attempt_has_token = False
+        answer.progress_at = now
+        answer.probe = None
+        self._count_dispatch(answer, now)
+        return _answer_messages.StartAttempt(
+            request=arrived.request,
+            epoch=answer.epoch,
+            model=arrived.model,
+            prompt=arrived.prompt,
+            sent=self.recovery.list_kept_tokens(answer),
+            max_tokens=arrived.max_tokens,
+            priority=arrived.priority,
+            deadline_seconds=arrived.deadline - now,
+            stages=route.stages,
+        )
+
+    def _count_dispatch(self, answer: _answer_area.Answer, now: float) -> None:
+        area = self.blackboard.answers
+        for stage in answer.stages:
+            answer.holders[stage.engine] = stage
+            area.running[stage.engine] += 1
+            area.dispatched_at[stage.engine].append(now)
+            breaker = area.breakers.get(stage.engine)
+            if breaker is not None:
+                breaker.note_dispatch(now)
+
+    def replace(
+        self,
+        answer: _answer_area.Answer,
+        reason: reasons.RetryReason,
+        now: float,
+    ) -> list[_dispatch.Command]:
+        """Cancel the current attempt and go on over the best route left."""
+        if now >= answer.arrived.deadline:
+            return self.end_at_deadline(answer)
+        if answer.attempts >= _MOST_ATTEMPTS or not self.budget.take():
+            return self.refuse(
+                answer,
+                reasons.RefusalReason.RETRY_BUDGET_SPENT,
+                f"The answer broke off ({reason.value}), and retries are used up.",
+                _NO_ROUTE_RETRY_SECONDS,
+            )
+        route = self.plan_route(answer, now) or self._plan_forgiving(answer, now)
+        if route is None:
+            return self.give_up(answer, now)
+        self.counters.count_retry(reason)
+        return self.move(answer, route, now)
+
+    def _plan_forgiving(
+        self, answer: _answer_area.Answer, now: float
+    ) -> _routes.Route | None:
+        """Plan with engines whose faults are older, or were met by other answers."""
+        since = now - _FORGIVE_SECONDS
+        avoided = answer.avoided_at
+        answer.avoided_at = {name: at for name, at in avoided.items() if at > since}
+        route = self.plan_route(answer, now)
+        return route or self.plan_route(answer, now, ignores_breakers=True)
+
+    def move(
+        self, answer: _answer_area.Answer, route: _routes.Route, now: float
+    ) -> list[_dispatch.Command]:
+        """Cancel the current attempt and start another over a route."""
+        answer.is_recovering = True
+        cancel = self._cancel(answer)
+        self.release_stages(answer)
+        return [cancel, self.start(answer, route, now)]
+
+    def give_up(
+        self, answer: _answer_area.Answer, now: float
+    ) -> list[_dispatch.Command]:
+        """End an answer that no route can carry; say when to come back."""
+        breakers = self.blackboard.answers.breakers.values()
+        waits = [each.open_until - now for each in breakers if each.is_open(now)]
+        if waits and self.plan_route(answer, now, ignores_breakers=True) is not None:
+            return self.refuse(
+                answer,
+                reasons.RefusalReason.CIRCUIT_OPEN,
+                "The engines of every route failed a moment ago.",
+                min(waits),
+            )
+        return self.refuse(
+            answer,
+            reasons.RefusalReason.NO_ROUTE,
+            "No route of live engines covers every layer of the model.",
+            _NO_ROUTE_RETRY_SECONDS,
+        )
+
+    def end_at_deadline(self, answer: _answer_area.Answer) -> list[_dispatch.Command]:
+        """End an answer whose deadline has passed."""
+        return self.refuse(
+            answer,
+            reasons.RefusalReason.DEADLINE_PASSED,
+            "The answer was not whole by its deadline.",
+            _NO_ROUTE_RETRY_SECONDS,
+        )
+
+    def refuse(
+        self,
+        answer: _answer_area.Answer,
+        reason: reasons.RefusalReason,
+        detail: str,
+        retry_after_seconds: float,
+    ) -> list[_dispatch.Command]:
+        """End an answer with a final refusal."""
+        refusal = _answer_messages.Refuse(
+            request=answer.arrived.request,
+            reason=reason,
+            detail=detail,
+            retry_after_seconds=retry_after_seconds,
+        )
+        return [refusal, *self.abandon(answer)]
+
+    def finish(
+        self, answer: _answer_area.Answer, end: _answer_messages.AnswerEnd
+    ) -> list[_dispatch.Command]:
+        """End a whole answer."""
+        for stage in answer.stages:
+            breaker = self.blackboard.answers.breakers.get(stage.engine)
+            if breaker is not None:
+                breaker.close()
+        request = answer.arrived.request
+        release = self._release_cache(answer)
+        self.forget(answer)
+        return [_answer_messages.FinishAnswer(request=request, end=end), release]
+
+    def abandon(self, answer: _answer_area.Answer) -> list[_dispatch.Command]:
+        """Stop the work for an answer that is no longer wanted."""
+        commands: list[_dispatch.Command] = []
+        if answer.stages:
+            commands.append(self._cancel(answer))
+        if answer.holders:
+            commands.append(self._release_cache(answer))
+        self.forget(answer)
+        return commands
+
+    def forget(self, answer: _answer_area.Answer) -> None:
+        """Drop an answer from the area."""
+        self.blackboard.answers.answers.pop(answer.arrived.request, None)
+        self.release_stages(answer)
+
+    def release_stages(self, answer: _answer_area.Answer) -> None:
+        """Stop counting an attempt at its engines."""
+        for stage in answer.stages:
+            self.blackboard.answers.running[stage.engine] -= 1
+        answer.stages = ()
+
+    def avoid_if_possible(
+        self,
+        answer: _answer_area.Answer,
+        engines: collections.abc.Iterable[ids.BackendServerId],
+        now: float,
+    ) -> None:
+        """Keep an answer away from engines, unless no route is left then."""
+        avoided = answer.avoided_at
+        answer.avoided_at = avoided | dict.fromkeys(engines, now)
+        if self.plan_route(answer, now) is None:
+            answer.avoided_at = avoided
+
+    def blame(
+        self,
+        answer: _answer_area.Answer,
+        engine: ids.BackendServerId,
+        now: float,
+        *,
+        is_certain: bool,
+    ) -> None:
+        """Count a fault of an engine and keep the answer away from it."""
+        answer.avoided_at[engine] = now
+        answer.holders.pop(engine, None)
+        self.count_fault(engine, now, is_certain=is_certain)
+
+    def count_fault(
+        self, engine: ids.BackendServerId, now: float, *, is_certain: bool
+    ) -> None:
+        """Count a fault of an engine at its circuit breaker."""
+        breakers = self.blackboard.answers.breakers
+        breaker = breakers.setdefault(engine, _breakers.Breaker())
+        breaker.count_fault(now, is_certain=is_certain)
+
+    def _cancel(self, answer: _answer_area.Answer) -> _answer_messages.CancelAttempt:
+        return _answer_messages.CancelAttempt(
+            request=answer.arrived.request, epoch=answer.epoch, stages=answer.stages
+        )
+
+    def _release_cache(
+        self, answer: _answer_area.Answer
+    ) -> _answer_messages.ReleaseCache:
+        holders: collections.abc.Iterable[_answer_messages.Stage]
+        holders = answer.holders.values()
+        return _answer_messages.ReleaseCache(
+            request=answer.arrived.request, stages=tuple(holders)
+        )
--- a/src/jujubepass/_backend_area.py
+++ b/src/jujubepass/_backend_area.py
@@ -1,5 +1,7 @@
 """Blackboard area of backend servers; written by the backend controller."""
 
+import collections
+
 import attrs
 
 from jujubepass import _backend_messages, ids
@@ -14,12 +16,18 @@
     vm: _backend_messages.Vm
     report: _backend_messages.LoadReport | None = None
     reported_at: float = _NEVER
+    heard_at: float = _NEVER
     polled_at: float = _NEVER
     poll_running: bool = False
+    poll_seconds: float = 0.0
     failed_polls: int = 0
     leaving: bool = False
     cache_sequence: int = 0
-    cached_prefixes: dict[str, float] = attrs.field(factory=dict)
+    cache_gap_share: float = 0.0
+    cached_prefixes: collections.OrderedDict[str, float] = attrs.field(
+        factory=collections.OrderedDict
+    )
+    rank: int = 0
 
 
 @attrs.define(kw_only=True)
@@ -28,6 +36,17 @@
 
     engines: dict[ids.BackendServerId, BackendServer] = attrs.field(factory=dict)
     services: dict[ids.BackendServerId, BackendServer] = attrs.field(factory=dict)
+    polled: tuple[ids.BackendServerId, ...] = ()
+
+    def list_polled(self) -> list[ids.BackendServerId]:
+        """List the engines whose load this node reads."""
+        return [name for name in self.polled if name in self.engines]
+
+    def count_sharers(self, nodes: int) -> float:
+        """Estimate how many nodes send work to one engine, this one included."""
+        if not self.engines:
+            return 1.0
+        return max(1.0, nodes * len(self.polled) / len(self.engines))
 
     def list_service(self, service: ids.ServiceId) -> list[BackendServer]:
         """List the backend servers of a service that take new work."""
--- a/src/jujubepass/_backends.py
+++ b/src/jujubepass/_backends.py
@@ -1,6 +1,7 @@
 """Controller that keeps what is known of backend servers."""
 
 import collections.abc
+import heapq
 
 import attrs
 
@@ -10,9 +11,15 @@
     _blackboard,
     _dispatch,
     _node_messages,
+    _subsets,
     ids,
 )
 
+_MOST_CACHED_PREFIXES = 1_024
+_MOST_POLLS_PER_SECOND = 96.0
+_GAP_WEIGHT = 0.2
+_POLL_WEIGHT = 0.3
+
 
 @attrs.frozen(kw_only=True)
 class BackendTiming:
@@ -29,6 +36,10 @@
     blackboard: _blackboard.Blackboard
     timing: BackendTiming
     _vms_polled_at: float = attrs.field(default=float("-inf"), init=False)
+    _due: list[tuple[float, ids.BackendServerId]] = attrs.field(
+        factory=list, init=False
+    )
+    _scheduled: set[ids.BackendServerId] = attrs.field(factory=set, init=False)
 
     def list_handlers(self) -> collections.abc.Mapping[type, _dispatch.EventHandler]:
         """Map each event type to the method that handles it."""
@@ -47,15 +58,30 @@
         if now - self._vms_polled_at >= self.timing.vm_poll_seconds:
             self._vms_polled_at = now
             yield _backend_messages.PollVms()
-        for name, engine in self.blackboard.backends.engines.items():
-            due = engine.polled_at + self.timing.load_poll_seconds
-            if now >= due and not engine.poll_running:
-                engine.polled_at = now
-                engine.poll_running = True
-                yield _backend_messages.PollLoad(engine=name, address=engine.vm.address)
-                yield _backend_messages.PollCache(
-                    engine=name, address=engine.vm.address, after=engine.cache_sequence
-                )
+        while self._due and self._due[0][0] <= now:
+            yield from self._poll_engine(heapq.heappop(self._due)[1], now)
+
+    def _poll_engine(
+        self, name: ids.BackendServerId, now: float
+    ) -> collections.abc.Iterator[_dispatch.Command]:
+        engine = self.blackboard.backends.engines.get(name)
+        polled = self.blackboard.backends.polled
+        if engine is None or name not in polled:
+            self._scheduled.discard(name)
+            return
+        period = max(
+            self.timing.load_poll_seconds, len(polled) / _MOST_POLLS_PER_SECOND
+        )
+        heapq.heappush(self._due, (now + period, name))
+        if engine.poll_running:
+            return
+        engine.poll_running = True
+        engine.polled_at = now
+        address = engine.vm.address
+        yield _backend_messages.PollLoad(engine=name, address=address)
+        yield _backend_messages.PollCache(
+            engine=name, address=address, after=engine.cache_sequence
+        )
 
     def join_list(
         self, event: _backend_messages.VmsListed, now: float
@@ -73,8 +99,20 @@
                 del known[name]
             for name, vm in listed.items():
                 self._join_vm(known, name, vm)
+        self._choose_polled(now)
         return ()
 
+    def _choose_polled(self, now: float) -> None:
+        """Choose the engines that this node polls and sends work to."""
+        area = self.blackboard.backends
+        area.polled = _subsets.choose_engines(
+            area.engines, self.blackboard.configuration.declared.models
+        )
+        for name in area.polled:
+            if name not in self._scheduled:
+                self._scheduled.add(name)
+                heapq.heappush(self._due, (now, name))
+
     def _join_vm(
         self,
         known: dict[ids.BackendServerId, _backend_area.BackendServer],
@@ -83,7 +121,8 @@
     ) -> None:
         backend = known.get(name)
         if backend is None or backend.vm.address != vm.address:
-            backend = known[name] = _backend_area.BackendServer(vm=vm)
+            rank = _subsets.rank_engine(self.blackboard.identity.node, name)
+            backend = known[name] = _backend_area.BackendServer(vm=vm, rank=rank)
         backend.vm = vm
         backend.leaving = self._is_leaving(backend)
 
@@ -107,8 +146,12 @@
         if restarted:
             engine.cached_prefixes.clear()
             engine.cache_sequence = 0
+        if engine.poll_running:
+            taken = now - engine.polled_at
+            engine.poll_seconds += _POLL_WEIGHT * (taken - engine.poll_seconds)
         engine.report = event.report
         engine.reported_at = now - event.report.age_seconds
+        engine.heard_at = now
         engine.poll_running = False
         engine.failed_polls = 0
         engine.leaving = self._is_leaving(engine)
@@ -122,6 +165,8 @@
         if engine is not None:
             engine.poll_running = False
             engine.failed_polls += 1
+            if engine.failed_polls == 1:
+                self._choose_polled(now)
         return ()
 
     def keep_cache_events(
@@ -131,10 +176,15 @@
         engine = self.blackboard.backends.engines.get(event.engine)
         if engine is None:
             return ()
+        cached = engine.cached_prefixes
         for cache_event in event.events:
+            cached.pop(cache_event.prefix, None)
             if cache_event.stored:
-                engine.cached_prefixes[cache_event.prefix] = now
-            else:
-                engine.cached_prefixes.pop(cache_event.prefix, None)
+                cached[cache_event.prefix] = now
+        while len(cached) > _MOST_CACHED_PREFIXES:
+            cached.popitem(last=False)
+        expected = max(1, event.next_sequence - engine.cache_sequence)
+        missing = max(0.0, 1.0 - len(event.events) / expected)
+        engine.cache_gap_share += _GAP_WEIGHT * (missing - engine.cache_gap_share)
         engine.cache_sequence = event.next_sequence
         return ()
--- a/src/jujubepass/_engine_client.py
+++ b/src/jujubepass/_engine_client.py
@@ -13,6 +13,13 @@
 _CONFLICT = 409
 _POLL_TIMEOUT_SECONDS = 2.0
 _CANCEL_TIMEOUT_SECONDS = 2.0
+_STAGE_FAILED = "stage_failed"
+_STAGE_REFUSALS = {
+    "full": _answer_messages.AttemptFault.FULL,
+    "leaving": _answer_messages.AttemptFault.LEAVING,
+    "not_loaded": _answer_messages.AttemptFault.REFUSED,
+    "old_epoch": _answer_messages.AttemptFault.OLD_EPOCH,
+}
 
 Post = collections.abc.Callable[[typing.Any], None]
 
@@ -61,11 +68,13 @@
         command: _answer_messages.StartAttempt,
         answer: _http_client.StreamedAnswer,
     ) -> None:
-        old = answer.status == _CONFLICT
-        fault = _answer_messages.AttemptFault
+        body = await answer.receive()
+        fault = _answer_messages.AttemptFault.OLD_EPOCH
+        if answer.status != _CONFLICT:
+            fault = _find_refusal(body.decode(errors="replace"))
         self._post_failure(
             command,
-            fault.OLD_EPOCH if old else fault.REFUSED,
+            fault,
             command.stages[0].engine,
             f"engine answered {answer.status}",
             _read_seconds(answer.headers.get("retry-after", "0")),
@@ -105,6 +114,8 @@
                 )
             )
         for record in records:
+            if record["request"] != command.request:
+                continue
             if "end" in record and record["epoch"] == command.epoch:
                 self.post(
                     _answer_messages.AttemptEnded(
@@ -115,12 +126,24 @@
                 )
                 return True
             if "error" in record and record["epoch"] == command.epoch:
-                fault = _answer_messages.AttemptFault.STAGE_FAILED
-                engine = ids.BackendServerId(record["engine"])
-                self._post_failure(command, fault, engine, record.get("detail", ""))
+                self._post_error(command, record)
                 return True
         return False
 
+    def _post_error(
+        self,
+        command: _answer_messages.StartAttempt,
+        record: dict[str, typing.Any],
+    ) -> None:
+        detail = str(record.get("detail", record["error"]))
+        if record["error"] != _STAGE_FAILED:
+            fault = _answer_messages.AttemptFault.STREAM_CUT
+            self._post_failure(command, fault, command.stages[0].engine, detail)
+            return
+        fault = _STAGE_REFUSALS.get(detail, _answer_messages.AttemptFault.STAGE_FAILED)
+        engine = ids.BackendServerId(record["engine"])
+        self._post_failure(command, fault, engine, detail)
+
     def _post_failure(
         self,
         command: _answer_messages.StartAttempt,
@@ -180,19 +203,35 @@
 
     async def poll_load(self, command: _backend_messages.PollLoad) -> None:
         """Read an engine's load and post it."""
+        await self._read_load(command.engine, command.address, _POLL_TIMEOUT_SECONDS)
+
+    async def probe_engine(self, command: _answer_messages.ProbeEngine) -> None:
+        """Read an engine's load within a short time; post it and whether it came."""
+        answered = await self._read_load(
+            command.engine, command.address, command.timeout_seconds
+        )
+        self.post(
+            _answer_messages.EngineProbed(engine=command.engine, answered=answered)
+        )
+
+    async def _read_load(
+        self,
+        engine: ids.BackendServerId,
+        address: _http_client.Address,
+        timeout_seconds: float,
+    ) -> bool:
         try:
             answer = await self.client.request(
-                "GET", command.address, "/load", timeout_seconds=_POLL_TIMEOUT_SECONDS
+                "GET", address, "/load", timeout_seconds=timeout_seconds
             )
-            report = _read_load(command.engine, answer.read_json())
+            report = _read_load(engine, answer.read_json())
         except (_http_client.ClientError, KeyError, TypeError, ValueError) as error:
             self.post(
-                _backend_messages.LoadUnanswered(
-                    engine=command.engine, detail=str(error)
-                )
+                _backend_messages.LoadUnanswered(engine=engine, detail=str(error))
             )
-            return
+            return False
         self.post(_backend_messages.LoadReported(report=report))
+        return True
 
     async def poll_cache(self, command: _backend_messages.PollCache) -> None:
         """Read an engine's cache events and post them."""
@@ -248,6 +287,7 @@
 
 def _read_token(record: dict[str, typing.Any]) -> _answer_messages.Token:
     return _answer_messages.Token(
+        request=record["request"],
         epoch=record["epoch"],
         position=record["position"],
         text=record["token"],
@@ -278,6 +318,13 @@
     )
 
 
+def _find_refusal(body: str) -> _answer_messages.AttemptFault:
+    for detail, fault in _STAGE_REFUSALS.items():
+        if f'"{detail}"' in body:
+            return fault
+    return _answer_messages.AttemptFault.REFUSED
+
+
 def _read_seconds(text: str) -> float:
     try:
         return float(text)
--- a/src/jujubepass/_metrics.py
+++ b/src/jujubepass/_metrics.py
@@ -142,6 +142,14 @@
         """Count tokens that went to callers."""
         self.tokens += count
 
+    def observe_first_token(self, seconds: float) -> None:
+        """Keep the time from a model request to its first token."""
+        self.first_token.observe(seconds)
+
+    def observe_between_tokens(self, seconds: float) -> None:
+        """Keep the time between two tokens of one answer."""
+        self.between_tokens.observe(seconds)
+
     def observe_recovery(self, seconds: float) -> None:
         """Keep the time between the tokens around a replaced attempt."""
         self.recovery.observe(seconds)
--- /dev/null
+++ b/src/jujubepass/_naive.py
@@ -0,0 +1,83 @@
+"""Naive policies behind the same protocols, to compare with."""
+
+import itertools
+
+import attrs
+
+from jujubepass import (
+    _answer_area,
+    _answer_messages,
+    _blackboard,
+    _engine_costs,
+    _recovery,
+    _routes,
+)
+
+_TOKEN_SECONDS = 0.030
+_FIRST_TOKEN_SECONDS = 0.1
+
+
+@attrs.frozen(kw_only=True)
+class NaiveRoutePolicy:
+    """Take the engines of each layer range in turn, whatever their load."""
+
+    _turn: "itertools.count[int]" = attrs.field(factory=itertools.count, init=False)
+
+    def plan_route(
+        self,
+        request: _engine_costs.RouteRequest,
+        blackboard: _blackboard.Blackboard,
+        now: float,
+    ) -> _routes.Route | None:
+        """Return a route that covers each layer once, or None."""
+        turn = next(self._turn)
+        layer = 0
+        stages = []
+        while layer < request.layers:
+            engines = [
+                (name, engine.vm.address, engine.report)
+                for name, engine in blackboard.backends.engines.items()
+                if engine.report is not None
+                and engine.report.model == request.model
+                and engine.report.first_layer == layer
+                and not engine.leaving
+            ]
+            if not engines:
+                return None
+            name, address, report = engines[turn % len(engines)]
+            stages.append(
+                _answer_messages.Stage(
+                    engine=name,
+                    address=address,
+                    first_layer=layer,
+                    end_layer=report.end_layer,
+                )
+            )
+            layer = report.end_layer
+        return _routes.Route(
+            stages=tuple(stages),
+            first_token_seconds=_FIRST_TOKEN_SECONDS,
+            token_seconds=_TOKEN_SECONDS,
+        )
+
+
+@attrs.frozen(kw_only=True)
+class RestartPolicy:
+    """Start again from the first token after a fixed silence."""
+
+    stall_seconds: float
+    finds_faulty_stages: bool = False
+
+    def bound_silence(self, answer: _answer_area.Answer) -> _recovery.SilenceBounds:
+        """Return the fixed bound."""
+        return _recovery.SilenceBounds(
+            probe_seconds=self.stall_seconds, stall_seconds=self.stall_seconds
+        )
+
+    def is_slow(self, answer: _answer_area.Answer) -> bool:
+        """Never find an answer slow."""
+        return False
+
+    def list_kept_tokens(self, answer: _answer_area.Answer) -> tuple[str, ...]:
+        """Keep no token."""
+        return ()
--- a/src/jujubepass/_node.py
+++ b/src/jujubepass/_node.py
@@ -3,6 +3,7 @@
 import collections.abc
 import functools
 import logging
+import random
 import signal
 import typing
 import uuid
@@ -13,6 +14,7 @@
     __version__,
     _answer_messages,
     _answers,
+    _attempts,
     _backend_messages,
     _backends,
     _blackboard,
@@ -36,6 +38,7 @@
     _operators,
     _peer_codec,
     _peers,
+    _recovery,
     _routes,
     _service_client,
     _shell,
@@ -163,17 +166,30 @@
             ),
         ),
         _limits.LimitController(blackboard=blackboard),
-        _answers.AnswerController(
-            blackboard=blackboard,
-            routes=_routes.PredictedTimePolicy(),
-            timing=_answers.AnswerTiming(stall_seconds=timing.stall_seconds),
-            counters=metrics,
-        ),
+        make_answers(node_settings, blackboard, metrics),
         _calls.CallController(blackboard=blackboard, counters=metrics),
         _lookups.LookupController(blackboard=blackboard, counters=metrics),
     ]
 
 
+def make_answers(
+    node_settings: settings.Settings,
+    blackboard: _blackboard.Blackboard,
+    metrics: _metrics.Metrics,
+) -> _answers.AnswerController:
+    """Make the controller of model requests with its policies."""
+    recovery = _recovery.ResumePolicy(
+        longest_stall_seconds=node_settings.timing.stall_seconds
+    )
+    attempts = _attempts.Attempts(
+        blackboard=blackboard,
+        routes=_routes.PredictedTimePolicy(random_source=random.Random()),
+        recovery=recovery,
+        counters=metrics,
+    )
+    return _answers.AnswerController(attempts=attempts)
+
+
 def _make_limits(listen: settings.Listen) -> _http_server.ServerLimits:
     return _http_server.ServerLimits(
         header_bytes=listen.header_bytes,
@@ -222,6 +238,7 @@
     shell.spawn_with(_answer_messages.StartAttempt, _run_attempt)
     shell.spawn_with(_answer_messages.CancelAttempt, engines.cancel_attempt)
     shell.spawn_with(_answer_messages.ReleaseCache, engines.release_cache)
+    shell.spawn_with(_answer_messages.ProbeEngine, engines.probe_engine)
     shell.spawn_with(_backend_messages.PollLoad, engines.poll_load)
     shell.spawn_with(_backend_messages.PollCache, engines.poll_cache)
     shell.spawn_with(_call_messages.SendCall, services.send_call)
--- a/src/jujubepass/_routes.py
+++ b/src/jujubepass/_routes.py
@@ -1,25 +1,20 @@
 """Plans routes over engines that hold ranges of a model's layers."""
 
 import collections.abc
-import heapq
 import typing
 
 import attrs
 
-from jujubepass import _answer_messages, _blackboard, ids
+from jujubepass import (
+    _answer_messages,
+    _blackboard,
+    _engine_costs,
+    _route_search,
+    ids,
+)
 
-_DEFAULT_LINK_SECONDS = 0.005
-
-
-@attrs.frozen(kw_only=True)
-class RouteRequest:
-    """State what a route must serve."""
-
-    model: ids.ModelId
-    layers: int
-    prompt: tuple[str, ...]
-    tokens_left: int
-    avoided: frozenset[ids.BackendServerId]
+_BEST_PER_RANGE = 8
+_JITTER_SHARE = 0.1
 
 
 @attrs.frozen(kw_only=True)
@@ -30,104 +25,72 @@
     first_token_seconds: float
     token_seconds: float
 
+    def predict_seconds(self, tokens: int) -> float:
+        """Predict the time until so many tokens have come."""
+        return self.first_token_seconds + self.token_seconds * max(0, tokens - 1)
+
 
 class RoutePolicy(typing.Protocol):
     """Choose a route for a request."""
 
     def plan_route(
-        self, request: RouteRequest, blackboard: _blackboard.Blackboard, now: float
+        self,
+        request: _engine_costs.RouteRequest,
+        blackboard: _blackboard.Blackboard,
+        now: float,
     ) -> Route | None:
         """Return a route that covers each layer once, or None."""
 
 
-@attrs.frozen(kw_only=True)
-class _Candidate:
-    """Hold an engine with its predicted times for one request."""
+class RandomSource(typing.Protocol):
+    """Give random numbers."""
 
-    engine: ids.BackendServerId
-    stage: _answer_messages.Stage
-    first_token_seconds: float
-    token_seconds: float
-    link_seconds: collections.abc.Mapping[str, float]
+    def random(self) -> float:
+        """Return a number from 0 to below 1."""
 
 
 @attrs.frozen(kw_only=True)
 class PredictedTimePolicy:
     """Choose the route with the least predicted time for the whole answer."""
 
+    random_source: RandomSource
+
     def plan_route(
-        self, request: RouteRequest, blackboard: _blackboard.Blackboard, now: float
+        self,
+        request: _engine_costs.RouteRequest,
+        blackboard: _blackboard.Blackboard,
+        now: float,
     ) -> Route | None:
         """Return the fastest path from the first layer to the last, or None."""
-        candidates: dict[int, list[_Candidate]] = {}
-        for candidate in _list_candidates(request, blackboard):
-            candidates.setdefault(candidate.stage.first_layer, []).append(candidate)
-        return _search(request, candidates)
-
-
-def _list_candidates(
-    request: RouteRequest, blackboard: _blackboard.Blackboard
-) -> collections.abc.Iterator[_Candidate]:
-    area = blackboard.answers
-    for name, engine in blackboard.backends.engines.items():
-        report = engine.report
-        if report is None or engine.leaving or name in request.avoided:
-            continue
-        if report.model != request.model or engine.failed_polls:
-            continue
-        sent_since = sum(at > engine.reported_at for at in area.dispatched_at[name])
-        busy = report.running + report.waiting + sent_since
-        share = max(1.0, (busy + 1) / report.max_batch)
-        token_seconds = report.step_seconds * share
-        prefill = len(request.prompt) / report.prefill_tokens_per_second
-        yield _Candidate(
-            engine=name,
-            stage=_answer_messages.Stage(
-                engine=name,
-                address=engine.vm.address,
-                first_layer=report.first_layer,
-                end_layer=report.end_layer,
-            ),
-            first_token_seconds=prefill * share + token_seconds,
-            token_seconds=token_seconds,
-            link_seconds=report.link_seconds,
+        best: dict[tuple[int, int], list[tuple[float, _engine_costs.Candidate]]] = {}
+        for candidate in _engine_costs.list_candidates(request, blackboard, now):
+            cost = candidate.first_token_seconds
+            cost += candidate.token_seconds * request.tokens_left
+            cost *= 1.0 + _JITTER_SHARE * self.random_source.random()
+            key = (candidate.first_layer, candidate.end_layer)
+            best.setdefault(key, []).append((cost, candidate))
+        kept = [found for group in best.values() for found in _keep_best(group)]
+        path = _route_search.find_path(kept, request)
+        if path is None:
+            return None
+        return Route(
+            stages=path.stages,
+            first_token_seconds=path.first_token_seconds,
+            token_seconds=path.token_seconds,
         )
 
 
-def _search(
-    request: RouteRequest,
-    candidates: collections.abc.Mapping[int, collections.abc.Sequence[_Candidate]],
-) -> Route | None:
-    """Run Dijkstra's algorithm over (layer boundary, last engine)."""
-    order = 0
-    queue: list[tuple[float, int, int, float, float, tuple[_Candidate, ...]]]
-    queue = [(0.0, order, 0, 0.0, 0.0, ())]
-    settled: set[tuple[int, str]] = set()
-    while queue:
-        cost, _, layer, first, token, path = heapq.heappop(queue)
-        if layer == request.layers:
-            return Route(
-                stages=tuple(candidate.stage for candidate in path),
-                first_token_seconds=first,
-                token_seconds=token,
-            )
-        state = (layer, path[-1].engine if path else "")
-        if state in settled:
-            continue
-        settled.add(state)
-        for candidate in candidates.get(layer, ()):
-            link = _find_link(path, candidate)
-            first_token = first + candidate.first_token_seconds + link
-            each_token = token + candidate.token_seconds + link
-            cost = first_token + each_token * request.tokens_left
-            order += 1
-            step = (*path, candidate)
-            entry = (cost, order, candidate.stage.end_layer)
-            heapq.heappush(queue, (*entry, first_token, each_token, step))
-    return None
-
-
-def _find_link(path: tuple[_Candidate, ...], candidate: _Candidate) -> float:
-    if not path:
-        return 0.0
-    return path[-1].link_seconds.get(candidate.engine, _DEFAULT_LINK_SECONDS)
+def _keep_best(
+    group: list[tuple[float, _engine_costs.Candidate]],
+) -> collections.abc.Iterator[tuple[float, _engine_costs.Candidate]]:
+    group.sort(key=lambda found: found[0])
+    for rank, (cost, candidate) in enumerate(group):
+        if rank < _BEST_PER_RANGE or candidate.holds_cache:
+            yield cost, candidate
+
+
+def find_engines(
+    stages: collections.abc.Iterable[_answer_messages.Stage],
+) -> frozenset[ids.BackendServerId]:
+    """Return the engines of a route."""
+    return frozenset(stage.engine for stage in stages)
--- a/src/jujubepass/counters.py
+++ b/src/jujubepass/counters.py
@@ -20,5 +20,11 @@
     def count_tokens(self, count: int) -> None:
         """Count tokens that went to callers."""
 
+    def observe_first_token(self, seconds: float) -> None:
+        """Keep the time from a model request to its first token."""
+
+    def observe_between_tokens(self, seconds: float) -> None:
+        """Keep the time between two tokens of one answer."""
+
     def observe_recovery(self, seconds: float) -> None:
         """Keep the time between the tokens around a replaced attempt."""
--- a/src/jujubepass/reasons.py
+++ b/src/jujubepass/reasons.py
@@ -29,6 +29,7 @@
     MISSING_IDEMPOTENCY_KEY = "missing_idempotency_key", 400
     IDEMPOTENCY_KEY_REUSED = "idempotency_key_reused", 422
     DEADLINE_UNREACHABLE = "deadline_unreachable", 503
+    DEADLINE_PASSED = "deadline_passed", 504
     ACCOUNT_RATE = "account_rate", 429
     ACCOUNT_CONCURRENCY = "account_concurrency", 429
     NODE_OVERLOADED = "node_overloaded", 503
@@ -51,6 +52,7 @@
     STAGE_STALLED = "stage_stalled"
     STREAM_CUT = "stream_cut"
     STAGE_SLOW = "stage_slow"
+    TOKEN_GAP = "token_gap"
     ENGINE_FULL = "engine_full"
     ENGINE_LEAVING = "engine_leaving"
     OLD_EPOCH = "old_epoch"
--- a/standins/system.py
+++ b/standins/system.py
@@ -92,10 +92,17 @@
 class System:
     """Start the parts of a trial, each a process of its own."""
 
-    def __init__(self, *, first_port: int, settings: Overrides | None = None) -> None:
+    def __init__(
+        self,
+        *,
+        first_port: int,
+        settings: Overrides | None = None,
+        node_module: str = "jujubepass",
+    ) -> None:
         self.processes = processes.Processes()
         self.ports = processes.Ports(first=first_port)
         self.settings = settings or {}
+        self.node_module = node_module
         self.platform = 0
         self.engines: dict[str, int] = {}
         self.services: dict[str, int] = {}
@@ -192,7 +199,7 @@
         path = "/readyz" if wait else None
         port = ports.operators if wait else None
         self.processes.start(
-            name, "jujubepass", "serve", str(file), port=port, path=path
+            name, self.node_module, "serve", str(file), port=port, path=path
         )
 
     def list_vm(self, name: str, role: str, port: int, **fields: typing.Any) -> None:
