--- a/src/jujubepass/_answers.py
+++ b/src/jujubepass/_answers.py
@@ -9,6 +9,7 @@
     _answer_messages,
     _attempts,
     _dispatch,
+    _limit_messages,
     _node_messages,
     _prefixes,
     _receipts,
@@ -38,6 +39,7 @@
 
     attempts: _attempts.Attempts
     _watch: _stall_watch.StallWatch = attrs.field(init=False)
+    _arrived_at: dict[ids.RequestId, float] = attrs.field(factory=dict, init=False)
 
     def __attrs_post_init__(self) -> None:
         self._watch = _stall_watch.StallWatch(attempts=self.attempts)
@@ -51,6 +53,7 @@
             _answer_messages.AttemptFailed: self.replace_failed,
             _answer_messages.CallerLeft: self.abandon,
             _answer_messages.EngineProbed: self._watch.settle,
+            _limit_messages.RequestEnded: self.forget_arrival,
             _node_messages.Tick: self.replace_stalled,
         }
 
@@ -62,12 +65,13 @@
     ) -> collections.abc.Iterable[_dispatch.Command]:
         """Route an admitted request."""
         board = self.attempts.blackboard
+        arrived_at = self._arrived_at.setdefault(event.request, now)
         if event.request not in board.limits.admitted:
             return ()
         model = board.configuration.declared.models[event.model]
         answer = _answer_area.Answer(
             arrived=event,
-            arrived_at=now,
+            arrived_at=arrived_at,
             layers=model.layers,
             blocks=_prefixes.hash_blocks(event.model, event.prompt),
         )
@@ -209,6 +213,13 @@
         """Deal with answers that are silent or slow, or whose deadline has passed."""
         return self._watch.check_due(now)
 
+    def forget_arrival(
+        self, event: _limit_messages.RequestEnded, now: float
+    ) -> collections.abc.Iterable[_dispatch.Command]:
+        """Forget when a request came, which may have waited in a queue."""
+        self._arrived_at.pop(event.request, None)
+        return ()
+
     def abandon(
         self, event: _answer_messages.CallerLeft, now: float
     ) -> collections.abc.Iterable[_dispatch.Command]:
--- a/src/jujubepass/_attempts.py
+++ b/src/jujubepass/_attempts.py
@@ -6,13 +6,13 @@
 
 from jujubepass import (
     _answer_area,
+    _answer_budget,
     _answer_messages,
     _blackboard,
     _breakers,
     _dispatch,
     _engine_costs,
     _recovery,
-    _retry_budget,
     _routes,
     counters,
     ids,
@@ -33,8 +33,8 @@
     routes: _routes.RoutePolicy
     recovery: _recovery.RecoveryPolicy
     counters: counters.Counters
-    budget: _retry_budget.RetryBudget = attrs.field(
-        factory=_retry_budget.RetryBudget, init=False
+    budget: _answer_budget.AnswerBudget = attrs.field(
+        factory=_answer_budget.AnswerBudget, init=False
     )
 
     def plan_route(
--- a/src/jujubepass/_http_client.py
+++ b/src/jujubepass/_http_client.py
@@ -10,7 +10,8 @@
 import h11
 import trio
 
-_RECEIVE_BYTES = 65_536
+from jujubepass import _socket_io
+
 _IDLE_CONNECTIONS_PER_ADDRESS = 64
 
 
@@ -68,35 +69,46 @@
 class StreamedAnswer:
     """Read one answer part by part."""
 
-    __slots__ = ("_connection", "_ended", "_stream", "headers", "status")
+    __slots__ = ("_connection", "_drained", "_ended", "_stream", "headers", "status")
 
     def __init__(
         self,
         *,
         connection: h11.Connection,
-        stream: trio.abc.Stream,
+        stream: trio.SocketStream,
         head: h11.Response,
     ) -> None:
         self._connection = connection
         self._stream = stream
         self._ended = False
+        self._drained = False
         self.status = head.status_code
         self.headers = {k.decode(): v.decode("latin-1") for k, v in head.headers}
 
     async def receive(self) -> bytes:
         """Wait for data and return all that is ready; return b"" at the end."""
-        ready = bytearray()
+        ready = b""
         while not self._ended:
+            if self._drained:
+                await _receive(self._connection, self._stream)
+                self._drained = False
             event = _read_event(self._connection)
             if isinstance(event, h11.Data):
-                ready += event.data
+                ready = ready + event.data if ready else bytes(event.data)
             elif event is h11.NEED_DATA:
+                self._drained = True
                 if ready:
-                    return bytes(ready)
-                await _receive(self._connection, self._stream)
+                    return ready
             else:
                 self._ended = True
-        return bytes(ready)
+        return ready
+
+    async def receive_all(self) -> Answer:
+        """Wait for the whole answer."""
+        parts = []
+        while part := await self.receive():
+            parts.append(part)
+        return Answer(status=self.status, headers=self.headers, body=b"".join(parts))
 
 
 class Client:
@@ -118,28 +130,28 @@
         headers: collections.abc.Mapping[str, str] | None = None,
         timeout_seconds: float = 5.0,
         fresh: bool = False,
+        once: bool = False,
     ) -> Answer:
         """Send a request and return its whole answer.
 
-        Raises NotSentError, InterruptedAnswerError or AnswerTimeoutError; `fresh`
-        avoids pooled connections, so that NotSentError is certain.
+        Raises NotSentError, InterruptedAnswerError or AnswerTimeoutError; NotSentError
+        is certain with `once`, and with `fresh`, which avoids pooled connections.
         """
         sent = False
         try:
             with trio.fail_after(timeout_seconds):
                 opened = self.open(
-                    method, address, path, body=body, headers=headers, fresh=fresh
+                    method,
+                    address,
+                    path,
+                    body=body,
+                    headers=headers,
+                    fresh=fresh,
+                    once=once,
                 )
                 async with opened as answer:
                     sent = True
-                    parts = []
-                    while part := await answer.receive():
-                        parts.append(part)
-                    return Answer(
-                        status=answer.status,
-                        headers=answer.headers,
-                        body=b"".join(parts),
-                    )
+                    return await answer.receive_all()
         except trio.TooSlowError as error:
             where = "the answer's end" if sent else "the answer"
             raise AnswerTimeoutError(f"{address} timed out before {where}") from error
@@ -154,21 +166,26 @@
         body: bytes = b"",
         headers: collections.abc.Mapping[str, str] | None = None,
         fresh: bool = False,
+        once: bool = False,
     ) -> collections.abc.AsyncIterator[StreamedAnswer]:
         """Send a request and yield its answer as a stream.
 
         A request that meets a pooled connection closed by the server is sent again,
-        unless `fresh`.
+        unless `fresh` or `once`.
         """
         data = _write_request(method, address, path, body, headers or {})
-        stream, connection, head = await self._exchange(address, data, fresh)
+        stream, connection, head = await self._exchange(address, data, fresh, once)
         try:
             yield StreamedAnswer(connection=connection, stream=stream, head=head)
         finally:
             self._release(address, stream, connection)
 
     async def _exchange(
-        self, address: Address, data: tuple[h11.Request, bytes], fresh: bool
+        self,
+        address: Address,
+        data: tuple[h11.Request, bytes],
+        fresh: bool,
+        once: bool,
     ) -> tuple[trio.SocketStream, h11.Connection, h11.Response]:
         while True:
             idle = self._idle[address]
@@ -180,7 +197,7 @@
                 return stream, connection, head
             except InterruptedAnswerError:
                 await trio.aclose_forcefully(stream)
-                if not pooled:
+                if once or not pooled:
                     raise
             except BaseException:
                 stream.socket.close()
@@ -247,9 +264,9 @@
         raise InterruptedAnswerError(f"answer broke off: {error}") from error
 
 
-async def _receive(connection: h11.Connection, stream: trio.abc.Stream) -> None:
+async def _receive(connection: h11.Connection, stream: trio.SocketStream) -> None:
     try:
-        data = await stream.receive_some(_RECEIVE_BYTES)
+        data = await _socket_io.receive(stream)
     except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
         raise InterruptedAnswerError(f"connection broke: {error}") from error
-    connection.receive_data(bytes(data))
+    connection.receive_data(data)
--- a/src/jujubepass/_node.py
+++ b/src/jujubepass/_node.py
@@ -5,6 +5,7 @@
 import logging
 import random
 import signal
+import time
 import typing
 import uuid
 
@@ -18,17 +19,18 @@
     _backend_messages,
     _backends,
     _blackboard,
+    _call_control,
+    _call_journal,
     _call_messages,
     _callers,
-    _calls,
     _configuration,
     _configuration_messages,
     _dispatch,
     _engine_client,
     _http_client,
     _http_server,
+    _limit_messages,
     _limits,
-    _lookups,
     _mailboxes,
     _membership,
     _membership_messages,
@@ -41,6 +43,9 @@
     _recovery,
     _routes,
     _service_client,
+    _share_codec,
+    _share_messages,
+    _shares,
     _shell,
     _store_messages,
     _table_client,
@@ -52,6 +57,7 @@
 _LOGGER = logging.getLogger(__name__)
 
 _EXIT_DONE = 0
+_WALL_CLOCK_SECONDS = 1.0
 
 
 async def run(node_settings: settings.Settings) -> int:
@@ -85,6 +91,7 @@
             new_request_id=_new_request_id,
         )
         callers = _http_server.Server(handler=caller_api, limits=_make_limits(listen))
+        nursery.start_soon(_read_wall_clock, shell)
         nursery.start_soon(_tick, shell, node_settings.timing.tick_seconds)
         address = listen.operators
         await nursery.start(operators.serve, address.host, address.port)
@@ -116,6 +123,12 @@
             return
 
 
+async def _read_wall_clock(shell: _shell.Shell) -> None:
+    while True:
+        shell.post(_call_messages.WallClockRead(seconds=time.time()))
+        await trio.sleep(_WALL_CLOCK_SECONDS)
+
+
 async def _tick(shell: _shell.Shell, tick_seconds: float) -> None:
     event = _node_messages.Tick()
     while True:
@@ -165,13 +178,22 @@
                 vm_poll_seconds=timing.vm_poll_seconds,
             ),
         ),
+        _shares.ShareController(blackboard=blackboard),
         _limits.LimitController(blackboard=blackboard),
         make_answers(node_settings, blackboard, metrics),
-        _calls.CallController(blackboard=blackboard, counters=metrics),
-        _lookups.LookupController(blackboard=blackboard, counters=metrics),
+        *_call_control.make_controllers(
+            blackboard=blackboard, counters=metrics, timing=_make_call_timing(timing)
+        ),
     ]
 
 
+def _make_call_timing(timing: settings.Timing) -> _call_journal.CallTiming:
+    return _call_journal.CallTiming(
+        send_window_seconds=timing.lease_seconds - timing.lease_margin_seconds,
+        take_over_margin_seconds=timing.lease_margin_seconds,
+    )
+
+
 def make_answers(
     node_settings: settings.Settings,
     blackboard: _blackboard.Blackboard,
@@ -256,6 +278,9 @@
     shell.execute_with(_answer_messages.FinishAnswer, mailboxes.put)
     shell.execute_with(_answer_messages.Refuse, mailboxes.put)
     shell.execute_with(_call_messages.AnswerCall, mailboxes.put)
+    shell.execute_with(
+        _limit_messages.StartQueued, lambda command: shell.post(command.event)
+    )
     shell.execute_with(_configuration_messages.ChangeAccepted, verdicts.put)
     shell.execute_with(_configuration_messages.ChangeRefused, verdicts.put)
 
@@ -269,10 +294,20 @@
     def _send_heartbeat(command: _membership_messages.SendHeartbeat) -> None:
         sender.send(command.address, _peer_codec.encode_command(command))
 
+    def _send_demands(command: _share_messages.SendDemands) -> None:
+        message = _share_codec.build_demands(command)
+        sender.send(command.address, _peer_codec.encode_struct(message))
+
+    def _send_grants(command: _share_messages.SendGrants) -> None:
+        message = _share_codec.build_grants(command)
+        sender.send(command.address, _peer_codec.encode_struct(message))
+
     def _receive(data: bytes) -> None:
         shell.post(_peer_codec.decode_event(data))
 
     shell.execute_with(_membership_messages.SendHeartbeat, _send_heartbeat)
+    shell.execute_with(_share_messages.SendDemands, _send_demands)
+    shell.execute_with(_share_messages.SendGrants, _send_grants)
     listener = _peers.PeerListener(key=key, handler=_receive)
     listen = node_settings.listen.peers
     await nursery.start(functools.partial(listener.serve, listen.host, listen.port))
--- a/src/jujubepass/_retry_budget.py
+++ b/src/jujubepass/_retry_budget.py
@@ -1,39 +1,58 @@
-"""Budget of a node's retries, so that faults do not multiply its load."""
+"""Budget that bounds retries to a share of first attempts."""
 
 import attrs
 
-_RETRIES_PER_REQUEST = 0.2
-_SMALLEST_CAPACITY = 64.0
-_SOFT_SHARE = 0.5
+
+@attrs.frozen(kw_only=True)
+class RetryBudgetBounds:
+    """Set how many retries first attempts and idle time pay for."""
+
+    retries_per_attempt: float = 0.2
+    idle_retries_per_second: float = 0.5
+    maximum_saved: float = 10.0
 
 
 @attrs.define(kw_only=True)
 class RetryBudget:
-    """Hold retries that may still be made; each request adds a part of one.
+    """Hold the retries of one backend server, service or model that may still go out.
 
-    The capacity follows the answers in progress, so that one engine's loss can be
-    met for all of them.
+    Each first attempt adds a fraction of a retry; `now` is the node's clock.
     """
 
-    left: float = _SMALLEST_CAPACITY
+    bounds: RetryBudgetBounds = attrs.field(factory=RetryBudgetBounds)
+    _saved: float = attrs.field(init=False)
+    _refilled_at: float | None = attrs.field(default=None, init=False)
 
-    def add_request(self, running: int) -> None:
-        """Add what one new request earns."""
-        capacity = max(_SMALLEST_CAPACITY, 2.0 * running)
-        self.left = min(capacity, self.left + _RETRIES_PER_REQUEST)
+    def __attrs_post_init__(self) -> None:
+        self._saved = self.bounds.maximum_saved
 
-    def refund_progress(self, running: int) -> None:
-        """Give back a retry that led to a token."""
-        capacity = max(_SMALLEST_CAPACITY, 2.0 * running)
-        self.left = min(capacity, self.left + 1.0)
+    def count_attempt(self, now: float) -> None:
+        """Add what one first attempt pays for."""
+        self._refill(now)
+        self._add(self.bounds.retries_per_attempt)
 
-    def take(self) -> bool:
-        """Take one retry that an answer needs to go on."""
-        if self.left < 1.0:
+    def spend(self, now: float) -> bool:
+        """Take one retry out of the budget; return False when none is left."""
+        self._refill(now)
+        if self._saved < 1.0:
             return False
-        self.left -= 1.0
+        self._saved -= 1.0
         return True
 
-    def can_afford_move(self) -> bool:
-        """Tell whether a retry that merely speeds an answer up is affordable."""
-        return self.left >= _SMALLEST_CAPACITY * _SOFT_SHARE
+    def predict_wait_seconds(self, now: float) -> float:
+        """Predict when idle time alone has paid for one retry."""
+        self._refill(now)
+        if self._saved >= 1.0:
+            return 0.0
+        if not self.bounds.idle_retries_per_second:
+            return float("inf")
+        return (1.0 - self._saved) / self.bounds.idle_retries_per_second
+
+    def _refill(self, now: float) -> None:
+        if self._refilled_at is not None:
+            idle_seconds = max(0.0, now - self._refilled_at)
+            self._add(idle_seconds * self.bounds.idle_retries_per_second)
+        self._refilled_at = now
+
+    def _add(self, retries: float) -> None:
+        self._saved = min(self.bounds.maximum_saved, self._saved + retries)
