--- /dev/null
+++ b/tests/features/answers.feature
@@ -0,0 +1,42 @@
+Feature: Decisions on tokens under an injected clock
+  Scenario: Whatever arrives, each caller gets a prefix of the right tokens
+    When engines lose, repeat, cross, delay and cut lines at random while they fail
+    Then every caller got each position once, in order, and every request ended
+
+  Scenario: Each kind of wrong line is counted by its reason
+    When engines give wrong lines of every kind
+    Then each drop reason was counted and every answer is whole
+
+  Scenario: A lost line leads to another attempt
+    When one line of an answer is lost
+    Then the answer is whole and a retry of "token_gap" was counted
+
+  Scenario: Healthy stages are kept when one stage freezes
+    When the second stage of an answer freezes
+    Then the next attempt keeps the first stage and goes on from the next position
+    And the replaced attempt was cancelled at its engines
+
+  Scenario: A request that cannot be whole by its deadline is refused at once
+    When a prompt needs more time than its deadline leaves
+    Then it is refused as "deadline_unreachable" before any attempt
+
+  Scenario: An answer whose deadline passes ends at once
+    When all engines freeze until the deadline of an answer passes
+    Then it ended as "deadline_passed" within one tick
+
+  Scenario: An engine with consecutive faults is left alone and probed later
+    When an engine's circuit breaker opens
+    Then no attempt goes to it until it is half open, and then one
+
+  Scenario: Retries stop when the budget is spent
+    When every line of every engine is lost for a while
+    Then answers end as "retry_budget_spent" and engines get a bounded number of attempts
+
+  Scenario: A node works with a subset of many engines that covers the model
+    When 600 engines of four layer ranges are listed to 9 nodes
+    Then each node polls at most 12 engines a range, covers every layer, and nodes differ
+    And when the engines of one range in a subset fall silent, others take their place
+
+  Scenario: Prefix affinity fades with age and with gaps in the news
+    Then words expected in a cache fall with the age and the gaps of its events
+    And the memory kept for one engine's cache is bounded
--- /dev/null
+++ b/tests/small_engines.py
@@ -0,0 +1,560 @@
+"""Engines in one process, under a clock of their own, that drive nodes' controllers."""
+
+import collections
+import heapq
+import itertools
+import json
+import random
+
+import attrs
+
+from jujubepass import (
+    _answer_messages,
+    _answers,
+    _attempts,
+    _backend_messages,
+    _backends,
+    _blackboard,
+    _dispatch,
+    _http_client,
+    _limit_messages,
+    _membership_area,
+    _node_messages,
+    declarations,
+    ids,
+    reasons,
+)
+from standins import model
+
+MODEL = ids.ModelId("stairs-32")
+LAYERS = 32
+TICK_SECONDS = 0.02
+LATENCY_SECONDS = 0.001
+LOAD_LAG_SECONDS = 0.2
+LINK_SECONDS = 0.001
+
+
+@attrs.define(kw_only=True)
+class Counts:
+    """Count what the controllers report."""
+
+    refusals: collections.Counter = attrs.field(factory=collections.Counter)
+    retries: collections.Counter = attrs.field(factory=collections.Counter)
+    drops: collections.Counter = attrs.field(factory=collections.Counter)
+    tokens: int = 0
+    recoveries: list = attrs.field(factory=list)
+    first_tokens: list = attrs.field(factory=list)
+    between_tokens: list = attrs.field(factory=list)
+
+    def count_refusal(self, reason):
+        self.refusals[reason] += 1
+
+    def count_retry(self, reason):
+        self.retries[reason] += 1
+
+    def count_drop(self, reason):
+        self.drops[reason] += 1
+
+    def count_tokens(self, count):
+        self.tokens += count
+
+    def observe_recovery(self, seconds):
+        self.recoveries.append(seconds)
+
+    def observe_first_token(self, seconds):
+        self.first_tokens.append(seconds)
+
+    def observe_between_tokens(self, seconds):
+        self.between_tokens.append(seconds)
+
+
+@attrs.define(kw_only=True)
+class Engine:
+    """Hold one engine's speed and state."""
+
+    name: str
+    first_layer: int
+    end_layer: int
+    step_seconds: float = 0.010
+    max_batch: int = 16
+    prefill_tokens_per_second: float = 8_000.0
+    slow_factor: float = 1.0
+    frozen: bool = False
+    dead: bool = False
+    incarnation: int = 1
+    kept: dict = attrs.field(factory=dict)
+    running: set = attrs.field(factory=set)
+    past_running: collections.deque = attrs.field(factory=collections.deque)
+
+    @property
+    def address(self):
+        return _http_client.Address(host=self.name, port=1)
+
+
+@attrs.define(kw_only=True)
+class Noise:
+    """Set how likely each foreign, lost or wrong line is."""
+
+    duplicated: float = 0.0
+    crossed: float = 0.0
+    late: float = 0.0
+    lost: float = 0.0
+    layers_missing: float = 0.0
+    cut: float = 0.0
+
+
+@attrs.define(kw_only=True)
+class Delivered:
+    """Hold what one caller got."""
+
+    prompt: tuple
+    max_tokens: int
+    expected: list
+    asked_at: float
+    tokens: list = attrs.field(factory=list)
+    times: list = attrs.field(factory=list)
+    end: object = None
+    ended_at: float | None = None
+    starts: int = 0
+    generated: int = 0
+
+
+class Trial:
+    """Run nodes' controllers and engines under one clock."""
+
+    def __init__(self, *, engines, make_policies, nodes=1, seed=1, noise=None):
+        self.now = 0.0
+        self.random = random.Random(seed)
+        self.noise = noise or Noise()
+        self.engines = {engine.name: engine for engine in engines}
+        self.delivered = {}
+        self.attempts = {}
+        self._heap = []
+        self._order = itertools.count()
+        self.nodes = [self._make_node(i, nodes, make_policies) for i in range(nodes)]
+        self._load_lag()
+        self.run_until(1.0)
+
+    def _make_node(self, index, nodes, make_policies):
+        identity = _blackboard.Identity(
+            node=ids.NodeId(f"node-{index}"),
+            incarnation="1",
+            region=ids.RegionId("r"),
+            failure_domain=ids.FailureDomainId("a"),
+        )
+        board = _blackboard.Blackboard(identity=identity)
+        board.configuration.declared = declarations.Declarations(
+            models={MODEL: declarations.Model(name=MODEL, layers=LAYERS)}
+        )
+        for other in range(nodes - 1):
+            name = ids.NodeId(f"peer-{other}")
+            board.membership.peers[name] = _membership_area.Peer(
+                node=name, address=_http_client.Address(host="peer", port=1)
+            )
+        counts = Counts()
+        routes, recovery = make_policies(random.Random(index))
+        attempts = _attempts.Attempts(
+            blackboard=board, routes=routes, recovery=recovery, counters=counts
+        )
+        timing = _backends.BackendTiming(load_poll_seconds=0.5, vm_poll_seconds=2.0)
+        dispatcher = _dispatch.Dispatcher(
+            controllers=[
+                _backends.BackendController(blackboard=board, timing=timing),
+                _answers.AnswerController(attempts=attempts),
+            ]
+        )
+        node = Node(index=index, board=board, counts=counts, dispatcher=dispatcher)
+        self.at(index * TICK_SECONDS / nodes, lambda: self._tick(node))
+        return node
+
+    def at(self, when, act):
+        """Do something later."""
+        heapq.heappush(self._heap, (when, next(self._order), act))
+
+    def run_until(self, end):
+        """Let time pass."""
+        while self._heap and self._heap[0][0] <= end:
+            self.now, _, act = heapq.heappop(self._heap)
+            act()
+        self.now = end
+
+    def _tick(self, node):
+        self.post(node, _node_messages.Tick())
+        self.at(self.now + TICK_SECONDS, lambda: self._tick(node))
+
+    def _load_lag(self):
+        for engine in self.engines.values():
+            engine.past_running.append((self.now, len(engine.running)))
+            while (
+                len(engine.past_running) > 1
+                and engine.past_running[1][0] <= self.now - LOAD_LAG_SECONDS
+            ):
+                engine.past_running.popleft()
+        self.at(self.now + LOAD_LAG_SECONDS / 2, self._load_lag)
+
+    def post(self, node, event):
+        """Dispatch an event and carry out its commands."""
+        for command in node.dispatcher.dispatch(event, self.now):
+            name = "_on_" + type(command).__name__
+            getattr(self, name)(node, command)
+
+    def ask(self, node, request, prompt, max_tokens, timeout_seconds=60.0):
+        """Send a prompt to a node."""
+        expected = model.expected_tokens(MODEL, prompt, max_tokens, LAYERS)
+        self.delivered[request] = Delivered(
+            prompt=prompt,
+            max_tokens=max_tokens,
+            expected=expected,
+            asked_at=self.now,
+        )
+        node.board.limits.admitted[request] = ids.AccountId("account")
+        self.post(
+            node,
+            _answer_messages.PromptArrived(
+                request=request,
+                account=ids.AccountId("account"),
+                model=MODEL,
+                prompt=prompt,
+                max_tokens=max_tokens,
+                priority=1,
+                deadline=self.now + timeout_seconds,
+            ),
+        )
+
+    def leave(self, node, request):
+        """Let a caller leave."""
+        self.post(node, _answer_messages.CallerLeft(request=request))
+        self._end(request, node, "left")
+
+    def hit(self, fault, name):
+        """Change an engine's state."""
+        engine = self.engines[name]
+        if fault == "kill":
+            engine.dead = True
+            engine.kept.clear()
+            self._cut_streams(engine)
+        elif fault == "restart":
+            engine.dead, engine.incarnation = False, engine.incarnation + 1
+        elif fault == "freeze":
+            engine.frozen = True
+        elif fault == "thaw":
+            engine.frozen = False
+        elif fault == "slow":
+            engine.slow_factor = 30.0
+        else:
+            engine.slow_factor = 1.0
+
+    def _cut_streams(self, engine):
+        for attempt in list(self.attempts.values()):
+            if attempt.command.stages[0].engine == engine.name:
+                self._fail(attempt, _answer_messages.AttemptFault.STREAM_CUT, engine)
+
+    def _on_PollVms(self, node, command):
+        vms = tuple(
+            _backend_messages.Vm(
+                name=engine.name,
+                role=_backend_messages.VmRole.ENGINE,
+                address=engine.address,
+                region=ids.RegionId("r"),
+                failure_domain=ids.FailureDomainId("a"),
+                state=_backend_messages.VmState.LIVE,
+            )
+            for engine in self.engines.values()
+        )
+        listed = _backend_messages.VmsListed(vms=vms, age_seconds=0.0)
+        self.at(self.now + LATENCY_SECONDS, lambda: self.post(node, listed))
+
+    def _on_PollCache(self, node, command):
+        return None
+
+    def _on_PollLoad(self, node, command):
+        self._poll(node, command.engine, 2.0)
+
+    def _on_ProbeEngine(self, node, command):
+        self._poll(node, command.engine, command.timeout_seconds, probe=True)
+
+    def _poll(self, node, name, timeout_seconds, *, probe=False):
+        engine = self.engines[name]
+        silent = engine.dead or engine.frozen
+        delay = 2 * LATENCY_SECONDS
+        if engine.frozen and not engine.dead:
+            delay = timeout_seconds
+
+        def answer():
+            if silent:
+                event = _backend_messages.LoadUnanswered(engine=name, detail="silent")
+            else:
+                event = _backend_messages.LoadReported(report=self._report(engine))
+            self.post(node, event)
+            if probe:
+                probed = _answer_messages.EngineProbed(engine=name, answered=not silent)
+                self.post(node, probed)
+
+        self.at(self.now + delay, answer)
+
+    def _report(self, engine):
+        at, running = engine.past_running[0]
+        return _backend_messages.LoadReport(
+            engine=engine.name,
+            incarnation=str(engine.incarnation),
+            model=MODEL,
+            version="1",
+            first_layer=engine.first_layer,
+            end_layer=engine.end_layer,
+            accelerator="a100",
+            running=min(running, engine.max_batch),
+            waiting=max(0, running - engine.max_batch),
+            max_batch=engine.max_batch,
+            step_seconds=engine.step_seconds * engine.slow_factor,
+            prefill_tokens_per_second=engine.prefill_tokens_per_second,
+            kv_free_tokens=100_000,
+            leaving=False,
+            age_seconds=self.now - at,
+            link_seconds=dict.fromkeys(self.engines, LINK_SECONDS),
+        )
+
+    def _on_StartAttempt(self, node, command):
+        delivered = self.delivered[command.request]
+        delivered.starts += 1
+        assert list(command.sent) == delivered.expected[: len(command.sent)]
+        attempt = Attempt(
+            node=node, command=command, position=len(command.sent), trial=self
+        )
+        old = self.attempts.get(command.request)
+        if old is not None:
+            self._drop(old)
+        self.attempts[command.request] = attempt
+        first = self.engines[command.stages[0].engine]
+        if first.dead:
+            fault = _answer_messages.AttemptFault.NOT_CONNECTED
+            self.at(
+                self.now + LATENCY_SECONDS, lambda: self._fail(attempt, fault, first)
+            )
+            return
+        for stage in command.stages:
+            self.engines[stage.engine].running.add(command.request)
+        context = len(delivered.prompt) + len(command.sent)
+        prepare = sum(
+            (context - self.engines[s.engine].kept.get(command.request, 0))
+            / self.engines[s.engine].prefill_tokens_per_second
+            for s in command.stages
+        )
+        self.at(self.now + prepare + self._step(attempt), lambda: self._run(attempt))
+
+    def _step(self, attempt):
+        seconds = 0.0
+        for stage in attempt.command.stages:
+            engine = self.engines[stage.engine]
+            share = max(1.0, len(engine.running) / engine.max_batch)
+            seconds += engine.step_seconds * engine.slow_factor * share + LINK_SECONDS
+        return seconds
+
+    def _run(self, attempt):
+        request = attempt.command.request
+        if self.attempts.get(request) is not attempt:
+            return
+        engines = [self.engines[stage.engine] for stage in attempt.command.stages]
+        for engine in engines:
+            if engine.dead:
+                fault = _answer_messages.AttemptFault.STAGE_FAILED
+                self._fail(attempt, fault, engine)
+                return
+        if any(engine.frozen for engine in engines):
+            self.at(self.now + TICK_SECONDS, lambda: self._run(attempt))
+            return
+        delivered = self.delivered[request]
+        if attempt.position >= len(delivered.expected):
+            self._finish(attempt, delivered)
+            return
+        delivered.generated += 1
+        for engine in engines:
+            engine.kept[request] = len(delivered.prompt) + attempt.position
+        self._emit(attempt, delivered)
+
+    def _finish(self, attempt, delivered):
+        whole = len(delivered.expected) == delivered.max_tokens
+        end = _answer_messages.AnswerEnd("length" if whole else "stop")
+        command = attempt.command
+        self._drop(attempt)
+        self.post(
+            attempt.node,
+            _answer_messages.AttemptEnded(
+                request=command.request, epoch=command.epoch, end=end
+            ),
+        )
+
+    def _emit(self, attempt, delivered):
+        command, noise = attempt.command, self.noise
+        token = _answer_messages.Token(
+            request=command.request,
+            epoch=command.epoch,
+            position=attempt.position,
+            text=delivered.expected[attempt.position],
+            receipts=tuple(
+                (s.engine, s.first_layer, s.end_layer) for s in command.stages
+            ),
+        )
+        attempt.position += 1
+        lines = [token]
+        draw = self.random.random
+        if draw() < noise.duplicated:
+            lines.append(token)
+        if draw() < noise.crossed:
+            crossed = ids.RequestId("another")
+            lines.insert(0, attrs.evolve(token, request=crossed, text="crossed"))
+        if draw() < noise.late:
+            older = ids.Epoch(command.epoch - 1)
+            lines.insert(0, attrs.evolve(token, epoch=older, text="late"))
+        if draw() < noise.lost:
+            lines.remove(token)
+        if draw() < noise.layers_missing:
+            wrong = attrs.evolve(token, receipts=token.receipts[1:], text="wrong")
+            lines = [wrong if line is token else line for line in lines]
+        if draw() < noise.cut:
+            first = self.engines[command.stages[0].engine]
+            self._fail(attempt, _answer_messages.AttemptFault.STREAM_CUT, first)
+            return
+        self.at(self.now + self._step(attempt), lambda: self._run(attempt))
+        event = _answer_messages.TokensArrived(
+            request=command.request,
+            attempt_epoch=command.epoch,
+            tokens=tuple(lines),
+        )
+        if draw() < noise.late:
+            self.at(self.now + 0.3, lambda: self.post(attempt.node, event))
+        self.post(attempt.node, event)
+
+    def _fail(self, attempt, fault, engine):
+        command = attempt.command
+        if self.attempts.get(command.request) is not attempt:
+            return
+        self._drop(attempt)
+        self.post(
+            attempt.node,
+            _answer_messages.AttemptFailed(
+                request=command.request,
+                epoch=command.epoch,
+                fault=fault,
+                engine=ids.BackendServerId(engine.name),
+                detail="",
+            ),
+        )
+
+    def _drop(self, attempt):
+        request = attempt.command.request
+        if self.attempts.get(request) is attempt:
+            del self.attempts[request]
+        for stage in attempt.command.stages:
+            self.engines[stage.engine].running.discard(request)
+
+    def _on_CancelAttempt(self, node, command):
+        attempt = self.attempts.get(command.request)
+        if attempt is not None and attempt.command.epoch <= command.epoch:
+            self._drop(attempt)
+
+    def _on_ReleaseCache(self, node, command):
+        for stage in command.stages:
+            self.engines[stage.engine].kept.pop(command.request, None)
+
+    def _on_DeliverTokens(self, node, command):
+        delivered = self.delivered[command.request]
+        assert delivered.ended_at is None, "tokens after the end"
+        delivered.tokens += command.tokens
+        delivered.times += [self.now] * len(command.tokens)
+        assert delivered.tokens == delivered.expected[: len(delivered.tokens)]
+
+    def _on_FinishAnswer(self, node, command):
+        delivered = self.delivered[command.request]
+        assert delivered.tokens == delivered.expected, delivered
+        self._end(command.request, node, command.end)
+
+    def _on_Refuse(self, node, command):
+        assert command.retry_after_seconds > 0.0
+        assert isinstance(command.reason, reasons.RefusalReason)
+        self._end(command.request, node, command.reason)
+
+    def _end(self, request, node, end):
+        delivered = self.delivered[request]
+        assert delivered.ended_at is None, "ended twice"
+        delivered.end, delivered.ended_at = end, self.now
+        node.board.limits.admitted.pop(request, None)
+        self.at(
+            self.now,
+            lambda: self.post(node, _limit_messages.RequestEnded(request=request)),
+        )
+
+
+@attrs.define(kw_only=True)
+class Node:
+    """Hold one node's controllers."""
+
+    index: int
+    board: object
+    counts: Counts
+    dispatcher: object
+
+
+@attrs.define(kw_only=True, eq=False)
+class Attempt:
+    """Hold one running attempt."""
+
+    node: Node
+    command: object
+    position: int
+    trial: Trial
+
+
+def read_trace(path):
+    """Read a trace: engines, nodes, prompts and faults by time."""
+    return json.loads(path.read_text())
+
+
+def run_trace(trace, make_policies):
+    """Run a trace to its end and return the trial."""
+    engines = [Engine(**fields) for fields in trace["engines"]]
+    trial = Trial(
+        engines=engines,
+        make_policies=make_policies,
+        nodes=trace.get("nodes", 1),
+        seed=trace.get("seed", 1),
+    )
+    start = trial.now
+    for number, step in enumerate(trace["steps"]):
+        trial.at(
+            start + step["at"],
+            lambda step=step, number=number: _apply(trial, step, number),
+        )
+    trial.run_until(start + trace["seconds"])
+    return trial
+
+
+def _apply(trial, step, number):
+    if "fault" in step:
+        trial.hit(step["fault"], step["engine"])
+        return
+    prompt = tuple(f"w{number}-{word}" for word in range(step["prompt_words"]))
+    node = trial.nodes[step.get("node", number) % len(trial.nodes)]
+    trial.ask(node, ids.RequestId(f"r{number}"), prompt, step["max_tokens"])
+
+
+def summarize(trial):
+    """Return the outcomes that traces state bounds for."""
+    answers = list(trial.delivered.values())
+    whole = [a for a in answers if a.tokens == a.expected and a.ended_at]
+    gaps = [
+        later - earlier
+        for a in answers
+        for earlier, later in zip(a.times, a.times[1:], strict=False)
+    ]
+    firsts = [a.times[0] - a.asked_at for a in answers if a.times]
+    return {
+        "asked": len(answers),
+        "whole": len(whole),
+        "longest_gap_ms": round(max(gaps, default=0.0) * 1_000),
+        "longest_first_token_ms": round(max(firsts, default=0.0) * 1_000),
+        "generated_share": round(
+            sum(a.generated for a in answers)
+            / max(1, sum(len(a.tokens) for a in answers)),
+            2,
+        ),
+    }
