--- a/src/jujubepass/_call_area.py
+++ b/src/jujubepass/_call_area.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from jujubepass import _call_messages, ids
+from jujubepass import _call_messages, ids, reasons
 
 _NO_ATTEMPT = ids.AttemptId("")
 _NO_BACKEND = ids.BackendServerId("")
@@ -44,6 +44,7 @@
     step: CallStep = CallStep.OPENING
     version: int = 0
     row_state: CallState | None = None
+    row_is_read: bool = False
     attempt: ids.AttemptId = _NO_ATTEMPT
     attempts: int = 0
     backend: ids.BackendServerId = _NO_BACKEND
@@ -51,6 +52,7 @@
     fencing: ids.FencingNumber = _NO_FENCING
     written_at: float = float("-inf")
     may_be_written: bool = False
+    doubt: reasons.UnknownCause = reasons.UnknownCause.BACKEND_IS_SILENT
     retry_at: float = float("inf")
     retries: int = 0
     closing_state: CallState = CallState.UNKNOWN
--- a/src/jujubepass/_call_steps.py
+++ b/src/jujubepass/_call_steps.py
@@ -92,14 +92,26 @@
         if call.attempts < _MAX_ATTEMPTS:
             backend = self.balance.choose(service, now, avoid=call.refused_by)
         if backend is None:
-            reason = self._explain_no_backend(call, service)
-            return [
-                *self.refuse(call, reason, self.balance.find_pause(service, now)),
-                *self.close(call, _State.NOT_RUN, now),
-            ]
+            return self._go_on_without_backend(call, service, now)
         call.backend = ids.BackendServerId(backend.vm.name)
         return self._write_attempt(call, _Step.OPENING, now)
 
+    def _go_on_without_backend(
+        self, call: _call_area.OpenCall, service: ids.ServiceId, now: float
+    ) -> Commands:
+        """Refuse, but look first whether an earlier request left a row."""
+        if call.row_state is None and not call.row_is_read:
+            call.step = _Step.WAITING
+            call.retry_at = now
+            self.wake_at(call, now)
+            return []
+        reason = self._explain_no_backend(call, service)
+        pause = max(_RETRY_AFTER_SECONDS, self.balance.find_pause(service, now))
+        return [
+            *self.refuse(call, reason, pause),
+            *self.close(call, _State.NOT_RUN, now),
+        ]
+
     def _explain_no_backend(
         self, call: _call_area.OpenCall, service: ids.ServiceId
     ) -> reasons.RefusalReason:
@@ -136,7 +148,7 @@
         left = max(call.waiters.values()) - now
         settling = min(_LONGEST_SETTLING_SECONDS, _SETTLING_SHARE * left)
         call.step = _Step.SENDING
-        self.balance.begin(call.backend)
+        self.balance.begin(call.backend, now)
         command = _call_messages.SendCall(
             request=call.arrived.request,
             attempt=call.attempt,
@@ -202,6 +214,7 @@
         self, call: _call_area.OpenCall, cause: reasons.UnknownCause, now: float
     ) -> Commands:
         """Ask later while a caller waits; else leave the outcome unknown."""
+        call.doubt = cause
         if call.waiters:
             self.retry_later(call, now)
             return []
--- a/src/jujubepass/_calls.py
+++ b/src/jujubepass/_calls.py
@@ -42,6 +42,9 @@
     steps: _call_steps.CallSteps
     health: _store_health.StoreHealth
     _reads: int = attrs.field(default=0, init=False)
+    _reading: dict[_store_messages.OperationId, tuple[str, ...]] = attrs.field(
+        factory=dict, init=False
+    )
     _asked: dict[_store_messages.OperationId, tuple[ids.RequestId, str]] = attrs.field(
         factory=dict, init=False
     )
@@ -100,6 +103,7 @@
     def _read(self, keys: collections.abc.Iterable[str]) -> _store_messages.ReadRows:
         self._reads += 1
         operation = _store_messages.OperationId(f"{_READ_PREFIX}{self._reads}")
+        self._reading[operation] = tuple(keys)
         return _store_messages.ReadRows(operation=operation, keys=tuple(keys))
 
     def _repeat(self, call: _call_area.OpenCall, now: float) -> Commands:
@@ -128,7 +132,7 @@
         return commands
 
     def _explain_expiry(self, call: _call_area.OpenCall) -> reasons.RefusalReason:
-        if call.step is _Step.OPENING:
+        if call.step is _Step.OPENING or not call.version:
             doubtful = call.may_be_written or self.blackboard.calls.store_is_down
             if doubtful:
                 return _Reason.STORE_UNAVAILABLE
@@ -136,7 +140,7 @@
         cause = {
             _Step.WAITING: reasons.UnknownCause.OTHER_NODE_IS_BUSY,
             _Step.TAKING_OVER: reasons.UnknownCause.STORE_IS_SILENT,
-        }.get(call.step, reasons.UnknownCause.BACKEND_IS_SILENT)
+        }.get(call.step, call.doubt)
         self.counters.count_unknown(cause)
         return _Reason.OUTCOME_UNKNOWN
 
@@ -144,13 +148,12 @@
         self, event: _store_writer.TransactionEvent, now: float
     ) -> Commands:
         """Act on what became of each call's row."""
-        answered = isinstance(
-            event, _store_messages.Transacted | _store_messages.TransactionConflicted
-        )
-        if answered:
-            self.health.note_success()
+        if isinstance(event, _store_messages.TransactionUnsent):
+            self.health.note_refusal(now)
+        elif isinstance(event, _store_messages.TransactionUnclear):
+            self.health.note_silence(now)
         else:
-            self.health.note_failure(now)
+            self.health.note_success()
         outcomes, started = self.steps.journal.writer.settle(event)
         commands: list[_dispatch.Command] = list(started)
         for outcome in outcomes:
@@ -265,12 +268,17 @@
         self.health.note_read(event, now)
         if event.operation in self._asked:
             return self._tell_state(event)
-        if not event.operation.startswith(_READ_PREFIX):
-            return ()
         commands: list[_dispatch.Command] = []
-        for key, stored in event.rows.items():
+        for key in self._reading.pop(event.operation, ()):
             call = self.steps.open_calls.get(key)
-            if call is not None and call.step is _Step.WAITING:
+            if call is None or call.step is not _Step.WAITING:
+                continue
+            stored = event.rows.get(key)
+            if stored is None:
+                call.version = 0
+                call.row_is_read = True
+                commands += self.steps.open(call, now)
+            else:
                 row = _call_rows.read_value(stored.value)
                 commands += self.meet(call, row, stored.version, now)
         return commands
@@ -280,6 +288,9 @@
     ) -> Commands:
         """Refuse a question that could not be answered."""
         self.health.note_read(event, now)
+        for key in self._reading.pop(event.operation, ()):
+            if key in self.steps.open_calls:
+                self.steps.retry_later(self.steps.open_calls[key], now)
         asked = self._asked.pop(event.operation, None)
         if asked is None:
             return ()
@@ -340,6 +351,7 @@
         call = self.steps.by_attempt.get(event.attempt)
         if call is None or call.step is not _Step.ASKING:
             return ()
+        self.steps.balance.note_success(call.backend)
         return self.steps.go_on_after_outcome(call, event, now)
 
     def ask_again(self, event: _call_messages.OutcomeUntold, now: float) -> Commands:
--- a/src/jujubepass/_lookups.py
+++ b/src/jujubepass/_lookups.py
@@ -90,7 +90,7 @@
         lookup.tried.add(name)
         lookup.attempts[attempt] = name
         lookup.sent_at[attempt] = now
-        self.balance.begin(name)
+        self.balance.begin(name, now)
         return (
             _call_messages.SendLookup(
                 request=arrived.request,
--- a/src/jujubepass/_node.py
+++ b/src/jujubepass/_node.py
@@ -178,16 +178,25 @@
             timing=_answers.AnswerTiming(stall_seconds=timing.stall_seconds),
             counters=metrics,
         ),
-        *_call_control.make_controllers(
-            blackboard=blackboard, counters=metrics, timing=_make_call_timing(timing)
-        ),
+        *_make_call_controllers(node_settings, blackboard, metrics),
     ]
 
 
-def _make_call_timing(timing: settings.Timing) -> _call_journal.CallTiming:
-    return _call_journal.CallTiming(
-        send_window_seconds=timing.lease_seconds - timing.lease_margin_seconds,
-        take_over_margin_seconds=timing.lease_margin_seconds,
+def _make_call_controllers(
+    node_settings: settings.Settings,
+    blackboard: _blackboard.Blackboard,
+    metrics: _metrics.Metrics,
+) -> list[_dispatch.Controller]:
+    timing = node_settings.timing
+    return _call_control.make_controllers(
+        blackboard=blackboard,
+        counters=metrics,
+        timing=_call_journal.CallTiming(
+            send_window_seconds=timing.lease_seconds - timing.lease_margin_seconds,
+            take_over_margin_seconds=timing.lease_margin_seconds,
+            keep_seconds=node_settings.calls.keep_seconds,
+        ),
+        largest_group=node_settings.calls.largest_group,
     )
 
 
--- a/src/jujubepass/_service_balance.py
+++ b/src/jujubepass/_service_balance.py
@@ -16,6 +16,7 @@
 class _Circuit:
     failures: int = 0
     open_until: float = float("-inf")
+    longer_from: float = float("-inf")
     pause_seconds: float = _FIRST_PAUSE_SECONDS
 
 
@@ -63,9 +64,12 @@
         ]
         return max(0.0, min(waits, default=_FIRST_PAUSE_SECONDS))
 
-    def begin(self, backend: ids.BackendServerId) -> None:
-        """Count an attempt in."""
+    def begin(self, backend: ids.BackendServerId, now: float) -> None:
+        """Count an attempt in; an open circuit lets one through at a time."""
         self._in_flight[backend] += 1
+        circuit = self._circuits.get(backend)
+        if circuit is not None and circuit.failures >= _FAILURES_TO_OPEN:
+            circuit.open_until = now + circuit.pause_seconds
 
     def end(self, backend: ids.BackendServerId) -> None:
         """Count an attempt out."""
@@ -79,8 +83,10 @@
         """Open the server's circuit after several failures, longer each time."""
         circuit = self._circuits[backend]
         circuit.failures += 1
-        if circuit.failures >= _FAILURES_TO_OPEN:
-            circuit.open_until = now + circuit.pause_seconds
-            circuit.pause_seconds = min(
-                2 * circuit.pause_seconds, _LONGEST_PAUSE_SECONDS
-            )
+        if circuit.failures < _FAILURES_TO_OPEN:
+            return
+        if circuit.failures > _FAILURES_TO_OPEN and now >= circuit.longer_from:
+            longer = 2 * circuit.pause_seconds
+            circuit.pause_seconds = min(longer, _LONGEST_PAUSE_SECONDS)
+        circuit.open_until = now + circuit.pause_seconds
+        circuit.longer_from = circuit.open_until
--- a/src/jujubepass/settings.py
+++ b/src/jujubepass/settings.py
@@ -156,6 +156,25 @@
     )
 
 
+@attrs.frozen(kw_only=True)
+class Calls:
+    """Choose how calls that may not be repeated are journalled."""
+
+    largest_group: int = _ini.key(
+        default=100,
+        meaning="most calls whose rows are written in one transaction",
+        unit="rows",
+        minimum=1,
+        maximum=100,
+    )
+    keep_seconds: float = _ini.seconds_key(
+        86_400.0,
+        "time a finished call's row and answer are kept",
+        minimum=600.0,
+        maximum=2_592_000.0,
+    )
+
+
 @attrs.frozen(kw_only=True)
 class Trace:
     """Choose what is recorded for replay."""
@@ -205,6 +224,7 @@
     platform: Platform
     security: Security
     timing: Timing = attrs.field(factory=Timing)
+    calls: Calls = attrs.field(factory=Calls)
     trace: Trace = attrs.field(factory=Trace)
     log: Log = attrs.field(factory=Log)
     seeds: Seeds = attrs.field(factory=Seeds)
--- /dev/null
+++ b/tests/features/steps/calls_parts_steps.py
@@ -0,0 +1,213 @@
+import random
+
+import attrs
+import behave
+import hypothesis
+from hypothesis import strategies
+
+from jujubepass import (
+    _backend_area,
+    _backend_messages,
+    _blackboard,
+    _call_messages,
+    _lookups,
+    _node_messages,
+    _service_balance,
+    _store_messages,
+    _store_writer,
+    reasons,
+)
+from tests import call_model, call_system
+
+EXAMPLES = 150
+LOOKUPS = 400
+LARGEST_BUDGET = 10
+
+
+@attrs.define(kw_only=True)
+class WriterRun:
+    """Answer a writer's transactions from a table, in any order."""
+
+    writer: _store_writer.StoreWriter
+    random: random.Random
+    rows: dict = attrs.field(factory=dict)
+    version: int = 0
+    running: list = attrs.field(factory=list)
+    told: list = attrs.field(factory=list)
+
+    def start(self, commands):
+        for command in commands:
+            keys = [write.key for write in command.writes]
+            assert len(set(keys)) == len(keys) <= self.writer.largest_group
+            self.running.append(command)
+
+    def answer_one(self):
+        command = self.running.pop(self.random.randrange(len(self.running)))
+        operation = command.operation
+        draw = self.random.random()
+        if draw < 0.1:
+            event = _store_messages.TransactionUnsent(operation=operation, detail="")
+        else:
+            event = self._apply(command)
+            if draw < 0.2:
+                event = _store_messages.TransactionUnclear(
+                    operation=operation, detail=""
+                )
+        outcomes, started = self.writer.settle(event)
+        self.told += outcomes
+        self.start(started)
+
+    def _apply(self, command):
+        conflicts = [
+            _store_messages.VersionedRow(
+                key=each.key, version=self.rows.get(each.key, 0), value={}
+            )
+            for each in command.conditions
+            if self.rows.get(each.key, 0) != each.version
+        ]
+        if conflicts:
+            return _store_messages.TransactionConflicted(
+                operation=command.operation, rows=tuple(conflicts)
+            )
+        versions = {}
+        for write in command.writes:
+            self.version += 1
+            versions[write.key] = self.rows[write.key] = self.version
+        return _store_messages.Transacted(
+            operation=command.operation, versions=versions
+        )
+
+
+@behave.given("any order of writes, conflicts and lost answers")
+def step_orders(context):
+    context.orders = strategies.lists(
+        strategies.tuples(
+            strategies.integers(0, 12),
+            strategies.sampled_from((0, 0, 0, 99)),
+            strategies.sampled_from(_store_writer.Lane),
+            strategies.integers(0, 3),
+        ),
+        max_size=60,
+    )
+
+
+@behave.then(
+    "every write in groups of {count:d} is told once, and conflicts alone fail"
+)
+def step_told_once(context, count):
+    @hypothesis.settings(max_examples=EXAMPLES, deadline=None, database=None)
+    @hypothesis.given(context.orders, strategies.integers(0, 1_000))
+    def check(orders, seed):
+        writer = _store_writer.StoreWriter(name="w", largest_group=count)
+        run = WriterRun(writer=writer, random=random.Random(seed))
+        for key, version, lane, answers in orders:
+            write = _store_writer.RowWrite(key=f"k{key}", version=version, value={})
+            run.start(writer.add(lane, write))
+            assert len(run.running) <= 4
+            for _ in range(min(answers, len(run.running))):
+                run.answer_one()
+        while run.running:
+            run.answer_one()
+        check_outcomes(orders, run)
+
+    check()
+
+
+def check_outcomes(orders, run):
+    asked = sorted(f"k{key}" for key, *_ in orders)
+    assert sorted(each.key for each in run.told) == asked
+    states = _store_writer.WriteState
+    written = [each for each in run.told if each.state is states.WRITTEN]
+    versions = [each.version for each in written]
+    assert len(set(versions)) == len(versions)
+    for each in written:
+        assert run.rows[each.key] == each.version
+    for each in run.told:
+        assert each.state is not states.CONFLICTED or each.row.key == each.key
+
+
+@behave.given("a lookup controller with two backend servers")
+def step_lookups(context):
+    identity = _blackboard.Identity(
+        node="n", incarnation="i", region="r", failure_domain="a"
+    )
+    blackboard = _blackboard.Blackboard(identity=identity)
+    for name in ("records-1", "records-2"):
+        vm = _backend_messages.Vm(
+            name=name,
+            role=_backend_messages.VmRole.SERVICE,
+            address=call_model.ADDRESS,
+            region="r",
+            failure_domain="a",
+            state=_backend_messages.VmState.LIVE,
+            service="records",
+        )
+        blackboard.backends.services[name] = _backend_area.BackendServer(vm=vm)
+    context.blackboard = blackboard
+    context.counts = call_system.Counts()
+    context.lookups = _lookups.LookupController(
+        blackboard=blackboard,
+        counters=context.counts,
+        balance=_service_balance.ServiceBalance(backends=blackboard.backends),
+    )
+
+
+@behave.when("lookups hang, fail and come back")
+def step_drive_lookups(context):
+    draws = random.Random(7)
+    context.sent, context.cancelled, context.replies = [], [], []
+    for index in range(LOOKUPS):
+        now = index * 0.05
+        request = f"r{index}"
+        context.blackboard.limits.admitted[request] = "desk"
+        arrived = _call_messages.LookupArrived(
+            request=request,
+            account="desk",
+            service="records",
+            path="/x",
+            deadline=now + 2.0,
+        )
+        take(context, context.lookups.start(arrived, now))
+        answer_lookup(context, request, draws, now)
+
+
+def take(context, commands):
+    for command in commands:
+        if isinstance(command, _call_messages.SendLookup):
+            context.sent.append(command)
+        elif isinstance(command, _call_messages.CancelLookup):
+            context.cancelled.append(command.attempt)
+        else:
+            context.replies.append(command)
+
+
+def answer_lookup(context, request, draws, now):
+    """Let attempts hang past the hedge, fail or answer until one counts."""
+    lookups = context.blackboard.calls.lookups
+    if draws.random() < 0.2:
+        take(context, context.lookups.hedge(_node_messages.Tick(), now + 1.0))
+    while request in lookups:
+        attempt = draws.choice(sorted(lookups[request].attempts))
+        names = {"request": request, "attempt": attempt}
+        draw = draws.random()
+        if draw < 0.2:
+            event = _call_messages.CallUnclear(detail="", **names)
+            take(context, context.lookups.repeat(event, now + 1.0))
+            continue
+        status = 500 if draw < 0.3 else 200
+        event = _call_messages.CallAnswered(status=status, body="{}", **names)
+        take(context, context.lookups.answer(event, now + 1.0))
+
+
+@behave.then(
+    "each is answered once, losers are cancelled and retries keep to the budget"
+)
+def step_lookup_budget(context):
+    answered = [reply.request for reply in context.replies]
+    assert sorted(answered) == sorted(f"r{index}" for index in range(LOOKUPS))
+    assert not context.blackboard.calls.lookups
+    extra = len(context.sent) - LOOKUPS
+    assert 0 < extra <= LARGEST_BUDGET + 0.1 * LOOKUPS, extra
+    assert context.counts[reasons.RetryReason.LOOKUP_HEDGED.value] > 0
+    assert context.cancelled
+    assert set(context.cancelled) <= {command.attempt for command in context.sent}
--- /dev/null
+++ b/tests/features/steps/calls_process_steps.py
@@ -0,0 +1,218 @@
+import concurrent.futures
+import json
+import time
+
+import behave
+
+from jujubepass import _http_client
+from standins import processes, system
+
+KINDS = (
+    system.ServiceSpec(name="bookings-1", service="bookings"),
+    system.ServiceSpec(name="parts-1", service="parts", checks_fencing=False),
+    system.ServiceSpec(name="postings-1", service="postings", answers_outcomes=False),
+    system.ServiceSpec(
+        name="visits-1", service="visits", checks_fencing=False, answers_outcomes=False
+    ),
+)
+ASKABLE = ("bookings", "parts")
+SETTINGS = {
+    "timing": {
+        "heartbeat_seconds": 0.1,
+        "suspect_seconds": 0.3,
+        "dead_seconds": 0.8,
+        "lease_seconds": 1.5,
+        "lease_margin_seconds": 0.5,
+        "vm_poll_seconds": 0.3,
+    },
+    "platform": {"table_timeout_seconds": 0.5},
+}
+REQUEST_SECONDS = 4.0
+KEYS_EACH = 2
+
+
+@behave.given("a running system with three nodes and four kinds of services")
+def step_start(context):
+    context.system = system.System(first_port=context.first_port, settings=SETTINGS)
+    context.add_cleanup(context.system.processes.close)
+    context.system.start_platform()
+    context.system.start_services(KINDS)
+    context.system.start_nodes(3)
+    sections = {f"service {spec.service}": {} for spec in KINDS}
+    sections |= {
+        f"account {system.ACCOUNT}": system.declare_account(
+            system.CALLER_KEY, requests_per_second=10_000, burst=10_000, concurrency=500
+        )
+    }
+    context.system.wait_for_number(context.system.apply(sections))
+    context.verdicts = {}
+    context.pool = concurrent.futures.ThreadPoolExecutor(24)
+    context.add_cleanup(context.pool.shutdown)
+
+
+def book(context, node, service, key):
+    """Send one booking and keep what its caller was told."""
+    try:
+        answer = context.system.book(
+            node, key, {"key": key}, service=service, timeout_seconds=REQUEST_SECONDS
+        )
+    except _http_client.ClientError:
+        verdict = "gone"
+    else:
+        if answer.status == 200:
+            verdict = "done"
+        else:
+            run = answer.read_json().get("run")
+            verdict = {"no": "not run", "unknown": "unknown"}[run]
+    context.verdicts.setdefault((service, key), []).append(verdict)
+    return verdict
+
+
+def book_all(context, round_name, *nodes):
+    """Start each key of a round at every node named."""
+    return [
+        context.pool.submit(
+            book, context, node, spec.service, f"{round_name}-{spec.service}-{index}"
+        )
+        for spec in KINDS
+        for index in range(KEYS_EACH)
+        for node in nodes
+    ]
+
+
+def finish(futures):
+    return [future.result(timeout=30.0) for future in futures]
+
+
+def change_services(context, **knobs):
+    for port in context.system.services.values():
+        processes.change_knobs(port, **knobs)
+
+
+def count_attempts(context):
+    counts = map(processes.read_counts, context.system.services.values())
+    return sum(sum(each["attempts"].values()) for each in counts)
+
+
+def wait_for_attempts(context, more, start):
+    processes.wait_for(
+        lambda: count_attempts(context) >= start + more, "attempts at the services"
+    )
+
+
+def kill_between_run_and_answer(context):
+    change_services(context, hang_after_run=True)
+    start = count_attempts(context)
+    first = book_all(context, "killed", "node-1")
+    wait_for_attempts(context, len(first), start)
+    context.system.processes.kill("node-1")
+    change_services(context, hang_after_run=False)
+    finish(first)
+    finish(book_all(context, "killed", "node-2"))
+    context.system.start_node("node-1")
+
+
+def pause_between_write_and_send(context):
+    processes.change_knobs(context.system.platform, table_delay_seconds=0.3)
+    start = count_attempts(context)
+    first = book_all(context, "paused", "node-2")
+    time.sleep(0.15)
+    context.system.processes.suspend("node-2")
+    assert count_attempts(context) == start
+    time.sleep(float(SETTINGS["timing"]["lease_seconds"]))
+    processes.change_knobs(context.system.platform, table_delay_seconds=0.0)
+    second = book_all(context, "paused", "node-3")
+    finish(second)
+    context.system.processes.resume("node-2")
+    finish(first)
+
+
+def pause_while_sent(context):
+    change_services(context, delay_seconds=2.5)
+    start = count_attempts(context)
+    first = book_all(context, "sent", "node-3")
+    wait_for_attempts(context, len(first), start)
+    context.system.processes.suspend("node-3")
+    second = book_all(context, "sent", "node-1")
+    finish(second)
+    context.system.processes.resume("node-3")
+    change_services(context, delay_seconds=0.0)
+    finish(first)
+
+
+def lose_table_answers(context):
+    processes.change_knobs(context.system.platform, lose_answers=4)
+    finish(book_all(context, "table-after", "node-1", "node-2"))
+    processes.change_knobs(context.system.platform, lose_before_effect=4)
+    finish(book_all(context, "table-before", "node-3"))
+    processes.change_knobs(
+        context.system.platform, lose_answers=0, lose_before_effect=0
+    )
+
+
+def stop_the_table(context):
+    for knob in ("table_down", "table_hang"):
+        processes.change_knobs(context.system.platform, **{knob: True})
+        verdicts = finish(book_all(context, knob, "node-1"))
+        assert set(verdicts) == {"not run"}, verdicts
+        processes.change_knobs(context.system.platform, **{knob: False})
+        time.sleep(1.0)
+
+
+def lose_service_answers(context):
+    change_services(context, lose_answers=KEYS_EACH)
+    finish(book_all(context, "lost", "node-1", "node-2", "node-3"))
+    change_services(context, lose_answers=0)
+
+
+@behave.when("bookings go through kills, pauses, outages and two nodes at once")
+def step_trials(context):
+    kill_between_run_and_answer(context)
+    pause_between_write_and_send(context)
+    pause_while_sent(context)
+    lose_table_answers(context)
+    stop_the_table(context)
+    lose_service_answers(context)
+    context.last = {
+        (service, key): book(context, "node-1", service, key)
+        for service, key in list(context.verdicts)
+        if service in ASKABLE
+    }
+    context.runs = {
+        spec.service: processes.read_counts(context.system.services[spec.name])["runs"]
+        for spec in KINDS
+    }
+
+
+def count_runs(context, service, key):
+    return context.runs[service].get(f"{system.ACCOUNT}:{key}", 0)
+
+
+@behave.then("the services ran none twice and none that was refused")
+def step_at_most_once(context):
+    for (service, key), verdicts in context.verdicts.items():
+        count = count_runs(context, service, key)
+        assert count <= 1, (service, key, verdicts, count)
+        if set(verdicts) == {"not run"}:
+            assert count == 0, (service, key, verdicts)
+
+
+@behave.then("every booking answered done was run")
+def step_done(context):
+    for (service, key), verdicts in context.verdicts.items():
+        if "done" in verdicts:
+            assert count_runs(context, service, key) == 1, (service, key, verdicts)
+    for (service, key), verdict in context.last.items():
+        settled = verdict == "done" or service != "bookings"
+        assert settled, (service, key, verdict)
+
+
+@behave.then("a stored answer is told at any node")
+def step_told(context):
+    headers = {"authorization": f"Bearer {system.CALLER_KEY}"}
+    for ports in context.system.nodes.values():
+        answer = processes.call(
+            "GET", ports.callers, "/v1/calls/lost-bookings-0", headers=headers
+        )
+        told = json.loads(answer.body)
+        assert told["state"] == "done", told
