--- a/src/jujubepass/_callers.py
+++ b/src/jujubepass/_callers.py
@@ -15,7 +15,7 @@
     _call_messages,
     _caller_input,
     _http_server,
-    _limits,
+    _limit_messages,
     _mailboxes,
     _metrics,
     _node_messages,
@@ -151,7 +151,7 @@
 
     async def _serve(
         self,
-        event: _limits.Arrival | _call_messages.CallAsked,
+        event: _limit_messages.Arrival | _call_messages.CallAsked,
         writer: "_AnswerWriter",
         kind: typing.Any,
     ) -> None:
@@ -170,7 +170,7 @@
             self.metrics.count_request(kind, outcome)
             if outcome is _metrics.RequestOutcome.CALLER_GONE:
                 self.post(_answer_messages.CallerLeft(request=event.request))
-            self.post(_limits.RequestEnded(request=event.request))
+            self.post(_limit_messages.RequestEnded(request=event.request))
 
 
 @attrs.define(kw_only=True)
@@ -274,6 +274,11 @@
 @attrs.define(kw_only=True)
 class _StreamWriter(_AnswerWriter):
     _written: int = attrs.field(default=0, init=False)
+    _prefix: str = attrs.field(init=False)
+
+    @_prefix.default
+    def _make_prefix(self) -> str:
+        return f'data: {{"id": "{self.request}", "choices": [{{"index": 0, '
 
     async def write(
         self,
@@ -309,10 +314,10 @@
         await self.responder.write(data)
 
     def _format_token(self, token: str) -> bytes:
-        text = f" {token}" if self._written else token
+        text = json.dumps(f" {token}" if self._written else token)
         self._written += 1
-        chunk = {"index": 0, "text": text, "delta": {"content": text}}
-        return _format_event({"id": self.request, "choices": [chunk]})
+        chunk = f'"text": {text}, "delta": {{"content": {text}}}}}]}}\n\n'
+        return (self._prefix + chunk).encode()
 
     def _format_refusal(self, refusal: _answer_messages.Refuse) -> bytes:
         self.api.metrics.count_refusal(refusal.reason)
--- a/src/jujubepass/_lookups.py
+++ b/src/jujubepass/_lookups.py
@@ -66,7 +66,7 @@
         """Send an admitted lookup."""
         if event.request not in self.blackboard.limits.admitted:
             return ()
-        self.budget.earn()
+        self.budget.count_attempt(now)
         lookup = _call_area.Lookup(arrived=event, started_at=now)
         self.blackboard.calls.lookups[event.request] = lookup
         commands = self._send(lookup, now)
@@ -109,7 +109,7 @@
         while self._hedges and self._hedges[0][0] <= now:
             request = heapq.heappop(self._hedges)[2]
             lookup = self.blackboard.calls.lookups.get(request)
-            if lookup is None or lookup.sent > 1 or not self.budget.spend():
+            if lookup is None or lookup.sent > 1 or not self.budget.spend(now):
                 continue
             self.counters.count_retry(reasons.RetryReason.LOOKUP_HEDGED)
             yield from self._send(lookup, now)
@@ -167,7 +167,7 @@
             return ()
         if lookup.sent >= _MAX_ATTEMPTS:
             return self._refuse(lookup, _Reason.BACKEND_UNAVAILABLE, now)
-        if not self.budget.spend():
+        if not self.budget.spend(now):
             return self._refuse(lookup, _Reason.RETRY_BUDGET_SPENT, now)
         self.counters.count_retry(reasons.RetryReason.LOOKUP_FAILED)
         commands = self._send(lookup, now)
