Share circuit breakers and retry budgets; measure the whole path of a posting

Cause: the balance had a circuit of its own beside _circuit, and one retry budget for all services, so that one failing service spent the budget of the others.

Change: circuits and budgets come from _circuit and _retry_budget, a budget for each service. Refusals for the table say where to ask when the key was sent before. Rows left dispatched for two keeping times are removed.

--- a/bench/postings.py
+++ b/bench/postings.py
@@ -5,6 +5,8 @@
 
 import collections
 import os
+import pathlib
+import random
 import time
 import typing
 
@@ -105,6 +107,7 @@
             blackboard=self.blackboard,
             counters=self.counts,
             timing=_call_journal.CallTiming(),
+            random=random.Random(1),
             largest_group=self.variant.largest_group,
         )
         if self.variant.claims_first:
@@ -242,6 +245,60 @@
     )
 
 
+def read_cpu_seconds(pid: int) -> float:
+    """Return the processor time of a process."""
+    fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+async def _post_to_node(port: int, worker: int, answered: list[int]) -> None:
+    client = _http_client.Client()
+    address = _http_client.Address(host=processes.HOST, port=port)
+    for index in range(10**9):
+        answer = await client.request(
+            "POST",
+            address,
+            f"/services/{_SERVICE}/credits",
+            body=b'{"amount": 1250}',
+            headers={
+                "authorization": f"Bearer {system.CALLER_KEY}",
+                "idempotency-key": f"whole-{worker}-{index}",
+            },
+            timeout_seconds=_REQUEST_SECONDS,
+        )
+        answered.append(answer.status)
+
+
+async def measure_node(trial: system.System, concurrency: int, seconds: float) -> None:
+    """Send postings to a node process and print what one costs it."""
+    answered: list[int] = []
+    pid = trial.processes.get_pid("node-1")
+    port = trial.nodes["node-1"].callers
+    with trio.move_on_after(seconds):
+        async with trio.open_nursery() as nursery:
+            cpu = read_cpu_seconds(pid)
+            for worker in range(concurrency):
+                nursery.start_soon(_post_to_node, port, worker, answered)
+    cpu = read_cpu_seconds(pid) - cpu
+    done = answered.count(200)
+    print(
+        f"{'whole path, one node process':31}{done / seconds:9.0f} postings/s"
+        f"{1e3 * cpu / max(1, done):32.2f} ms CPU each"
+        f"{len(answered) - done:5} refused",
+        flush=True,
+    )
+
+
+def start_node(trial: system.System) -> None:
+    """Start one node with an account that is not limited."""
+    trial.start_node("node-1")
+    account = system.declare_account(
+        system.CALLER_KEY, requests_per_second=10_000, burst=10_000, concurrency=1_000
+    )
+    sections = {f"service {_SERVICE}": {}, f"account {_ACCOUNT}": account}
+    trial.wait_for_number(trial.apply(sections))
+
+
 @cappa.command(name="postings")
 @attrs.define(kw_only=True)
 class Arguments:
@@ -273,6 +330,8 @@
         )
         for variant in VARIANTS:
             trio.run(measure, variant, trial, arguments.concurrency, arguments.seconds)
+        start_node(trial)
+        trio.run(measure_node, trial, arguments.concurrency, arguments.seconds)
 
 
 if __name__ == "__main__":
--- a/src/jujubepass/_call_control.py
+++ b/src/jujubepass/_call_control.py
@@ -1,5 +1,7 @@
 """Assembly of the controllers of calls and lookups."""
 
+import random
+
 from jujubepass import (
     _blackboard,
     _call_journal,
@@ -20,10 +22,13 @@
     blackboard: _blackboard.Blackboard,
     counters: counters.Counters,
     timing: _call_journal.CallTiming,
+    random: random.Random,
     largest_group: int = _store_writer.LARGEST_GROUP,
 ) -> list[_dispatch.Controller]:
     """Make the controllers; both kinds of requests share one balance."""
-    balance = _service_balance.ServiceBalance(backends=blackboard.backends)
+    balance = _service_balance.ServiceBalance(
+        backends=blackboard.backends, random=random
+    )
     writer = _store_writer.StoreWriter(name="calls/rows", largest_group=largest_group)
     steps = _call_steps.CallSteps(
         blackboard=blackboard,
--- a/src/jujubepass/_call_steps.py
+++ b/src/jujubepass/_call_steps.py
@@ -337,6 +337,15 @@
     return _answer_messages.Refuse(
         request=request,
         reason=reason,
-        detail=reason.value.replace("_", " "),
+        detail=_explain(reason),
         retry_after_seconds=retry_after_seconds,
     )
+
+
+def _explain(reason: reasons.RefusalReason) -> str:
+    text = reason.code.replace("_", " ")
+    if reason is reasons.RefusalReason.OUTCOME_UNKNOWN:
+        return f"{text}: send the same key again, or GET /v1/calls/KEY"
+    if reason is reasons.RefusalReason.STORE_UNAVAILABLE:
+        return f"{text}: not run; GET /v1/calls/KEY if the key was sent before"
+    return text
--- a/src/jujubepass/_call_sweep.py
+++ b/src/jujubepass/_call_sweep.py
@@ -19,6 +19,7 @@
 
 _PREFIX = "calls/sweep/"
 _PAGE_ROWS = 100
+_OPEN_KEEP_PERIODS = 2
 _LARGEST_OPEN_SWEEP = 100
 _SECONDS_PER_NODE = 0.01
 
@@ -114,9 +115,9 @@
         return commands
 
     def _is_old(self, row: _call_rows.CallRow, now: float) -> bool:
-        wall = self.steps.journal.read_wall_clock(now)
-        old = wall - row.written_at > self.steps.journal.timing.keep_seconds
-        return old and row.state is not _State.DISPATCHED
+        age = self.steps.journal.read_wall_clock(now) - row.written_at
+        periods = _OPEN_KEEP_PERIODS if row.state is _State.DISPATCHED else 1
+        return age > periods * self.steps.journal.timing.keep_seconds
 
     def _can_be_settled(self, row: _call_rows.CallRow, now: float) -> bool:
         server = self.blackboard.backends.services.get(row.backend)
--- a/src/jujubepass/_calls.py
+++ b/src/jujubepass/_calls.py
@@ -302,7 +302,7 @@
         if call is None:
             return ()
         self.steps.balance.end(call.backend)
-        self.steps.balance.note_success(call.backend)
+        self.steps.balance.note_success(call.backend, now)
         meaning = _call_answers.read_meaning(event)
         if meaning is _call_answers.AnswerMeaning.RUN:
             return self.steps.finish(call, event.status, event.body, now)
@@ -351,7 +351,7 @@
         call = self.steps.by_attempt.get(event.attempt)
         if call is None or call.step is not _Step.ASKING:
             return ()
-        self.steps.balance.note_success(call.backend)
+        self.steps.balance.note_success(call.backend, now)
         return self.steps.go_on_after_outcome(call, event, now)
 
     def ask_again(self, event: _call_messages.OutcomeUntold, now: float) -> Commands:
--- a/src/jujubepass/_lookups.py
+++ b/src/jujubepass/_lookups.py
@@ -1,5 +1,6 @@
 """Controller that sends idempotent calls, hedges slow ones and repeats failed ones."""
 
+import collections
 import collections.abc
 import heapq
 import itertools
@@ -36,7 +37,9 @@
     blackboard: _blackboard.Blackboard
     counters: counters.Counters
     balance: _service_balance.ServiceBalance
-    budget: _retry_budget.RetryBudget = attrs.field(factory=_retry_budget.RetryBudget)
+    _budgets: dict[ids.ServiceId, _retry_budget.RetryBudget] = attrs.field(
+        factory=lambda: collections.defaultdict(_retry_budget.RetryBudget), init=False
+    )
     latencies: _latency_window.LatencyWindow = attrs.field(
         factory=lambda: _latency_window.LatencyWindow(
             first_seconds=0.1, least_seconds=0.02
@@ -66,7 +69,7 @@
         """Send an admitted lookup."""
         if event.request not in self.blackboard.limits.admitted:
             return ()
-        self.budget.count_attempt(now)
+        self._budgets[event.service].count_attempt(now)
         lookup = _call_area.Lookup(arrived=event, started_at=now)
         self.blackboard.calls.lookups[event.request] = lookup
         commands = self._send(lookup, now)
@@ -109,7 +112,9 @@
         while self._hedges and self._hedges[0][0] <= now:
             request = heapq.heappop(self._hedges)[2]
             lookup = self.blackboard.calls.lookups.get(request)
-            if lookup is None or lookup.sent > 1 or not self.budget.spend(now):
+            if lookup is None or lookup.sent > 1:
+                continue
+            if not self._budgets[lookup.arrived.service].spend(now):
                 continue
             self.counters.count_retry(reasons.RetryReason.LOOKUP_HEDGED)
             yield from self._send(lookup, now)
@@ -125,7 +130,7 @@
             return self._repeat(lookup, event.attempt, now)
         backend = lookup.attempts[event.attempt]
         self.latencies.add(now - lookup.sent_at[event.attempt])
-        self.balance.note_success(backend)
+        self.balance.note_success(backend, now)
         self._end(lookup, event.attempt)
         answer = _call_messages.AnswerCall(
             request=event.request,
@@ -167,7 +172,7 @@
             return ()
         if lookup.sent >= _MAX_ATTEMPTS:
             return self._refuse(lookup, _Reason.BACKEND_UNAVAILABLE, now)
-        if not self.budget.spend(now):
+        if not self._budgets[lookup.arrived.service].spend(now):
             return self._refuse(lookup, _Reason.RETRY_BUDGET_SPENT, now)
         self.counters.count_retry(reasons.RetryReason.LOOKUP_FAILED)
         commands = self._send(lookup, now)
--- a/src/jujubepass/_node.py
+++ b/src/jujubepass/_node.py
@@ -3,6 +3,7 @@
 import collections.abc
 import functools
 import logging
+import random
 import signal
 import time
 import typing
@@ -207,6 +208,7 @@
             take_over_margin_seconds=timing.lease_margin_seconds,
             keep_seconds=node_settings.calls.keep_seconds,
         ),
+        random=random.Random(node_settings.seeds.random or None),
         largest_group=node_settings.calls.largest_group,
     )
 
--- a/src/jujubepass/_service_balance.py
+++ b/src/jujubepass/_service_balance.py
@@ -2,22 +2,13 @@
 
 import collections
 import collections.abc
+import random
 
 import attrs
 
-from jujubepass import _backend_area, ids
+from jujubepass import _backend_area, _circuit, ids
 
-_FAILURES_TO_OPEN = 3
-_FIRST_PAUSE_SECONDS = 0.5
-_LONGEST_PAUSE_SECONDS = 10.0
-
-
-@attrs.define(kw_only=True)
-class _Circuit:
-    failures: int = 0
-    open_until: float = float("-inf")
-    longer_from: float = float("-inf")
-    pause_seconds: float = _FIRST_PAUSE_SECONDS
+_NO_BACKEND_PAUSE_SECONDS = 1.0
 
 
 @attrs.define(kw_only=True)
@@ -25,11 +16,12 @@
     """Spread calls by what is in flight; leave out servers that keep failing."""
 
     backends: _backend_area.BackendArea
+    random: random.Random
     _in_flight: collections.Counter[ids.BackendServerId] = attrs.field(
         factory=collections.Counter, init=False
     )
-    _circuits: dict[ids.BackendServerId, _Circuit] = attrs.field(
-        factory=lambda: collections.defaultdict(lambda: _Circuit()), init=False
+    _circuits: dict[ids.BackendServerId, _circuit.Circuit] = attrs.field(
+        factory=dict, init=False
     )
     _turn: int = attrs.field(default=0, init=False)
 
@@ -45,7 +37,7 @@
             backend
             for backend in self.backends.list_service(service)
             if backend.vm.name not in avoid
-            and now >= self._circuits[ids.BackendServerId(backend.vm.name)].open_until
+            and self._find_circuit(backend.vm.name).may_allow(now)
         ]
         if not usable:
             return None
@@ -59,34 +51,31 @@
     def find_pause(self, service: ids.ServiceId, now: float) -> float:
         """Return the seconds until a server of the service may be tried."""
         waits = [
-            self._circuits[ids.BackendServerId(backend.vm.name)].open_until - now
+            self._find_circuit(backend.vm.name).predict_wait_seconds(now)
             for backend in self.backends.list_service(service)
         ]
-        return max(0.0, min(waits, default=_FIRST_PAUSE_SECONDS))
+        return min(waits, default=_NO_BACKEND_PAUSE_SECONDS)
 
     def begin(self, backend: ids.BackendServerId, now: float) -> None:
-        """Count an attempt in; an open circuit lets one through at a time."""
+        """Count an attempt in."""
         self._in_flight[backend] += 1
-        circuit = self._circuits.get(backend)
-        if circuit is not None and circuit.failures >= _FAILURES_TO_OPEN:
-            circuit.open_until = now + circuit.pause_seconds
+        self._find_circuit(backend).allow(now)
 
     def end(self, backend: ids.BackendServerId) -> None:
         """Count an attempt out."""
         self._in_flight[backend] -= 1
 
-    def note_success(self, backend: ids.BackendServerId) -> None:
-        """Close the server's circuit."""
-        self._circuits.pop(backend, None)
+    def note_success(self, backend: ids.BackendServerId, now: float) -> None:
+        """Report an answer to the server's circuit."""
+        self._find_circuit(backend).report_success(now)
 
     def note_failure(self, backend: ids.BackendServerId, now: float) -> None:
-        """Open the server's circuit after several failures, longer each time."""
-        circuit = self._circuits[backend]
-        circuit.failures += 1
-        if circuit.failures < _FAILURES_TO_OPEN:
-            return
-        if circuit.failures > _FAILURES_TO_OPEN and now >= circuit.longer_from:
-            longer = 2 * circuit.pause_seconds
-            circuit.pause_seconds = min(longer, _LONGEST_PAUSE_SECONDS)
-        circuit.open_until = now + circuit.pause_seconds
-        circuit.longer_from = circuit.open_until
+        """Report a failure to the server's circuit."""
+        self._find_circuit(backend).report_failure(now)
+
+    def _find_circuit(self, backend: str) -> _circuit.Circuit:
+        name = ids.BackendServerId(backend)
+        circuit = self._circuits.get(name)
+        if circuit is None:
+            circuit = self._circuits[name] = _circuit.Circuit(random=self.random)
+        return circuit
