--- a/src/jujubepass/_backends.py
+++ b/src/jujubepass/_backends.py
@@ -94,20 +94,20 @@
         """Take over the platform's list; who answers polls stays known."""
         self.blackboard.backends.listed_at = now - event.age_seconds
         self._listed = event.vms
-        return self._join()
+        return self._join(now)
 
     def join_declared(
         self, event: _configuration_messages.ConfigurationInstalled, now: float
     ) -> collections.abc.Iterable[_dispatch.Command]:
         """Take over the backend servers that operators added or drained."""
         declared = self.blackboard.configuration.declared
-        seen = (declared.backends, declared.drained)
+        seen = (declared.backends, declared.drained, declared.models)
         if seen != self._declared:
             self._declared = seen
-            self._join()
+            self._join(now)
         return ()
 
-    def _join(self) -> collections.abc.Iterable[_dispatch.Command]:
+    def _join(self, now: float) -> collections.abc.Iterable[_dispatch.Command]:
         area = self.blackboard.backends
         vms = {**self.blackboard.configuration.declared.backends}
         vms.update((ids.BackendServerId(vm.name), vm) for vm in self._listed)
@@ -117,8 +117,9 @@
         ):
             listed = {name: vm for name, vm in vms.items() if vm.role is role}
             for name in [name for name in known if name not in listed]:
-                polled = role is _backend_messages.VmRole.ENGINE
-                if not polled or known[name].failed_polls >= _GONE_AFTER_POLLS:
+                # An engine that is not polled cannot show that it is still there.
+                silent = known[name].failed_polls >= _GONE_AFTER_POLLS
+                if name not in area.polled or silent:
                     del known[name]
             for name, vm in listed.items():
                 self._join_vm(known, name, vm)
