Prove the configuration under faults, and resolve accounts on first use

Cause: a change of one template rebuilt every account that uses it, on every node at once; nothing proved what holds under faults.

Change: after an accepted change, accounts of a changed template are resolved on first use. Histories of changes and faults run on several nodes' controllers under one clock; three naive policies are caught by the same checks.

--- a/src/jujubepass/_configuration_installer.py
+++ b/src/jujubepass/_configuration_installer.py
@@ -96,7 +96,9 @@
         sections: _configuration_messages.Sections,
         delta: _configuration_messages.Delta,
     ) -> declarations.Declarations:
-        update = _declaration_changes.update_declarations(declared, sections, delta)
+        update = _declaration_changes.update_declarations(
+            declared, sections, delta, accepted=True
+        )
         for problem in update.problems:
             _LOGGER.error("section left out: %s", problem)
         return update.declared
--- a/src/jujubepass/_declaration_changes.py
+++ b/src/jujubepass/_declaration_changes.py
@@ -1,11 +1,13 @@
 """Changes of declarations, checked and applied without rebuilding the rest."""
 
 import collections.abc
+import functools
 import typing
 
 import attrs
 
 from jujubepass import (
+    _account_map,
     _backend_messages,
     _declaration_schema,
     _ini,
@@ -41,6 +43,7 @@
     sections: Sections
     delta: Delta
     files: collections.abc.Mapping[str, str]
+    lazy: bool
     problems: Problems = attrs.field(factory=list)
     _copies: dict[str, dict[typing.Any, typing.Any]] = attrs.field(factory=dict)
 
@@ -55,13 +58,18 @@
         """Return a kind's own copy."""
         copy = self._copies.get(field)
         if copy is None:
-            copy = self._copies[field] = dict(getattr(self.declared, field))
+            current = getattr(self.declared, field)
+            if field == "accounts":
+                current = _account_map.get_entries(current)
+            copy = self._copies[field] = dict(current)
         return copy
 
-    def find_section(self, title: str) -> Section:
-        """Return a section as the change leaves it."""
-        section = self.delta.get(title) or self.sections.get(title)
-        return section or {}
+    def list_accounts(self) -> collections.abc.Iterable[_account_map.Entry]:
+        """Return the accounts as they stand in the draft, without resolving any."""
+        copy = self._copies.get("accounts")
+        if copy is not None:
+            return copy.values()
+        return _account_map.get_entries(self.declared.accounts).values()
 
     def get_file(self, title: str) -> str:
         """Name the file that a section stands in."""
@@ -78,6 +86,9 @@
         drained = copies.pop("drains", None)
         if drained is not None:
             copies["drained"] = frozenset(drained)
+        accounts = copies.get("accounts")
+        if accounts is not None:
+            copies["accounts"] = _account_map.AccountMap(entries=accounts)
         declared = attrs.evolve(self.declared, **copies)
         return Update(declared=declared, problems=tuple(self.problems))
 
@@ -87,9 +98,21 @@
     sections: Sections,
     delta: Delta,
     files: collections.abc.Mapping[str, str] | None = None,
+    *,
+    accepted: bool = False,
 ) -> Update:
-    """Apply a change to what `sections` declared; a wrong section is left out."""
-    draft = _Draft(declared=declared, sections=sections, delta=delta, files=files or {})
+    """Apply a change to what `sections` declared; a wrong section is left out.
+
+    Accounts are resolved from a changed template on first use when the change was
+    accepted, and checked when it was not.
+    """
+    draft = _Draft(
+        declared=declared,
+        sections=sections,
+        delta=delta,
+        files=files or {},
+        lazy=accepted,
+    )
     changed: dict[str, list[tuple[str, str]]] = {kind: [] for kind in KINDS}
     for title in delta:
         kind, _, name = title.partition(" ")
@@ -99,7 +122,8 @@
         for title, name in changed[kind]:
             _APPLY[kind](draft, title, name)
     _apply_accounts(draft, changed["account"], changed["template"])
-    _check_deleted(draft)
+    if not accepted:
+        _check_deleted(draft)
     return draft.finish()
 
 
@@ -224,45 +248,87 @@
     accounts: list[tuple[str, str]],
     templates: list[tuple[str, str]],
 ) -> None:
-    titles = dict(accounts)
-    if templates:
-        names = {name for title, name in templates if draft.delta[title] is not None}
-        for account in draft.declared.accounts.values():
-            if account.template in names:
-                titles.setdefault(f"account {account.name}", account.name)
-    if not titles:
+    if not accounts and not templates:
         return
-    known, index = draft.touch("accounts"), draft.touch("accounts_by_key_hash")
-    for name in titles.values():
+    known = draft.touch("accounts")
+    names = {name for title, name in templates if draft.delta[title] is not None}
+    changed = {name for _, name in accounts}
+    if names:
+        _refill_accounts(draft, known, names, changed)
+    index = draft.touch("accounts_by_key_hash") if accounts else {}
+    for _, name in accounts:
         before = known.pop(name, None)
         for key_hash in before.key_hashes if before else ():
             index.pop(key_hash, None)
-    for title, name in titles.items():
-        if title in draft.delta and draft.delta[title] is None:
+    for title, name in accounts:
+        section = draft.delta[title]
+        if section is not None:
+            _apply_account(draft, title, name, section)
+
+
+def _refill_accounts(
+    draft: _Draft,
+    known: dict[ids.AccountId, _account_map.Entry],
+    templates: set[str],
+    changed: set[str],
+) -> None:
+    """Take the new limits over into accounts that did not change themselves."""
+    read = draft.read("templates")
+    for name, entry in known.items():
+        if entry.template not in templates or name in changed:
             continue
-        _apply_account(draft, title, name)
+        before = entry
+        if isinstance(entry, _account_map.UnresolvedAccount):
+            before = entry.before
+        assert isinstance(before, declarations.Account)
+        refill = functools.partial(
+            _refill_account, before, draft.sections[f"account {name}"], read
+        )
+        if draft.lazy:
+            known[name] = _account_map.UnresolvedAccount(before=before, resolve=refill)
+        else:
+            account = refill(draft.problems)
+            _check_limits(draft, account)
+            known[name] = account
+
 
+def _refill_account(
+    before: declarations.Account,
+    section: Section,
+    templates: _templates.Templates,
+    problems: Problems | None = None,
+) -> declarations.Account:
+    title = f"account {before.name}"
+    limits, found = _templates.read_limits(SERVER_FILE, title, section, templates)
+    if problems is not None:
+        problems += found
+    return before if limits is None else attrs.evolve(before, **limits)
 
-def _apply_account(draft: _Draft, title: str, name: str) -> None:
-    section = draft.find_section(title)
+
+def _apply_account(draft: _Draft, title: str, name: str, section: Section) -> None:
     account, found = _templates.read_account(
         draft.get_file(title), title, name, section, draft.read("templates")
     )
     draft.problems += found
     if account is None:
         return
-    _check_names(draft, title, "models", account.models)
-    _check_names(draft, title, "services", account.services)
+    _check_limits(draft, account)
     index = draft.touch("accounts_by_key_hash")
     for key_hash in account.key_hashes:
-        other = index.setdefault(key_hash, account)
-        if other is not account:
-            what = f"is also a key of [account {other.name}]"
+        other = index.setdefault(key_hash, account.name)
+        if other != account.name:
+            what = f"is also a key of [account {other}]"
             allowed = "a key of its own for each account"
             draft.add_problem(title, key="key_hash", what=what, allowed=allowed)
     draft.touch("accounts")[name] = account
 
 
+def _check_limits(draft: _Draft, account: declarations.Account) -> None:
+    title = f"account {account.name}"
+    _check_names(draft, title, "models", account.models)
+    _check_names(draft, title, "services", account.services)
+
+
 def _check_names(draft: _Draft, title: str, field: str, names: frozenset[str]) -> None:
     known = draft.read(field)
     for name in sorted(names - known.keys()):
@@ -279,9 +345,9 @@
         if section is not None or kind not in ("model", "service", "template"):
             continue
         users = [
-            account.name
-            for account in draft.read("accounts").values()
-            if name in _list_names(account, kind)
+            entry.name
+            for entry in draft.list_accounts()
+            if name in _list_names(draft, entry, kind)
         ]
         if users:
             what = f"is in use by {_list_users(users)}"
@@ -289,9 +355,14 @@
             draft.add_problem(title, what=what, allowed=allowed)
 
 
-def _list_names(account: declarations.Account, kind: str) -> frozenset[str]:
+def _list_names(draft: _Draft, entry: _account_map.Entry, kind: str) -> frozenset[str]:
+    if kind == "template":
+        return frozenset((entry.template,))
+    account = entry
+    if isinstance(account, _account_map.UnresolvedAccount):
+        account = account.resolve()
     names = {"model": account.models, "service": account.services}
-    return names.get(kind, frozenset((account.template,)))
+    return names[kind]
 
 
 _SHOWN_USERS = 10
--- a/src/jujubepass/_templates.py
+++ b/src/jujubepass/_templates.py
@@ -3,6 +3,7 @@
 import collections
 import collections.abc
 import re
+import typing
 
 import attrs
 
@@ -20,6 +21,10 @@
 _KEY_NAMES = tuple(attrs.fields_dict(_declaration_schema.KeySection))
 
 Values = collections.abc.Mapping[str, str]
+Templates = collections.abc.Mapping[ids.TemplateId, declarations.Template]
+Limits = dict[str, typing.Any]
+"""Fields of an account that its template sets."""
+
 Problems = list[_ini.Problem]
 
 
@@ -192,40 +197,45 @@
 
 
 def read_account(
-    file: str,
-    title: str,
-    name: str,
-    values: Values,
-    templates: collections.abc.Mapping[ids.TemplateId, declarations.Template],
+    file: str, title: str, name: str, values: Values, templates: Templates
 ) -> tuple[declarations.Account | None, Problems]:
     """Read [account NAME] with its template; None when a problem was found."""
     keys = {k: v for k, v in values.items() if k in _KEY_NAMES}
     key, problems = _ini.structure_section(
         _declaration_schema.KeySection, file, title, keys
     )
-    filled, found = _find_limits(file, title, values, templates)
-    problems += found
-    if filled is None:
-        return None, problems
-    limits, found = _ini.structure_section(
-        _declaration_schema.LimitSection, file, title, filled
-    )
+    limits, found = read_limits(file, title, values, templates)
     problems += found
     if problems or key is None or limits is None:
         return None, problems
-    fields = {each: getattr(limits, each) for each in _PLAIN_LIMITS}
     account = declarations.Account(
         name=ids.AccountId(name),
         template=ids.TemplateId(values.get(TEMPLATE_KEY, "")),
         key_hash=key.key_hash,
         second_key_hash=key.second_key_hash,
-        models=frozenset(split_names(limits.models)),
-        services=frozenset(split_names(limits.services)),
-        **fields,
+        **limits,
     )
     return account, []
 
 
+def read_limits(
+    file: str, title: str, values: Values, templates: Templates
+) -> tuple[Limits | None, Problems]:
+    """Read an account's limits from its template and parameters."""
+    filled, problems = _find_limits(file, title, values, templates)
+    if filled is None or problems:
+        return None, problems
+    section, found = _ini.structure_section(
+        _declaration_schema.LimitSection, file, title, filled
+    )
+    if section is None:
+        return None, found
+    limits: Limits = {each: getattr(section, each) for each in _PLAIN_LIMITS}
+    limits["models"] = frozenset(split_names(section.models))
+    limits["services"] = frozenset(split_names(section.services))
+    return limits, []
+
+
 _PLAIN_LIMITS = tuple(
     name
     for name in attrs.fields_dict(_declaration_schema.LimitSection)
@@ -234,10 +244,7 @@
 
 
 def _find_limits(
-    file: str,
-    title: str,
-    values: Values,
-    templates: collections.abc.Mapping[ids.TemplateId, declarations.Template],
+    file: str, title: str, values: Values, templates: Templates
 ) -> tuple[dict[str, str] | None, Problems]:
     given = {k: v for k, v in values.items() if k not in _RESERVED}
     template = ids.TemplateId(values.get(TEMPLATE_KEY, ""))
--- a/src/jujubepass/declarations.py
+++ b/src/jujubepass/declarations.py
@@ -89,10 +89,10 @@
 
 def index_accounts(
     accounts: collections.abc.Mapping[ids.AccountId, Account],
-) -> dict[str, Account]:
-    """Map each valid key hash to its account."""
+) -> dict[str, ids.AccountId]:
+    """Map each valid key hash to its account's name."""
     return {
-        key_hash: account
+        key_hash: account.name
         for account in accounts.values()
         for key_hash in account.key_hashes
     }
@@ -116,7 +116,7 @@
         attrs.field(factory=dict)
     )
     drained: frozenset[str] = frozenset()
-    accounts_by_key_hash: collections.abc.Mapping[str, Account] = attrs.field(
+    accounts_by_key_hash: collections.abc.Mapping[str, ids.AccountId] = attrs.field(
         default=attrs.Factory(
             lambda self: index_accounts(self.accounts), takes_self=True
         ),
@@ -126,4 +126,5 @@
 
     def find_account_by_key_hash(self, key_hash: str) -> Account | None:
         """Find the account one of whose keys has this SHA-256, in hex."""
-        return self.accounts_by_key_hash.get(key_hash)
+        name = self.accounts_by_key_hash.get(key_hash)
+        return None if name is None else self.accounts.get(name)
--- a/tests/configuration_fleet.py
+++ b/tests/configuration_fleet.py
@@ -62,6 +62,7 @@
         self.alive = False
         self.paused = False
         self.cut = False
+        self.muted = False
         self.incarnation = 0
         self.waiting = []
 
@@ -210,7 +211,7 @@
                 peer = peers[sender.name] = _membership_area.Peer(
                     node=sender.name, address=sender.address
                 )
-            if sender.paused or sender.cut or receiver.cut:
+            if sender.paused or sender.muted or sender.cut or receiver.cut:
                 continue
             peer.state = _membership_area.PeerState.ALIVE
             ready = sender.area.caught_up
@@ -252,7 +253,7 @@
 
     def _send(self, node, command):
         peer = next(each for each in self.nodes if each.name == command.peer)
-        if node.cut or peer.cut or not peer.alive:
+        if node.muted or node.cut or peer.cut or not peer.alive:
             return
         if self.lost_messages:
             self.lost_messages -= 1
@@ -303,7 +304,7 @@
     def _use_object(self, node, command):
         operation, objects = command.operation, self.store.objects
         event = _object_messages.ObjectFailed(operation=operation, detail="")
-        if self._fails(node):
+        if self._fails(node) or self.store.objects_down:
             pass
         elif isinstance(command, _object_messages.PutObject):
             objects[command.name] = command.data
--- a/tests/configuration_store.py
+++ b/tests/configuration_store.py
@@ -39,6 +39,7 @@
         self.table = table.Table()
         self.objects = {}
         self.down = False
+        self.objects_down = False
         self.checks_conditions = True
         self.stale_reads = 0
         self.lost_answers = 0
--- /dev/null
+++ b/tests/features/steps/configuration_steps.py
@@ -0,0 +1,469 @@
+import random
+
+import behave
+import hypothesis
+import hypothesis.strategies as st
+
+from jujubepass import (
+    _configuration_codec,
+    _configuration_messages,
+    _configuration_push,
+    _configuration_rows,
+    _declaration_changes,
+    _http_client,
+    _ini,
+    _peer_codec,
+    declarations,
+)
+from tests import configuration_fleet, configuration_history, configuration_store
+
+EXAMPLES = 150
+NAIVE_SEEDS = 60
+FLEET_NODES = 700
+REGIONS, DOMAINS = 9, 34
+QUICK = hypothesis.settings(
+    max_examples=EXAMPLES, deadline=None, derandomize=True, database=None
+)
+POLICIES = {
+    "installs what comes last": {"installer": configuration_store.NaiveInstaller},
+    "takes a write without answer for failed": {
+        "proposals": configuration_store.NaiveProposals
+    },
+    "writes without a condition": {"checks_conditions": False},
+}
+
+
+def make_section(index, concurrency=8):
+    return {"key_hash": f"{index:064x}", "concurrency": str(concurrency)}
+
+
+def accept(fleet, index, node=None, seconds=1.0):
+    node = node or fleet.nodes[0]
+    change = f"change-{index}"
+    section = make_section(index % 50, 1 + index)
+    fleet.propose(node, change, {f"account a{index % 50}": section})
+    fleet.run(seconds)
+    verdict = fleet.verdicts[change]
+    assert isinstance(verdict, _configuration_messages.ChangeAccepted), verdict
+    return verdict
+
+
+def find_newest(fleet):
+    return max(fleet.store.log)
+
+
+def check_newest(fleet):
+    numbers = [node.area.number for node in fleet.nodes]
+    assert set(numbers) == {find_newest(fleet)}, numbers
+    assert len({node.area.digest for node in fleet.nodes}) == 1
+
+
+@behave.given("the product's policy")
+def step_policy(context):
+    context.policy = {}
+
+
+@behave.given("a policy that {policy}")
+def step_naive(context, policy):
+    context.policy = POLICIES[policy]
+
+
+@QUICK
+@hypothesis.given(configuration_history.HISTORIES)
+def check_histories(history):
+    configuration_history.run(history)
+
+
+@behave.when("any history of changes, faults, restarts and races runs")
+def step_histories(context):
+    context.breaches = []
+    if not context.policy:
+        check_histories()
+        return
+    for seed in range(NAIVE_SEEDS):
+        history = configuration_history.draw_history(random.Random(seed))
+        try:
+            configuration_history.run(history, **context.policy)
+        except AssertionError as error:
+            context.breaches.append(str(error))
+
+
+@behave.then("no check is broken")
+def step_sound(context):
+    assert not context.breaches
+
+
+@behave.then("a check is broken: {breach}")
+def step_breach(context, breach):
+    found = [each for each in context.breaches if breach in each.lower()]
+    assert found, context.breaches[:5]
+
+
+@behave.given("a fleet of {count:d} nodes")
+def step_fleet(context, count):
+    context.fleet = configuration_fleet.Fleet(count=count)
+    context.fleet.run(3.0)
+
+
+@behave.when("two operators offer a change on the same base at two nodes")
+def step_race(context):
+    fleet = context.fleet
+    fleet.propose(fleet.nodes[0], "first", {"account a": make_section(1)})
+    fleet.propose(fleet.nodes[1], "second", {"account b": make_section(2)})
+    fleet.run(3.0)
+
+
+@behave.then(
+    "one is accepted, and the other is told the number, author and sections that moved"
+)
+def step_one_winner(context):
+    verdicts = [context.fleet.verdicts[change] for change in ("first", "second")]
+    refused = [
+        each
+        for each in verdicts
+        if isinstance(each, _configuration_messages.ChangeRefused)
+    ]
+    assert len(refused) == 1, verdicts
+    (moved,) = refused[0].moved
+    winner = next(each for each in verdicts if each is not refused[0])
+    title = "account a" if winner.change == "first" else "account b"
+    assert refused[0].code == "base_moved" and moved.number == 1, refused
+    assert moved.author == f"operator of {winner.change}", moved
+    assert moved.sections == (title,), moved
+
+
+@behave.then("the accepted change is in force on every node")
+def step_accepted_everywhere(context):
+    check_newest(context.fleet)
+
+
+@behave.when("a change's write takes effect without an answer")
+def step_lost_answer(context):
+    fleet = context.fleet
+    fleet.store.lost_answers = 1
+    fleet.propose(fleet.nodes[0], "lost", {"account a": make_section(1)})
+    fleet.run(configuration_fleet.TABLE_TIMEOUT_SECONDS + 2.0)
+
+
+@behave.then("it is accepted once, also when asked again at each node")
+def step_settled(context):
+    fleet = context.fleet
+    assert fleet.verdicts["lost"].number == 1
+    for node in fleet.nodes:
+        fleet.propose(node, "lost", None)
+        fleet.run(1.0)
+        assert fleet.verdicts["lost"].number == 1
+    assert fleet.store.log == {1: "lost"}
+
+
+@behave.when("another change asks with the same id")
+def step_reused(context):
+    fleet = context.fleet
+    event = _configuration_messages.ChangeProposed(
+        change="lost", base=1, author="b", sections={"account z": make_section(9)}
+    )
+    fleet.verdicts.clear()
+    fleet.nodes[1].handle(event)
+    fleet.run(1.0)
+
+
+@behave.then('that one is refused as "{code}"')
+def step_refused(context, code):
+    assert context.fleet.verdicts["lost"].code == code, context.fleet.verdicts
+
+
+@behave.when("{count:d} changes are accepted and the first is asked again")
+def step_asked_again(context, count):
+    fleet = context.fleet
+    for index in range(count):
+        accept(fleet, index)
+    fleet.verdicts.clear()
+    fleet.propose(fleet.nodes[0], "change-0", None)
+    fleet.run(1.0)
+
+
+@behave.then('it is refused as "{code}"')
+def step_forgotten(context, code):
+    assert context.fleet.verdicts["change-0"].code == code
+
+
+@behave.when("a change is accepted while {missing} fails")
+def step_missing(context, missing):
+    fleet = context.fleet
+    fleet.propose(fleet.nodes[0], "c", {"account a": make_section(1)})
+    if missing == "the push":
+        fleet.lost_messages = len(fleet.nodes)
+    elif missing == "every message":
+        for node in fleet.nodes:
+            node.muted = True
+    while "c" not in fleet.verdicts:
+        fleet.run(configuration_fleet.STEP_SECONDS)
+    fleet.store.down = missing == "the store after the push"
+    context.accepted_at = fleet.now
+
+
+@behave.then("it is in force on every node within {seconds:g} seconds")
+def step_within(context, seconds):
+    fleet = context.fleet
+    fleet.run(seconds - (fleet.now - context.accepted_at))
+    check_newest(fleet)
+
+
+@behave.when("a node is cut off during {count:d} changes and comes back")
+def step_cut(context, count):
+    fleet = context.fleet
+    fleet.nodes[-1].cut = True
+    for index in range(count):
+        accept(fleet, index)
+    assert fleet.nodes[-1].area.number == 0
+    fleet.nodes[-1].cut = False
+    fleet.run(5.0)
+
+
+@behave.then("every node has the newest configuration")
+def step_newest(context):
+    check_newest(context.fleet)
+
+
+@behave.when("{count:d} changes are accepted, the store goes down and a node restarts")
+def step_join_in_outage(context, count):
+    fleet = context.fleet
+    for index in range(count):
+        accept(fleet, index)
+    fleet.store.down = True
+    fleet.nodes[-1].start()
+
+
+@behave.then("it is not ready before it has the newest number")
+def step_ready_with_newest(context):
+    fleet = context.fleet
+    node = fleet.nodes[-1]
+    for _ in range(200):
+        fleet.run(configuration_fleet.STEP_SECONDS)
+        assert not node.area.caught_up or node.area.number == find_newest(fleet)
+    assert node.area.caught_up
+    check_newest(fleet)
+
+
+@behave.when("a change is accepted and a node restarts cut off from all")
+def step_restart_alone(context):
+    fleet = context.fleet
+    accept(fleet, 1)
+    fleet.nodes[-1].start()
+    fleet.nodes[-1].cut = True
+
+
+@behave.then("it stays not ready")
+def step_not_ready(context):
+    context.fleet.run(30.0)
+    assert not context.fleet.nodes[-1].area.caught_up
+
+
+@behave.when("it is no longer cut off")
+def step_not_cut(context):
+    context.fleet.nodes[-1].cut = False
+    context.fleet.run(5.0)
+
+
+@behave.when("a change is accepted and every node restarts while the store is down")
+def step_all_restart(context):
+    fleet = context.fleet
+    accept(fleet, 1)
+    fleet.store.down = True
+    for node in fleet.nodes:
+        node.start()
+
+
+@behave.then("none becomes ready until the store is back")
+def step_none_ready(context):
+    fleet = context.fleet
+    fleet.run(30.0)
+    assert not any(node.area.caught_up for node in fleet.nodes)
+    fleet.store.down = False
+    fleet.run(5.0)
+    assert all(node.area.caught_up for node in fleet.nodes)
+    check_newest(fleet)
+
+
+@behave.when("{count:d} changes are accepted one after the other")
+def step_many(context, count):
+    for index in range(count):
+        accept(context.fleet, index)
+    context.fleet.run(2.0)
+
+
+@behave.then("the store holds at most {count:d} rows of changes and one snapshot")
+def step_few_rows(context, count):
+    store = context.fleet.store
+    rows, _ = store.table.scan(_configuration_rows.CHANGE_PREFIX, "", 1_000)
+    assert 0 < len(rows) <= count, len(rows)
+    assert len(store.objects) == 1, list(store.objects)
+
+
+@behave.then("a node that restarts has the newest configuration")
+def step_restarted(context):
+    fleet = context.fleet
+    for node in fleet.nodes:
+        node.cut = True
+    fleet.nodes[-1].cut = False
+    fleet.nodes[-1].start()
+    fleet.run(5.0)
+    assert fleet.nodes[-1].area.caught_up
+    check_newest(fleet)
+
+
+@behave.when(
+    "a change of {count:d} sections is offered while the object store fails, then again"
+)
+def step_large(context, count):
+    fleet = context.fleet
+    sections = {f"account a{index}": make_section(index) for index in range(count)}
+    fleet.store.objects_down = True
+    fleet.propose(fleet.nodes[0], "large", sections)
+    fleet.run(3.0)
+    context.first = fleet.verdicts.pop("large")
+    context.rows_after_first = dict(fleet.store.log)
+    fleet.store.objects_down = False
+    fleet.propose(fleet.nodes[0], "large", sections)
+    fleet.run(5.0)
+
+
+@behave.then("the first is refused and the second is in force on every node")
+def step_large_verdicts(context):
+    assert context.first.status == 503 and not context.rows_after_first
+    check_newest(context.fleet)
+    assert len(context.fleet.nodes[-1].area.declared.accounts) == 2_000
+
+
+@behave.given("{count:d} nodes in {regions:d} regions and {domains:d} failure domains")
+def step_places(context, count, regions, domains):
+    context.targets = []
+    for index in range(count):
+        domain = index % domains
+        place = (f"region-{domain % regions}", f"domain-{domain}", f"node-{index:03d}")
+        address = _http_client.Address(host="10.0.0.1", port=1 + index)
+        target = _configuration_push.Target(place=place, address=address)
+        context.targets.append(target)
+
+
+def push(targets, origin):
+    """Return the messages received, sent, sent between regions, and the hops."""
+    by_name = {target.place[2]: target for target in targets}
+    received, sent, crossing, deepest = {}, {}, 0, 0
+    waiting = [(origin, None, 0)]
+    while waiting:
+        target, segment, depth = waiting.pop()
+        deepest = max(deepest, depth)
+        others = [each for each in targets if each is not target]
+        relays = _configuration_push.choose_relays(others, segment)
+        if depth and segment is None:
+            relays = []
+        sent[target.place[2]] = len(relays)
+        for relay in relays:
+            other = by_name[relay.node]
+            received[relay.node] = received.get(relay.node, 0) + 1
+            crossing += other.place[0] != target.place[0]
+            waiting.append((other, relay.segment, depth + 1))
+    return received, sent, crossing, deepest
+
+
+@behave.when("a change is pushed from each of {count:d} nodes")
+def step_push(context, count):
+    chosen = random.Random(1).sample(context.targets, count)
+    context.pushes = [(origin, push(context.targets, origin)) for origin in chosen]
+
+
+@behave.then("each other node receives it once, and that one at most once")
+def step_once(context):
+    for origin, (received, _, _, _) in context.pushes:
+        others = {each.place[2] for each in context.targets} - {origin.place[2]}
+        assert others <= received.keys(), others - received.keys()
+        repeated = {name: n for name, n in received.items() if n > 1}
+        assert not repeated, repeated
+
+
+@behave.then("no node sends more than {count:d} messages, over at most {hops:d} hops")
+def step_fan_out(context, count, hops):
+    for _, (_, sent, _, deepest) in context.pushes:
+        assert max(sent.values()) <= count
+        assert deepest <= hops, deepest
+
+
+@behave.then("at most {count:d} messages cross regions")
+def step_crossing(context, count):
+    crossings = [crossing for _, (_, _, crossing, _) in context.pushes]
+    assert max(crossings) <= count, crossings
+
+
+@behave.then("any sequence of changes declares the same as the sections it leaves")
+def step_incremental(context):
+    @QUICK
+    @hypothesis.given(st.lists(configuration_history.DELTAS, max_size=8))
+    def check(deltas):
+        declared, sections = declarations.Declarations(), {}
+        for delta in deltas:
+            update = _declaration_changes.update_declarations(declared, sections, delta)
+            if update.problems:
+                continue
+            lazily = _declaration_changes.update_declarations(
+                declared, sections, delta, accepted=True
+            )
+            declared = lazily.declared
+            sections = _declaration_changes.merge_delta(sections, delta)
+        whole = _declaration_changes.update_declarations(
+            declarations.Declarations(), {}, sections
+        )
+        assert not whole.problems, whole.problems
+        assert dict(whole.declared.accounts) == dict(declared.accounts)
+        assert whole.declared.templates == declared.templates
+        assert whole.declared.accounts_by_key_hash == declared.accounts_by_key_hash
+        assert whole.declared.drained == declared.drained
+
+    check()
+
+
+@behave.then("any message is decoded or refused")
+def step_any_bytes(context):
+    entry = _configuration_messages.Entry(
+        number=1, digest="0" * 32, change="c", author="a", delta={"account a": {}}
+    )
+    segment = _configuration_messages.Segment(
+        first=("r", "d", "a"), last=("r", "d", "b")
+    )
+    address = _http_client.Address(host="h", port=1)
+    push_command = _configuration_messages.PushChanges(
+        peer="p", address=address, entries=(entry,), segment=segment
+    )
+    message = _configuration_codec.make_message(push_command, "n", address)
+    valid = _peer_codec.encode_struct(message)
+
+    @QUICK
+    @hypothesis.given(st.binary(max_size=60), st.integers(0, len(valid)), st.integers())
+    def check(noise, position, width):
+        mutated = valid[:position] + noise + valid[position + abs(width) % 8 :]
+        for data in (noise, mutated):
+            try:
+                _peer_codec.decode_event(data)
+            except _peer_codec.PeerCodecError:
+                continue
+
+    check()
+
+
+@behave.then("any declaration file is read or refused")
+def step_any_text(context):
+    words = st.sampled_from(
+        ["[account a]", "[template t]", "key_hash = ", "parameter.x.type = text", "="]
+    )
+    text = st.lists(st.one_of(words, st.text(max_size=20)), max_size=12)
+
+    @QUICK
+    @hypothesis.given(text.map("\n".join))
+    def check(text):
+        sections, _ = _ini.read_sections("f", text)
+        update = _declaration_changes.update_declarations(
+            declarations.Declarations(), {}, sections
+        )
+        assert all(str(problem) for problem in update.problems)
+
+    check()
