--- a/tests/features/configuration.feature
+++ b/tests/features/configuration.feature
@@ -94,3 +94,53 @@
 
   Scenario: Any INI text gives declarations or problems
     Then any declaration file is read or refused
+
+  Scenario: Two operators race by the command line
+    Given 3 running nodes with the basic configuration
+    When two operators apply different files on the same base at two nodes
+    Then one command ends with 0 and names 3 of 3 nodes
+    And the other ends with 1 and names what moved, by whom and the number
+
+  Scenario Outline: A write of a running node <fault>
+    Given 3 running nodes with the basic configuration
+    And the store <fault> once
+    When an operator applies a file
+    Then it is accepted once and in force on 3 of 3 nodes
+
+    Examples:
+      | fault                   |
+      | loses the answer        |
+      | loses the write         |
+
+  Scenario: A paused node goes on with the newest
+    Given 3 running nodes with the basic configuration
+    When "node-3" is paused while 5 changes are applied
+    And "node-3" goes on
+    Then every running node has the newest number and one digest
+
+  Scenario: The store is down for a while, and a node restarts meanwhile
+    Given 3 running nodes with the basic configuration
+    When the store goes down
+    Then a change is refused as "store_unavailable"
+    When "node-3" is killed and started again
+    Then it was never ready with an older number
+    When the store comes back
+    Then a change is accepted and in force on 3 of 3 nodes
+
+  Scenario: Nine nodes under races, pauses and kills
+    Given 9 running nodes with the basic configuration
+    When operators race at random nodes while nodes are paused, killed and restarted
+    Then no node was seen to go back, or two digests of one number
+    And each number has one change, and no change that was refused
+    And every running node has the newest number and one digest
+
+  Scenario: A server is drained, an account's key rotated and a template retired
+    Given 3 running nodes with the basic configuration
+    When an operator drains "engine-1"
+    Then it is leaving on every node
+    When an operator adds "engine-1" again
+    Then it is not leaving on any node
+    When an operator rotates an account's key
+    Then the old and the new key serve, then the new one alone
+    When an operator retires a template that is in use
+    Then the command ends with 1 and names the account
