--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -11,6 +11,31 @@
   5: string configuration_digest,
 }
 
+// Shares of client account limits: rates in thousandths of a request a second.
+struct ShareDemand {
+  1: string account,
+  2: i64 wanted_rate,
+  3: i64 held_rate,
+  4: i32 wanted_running,
+  5: i32 held_running,
+}
+
+struct ShareDemands {
+  1: string node,
+  2: list<ShareDemand> demands,
+}
+
+struct ShareGrant {
+  1: string account,
+  2: i64 rate,
+  3: i32 running,
+}
+
+struct ShareGrants {
+  1: string node,
+  2: list<ShareGrant> grants,
+}
+
 // One accepted change. The delta is JSON: sections by title, null for one deleted; one
 // value costs the pure Python codec far less than a map of maps.
 struct ConfigurationEntry {
@@ -51,6 +76,8 @@
 // Exactly one field is set.
 struct Message {
   1: optional Heartbeat heartbeat,
+  20: optional ShareDemands share_demands,
+  21: optional ShareGrants share_grants,
   10: optional ConfigurationChanges configuration_changes,
   11: optional ConfigurationQuestion configuration_question,
   12: optional ConfigurationPage configuration_page,
--- a/src/jujubepass/_node.py
+++ b/src/jujubepass/_node.py
@@ -4,6 +4,7 @@
 import functools
 import logging
 import signal
+import time
 import typing
 import uuid
 
@@ -16,9 +17,10 @@
     _backend_messages,
     _backends,
     _blackboard,
+    _call_control,
+    _call_journal,
     _call_messages,
     _callers,
-    _calls,
     _configuration,
     _configuration_codec,
     _configuration_installer,
@@ -30,14 +32,15 @@
     _engine_client,
     _http_client,
     _http_server,
+    _limit_messages,
     _limits,
-    _lookups,
     _mailboxes,
     _membership,
     _membership_messages,
     _metrics,
     _node_life,
     _node_messages,
+    _node_metrics,
     _object_client,
     _object_messages,
     _operators,
@@ -45,6 +48,9 @@
     _peers,
     _routes,
     _service_client,
+    _share_codec,
+    _share_messages,
+    _shares,
     _shell,
     _store_messages,
     _table_client,
@@ -56,6 +62,7 @@
 _LOGGER = logging.getLogger(__name__)
 
 _EXIT_DONE = 0
+_WALL_CLOCK_SECONDS = 1.0
 _OPERATOR_LIMITS = _http_server.ServerLimits(body_bytes=16 * 1_048_576)
 
 
@@ -73,7 +80,7 @@
         _connect_platform(shell, node_settings)
         _connect_backends(shell, mailboxes)
         _connect_requests(shell, mailboxes, verdicts)
-        await _connect_peers(shell, node_settings, nursery)
+        await _connect_peers(shell, node_settings, nursery, metrics)
         operator_api = _operators.OperatorApi(
             blackboard=blackboard,
             metrics=metrics,
@@ -90,7 +97,9 @@
             new_request_id=_new_request_id,
         )
         callers = _http_server.Server(handler=caller_api, limits=_make_limits(listen))
-        nursery.start_soon(_tick, shell, node_settings.timing.tick_seconds)
+        nursery.start_soon(_read_wall_clock, shell)
+        tick_seconds = node_settings.timing.tick_seconds
+        nursery.start_soon(_tick, shell, tick_seconds, metrics)
         address = listen.operators
         await nursery.start(operators.serve, address.host, address.port)
         await _serve_callers(shell, callers, node_settings)
@@ -121,11 +130,21 @@
             return
 
 
-async def _tick(shell: _shell.Shell, tick_seconds: float) -> None:
+async def _read_wall_clock(shell: _shell.Shell) -> None:
+    while True:
+        shell.post(_call_messages.WallClockRead(seconds=time.time()))
+        await trio.sleep(_WALL_CLOCK_SECONDS)
+
+
+async def _tick(
+    shell: _shell.Shell, tick_seconds: float, metrics: _metrics.Metrics
+) -> None:
     event = _node_messages.Tick()
     while True:
         shell.post(event)
-        await trio.sleep(tick_seconds)
+        due = trio.current_time() + tick_seconds
+        await trio.sleep_until(due)
+        metrics.tick_delay.observe(trio.current_time() - due)
 
 
 def _new_request_id() -> ids.RequestId:
@@ -168,6 +187,7 @@
                 vm_poll_seconds=timing.vm_poll_seconds,
             ),
         ),
+        _shares.ShareController(blackboard=blackboard),
         _limits.LimitController(blackboard=blackboard),
         _answers.AnswerController(
             blackboard=blackboard,
@@ -175,11 +195,19 @@
             timing=_answers.AnswerTiming(stall_seconds=timing.stall_seconds),
             counters=metrics,
         ),
-        _calls.CallController(blackboard=blackboard, counters=metrics),
-        _lookups.LookupController(blackboard=blackboard, counters=metrics),
+        *_call_control.make_controllers(
+            blackboard=blackboard, counters=metrics, timing=_make_call_timing(timing)
+        ),
     ]
 
 
+def _make_call_timing(timing: settings.Timing) -> _call_journal.CallTiming:
+    return _call_journal.CallTiming(
+        send_window_seconds=timing.lease_seconds - timing.lease_margin_seconds,
+        take_over_margin_seconds=timing.lease_margin_seconds,
+    )
+
+
 def _make_configuration(
     node_settings: settings.Settings, blackboard: _blackboard.Blackboard
 ) -> list[_dispatch.Controller]:
@@ -277,6 +305,9 @@
     shell.execute_with(_answer_messages.FinishAnswer, mailboxes.put)
     shell.execute_with(_answer_messages.Refuse, mailboxes.put)
     shell.execute_with(_call_messages.AnswerCall, mailboxes.put)
+    shell.execute_with(
+        _limit_messages.StartQueued, lambda command: shell.post(command.event)
+    )
     shell.execute_with(_configuration_messages.ChangeAccepted, verdicts.put)
     shell.execute_with(_configuration_messages.ChangeRefused, verdicts.put)
     shell.execute_with(_configuration_messages.ChangeCommitted, shell.post)
@@ -284,7 +315,10 @@
 
 
 async def _connect_peers(
-    shell: _shell.Shell, node_settings: settings.Settings, nursery: trio.Nursery
+    shell: _shell.Shell,
+    node_settings: settings.Settings,
+    nursery: trio.Nursery,
+    metrics: _metrics.Metrics,
 ) -> None:
     key = node_settings.security.peer_key.encode()
     sender = _peers.PeerSender(node=node_settings.node.name, key=key, nursery=nursery)
@@ -292,12 +326,24 @@
     def _send_heartbeat(command: _membership_messages.SendHeartbeat) -> None:
         sender.send(command.address, _peer_codec.encode_command(command))
 
+    def _send_demands(command: _share_messages.SendDemands) -> None:
+        message = _share_codec.build_demands(command)
+        sender.send(command.address, _peer_codec.encode_struct(message))
+
+    def _send_grants(command: _share_messages.SendGrants) -> None:
+        message = _share_codec.build_grants(command)
+        sender.send(command.address, _peer_codec.encode_struct(message))
+
     def _receive(data: bytes) -> None:
         shell.post(_peer_codec.decode_event(data))
 
     _connect_configuration(shell, node_settings, sender)
     shell.execute_with(_membership_messages.SendHeartbeat, _send_heartbeat)
+    shell.execute_with(_share_messages.SendDemands, _send_demands)
+    shell.execute_with(_share_messages.SendGrants, _send_grants)
     listener = _peers.PeerListener(key=key, handler=_receive)
+    _node_metrics.add_shell_metrics(metrics, shell)
+    _node_metrics.add_peer_metrics(metrics, sender, listener)
     listen = node_settings.listen.peers
     await nursery.start(functools.partial(listener.serve, listen.host, listen.port))
 
--- a/src/jujubepass/_peer_codec.py
+++ b/src/jujubepass/_peer_codec.py
@@ -10,6 +10,8 @@
     _configuration_messages,
     _membership_messages,
     _node_messages,
+    _share_codec,
+    _share_messages,
     ids,
 )
 from jujubepass.generated.peer import ttypes
@@ -56,17 +58,42 @@
     )
 
 
-def decode_event(
-    data: bytes,
-) -> _membership_messages.HeartbeatReceived | _configuration_messages.PeerEvent:
-    """Read a message as the event it stands for; raise PeerCodecError."""
-    message = decode_struct(ttypes.Message(), data)
+PeerEvent = (
+    _membership_messages.HeartbeatReceived
+    | _share_messages.DemandsReceived
+    | _share_messages.GrantsReceived
+    | _configuration_messages.PeerEvent
+)
+
+
+def _decode_share(
+    message: typing.Any,
+) -> _share_messages.DemandsReceived | _share_messages.GrantsReceived | None:
+    try:
+        if message.share_demands is not None:
+            return _share_codec.read_demands(message.share_demands)
+        if message.share_grants is not None:
+            return _share_codec.read_grants(message.share_grants)
+    except _share_codec.ShareCodecError as error:
+        raise PeerCodecError(str(error)) from error
+    return None
+
+
+def _decode_configuration(
+    message: typing.Any,
+) -> _configuration_messages.PeerEvent | None:
     try:
-        configuration = _configuration_codec.read_message(message)
+        return _configuration_codec.read_message(message)
     except (TypeError, ValueError, AttributeError) as error:
         raise PeerCodecError(f"configuration with a bad field: {error}") from error
-    if configuration is not None:
-        return configuration
+
+
+def decode_event(data: bytes) -> PeerEvent:
+    """Read a message as the event it stands for; raise PeerCodecError."""
+    message = decode_struct(ttypes.Message(), data)
+    event = _decode_share(message) or _decode_configuration(message)
+    if event is not None:
+        return event
     if message.heartbeat is None:
         raise PeerCodecError("peer message has no field set that this node knows")
     heartbeat = message.heartbeat
