--- a/src/jujubepass/_admission.py
+++ b/src/jujubepass/_admission.py
@@ -22,6 +22,7 @@
 _MAX_PRIORITY = 8
 _SLOTS_PERIOD_SECONDS = 0.25
 _RETRY_SECONDS = 1.0
+_WAIT_MARGIN = 1.3
 
 MakeQueue = collections.abc.Callable[[], _fairness.FairQueue]
 
@@ -96,7 +97,8 @@
         if len(self._queued) >= self.maximum_queued:
             return refuse(event, reasons.RefusalReason.NODE_OVERLOADED, wait)
         service = self._get_service(event.model).predict_seconds(cost)
-        if self.early_refusal and now + wait + service > event.deadline:
+        latest = now + wait * _WAIT_MARGIN + service
+        if self.early_refusal and latest > event.deadline:
             reason = reasons.RefusalReason.DEADLINE_UNREACHABLE
             return refuse(event, reason, max(_RETRY_SECONDS, wait))
         entry = _fairness.Entry(event=event, cost=cost, weight=weight, queued_at=now)
--- a/src/jujubepass/_limits.py
+++ b/src/jujubepass/_limits.py
@@ -18,7 +18,7 @@
     reasons,
 )
 
-_LEAST_BURST = 2.0
+_LEAST_BURST = 4.0
 _RETRY_SECONDS = 1.0
 _IDLE_SECONDS = 60.0
 _SWEEP_SECONDS = 5.0
--- a/src/jujubepass/_share_home.py
+++ b/src/jujubepass/_share_home.py
@@ -7,7 +7,7 @@
 
 from jujubepass import _rendezvous, _share_messages, declarations, ids
 
-_NODES_FOR_FULL_RESERVE = 1_400
+_NODES_PER_RESERVE = 200
 _LEAST_RESERVED_FRACTION = 0.01
 _TOLD_CHANGE = 0.05
 _HEADROOM = 1.5
@@ -118,7 +118,7 @@
 
 def get_reserved_fraction(nodes: int) -> float:
     """Return the part of its base share that a node may use without asking."""
-    return min(0.5, max(_LEAST_RESERVED_FRACTION, nodes / _NODES_FOR_FULL_RESERVE))
+    return min(0.5, max(_LEAST_RESERVED_FRACTION, nodes / _NODES_PER_RESERVE))
 
 
 def divide_by_demand(
--- a/src/jujubepass/_shares.py
+++ b/src/jujubepass/_shares.py
@@ -2,6 +2,7 @@
 
 import collections
 import collections.abc
+import math
 
 import attrs
 
@@ -18,6 +19,11 @@
 )
 
 _RATE_SMOOTHING_SECONDS = 2.0
+_MAX_WINDOW_SECONDS = 120.0
+_ARRIVALS_TO_ASK = 2.0
+_ARRIVALS_FOR_SHORT_WINDOW = 5.0
+_LEAST_WINDOW_SECONDS = 10.0
+_QUIET_RATE = 1e-4
 
 
 @attrs.frozen(kw_only=True)
@@ -36,8 +42,17 @@
     arrivals: int = 0
     denials: int = 0
     rate: float = 0.0
+    long_rate: float = 0.0
+    measured_at: float = 0.0
     asked_at: float = float("-inf")
 
+    def estimate_rate(self) -> float:
+        """Return the short-term rate where it rests on enough requests."""
+        highest = max(self.rate, self.long_rate)
+        if highest * _RATE_SMOOTHING_SECONDS >= _ARRIVALS_FOR_SHORT_WINDOW:
+            return self.rate
+        return self.long_rate
+
 
 @attrs.define(kw_only=True)
 class ShareController:
@@ -81,7 +96,7 @@
         self._rows = min(self._rows, 2.0 * self.bounds.rows_per_second)
         self._count_nodes(now)
         self._drop_expired(now)
-        self._measure(elapsed)
+        self._measure(elapsed, now)
         return [*self._ask(now), *self._send_grants(now)]
 
     def _count_nodes(self, now: float) -> None:
@@ -104,20 +119,37 @@
         for account in [name for name, held in grants.items() if held.expires_at < now]:
             del grants[account]
 
-    def _measure(self, elapsed: float) -> None:
+    def _measure(self, elapsed: float, now: float) -> None:
         uses = self.blackboard.limits.uses
         for account in uses.keys() - self._watched.keys():
-            self._watched[account] = _Watched()
+            self._watched[account] = _Watched(measured_at=now)
         for account in self._watched.keys() - uses.keys():
             del self._watched[account]
         weight = min(1.0, elapsed / _RATE_SMOOTHING_SECONDS)
         for account, watched in self._watched.items():
-            arrivals = uses[account].arrivals
-            if arrivals == watched.arrivals and watched.rate < 1e-3:
+            arrived = uses[account].arrivals - watched.arrivals
+            if not arrived and max(watched.rate, watched.long_rate) < _QUIET_RATE:
                 continue
-            rate = (arrivals - watched.arrivals) / elapsed
-            watched.rate += weight * (rate - watched.rate)
-            watched.arrivals = arrivals
+            watched.arrivals += arrived
+            watched.rate += weight * (arrived / elapsed - watched.rate)
+            window = self._compute_window(account)
+            watched.long_rate *= math.exp((watched.measured_at - now) / window)
+            watched.long_rate += arrived / window
+            watched.measured_at = now
+
+    def _compute_threshold(self, account: ids.AccountId) -> float:
+        """Return the rate up to which this node uses an account without asking."""
+        limits = self.blackboard.configuration.declared.accounts.get(account)
+        if limits is None:
+            return math.inf
+        fraction = _share_home.get_reserved_fraction(len(self._homes.nodes))
+        return fraction * limits.requests_per_second / self.blackboard.shares.divisor
+
+    def _compute_window(self, account: ids.AccountId) -> float:
+        """Return a time in which one request alone stays below the threshold."""
+        threshold = self._compute_threshold(account)
+        window = _ARRIVALS_TO_ASK / threshold
+        return min(_MAX_WINDOW_SECONDS, max(_LEAST_WINDOW_SECONDS, window))
 
     def _ask(self, now: float) -> collections.abc.Iterator[_dispatch.Command]:
         by_home: dict[ids.NodeId, list[_share_messages.Demand]] = {}
@@ -139,27 +171,21 @@
             )
 
     def _list_due(self, now: float) -> list[ids.AccountId]:
-        """List the accounts to ask for, those that waited longest first."""
+        """List the accounts to ask for, those refused first, then the oldest."""
         if len(self._homes.nodes) == 1:
             return []
         due = []
-        declared = self.blackboard.configuration.declared.accounts
-        fraction = _share_home.get_reserved_fraction(len(self._homes.nodes))
         for account, watched in self._watched.items():
-            limits = declared.get(account)
-            if limits is None:
-                continue
-            base = limits.requests_per_second / self.blackboard.shares.divisor
             use = self.blackboard.limits.uses[account]
-            wants = watched.rate > fraction * base or use.running > 1
+            over = watched.long_rate > self._compute_threshold(account)
             short = use.denials > watched.denials
             pause = self.bounds.refresh_seconds
             if short and account not in self.blackboard.shares.grants:
                 pause = self.bounds.period_seconds
-            if (wants or short) and now >= watched.asked_at + pause:
-                due.append(account)
-        due.sort(key=lambda account: self._watched[account].asked_at)
-        return due
+            waits = now < watched.asked_at + pause
+            if (over or short or use.running > 1) and not waits:
+                due.append((not short, watched.asked_at, account))
+        return [account for _, _, account in sorted(due)]
 
     def _describe(self, account: ids.AccountId) -> _share_messages.Demand:
         watched = self._watched[account]
@@ -169,7 +195,7 @@
         held = self.blackboard.shares.grants.get(account)
         return _share_messages.Demand(
             account=account,
-            wanted_rate=watched.rate,
+            wanted_rate=watched.estimate_rate(),
             held_rate=held.rate if held else 0.0,
             wanted_running=use.running + denied,
             held_running=held.running if held else 0,
