--- a/bench/data_path.py
+++ b/bench/data_path.py
@@ -90,7 +90,9 @@
     index: int,
 ) -> None:
     outcome = load.Outcome()
-    spent, elapsed, tokens = trio.run(_run_streams, started, count, seconds, outcome)
+    spent, elapsed, tokens, resident = trio.run(
+        _run_streams, started, count, seconds, outcome
+    )
     per_token = (spent - idle * elapsed) / max(tokens, 1)
     result.add(
         streams=count,
@@ -98,6 +100,7 @@
         tokens_per_second=tokens / elapsed,
         core_share=spent / elapsed,
         microseconds_per_token=per_token * _MILLION,
+        resident_mebibytes=resident / usage.MEBIBYTE,
         between_tokens_p50_seconds=outcome.between_tokens.read(50),
         between_tokens_p95_seconds=outcome.between_tokens.read(95),
     )
@@ -105,8 +108,8 @@
 
 async def _run_streams(
     started: system.System, count: int, seconds: float, outcome: load.Outcome
-) -> tuple[float, float, int]:
-    """Return processor seconds, seconds and tokens of the middle of long streams."""
+) -> tuple[float, float, int, int]:
+    """Return processor and other seconds, tokens and memory amid long streams."""
     port = started.nodes["node-1"].callers
     pid = started.processes.get_pid("node-1")
     client = _http_client.Client()
@@ -128,7 +131,8 @@
         nursery.cancel_scope.cancel()
     # Abandoned streams are cancelled at the engines before the next measurement.
     await trio.sleep(_WARM_SECONDS)
-    return after.processor_seconds - before.processor_seconds, elapsed, tokens
+    spent = after.processor_seconds - before.processor_seconds
+    return spent, elapsed, tokens, after.resident_bytes
 
 
 def _summarize(result: results.Result, request_seconds: float) -> None:
