Follow the limits and configuration in the throughput harness

Cause: admission, shares and declarations changed under the harness. Change: simulated nodes carry share messages by the real codec; the policies named first and naive run without the queue before the engines, as they were. The queue admits as many requests as the scarcest layer has batch places, but a request of n stages holds a place at one of them at a time, so n times as many are needed to keep all stages busy.

--- a/bench/policies.py
+++ b/bench/policies.py
@@ -7,7 +7,16 @@
 import attrs
 
 from bench import first_policy
-from jujubepass import _answer_messages, _answers, _blackboard, _dispatch, _routes
+from jujubepass import (
+    _admission,
+    _answer_messages,
+    _answers,
+    _blackboard,
+    _dispatch,
+    _limits,
+    _routes,
+    ids,
+)
 
 OURS = "ours"
 NAIVE = "naive"
@@ -22,15 +31,25 @@
 def choose_policy(
     controllers: collections.abc.Iterable[_dispatch.Controller], name: str
 ) -> None:
-    """Give the answer controller among these a policy of this name."""
+    """Give controllers a route policy; earlier ones had no queue before the engines."""
+    if name == OURS:
+        return
     for controller in controllers:
         if isinstance(controller, _answers.AnswerController):
-            if name == NAIVE:
-                controller.routes = RandomPolicy()
-            elif name == FIRST:
-                controller.routes = first_policy.FirstPolicy()
-            return
-    raise LookupError("no answer controller to give a policy to")
+            is_naive = name == NAIVE
+            routes = RandomPolicy() if is_naive else first_policy.FirstPolicy()
+            controller.routes = routes
+        if isinstance(controller, _limits.LimitController):
+            board = controller.blackboard
+            controller.admission = OpenAdmission(blackboard=board)
+
+
+@attrs.define(kw_only=True)
+class OpenAdmission(_admission.Admission):
+    """Let every admitted request to the engines at once."""
+
+    def _has_place(self, model: ids.ModelId) -> bool:
+        return True
 
 
 @attrs.define(kw_only=True)
--- a/bench/simulated_nodes.py
+++ b/bench/simulated_nodes.py
@@ -11,11 +11,15 @@
     _answer_messages,
     _backend_messages,
     _dispatch,
-    _limits,
+    _http_client,
+    _limit_messages,
     _membership_messages,
     _metrics,
     _node,
     _node_messages,
+    _peer_codec,
+    _share_codec,
+    _share_messages,
     declarations,
     ids,
     settings,
@@ -116,7 +120,7 @@
         self._dispatcher = _dispatch.Dispatcher(controllers=controllers)
         self.answers: dict[ids.RequestId, Answer] = {}
         self._attempts: dict[tuple[str, int], Attempt] = {}
-        self.peers: dict[ids.NodeId, SimulatedNode] = {}
+        self.peers: dict[_http_client.Address, SimulatedNode] = {}
         self.vms: tuple[_backend_messages.Vm, ...] = ()
         self.tick_seconds = node_settings.timing.tick_seconds
         self._executors: dict[type, collections.abc.Callable[[typing.Any], None]] = (
@@ -135,7 +139,10 @@
             _backend_messages.PollLoad: self._poll_load,
             _backend_messages.PollCache: self._poll_cache,
             _backend_messages.PollVms: self._poll_vms,
+            _limit_messages.StartQueued: lambda command: self.post(command.event),
             _membership_messages.SendHeartbeat: self._send_heartbeat,
+            _share_messages.SendDemands: self._send_demands,
+            _share_messages.SendGrants: self._send_grants,
         }
 
     def post(self, event: typing.Any) -> None:
@@ -272,7 +279,7 @@
 
     def _release(self, request: ids.RequestId, state: str) -> None:
         self.answers[request].state = state
-        self._post_later(0.0, _limits.RequestEnded(request=request))
+        self._post_later(0.0, _limit_messages.RequestEnded(request=request))
 
     def _poll_load(self, command: _backend_messages.PollLoad) -> None:
         report = self._engines[command.engine].report_load()
@@ -293,7 +300,17 @@
         self._post_later(2 * NETWORK_SECONDS, listed)
 
     def _send_heartbeat(self, command: _membership_messages.SendHeartbeat) -> None:
-        heard = _membership_messages.HeartbeatReceived(heartbeat=command.heartbeat)
-        peer = self.peers.get(command.peer)
+        self._send(command.address, _peer_codec.encode_command(command))
+
+    def _send_demands(self, command: _share_messages.SendDemands) -> None:
+        message = _share_codec.build_demands(command)
+        self._send(command.address, _peer_codec.encode_struct(message))
+
+    def _send_grants(self, command: _share_messages.SendGrants) -> None:
+        message = _share_codec.build_grants(command)
+        self._send(command.address, _peer_codec.encode_struct(message))
+
+    def _send(self, address: _http_client.Address, data: bytes) -> None:
+        peer = self.peers.get(address)
         if peer is not None:
-            peer._post_later(NETWORK_SECONDS, heard)
+            peer._post_later(NETWORK_SECONDS, _peer_codec.decode_event(data))
--- a/bench/throughput.py
+++ b/bench/throughput.py
@@ -17,12 +17,7 @@
 
 _WARM_SECONDS = 4.0
 _DRAIN_SECONDS = 3.0
-_ACCOUNT = {
-    "key_hash": "0" * 64,
-    "requests_per_second": "1000000",
-    "burst": "1000000",
-    "concurrency": "100000",
-}
+_UNBOUNDED = 1_000_000
 
 
 def run(options: experiments.Options) -> results.Result:
@@ -99,9 +94,7 @@
     log: simulated_nodes.Log,
 ) -> list[simulated_nodes.SimulatedNode]:
     engines = _make_engines(scenario, seed, clock)
-    declared = declarations.build_declarations(
-        {"model m": {"layers": str(scenarios.LAYERS)}, "account a": _ACCOUNT}
-    )
+    declared = _declare()
     nodes = [
         simulated_nodes.SimulatedNode(
             index=index,
@@ -117,11 +110,29 @@
     vms = _list_vms(scenario, nodes)
     for index, node in enumerate(nodes):
         node.vms = vms
-        node.peers = {peer.name: peer for peer in nodes}
+        node.peers = {peer.address: peer for peer in nodes}
         clock.schedule(index * node.tick_seconds / len(nodes), node.tick)
     return nodes
 
 
+def _declare() -> declarations.Declarations:
+    account = ids.AccountId("a")
+    model = ids.ModelId("m")
+    return declarations.Declarations(
+        models={model: declarations.Model(name=model, layers=scenarios.LAYERS)},
+        accounts={
+            account: declarations.Account(
+                name=account,
+                template=ids.TemplateId(""),
+                key_hash="0" * 64,
+                requests_per_second=_UNBOUNDED,
+                burst=_UNBOUNDED,
+                concurrency=_UNBOUNDED,
+            )
+        },
+    )
+
+
 def _make_engines(
     scenario: scenarios.Scenario, seed: int, clock: simulation.Simulation
 ) -> dict[str, queue_engines.QueueEngine]:
