--- a/src/jujubepass/_backends.py
+++ b/src/jujubepass/_backends.py
@@ -1,6 +1,7 @@
 """Controller that keeps what is known of backend servers."""
 
 import collections.abc
+import heapq
 
 import attrs
 
@@ -11,10 +12,15 @@
     _configuration_messages,
     _dispatch,
     _node_messages,
+    _subsets,
     ids,
 )
 
 _GONE_AFTER_POLLS = 3
+_MOST_CACHED_PREFIXES = 1_024
+_MOST_POLLS_PER_SECOND = 96.0
+_GAP_WEIGHT = 0.2
+_POLL_WEIGHT = 0.3
 
 
 @attrs.frozen(kw_only=True)
@@ -34,6 +40,10 @@
     _vms_polled_at: float = attrs.field(default=float("-inf"), init=False)
     _listed: tuple[_backend_messages.Vm, ...] = attrs.field(default=(), init=False)
     _declared: object = attrs.field(default=None, init=False)
+    _due: list[tuple[float, ids.BackendServerId]] = attrs.field(
+        factory=list, init=False
+    )
+    _scheduled: set[ids.BackendServerId] = attrs.field(factory=set, init=False)
 
     def list_handlers(self) -> collections.abc.Mapping[type, _dispatch.EventHandler]:
         """Map each event type to the method that handles it."""
@@ -53,15 +63,30 @@
         if now - self._vms_polled_at >= self.timing.vm_poll_seconds:
             self._vms_polled_at = now
             yield _backend_messages.PollVms()
-        for name, engine in self.blackboard.backends.engines.items():
-            due = engine.polled_at + self.timing.load_poll_seconds
-            if now >= due and not engine.poll_running:
-                engine.polled_at = now
-                engine.poll_running = True
-                yield _backend_messages.PollLoad(engine=name, address=engine.vm.address)
-                yield _backend_messages.PollCache(
-                    engine=name, address=engine.vm.address, after=engine.cache_sequence
-                )
+        while self._due and self._due[0][0] <= now:
+            yield from self._poll_engine(heapq.heappop(self._due)[1], now)
+
+    def _poll_engine(
+        self, name: ids.BackendServerId, now: float
+    ) -> collections.abc.Iterator[_dispatch.Command]:
+        engine = self.blackboard.backends.engines.get(name)
+        polled = self.blackboard.backends.polled
+        if engine is None or name not in polled:
+            self._scheduled.discard(name)
+            return
+        period = max(
+            self.timing.load_poll_seconds, len(polled) / _MOST_POLLS_PER_SECOND
+        )
+        heapq.heappush(self._due, (now + period, name))
+        if engine.poll_running:
+            return
+        engine.poll_running = True
+        engine.polled_at = now
+        address = engine.vm.address
+        yield _backend_messages.PollLoad(engine=name, address=address)
+        yield _backend_messages.PollCache(
+            engine=name, address=address, after=engine.cache_sequence
+        )
 
     def join_list(
         self, event: _backend_messages.VmsListed, now: float
@@ -69,20 +94,20 @@
         """Take over the platform's list; who answers polls stays known."""
         self.blackboard.backends.listed_at = now - event.age_seconds
         self._listed = event.vms
-        return self._join()
+        return self._join(now)
 
     def join_declared(
         self, event: _configuration_messages.ConfigurationInstalled, now: float
     ) -> collections.abc.Iterable[_dispatch.Command]:
         """Take over the backend servers that operators added or drained."""
         declared = self.blackboard.configuration.declared
-        seen = (declared.backends, declared.drained)
+        seen = (declared.backends, declared.drained, declared.models)
         if seen != self._declared:
             self._declared = seen
-            self._join()
+            self._join(now)
         return ()
 
-    def _join(self) -> collections.abc.Iterable[_dispatch.Command]:
+    def _join(self, now: float) -> collections.abc.Iterable[_dispatch.Command]:
         area = self.blackboard.backends
         vms = {**self.blackboard.configuration.declared.backends}
         vms.update((ids.BackendServerId(vm.name), vm) for vm in self._listed)
@@ -92,13 +117,26 @@
         ):
             listed = {name: vm for name, vm in vms.items() if vm.role is role}
             for name in [name for name in known if name not in listed]:
-                polled = role is _backend_messages.VmRole.ENGINE
-                if not polled or known[name].failed_polls >= _GONE_AFTER_POLLS:
+                # An engine that is not polled cannot show that it is still there.
+                silent = known[name].failed_polls >= _GONE_AFTER_POLLS
+                if name not in area.polled or silent:
                     del known[name]
             for name, vm in listed.items():
                 self._join_vm(known, name, vm)
+        self._choose_polled(now)
         return ()
 
+    def _choose_polled(self, now: float) -> None:
+        """Choose the engines that this node polls and sends work to."""
+        area = self.blackboard.backends
+        area.polled = _subsets.choose_engines(
+            area.engines, self.blackboard.configuration.declared.models
+        )
+        for name in area.polled:
+            if name not in self._scheduled:
+                self._scheduled.add(name)
+                heapq.heappush(self._due, (now, name))
+
     def _join_vm(
         self,
         known: dict[ids.BackendServerId, _backend_area.BackendServer],
@@ -107,7 +145,8 @@
     ) -> None:
         backend = known.get(name)
         if backend is None or backend.vm.address != vm.address:
-            backend = known[name] = _backend_area.BackendServer(vm=vm)
+            rank = _subsets.rank_engine(self.blackboard.identity.node, name)
+            backend = known[name] = _backend_area.BackendServer(vm=vm, rank=rank)
         backend.vm = vm
 
     def keep_report(
@@ -124,8 +163,12 @@
         if restarted:
             engine.cached_prefixes.clear()
             engine.cache_sequence = 0
+        if engine.poll_running:
+            taken = now - engine.polled_at
+            engine.poll_seconds += _POLL_WEIGHT * (taken - engine.poll_seconds)
         engine.report = event.report
         engine.reported_at = now - event.report.age_seconds
+        engine.heard_at = now
         engine.poll_running = False
         engine.failed_polls = 0
         return ()
@@ -138,6 +181,8 @@
         if engine is not None:
             engine.poll_running = False
             engine.failed_polls += 1
+            if engine.failed_polls == 1:
+                self._choose_polled(now)
         return ()
 
     def keep_cache_events(
@@ -147,10 +192,15 @@
         engine = self.blackboard.backends.engines.get(event.engine)
         if engine is None:
             return ()
+        cached = engine.cached_prefixes
         for cache_event in event.events:
+            cached.pop(cache_event.prefix, None)
             if cache_event.stored:
-                engine.cached_prefixes[cache_event.prefix] = now
-            else:
-                engine.cached_prefixes.pop(cache_event.prefix, None)
+                cached[cache_event.prefix] = now
+        while len(cached) > _MOST_CACHED_PREFIXES:
+            cached.popitem(last=False)
+        expected = max(1, event.next_sequence - engine.cache_sequence)
+        missing = max(0.0, 1.0 - len(event.events) / expected)
+        engine.cache_gap_share += _GAP_WEIGHT * (missing - engine.cache_gap_share)
         engine.cache_sequence = event.next_sequence
         return ()
--- a/src/jujubepass/_node.py
+++ b/src/jujubepass/_node.py
@@ -3,6 +3,7 @@
 import collections.abc
 import functools
 import logging
+import random
 import time
 import typing
 import uuid
@@ -13,6 +14,7 @@
     __version__,
     _answer_messages,
     _answers,
+    _attempts,
     _backend_messages,
     _backends,
     _blackboard,
@@ -50,6 +52,7 @@
     _orders,
     _peer_codec,
     _peers,
+    _recovery,
     _routes,
     _service_client,
     _share_codec,
@@ -194,22 +197,27 @@
         _orders.OrderController(blackboard=blackboard),
         _shares.ShareController(blackboard=blackboard),
         _limits.LimitController(blackboard=blackboard),
-        _answers.AnswerController(
-            blackboard=blackboard,
-            routes=_routes.PredictedTimePolicy(),
-            timing=_answers.AnswerTiming(stall_seconds=timing.stall_seconds),
-            counters=metrics,
-        ),
-        *_call_control.make_controllers(
-            blackboard=blackboard, counters=metrics, timing=_make_call_timing(timing)
-        ),
+        make_answers(node_settings, blackboard, metrics),
+        *_make_call_controllers(node_settings, blackboard, metrics),
     ]
 
 
-def _make_call_timing(timing: settings.Timing) -> _call_journal.CallTiming:
-    return _call_journal.CallTiming(
-        send_window_seconds=timing.lease_seconds - timing.lease_margin_seconds,
-        take_over_margin_seconds=timing.lease_margin_seconds,
+def _make_call_controllers(
+    node_settings: settings.Settings,
+    blackboard: _blackboard.Blackboard,
+    metrics: _metrics.Metrics,
+) -> list[_dispatch.Controller]:
+    timing = node_settings.timing
+    return _call_control.make_controllers(
+        blackboard=blackboard,
+        counters=metrics,
+        timing=_call_journal.CallTiming(
+            send_window_seconds=timing.lease_seconds - timing.lease_margin_seconds,
+            take_over_margin_seconds=timing.lease_margin_seconds,
+            keep_seconds=node_settings.calls.keep_seconds,
+        ),
+        random=random.Random(node_settings.seeds.random or None),
+        largest_group=node_settings.calls.largest_group,
     )
 
 
@@ -239,6 +247,24 @@
     ]
 
 
+def make_answers(
+    node_settings: settings.Settings,
+    blackboard: _blackboard.Blackboard,
+    metrics: _metrics.Metrics,
+) -> _answers.AnswerController:
+    """Make the controller of model requests with its policies."""
+    recovery = _recovery.ResumePolicy(
+        longest_stall_seconds=node_settings.timing.stall_seconds
+    )
+    attempts = _attempts.Attempts(
+        blackboard=blackboard,
+        routes=_routes.PredictedTimePolicy(random_source=random.Random()),
+        recovery=recovery,
+        counters=metrics,
+    )
+    return _answers.AnswerController(attempts=attempts)
+
+
 def _make_limits(listen: settings.Listen) -> _http_server.ServerLimits:
     return _http_server.ServerLimits(
         header_bytes=listen.header_bytes,
@@ -293,6 +319,7 @@
     shell.spawn_with(_answer_messages.StartAttempt, _run_attempt)
     shell.spawn_with(_answer_messages.CancelAttempt, engines.cancel_attempt)
     shell.spawn_with(_answer_messages.ReleaseCache, engines.release_cache)
+    shell.spawn_with(_answer_messages.ProbeEngine, engines.probe_engine)
     shell.spawn_with(_backend_messages.PollLoad, engines.poll_load)
     shell.spawn_with(_backend_messages.PollCache, engines.poll_cache)
     orders = _order_client.OrderClient(client=client, post=shell.post)
--- a/src/jujubepass/_orders.py
+++ b/src/jujubepass/_orders.py
@@ -1,4 +1,4 @@
-"""Controller that brings engines to what is declared, under a lease each group."""
+"""Controller that brings engines to what is declared, under a lease each region."""
 
 import collections
 import collections.abc
@@ -32,6 +32,7 @@
 
     read_at: float = _NEVER
     is_busy: bool = False
+    is_silent: bool = False
     state: _order_messages.EngineStateRead | None = None
 
 
@@ -89,12 +90,10 @@
         yield _order_messages.ReadEngineState(engine=name, address=backend.vm.address)
 
     def _group_engines(self) -> None:
-        """Group engines by model and region: one node orders all that roll over."""
+        """Group engines by region: one node orders all that roll over there."""
         groups: dict[ids.LeaseId, list[_Name]] = collections.defaultdict(list)
         for name, backend in self.blackboard.backends.engines.items():
-            lease = self._find_lease(name, backend)
-            if lease is not None:
-                groups[lease].append(name)
+            groups[_name_lease(backend)].append(name)
         self._groups = dict(groups)
         nodes = sorted(
             [self.blackboard.identity.node, *self.blackboard.membership.list_members()]
@@ -107,31 +106,19 @@
         for name in self._engines.keys() - self.blackboard.backends.engines.keys():
             del self._engines[name]
 
-    def _find_lease(
-        self, name: _Name, backend: _backend_area.BackendServer
-    ) -> ids.LeaseId | None:
-        declared = self.blackboard.deployments.declared.get(name)
-        model = declared.model if declared is not None else None
-        if model is None and backend.report is not None:
-            model = backend.report.model
-        if model is None or model not in self.blackboard.configuration.declared.models:
-            return None
-        return ids.LeaseId(f"orders/{model}/{backend.vm.region}")
-
     def compare(self, event: _order_messages.EngineStateRead, now: float) -> _Commands:
         """Order what is declared where an engine was told something else."""
         engine = self._engines.setdefault(event.engine, _Engine())
         engine.is_busy = False
+        engine.is_silent = False
         engine.state = event
         backend = self.blackboard.backends.engines.get(event.engine)
         wanted = self._declare(event)
         if backend is None or backend.leaving or wanted in (None, event.wanted):
             return
-        lease = self._find_lease(event.engine, backend)
-        held = None
-        if lease is not None:
-            held = self.blackboard.leases.find_usable(lease, now)
-        if lease is None or held is None or not self._may_load(lease, event):
+        lease = _name_lease(backend)
+        held = self.blackboard.leases.find_usable(lease, now)
+        if held is None or not self._may_load(lease, event):
             return
         engine.is_busy = True
         # Counts as loading until its state is read again.
@@ -177,16 +164,17 @@
             return False
         loading = [state for state in states if state is not None and state.loading]
         self.blackboard.orders.loading = len(loading)
-        spans = {(each.actual.first_layer, each.actual.end_layer) for each in loading}
-        span = (event.actual.first_layer, event.actual.end_layer)
         most = max(1.0, len(names) * _LOADING_SHARE)
-        return len(loading) < most and span not in spans
+        if len(loading) >= most:
+            return False
+        # Of the engines that serve the same layers, as many again must not load.
+        span = _get_span(event)
+        alike = [state for state in states if state and _get_span(state) == span]
+        return sum(state.loading for state in alike) <= len(alike) // 2
 
     def _is_awaited(self, name: _Name) -> bool:
-        """Tell whether an engine that answers polls has not told its state yet."""
-        backend = self.blackboard.backends.engines.get(name)
-        answers = backend is not None and not backend.failed_polls
-        return answers and self._engines[name].state is None
+        engine = self._engines[name]
+        return engine.state is None and not engine.is_silent
 
     def note_outcome(
         self,
@@ -200,6 +188,9 @@
         """Count an outcome; the engine's state is read again whatever it was."""
         engine = self._engines.setdefault(event.engine, _Engine())
         engine.is_busy = False
+        if isinstance(event, _order_messages.EngineStateUnread):
+            engine.is_silent = True
+            engine.state = None
         orders = self.blackboard.orders
         orders.refused += isinstance(event, _order_messages.OrderRefused)
         orders.withheld += isinstance(event, _order_messages.OrderWithheld)
@@ -207,6 +198,15 @@
         yield from ()
 
 
+def _get_span(state: _order_messages.EngineStateRead) -> tuple[str, int, int]:
+    actual = state.actual
+    return actual.model, actual.first_layer, actual.end_layer
+
+
+def _name_lease(backend: _backend_area.BackendServer) -> ids.LeaseId:
+    return ids.LeaseId(f"orders/{backend.vm.region}")
+
+
 def _choose_orderer(
     lease: ids.LeaseId, nodes: collections.abc.Sequence[ids.NodeId]
 ) -> ids.NodeId:
