--- a/src/jujubepass/_departures.py
+++ b/src/jujubepass/_departures.py
@@ -136,7 +136,7 @@
         self, event: _answer_messages.AttemptFailed, now: float
     ) -> collections.abc.Iterable[_dispatch.Command]:
         """Take over an engine's refusal that says it is leaving."""
-        if event.fault is _answer_messages.AttemptFault.LEAVING:
+        if event.engine and event.fault is _answer_messages.AttemptFault.LEAVING:
             self._keep_own_word(event.engine, now)
         return ()
 
