--- a/src/jujubepass/_neighbours.py
+++ b/src/jujubepass/_neighbours.py
@@ -41,6 +41,7 @@
     ring: str, own: Member, others: collections.abc.Sequence[Member]
 ) -> frozenset[ids.NodeId]:
     def place(node: ids.NodeId) -> bytes:
+        """Place a node on the ring."""
         return hashlib.blake2b(f"{ring}/{node}".encode(), digest_size=8).digest()
 
     nodes = sorted([own.node, *(member.node for member in others)], key=place)
--- a/src/jujubepass/_node.py
+++ b/src/jujubepass/_node.py
@@ -34,7 +34,6 @@
     _engine_client,
     _http_client,
     _http_server,
-    _leases,
     _limit_messages,
     _limits,
     _mailboxes,
@@ -48,8 +47,8 @@
     _object_messages,
     _operators,
     _order_client,
+    _order_control,
     _order_messages,
-    _orders,
     _peer_codec,
     _peers,
     _recovery,
@@ -79,7 +78,6 @@
     blackboard = _make_blackboard(node_settings)
     metrics = _metrics.Metrics(version=__version__)
     _node_metrics.add_life_metrics(metrics, blackboard)
-    _node_metrics.add_lease_metrics(metrics, blackboard)
     controllers = _make_controllers(node_settings, blackboard, metrics)
     dispatcher = _dispatch.Dispatcher(
         controllers=controllers, pause_seconds=node_settings.timing.pause_seconds
@@ -187,14 +185,7 @@
             ),
         ),
         _departures.DepartureController(blackboard=blackboard),
-        _leases.LeaseController(
-            blackboard=blackboard,
-            timing=_leases.LeaseTiming(
-                lease_seconds=timing.lease_seconds,
-                margin_seconds=timing.lease_margin_seconds,
-            ),
-        ),
-        _orders.OrderController(blackboard=blackboard),
+        *_order_control.make_controllers(blackboard=blackboard, timing=timing),
         _shares.ShareController(blackboard=blackboard),
         _limits.LimitController(blackboard=blackboard),
         make_answers(node_settings, blackboard, metrics),
--- a/src/jujubepass/_node_metrics.py
+++ b/src/jujubepass/_node_metrics.py
@@ -63,12 +63,12 @@
         "Backend servers that take no new work.",
         lambda: len({name for name, _ in blackboard.departures.words}),
     )
+    _add_lease_metrics(metrics, blackboard)
 
 
-def add_lease_metrics(
+def _add_lease_metrics(
     metrics: _metrics.Metrics, blackboard: _blackboard.Blackboard
 ) -> None:
-    """Expose leases and the orders under them."""
     leases, orders = blackboard.leases, blackboard.orders
     for name, description, read in (
         ("leases_taken", "Leases taken.", lambda: leases.taken),
--- /dev/null
+++ b/src/jujubepass/_order_control.py
@@ -0,0 +1,16 @@
+"""Assembly of the controllers that order engines under leases."""
+
+from jujubepass import _blackboard, _dispatch, _leases, _orders, settings
+
+
+def make_controllers(
+    *, blackboard: _blackboard.Blackboard, timing: settings.Timing
+) -> list[_dispatch.Controller]:
+    """Make the controllers in the order in which they see an event."""
+    lease_timing = _leases.LeaseTiming(
+        lease_seconds=timing.lease_seconds, margin_seconds=timing.lease_margin_seconds
+    )
+    return [
+        _leases.LeaseController(blackboard=blackboard, timing=lease_timing),
+        _orders.OrderController(blackboard=blackboard),
+    ]
--- a/src/jujubepass/_orders.py
+++ b/src/jujubepass/_orders.py
@@ -211,6 +211,7 @@
     lease: ids.LeaseId, nodes: collections.abc.Sequence[ids.NodeId]
 ) -> ids.NodeId:
     def weigh(node: ids.NodeId) -> bytes:
+        """Weigh a node for the lease."""
         return hashlib.blake2b(f"{lease}/{node}".encode(), digest_size=8).digest()
 
     return max(nodes, key=weigh)
--- a/src/jujubepass/_service_client.py
+++ b/src/jujubepass/_service_client.py
@@ -89,8 +89,7 @@
                 fresh=fresh,
                 once=once,
             )
-            if answer.status == _UNAVAILABLE and _LEAVING in answer.body:
-                self.post(_backend_messages.LeavingAnswered(backend=command.backend))
+            self._note_leaving(command.backend, answer)
             event = _call_messages.CallAnswered(
                 request=request,
                 attempt=attempt,
@@ -108,6 +107,12 @@
             )
         self.post(event)
 
+    def _note_leaving(
+        self, backend: ids.BackendServerId, answer: _http_client.Answer
+    ) -> None:
+        if answer.status == _UNAVAILABLE and _LEAVING in answer.body:
+            self.post(_backend_messages.LeavingAnswered(backend=backend))
+
     async def ask_outcome(self, command: _call_messages.AskOutcome) -> None:
         """Ask what became of a call; fence older attempts where that is wanted."""
         path = f"/outcomes/{urllib.parse.quote(command.key, safe=':')}"
--- a/tests/features/steps/leaving_steps.py
+++ b/tests/features/steps/leaving_steps.py
@@ -197,7 +197,7 @@
     context.system.start_nodes(3)
     number = context.system.apply(system.declare_basics())
     context.system.wait_for_number(number)
-    context.traffic = traffic.Traffic(context.system)
+    context.traffic = traffic.Traffic(trial=context.system)
     context.add_cleanup(context.traffic.stop)
     context.traffic.wait_for_more()
 
--- a/tests/features/steps/shutdown_steps.py
+++ b/tests/features/steps/shutdown_steps.py
@@ -37,7 +37,7 @@
 @behave.given("a system of three nodes that drain for a second, with traffic")
 def step_traffic(context):
     start_system(context, 3, drain_seconds=1.0)
-    context.traffic = traffic.Traffic(context.system)
+    context.traffic = traffic.Traffic(trial=context.system)
     context.add_cleanup(context.traffic.stop)
     context.traffic.wait_for_more()
 
@@ -55,7 +55,7 @@
 class LongPrompt(threading.Thread):
     """Ask a node for a long answer."""
 
-    def __init__(self, trial, node, max_tokens=LONG_TOKENS):
+    def __init__(self, *, trial, node, max_tokens=LONG_TOKENS):
         super().__init__(daemon=True)
         self.trial, self.node, self.max_tokens = trial, node, max_tokens
         self.prompt = f"a long account for {node}"
@@ -78,7 +78,9 @@
 
 @behave.given("a long stream runs at each node")
 def step_long(context):
-    context.long = [LongPrompt(context.system, node) for node in context.system.nodes]
+    context.long = [
+        LongPrompt(trial=context.system, node=node) for node in context.system.nodes
+    ]
     for thread in context.long:
         thread.start()
 
@@ -169,7 +171,7 @@
 
 @behave.when("the node is told to stop during a prompt of {tokens:d} tokens")
 def step_stuck(context, tokens):
-    context.long = [LongPrompt(context.system, "node-1", tokens)]
+    context.long = [LongPrompt(trial=context.system, node="node-1", max_tokens=tokens)]
     context.long[0].start()
     processes.wait_for(
         lambda: any(
--- a/tests/lease_network.py
+++ b/tests/lease_network.py
@@ -33,7 +33,7 @@
 class Engine:
     """Take orders; refuse old fencing numbers if told to check."""
 
-    def __init__(self, checks):
+    def __init__(self, *, checks):
         self.checks = checks
         self.fencing = 0
         self.wanted = OLD
@@ -63,7 +63,7 @@
         self.rows = {}
         self.versions = 0
         self.table_down = False
-        self.engines = {ids.BackendServerId("e1"): Engine(checks)}
+        self.engines = {ids.BackendServerId("e1"): Engine(checks=checks)}
         self.boards = {}
         self.dispatchers = {}
         self.paused = set()
--- a/tests/traffic.py
+++ b/tests/traffic.py
@@ -17,7 +17,7 @@
 class Balancer:
     """Name ready nodes in turn, as checked a little while ago."""
 
-    def __init__(self, trial):
+    def __init__(self, *, trial):
         self._trial = trial
         self._turns = itertools.count()
         self.ready = list(trial.nodes)
@@ -45,9 +45,9 @@
 class Traffic:
     """Ask from one thread for each kind of request and keep what came."""
 
-    def __init__(self, trial, kinds=("prompt", "booking", "lookup")):
+    def __init__(self, *, trial, kinds=("prompt", "booking", "lookup")):
         self._trial = trial
-        self.balancer = Balancer(trial)
+        self.balancer = Balancer(trial=trial)
         self.answered = dict.fromkeys(kinds, 0)
         self.faults = []
         self._stopped = threading.Event()
