--- a/bench/policies.py
+++ b/bench/policies.py
@@ -13,6 +13,7 @@
     _answers,
     _blackboard,
     _dispatch,
+    _engine_costs,
     _limits,
     _routes,
     ids,
@@ -38,7 +39,7 @@
         if isinstance(controller, _answers.AnswerController):
             is_naive = name == NAIVE
             routes = RandomPolicy() if is_naive else first_policy.FirstPolicy()
-            controller.routes = routes
+            controller.attempts.routes = routes
         if isinstance(controller, _limits.LimitController):
             board = controller.blackboard
             controller.admission = OpenAdmission(blackboard=board)
@@ -60,7 +61,7 @@
 
     def plan_route(
         self,
-        request: _routes.RouteRequest,
+        request: _engine_costs.RouteRequest,
         blackboard: _blackboard.Blackboard,
         now: float,
     ) -> _routes.Route | None:
--- a/bench/simulated_nodes.py
+++ b/bench/simulated_nodes.py
@@ -215,6 +215,7 @@
             self._visit_later(link, attempt, following, words)
             return
         token = _answer_messages.Token(
+            request=attempt.command.request,
             epoch=attempt.command.epoch,
             position=attempt.position,
             text="w",
--- a/src/jujubepass/_node.py
+++ b/src/jujubepass/_node.py
@@ -296,7 +296,9 @@
     )
     attempts = _attempts.Attempts(
         blackboard=blackboard,
-        routes=_routes.PredictedTimePolicy(random_source=random.Random()),
+        routes=_routes.PredictedTimePolicy(
+            random_source=random.Random(node_settings.seeds.random or None)
+        ),
         recovery=recovery,
         counters=metrics,
     )
