--- a/bench/first_policy.py
+++ b/bench/first_policy.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from jujubepass import _answer_messages, _blackboard, _routes
+from jujubepass import _answer_messages, _blackboard, _engine_costs, _routes
 
 _DEFAULT_LINK_SECONDS = 0.005
 
@@ -26,7 +26,7 @@
 
     def plan_route(
         self,
-        request: _routes.RouteRequest,
+        request: _engine_costs.RouteRequest,
         blackboard: _blackboard.Blackboard,
         now: float,
     ) -> _routes.Route | None:
@@ -38,7 +38,7 @@
 
 
 def _list_candidates(
-    request: _routes.RouteRequest, blackboard: _blackboard.Blackboard
+    request: _engine_costs.RouteRequest, blackboard: _blackboard.Blackboard
 ) -> collections.abc.Iterator[_Candidate]:
     area = blackboard.answers
     for name, engine in blackboard.backends.engines.items():
@@ -51,7 +51,7 @@
         busy = report.running + report.waiting + sent_since
         share = max(1.0, (busy + 1) / report.max_batch)
         token_seconds = report.step_seconds * share
-        prefill = len(request.prompt) / report.prefill_tokens_per_second
+        prefill = request.context_tokens / report.prefill_tokens_per_second
         yield _Candidate(
             stage=_answer_messages.Stage(
                 engine=name,
@@ -66,7 +66,7 @@
 
 
 def _search(
-    request: _routes.RouteRequest,
+    request: _engine_costs.RouteRequest,
     candidates: collections.abc.Mapping[int, collections.abc.Sequence[_Candidate]],
 ) -> _routes.Route | None:
     """Run Dijkstra's algorithm over (layer boundary, last engine)."""
--- a/bench/simulated_nodes.py
+++ b/bench/simulated_nodes.py
@@ -18,6 +18,7 @@
     _node,
     _node_messages,
     _peer_codec,
+    _prefixes,
     _share_codec,
     _share_messages,
     declarations,
@@ -116,7 +117,7 @@
         controllers = _node._make_controllers(
             node_settings, self.blackboard, self.metrics
         )
-        policies.choose_policy(controllers, policy)
+        policies.choose_policy(controllers, policy, seed + index)
         self._dispatcher = _dispatch.Dispatcher(controllers=controllers)
         self.answers: dict[ids.RequestId, Answer] = {}
         self._attempts: dict[tuple[str, int], Attempt] = {}
@@ -136,6 +137,7 @@
             _answer_messages.DeliverTokens: self._deliver,
             _answer_messages.FinishAnswer: self._finish,
             _answer_messages.Refuse: self._refuse,
+            _answer_messages.ProbeEngine: self._probe,
             _backend_messages.PollLoad: self._poll_load,
             _backend_messages.PollCache: self._poll_cache,
             _backend_messages.PollVms: self._poll_vms,
@@ -186,7 +188,7 @@
             command=command,
             position=len(command.sent),
             receipts=receipts,
-            blocks=policies.hash_blocks(command.model, command.prompt),
+            blocks=_prefixes.hash_blocks(command.model, command.prompt),
         )
         self._attempts[command.request, command.epoch] = attempt
         for stage in command.stages:
@@ -215,6 +217,7 @@
             self._visit_later(link, attempt, following, words)
             return
         token = _answer_messages.Token(
+            request=attempt.command.request,
             epoch=attempt.command.epoch,
             position=attempt.position,
             text="w",
@@ -281,6 +284,10 @@
         self.answers[request].state = state
         self._post_later(0.0, _limit_messages.RequestEnded(request=request))
 
+    def _probe(self, command: _answer_messages.ProbeEngine) -> None:
+        probed = _answer_messages.EngineProbed(engine=command.engine, answered=True)
+        self._post_later(2 * NETWORK_SECONDS, probed)
+
     def _poll_load(self, command: _backend_messages.PollLoad) -> None:
         report = self._engines[command.engine].report_load()
         reported = _backend_messages.LoadReported(report=report)
