--- a/bench/first_policy.py
+++ b/bench/first_policy.py
@@ -51,7 +51,7 @@
         busy = report.running + report.waiting + sent_since
         share = max(1.0, (busy + 1) / report.max_batch)
         token_seconds = report.step_seconds * share
-        prefill = len(request.prompt) / report.prefill_tokens_per_second
+        prefill = request.context_tokens / report.prefill_tokens_per_second
         yield _Candidate(
             stage=_answer_messages.Stage(
                 engine=name,
