--- a/src/jujubepass/_node.py
+++ b/src/jujubepass/_node.py
@@ -98,7 +98,6 @@
             verdicts=verdicts,
             key_hash=node_settings.security.operator_key_hash,
         )
-        operators = _http_server.Server(handler=operator_api, limits=_OPERATOR_LIMITS)
         caller_api = _callers.CallerApi(
             blackboard=blackboard,
             mailboxes=mailboxes,
@@ -110,14 +109,20 @@
         nursery.start_soon(_read_wall_clock, shell)
         tick_seconds = node_settings.timing.tick_seconds
         nursery.start_soon(_tick, shell, tick_seconds, metrics)
-        address = listen.operators
-        await nursery.start(operators.serve, address.host, address.port)
+        await _serve_operators(operator_api, listen.operators, nursery)
         await _shutdown.serve_callers(shell, callers, node_settings)
         nursery.cancel_scope.cancel()
     _LOGGER.info("node %s has stopped", blackboard.identity.node)
     return _EXIT_DONE
 
 
+async def _serve_operators(
+    api: _operators.OperatorApi, address: _http_client.Address, nursery: trio.Nursery
+) -> None:
+    server = _http_server.Server(handler=api, limits=_OPERATOR_LIMITS)
+    await nursery.start(server.serve, address.host, address.port)
+
+
 async def _read_wall_clock(shell: _shell.Shell) -> None:
     while True:
         shell.post(_call_messages.WallClockRead(seconds=time.time()))
