Queue model requests fairly and refuse early what cannot be in time

Cause: a node passed every request on, so that past the bound the engines' queues grew until every answer came after its deadline.

Change: a node lets as many model requests to the engines as the scarcest layer's batch places allow it (its even part, and its part of what is free). The others wait in a start-time fair queue by account weight and cost in tokens. A request whose deadline the backlog does not allow is refused at once; so is one whose turn comes too late. Retry-After is the predicted time until a place is free.

--- a/src/jujubepass/_admission.py
+++ b/src/jujubepass/_admission.py
@@ -96,7 +96,7 @@
         wait = self._predict_wait(event.model, ahead)
         if len(self._queued) >= self.maximum_queued:
             return refuse(event, reasons.RefusalReason.NODE_OVERLOADED, wait)
-        service = self._get_service(event.model).predict_seconds(cost)
+        service = self._get_service(event.model).predict_longest(cost)
         latest = now + wait * _WAIT_MARGIN + service
         if self.early_refusal and latest > event.deadline:
             reason = reasons.RefusalReason.DEADLINE_UNREACHABLE
@@ -126,10 +126,11 @@
             return
         self._slots_at = now
         nodes = self.blackboard.membership.count_live_nodes()
-        self._places = {
-            model: _capacity.divide_slots(slots, self._counts.get(model, 0), nodes)
-            for model, slots in _capacity.count_slots(self.blackboard).items()
-        }
+        self._places.clear()
+        for model, capacity in _capacity.read_capacities(self.blackboard).items():
+            own = self._counts.get(model, 0)
+            self._places[model] = _capacity.divide_slots(capacity.slots, own, nodes)
+            self._get_service(model).expect(capacity.token_seconds)
 
     def _start(self, event: _answer_messages.PromptArrived, now: float) -> None:
         self._running[event.request] = _Running(event=event, started_at=now)
@@ -169,9 +170,26 @@
                 entry = queue.pop()
                 assert entry is not None
                 del self._queued[entry.event.request]
-                self._start(entry.event, now)
+                yield self._start_in_time(entry, now)
                 self._publish()
-                yield _limit_messages.StartQueued(event=entry.event)
+
+    def _start_in_time(
+        self, entry: _fairness.Entry, now: float
+    ) -> _limit_messages.StartQueued | _answer_messages.Refuse:
+        """Start a request, or refuse it when it has become too late for it."""
+        event = entry.event
+        service = self._get_service(event.model).predict_longest(entry.cost)
+        if self.early_refusal and now + service > event.deadline:
+            return self._refuse_late(event)
+        self._start(event, now)
+        return _limit_messages.StartQueued(event=event)
+
+    def _refuse_late(
+        self, event: _answer_messages.PromptArrived
+    ) -> _answer_messages.Refuse:
+        wait = self._predict_wait(event.model, self._queues[event.model].cost)
+        reason = reasons.RefusalReason.DEADLINE_UNREACHABLE
+        return refuse(event, reason, max(_RETRY_SECONDS, wait))
 
     def _refuse_expired(
         self, now: float
@@ -182,10 +200,8 @@
             event = self._queued.get(request)
             if event is None:
                 continue
-            wait = self._predict_wait(event.model, self._queues[event.model].cost)
             self.forget(request)
-            reason = reasons.RefusalReason.DEADLINE_UNREACHABLE
-            yield refuse(event, reason, max(_RETRY_SECONDS, wait))
+            yield self._refuse_late(event)
 
     def _publish(self) -> None:
         area = self.blackboard.limits
--- a/src/jujubepass/_capacity.py
+++ b/src/jujubepass/_capacity.py
@@ -8,6 +8,7 @@
 from jujubepass import _backend_messages, _blackboard, ids
 
 _SAMPLE_WEIGHT = 0.1
+_DEVIATIONS = 3.0
 
 
 @attrs.frozen(kw_only=True)
@@ -18,20 +19,40 @@
     taken: int
 
 
-def count_slots(blackboard: _blackboard.Blackboard) -> dict[ids.ModelId, Slots]:
-    """Count places at the layer of each model that has the fewest."""
+@attrs.frozen(kw_only=True)
+class Capacity:
+    """Hold what the engines of a model report together."""
+
+    slots: Slots
+    token_seconds: float
+
+
+def read_capacities(
+    blackboard: _blackboard.Blackboard,
+) -> dict[ids.ModelId, Capacity]:
+    """Read each model's places and the time for one token through all layers."""
     reports: dict[ids.ModelId, list[_backend_messages.LoadReport]] = {}
     for engine in blackboard.backends.engines.values():
         report = engine.report
         if report is None or engine.leaving or engine.failed_polls:
             continue
         reports.setdefault(ids.ModelId(report.model), []).append(report)
-    counted = {}
+    capacities = {}
     for name, model in blackboard.configuration.declared.models.items():
         slots = _find_scarcest(reports.get(name, []), model.layers)
         if slots is not None:
-            counted[name] = slots
-    return counted
+            token_seconds = _estimate_token_seconds(reports[name], model.layers)
+            capacities[name] = Capacity(slots=slots, token_seconds=token_seconds)
+    return capacities
+
+
+def _estimate_token_seconds(
+    reports: list[_backend_messages.LoadReport], layers: int
+) -> float:
+    """Estimate the time for one token from mean steps and mean layer ranges."""
+    spans = sum(report.end_layer - report.first_layer for report in reports)
+    steps = sum(report.step_seconds for report in reports)
+    return steps * layers / spans
 
 
 def _find_scarcest(
@@ -70,18 +91,31 @@
 
 @attrs.define(kw_only=True)
 class ServiceTime:
-    """Learn how long engines take for a unit of cost."""
+    """Learn how long engines take for a unit of cost, and how far that varies."""
 
-    seconds_per_cost: float | None = None
+    samples: int = attrs.field(default=0, init=False)
+    _mean: float = attrs.field(default=0.0, init=False)
+    _deviation: float = attrs.field(default=0.0, init=False)
 
     def add(self, seconds: float, cost: float) -> None:
         """Learn from a request that the engines finished."""
+        self.samples += 1
         sample = seconds / cost
-        if self.seconds_per_cost is None:
-            self.seconds_per_cost = sample
-        else:
-            self.seconds_per_cost += _SAMPLE_WEIGHT * (sample - self.seconds_per_cost)
+        if self.samples == 1:
+            self._mean = sample
+        error = sample - self._mean
+        self._mean += _SAMPLE_WEIGHT * error
+        self._deviation += _SAMPLE_WEIGHT * (abs(error) - self._deviation)
+
+    def expect(self, seconds_per_cost: float) -> None:
+        """Start from an estimate until there are samples."""
+        if not self.samples:
+            self._mean = seconds_per_cost
 
     def predict_seconds(self, cost: float) -> float:
-        """Predict the time for a cost; nothing is known before the first sample."""
-        return (self.seconds_per_cost or 0.0) * cost
+        """Predict the mean time for a cost."""
+        return self._mean * cost
+
+    def predict_longest(self, cost: float) -> float:
+        """Predict a time that few requests of a cost exceed."""
+        return (self._mean + _DEVIATIONS * self._deviation) * cost
--- a/tests/features/steps/limits_steps.py
+++ b/tests/features/steps/limits_steps.py
@@ -195,15 +195,12 @@
     context.system.start_services()
     context.system.start_nodes(3)
     sections = system.declare_basics()
-    sections.update(limit_account(requests_per_second=12, burst=6, concurrency=64))
+    limits = {"requests_per_second": 12, "burst": 6, "concurrency": 64}
+    sections["template shop"] = limits
+    sections[f"account {system.ACCOUNT}"]["template"] = "shop"
     context.system.wait_for_number(context.system.apply(sections))
 
 
-def limit_account(**parameters):
-    section = system.declare_account(system.CALLER_KEY, **parameters)
-    return {f"account {system.ACCOUNT}": section}
-
-
 @behave.when('all lookups go to "{node}" until it admits over {rate:d} a second')
 def step_flood(context, node, rate):
     context.retry_after = []
