--- a/src/jujubepass/_node.py
+++ b/src/jujubepass/_node.py
@@ -3,6 +3,7 @@
 import collections.abc
 import functools
 import logging
+import random
 import signal
 import time
 import typing
@@ -14,6 +15,7 @@
     __version__,
     _answer_messages,
     _answers,
+    _attempts,
     _backend_messages,
     _backends,
     _blackboard,
@@ -28,6 +30,7 @@
     _configuration_peers,
     _configuration_proposals,
     _configuration_snapshots,
+    _departures,
     _dispatch,
     _engine_client,
     _http_client,
@@ -46,6 +49,7 @@
     _operators,
     _peer_codec,
     _peers,
+    _recovery,
     _routes,
     _service_client,
     _share_codec,
@@ -70,8 +74,11 @@
     """Run a node until it is told to stop; return the exit code."""
     blackboard = _make_blackboard(node_settings)
     metrics = _metrics.Metrics(version=__version__)
+    _add_gauges(metrics, blackboard)
     controllers = _make_controllers(node_settings, blackboard, metrics)
-    dispatcher = _dispatch.Dispatcher(controllers=controllers)
+    dispatcher = _dispatch.Dispatcher(
+        controllers=controllers, pause_seconds=node_settings.timing.pause_seconds
+    )
     mailboxes = _mailboxes.Mailboxes()
     verdicts = _operators.Verdicts()
     listen = node_settings.listen
@@ -108,6 +115,35 @@
     return _EXIT_DONE
 
 
+def _add_gauges(metrics: _metrics.Metrics, blackboard: _blackboard.Blackboard) -> None:
+    node, membership = blackboard.node, blackboard.membership
+    metrics.add_counter("pauses", "Pauses of this process.", lambda: node.pauses)
+    metrics.add_counter(
+        "paused_seconds", "Time paused, in seconds.", lambda: node.paused_seconds
+    )
+    metrics.add_gauge("live_nodes", "Nodes not held dead.", membership.count_live_nodes)
+    metrics.add_counter(
+        "refutations",
+        "Times this node denied that it is dead.",
+        lambda: membership.refutations,
+    )
+    metrics.add_counter(
+        "old_heartbeats",
+        "Heartbeats ignored for an old incarnation.",
+        lambda: membership.ignored_heartbeats,
+    )
+    metrics.add_gauge(
+        "vm_list_age_seconds",
+        "Age of the list of VMs in use.",
+        lambda: trio.current_time() - blackboard.backends.listed_at,
+    )
+    metrics.add_gauge(
+        "leaving_backends",
+        "Backend servers that take no new work.",
+        lambda: len({name for name, _ in blackboard.departures.words}),
+    )
+
+
 async def _serve_callers(
     shell: _shell.Shell,
     callers: _http_server.Server,
@@ -151,13 +187,20 @@
     return ids.RequestId(uuid.uuid4().hex)
 
 
+def _make_incarnation() -> str:
+    """Name this process; a later start of the same node sorts after it."""
+    milliseconds = time.time_ns() // 1_000_000
+    return f"{milliseconds:012x}{uuid.uuid4().hex[:8]}"
+
+
 def _make_blackboard(node_settings: settings.Settings) -> _blackboard.Blackboard:
     node = node_settings.node
     identity = _blackboard.Identity(
         node=node.name,
-        incarnation=uuid.uuid4().hex,
+        incarnation=_make_incarnation(),
         region=node.region,
         failure_domain=node.failure_domain,
+        address=node_settings.listen.peers,
     )
     return _blackboard.Blackboard(identity=identity)
 
@@ -170,7 +213,9 @@
     """Make the controllers in the order in which they see an event."""
     timing = node_settings.timing
     return [
-        _node_life.NodeController(blackboard=blackboard),
+        _node_life.NodeController(
+            blackboard=blackboard, settling_seconds=timing.heartbeat_seconds
+        ),
         *_make_configuration(node_settings, blackboard),
         _membership.MembershipController(
             blackboard=blackboard,
@@ -187,24 +232,30 @@
                 vm_poll_seconds=timing.vm_poll_seconds,
             ),
         ),
+        _departures.DepartureController(blackboard=blackboard),
         _shares.ShareController(blackboard=blackboard),
         _limits.LimitController(blackboard=blackboard),
-        _answers.AnswerController(
-            blackboard=blackboard,
-            routes=_routes.PredictedTimePolicy(),
-            timing=_answers.AnswerTiming(stall_seconds=timing.stall_seconds),
-            counters=metrics,
-        ),
-        *_call_control.make_controllers(
-            blackboard=blackboard, counters=metrics, timing=_make_call_timing(timing)
-        ),
+        make_answers(node_settings, blackboard, metrics),
+        *_make_call_controllers(node_settings, blackboard, metrics),
     ]
 
 
-def _make_call_timing(timing: settings.Timing) -> _call_journal.CallTiming:
-    return _call_journal.CallTiming(
-        send_window_seconds=timing.lease_seconds - timing.lease_margin_seconds,
-        take_over_margin_seconds=timing.lease_margin_seconds,
+def _make_call_controllers(
+    node_settings: settings.Settings,
+    blackboard: _blackboard.Blackboard,
+    metrics: _metrics.Metrics,
+) -> list[_dispatch.Controller]:
+    timing = node_settings.timing
+    return _call_control.make_controllers(
+        blackboard=blackboard,
+        counters=metrics,
+        timing=_call_journal.CallTiming(
+            send_window_seconds=timing.lease_seconds - timing.lease_margin_seconds,
+            take_over_margin_seconds=timing.lease_margin_seconds,
+            keep_seconds=node_settings.calls.keep_seconds,
+        ),
+        random=random.Random(node_settings.seeds.random or None),
+        largest_group=node_settings.calls.largest_group,
     )
 
 
@@ -234,6 +285,24 @@
     ]
 
 
+def make_answers(
+    node_settings: settings.Settings,
+    blackboard: _blackboard.Blackboard,
+    metrics: _metrics.Metrics,
+) -> _answers.AnswerController:
+    """Make the controller of model requests with its policies."""
+    recovery = _recovery.ResumePolicy(
+        longest_stall_seconds=node_settings.timing.stall_seconds
+    )
+    attempts = _attempts.Attempts(
+        blackboard=blackboard,
+        routes=_routes.PredictedTimePolicy(random_source=random.Random()),
+        recovery=recovery,
+        counters=metrics,
+    )
+    return _answers.AnswerController(attempts=attempts)
+
+
 def _make_limits(listen: settings.Listen) -> _http_server.ServerLimits:
     return _http_server.ServerLimits(
         header_bytes=listen.header_bytes,
@@ -288,6 +357,7 @@
     shell.spawn_with(_answer_messages.StartAttempt, _run_attempt)
     shell.spawn_with(_answer_messages.CancelAttempt, engines.cancel_attempt)
     shell.spawn_with(_answer_messages.ReleaseCache, engines.release_cache)
+    shell.spawn_with(_answer_messages.ProbeEngine, engines.probe_engine)
     shell.spawn_with(_backend_messages.PollLoad, engines.poll_load)
     shell.spawn_with(_backend_messages.PollCache, engines.poll_cache)
     shell.spawn_with(_call_messages.SendCall, services.send_call)
@@ -337,8 +407,12 @@
     def _receive(data: bytes) -> None:
         shell.post(_peer_codec.decode_event(data))
 
+    def _forget(command: _membership_messages.ForgetPeer) -> None:
+        sender.forget(command.address)
+
     _connect_configuration(shell, node_settings, sender)
     shell.execute_with(_membership_messages.SendHeartbeat, _send_heartbeat)
+    shell.execute_with(_membership_messages.ForgetPeer, _forget)
     shell.execute_with(_share_messages.SendDemands, _send_demands)
     shell.execute_with(_share_messages.SendGrants, _send_grants)
     listener = _peers.PeerListener(key=key, handler=_receive)
