--- a/bench/overload.py
+++ b/bench/overload.py
@@ -313,7 +313,9 @@
         self._post(node, _limit_messages.RequestEnded(request=command.request))
 
     def _start(self, node: Node, event: _answer_messages.PromptArrived) -> None:
-        answer = _answer_area.Answer(arrived=event, layers=1, epoch=ids.Epoch(1))
+        answer = _answer_area.Answer(
+            arrived=event, arrived_at=self.now, layers=1, epoch=ids.Epoch(1)
+        )
         node.board.answers.answers[event.request] = answer
         engine = min(self._engines, key=lambda one: len(one.running) + len(one.waiting))
         self._engine_of[event.request] = engine
--- a/tests/features/overload.feature
+++ b/tests/features/overload.feature
@@ -36,7 +36,7 @@
   Scenario: A node that holds too many bytes refuses early
     Given a node bounded to 10000 bytes
     When a long prompt arrives
-    Then it is refused as "node_overloaded"
+    Then the long prompt is refused as "node_overloaded"
 
   Scenario: Small accounts are answered while a large one floods a real node
     Given a node before slow engines with a large and a small account
--- a/tests/features/steps/overload_steps.py
+++ b/tests/features/steps/overload_steps.py
@@ -231,7 +231,7 @@
     context.commands = context.dispatcher.dispatch(event, 0.0)
 
 
-@behave.then('it is refused as "{code}"')
+@behave.then('the long prompt is refused as "{code}"')
 def step_refused_as(context, code):
     (command,) = context.commands
     assert command.reason is reasons.RefusalReason(code), command
