Bound what callers and peers send, and answer every bad request clearly

Cause, found by sending it: a caller that sent on while its answer was awaited filled the node's memory (912 MB in 0.8 s); callers reached a service's own /outcomes interface; a prompt with half a surrogate pair failed at engines until the retry budget was spent; HEAD and CONNECT got no answer; connections over the bound were dropped without a word; a peer message whose handling failed would end the node, and one that could not be read cut the connection; a peer without the key could make the node take 4 MB frames; connections of dead VMs stayed open.

Change: each of these is bounded, refused with a stable code, or counted. A caller that does not read its answer is given up on 30 s after its deadline.

--- a/src/jujubepass/_caller_input.py
+++ b/src/jujubepass/_caller_input.py
@@ -6,6 +6,7 @@
 import json
 import math
 import typing
+import urllib.parse
 
 import attrs
 
@@ -24,6 +25,7 @@
 _MAX_KEY_CHARACTERS = 200
 _MAX_PROMPT_WORDS = 100_000
 _BEARER = "Bearer "
+_OUTCOMES = "outcomes"
 
 
 @attrs.frozen(kw_only=True)
@@ -162,7 +164,19 @@
             reason=reasons.RefusalReason.UNKNOWN_SERVICE,
             detail=f"{name!r} is no service of this account.",
         )
-    return service, "/" + (rest[0] if rest else "")
+    path = "/" + (rest[0] if rest else "")
+    _check_service_path(path)
+    return service, path
+
+
+def _check_service_path(path: str) -> None:
+    """Keep callers from the interface that services offer to the node alone."""
+    parts = urllib.parse.unquote(path.partition("?")[0]).split("/")[1:]
+    if parts[0] == _OUTCOMES or "." in parts or ".." in parts or "" in parts[:-1]:
+        raise _malformed(
+            f"A service's path must not start with /{_OUTCOMES}, nor hold empty"
+            " parts, '.' or '..'."
+        )
 
 
 def _read_object(body: bytes) -> dict[str, typing.Any]:
@@ -181,12 +195,22 @@
         text = _join_messages(fields["messages"])
     if not isinstance(text, str) or not text.strip():
         raise _malformed("Send a prompt (text) or messages (a list of role, content).")
+    if not _is_unicode(text):
+        raise _malformed("The prompt holds half a surrogate pair. Send valid Unicode.")
     words = tuple(text.split())
     if len(words) > _MAX_PROMPT_WORDS:
         raise _malformed(f"The prompt is over {_MAX_PROMPT_WORDS} words.")
     return words
 
 
+def _is_unicode(text: str) -> bool:
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def _join_messages(messages: typing.Any) -> str:
     if not isinstance(messages, list):
         raise _malformed("messages must be a list.")
--- a/src/jujubepass/_callers.py
+++ b/src/jujubepass/_callers.py
@@ -31,6 +31,8 @@
     reasons.RefusalReason.OUTCOME_UNKNOWN: "unknown",
     reasons.RefusalReason.ANSWER_NOT_KEPT: "yes",
 }
+_READ_GRACE_SECONDS = 30.0
+_QUESTION_SECONDS = 60.0
 _EVENT_STREAM = "text/event-stream"
 
 Post = collections.abc.Callable[[typing.Any], None]
@@ -159,12 +161,8 @@
         outcome = _metrics.RequestOutcome.CALLER_GONE
         try:
             self.post(event)
-            while True:
-                replies = await mailbox.receive_ready()
-                ended = await writer.write(replies, mailbox)
-                if ended is not None:
-                    outcome = ended
-                    return
+            with trio.CancelScope(deadline=_bound_time(event)):
+                outcome = await _write_replies(writer, mailbox)
         finally:
             self.mailboxes.close(event.request)
             self.metrics.count_request(kind, outcome)
@@ -173,6 +171,23 @@
             self.post(_limit_messages.RequestEnded(request=event.request))
 
 
+def _bound_time(event: _limit_messages.Arrival | _call_messages.CallAsked) -> float:
+    """Return when a caller that does not read its answer is given up on."""
+    if isinstance(event, _call_messages.CallAsked):
+        return trio.current_time() + _QUESTION_SECONDS
+    return event.deadline + _READ_GRACE_SECONDS
+
+
+async def _write_replies(
+    writer: "_AnswerWriter", mailbox: _mailboxes.Mailbox
+) -> _metrics.RequestOutcome:
+    while True:
+        replies = await mailbox.receive_ready()
+        outcome = await writer.write(replies, mailbox)
+        if outcome is not None:
+            return outcome
+
+
 @attrs.define(kw_only=True)
 class _AnswerWriter:
     """Write the replies of one request to its caller."""
--- a/src/jujubepass/_http_server.py
+++ b/src/jujubepass/_http_server.py
@@ -10,12 +10,13 @@
 import h11
 import trio
 
-from jujubepass import _socket_io
+from jujubepass import _rejections, _socket_io
 
 _LOGGER = logging.getLogger(__name__)
 
 _RECEIVE_BYTES = 65_536
 _CLOSE_TIMEOUT_SECONDS = 0.2
+_MAX_REFUSING = 64
 _JSON = "application/json"
 
 
@@ -41,22 +42,6 @@
     peer: str
 
 
-@attrs.frozen(kw_only=True)
-class RejectedInputError(Exception):
-    """Report input that the listener refuses."""
-
-    status: int
-    code: str
-    detail: str
-
-
-_INTERNAL_ERROR = RejectedInputError(
-    status=500,
-    code="internal_error",
-    detail="The node failed to serve this request; see its log.",
-)
-
-
 class Handler(typing.Protocol):
     """Serve one request by writing to its responder."""
 
@@ -67,13 +52,14 @@
 class Responder:
     """Write one response."""
 
-    __slots__ = ("_connection", "_stream", "started")
+    __slots__ = ("_connection", "_stream", "omits_body", "started")
 
     def __init__(
         self, *, connection: h11.Connection, stream: trio.SocketStream
     ) -> None:
         self._connection = connection
         self._stream = stream
+        self.omits_body = False
         self.started = False
 
     async def start(
@@ -112,7 +98,8 @@
         fields += list((headers or {}).items())
         event = h11.Response(status_code=status, headers=fields)
         parts = [self._connection.send(event) or b""]
-        parts.append(self._connection.send(h11.Data(data=body)) or b"")
+        if not self.omits_body:
+            parts.append(self._connection.send(h11.Data(data=body)) or b"")
         parts.append(self._connection.send(h11.EndOfMessage()) or b"")
         await _socket_io.send(self._stream, b"".join(parts))
 
@@ -157,7 +144,9 @@
         self._limits = limits or ServerLimits()
         self._stopping = trio.Event()
         self._idle_scopes: set[trio.CancelScope] = set()
+        self._refusing = 0
         self.connections = 0
+        self.refused_connections = 0
         self.running_requests = 0
 
     async def serve(
@@ -191,7 +180,7 @@
 
     async def _serve_connection(self, stream: trio.SocketStream) -> None:
         if self.connections >= self._limits.connections:
-            await trio.aclose_forcefully(stream)
+            await self._refuse_connection(stream)
             return
         self.connections += 1
         try:
@@ -205,6 +194,22 @@
                 await _close(stream)
             await trio.aclose_forcefully(stream)
 
+    async def _refuse_connection(self, stream: trio.SocketStream) -> None:
+        self.refused_connections += 1
+        self._refusing += 1
+        try:
+            if self._refusing <= _MAX_REFUSING:
+                with trio.move_on_after(_CLOSE_TIMEOUT_SECONDS):
+                    connection = h11.Connection(h11.SERVER)
+                    responder = Responder(connection=connection, stream=stream)
+                    await _send_too_many(responder, self._limits.connections)
+                    await _close(stream)
+        except trio.BrokenResourceError:
+            _LOGGER.debug("refused connection broke")
+        finally:
+            self._refusing -= 1
+            await trio.aclose_forcefully(stream)
+
     async def _serve_requests(self, stream: trio.SocketStream) -> None:
         connection = h11.Connection(
             h11.SERVER, max_incomplete_event_size=self._limits.header_bytes
@@ -214,11 +219,12 @@
             responder = Responder(connection=connection, stream=stream)
             try:
                 request = await self._receive(connection, stream, peer)
-            except RejectedInputError as error:
+            except _rejections.RejectedInputError as error:
                 await _reject(connection, responder, error)
                 return
             if request is None:
                 return
+            responder.omits_body = request.method == "HEAD"
             self.running_requests += 1
             try:
                 await self._handle(request, responder, connection, stream)
@@ -238,10 +244,12 @@
         stream: trio.SocketStream,
     ) -> None:
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(_watch_peer, connection, stream, nursery.cancel_scope)
+            bound = self._limits.header_bytes + self._limits.body_bytes
+            scope = nursery.cancel_scope
+            nursery.start_soon(_watch_peer, connection, stream, scope, bound)
             try:
                 await self._handler(request, responder)
-            except RejectedInputError as error:
+            except _rejections.RejectedInputError as error:
                 await _reject(connection, responder, error)
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 _LOGGER.debug("caller closed the connection")
@@ -249,7 +257,7 @@
                 _LOGGER.warning("response cut short: %s", error)
             except Exception:
                 _LOGGER.exception("handler failed: %s %s", request.method, request.path)
-                await _reject(connection, responder, _INTERNAL_ERROR)
+                await _reject(connection, responder, _rejections.INTERNAL_ERROR)
             nursery.cancel_scope.cancel()
 
     async def _receive(
@@ -258,9 +266,11 @@
         head = await self._receive_head(connection, stream)
         if head is None:
             return None
+        if head.method == b"CONNECT":
+            raise _rejections.TUNNEL
         headers = {k.decode(): v.decode("latin-1") for k, v in head.headers}
         if int(headers.get("content-length", "0")) > self._limits.body_bytes:
-            raise _oversized(self._limits.body_bytes)
+            raise _rejections.make_oversized(self._limits.body_bytes)
         if connection.they_are_waiting_for_100_continue:
             go_ahead = h11.InformationalResponse(status_code=100, headers=[])
             await _socket_io.send(stream, connection.send(go_ahead) or b"")
@@ -280,8 +290,8 @@
                     return None
                 body += event.data
                 if len(body) > self._limits.body_bytes:
-                    raise _oversized(self._limits.body_bytes)
-        raise _slow_sender(self._limits.receive_timeout_seconds)
+                    raise _rejections.make_oversized(self._limits.body_bytes)
+        raise _rejections.make_slow_sender(self._limits.receive_timeout_seconds)
 
     async def _receive_head(
         self, connection: h11.Connection, stream: trio.SocketStream
@@ -305,7 +315,7 @@
         with trio.move_on_after(self._limits.receive_timeout_seconds):
             event = await _next_event(connection, stream)
             return event if isinstance(event, h11.Request) else None
-        raise _slow_sender(self._limits.receive_timeout_seconds)
+        raise _rejections.make_slow_sender(self._limits.receive_timeout_seconds)
 
 
 async def _next_event(connection: h11.Connection, stream: trio.abc.Stream) -> object:
@@ -313,7 +323,7 @@
         try:
             event = connection.next_event()
         except h11.RemoteProtocolError as error:
-            raise RejectedInputError(
+            raise _rejections.RejectedInputError(
                 status=error.error_status_hint,
                 code="malformed_http",
                 detail=f"{error}. Send a valid HTTP/1.1 request.",
@@ -327,13 +337,16 @@
     connection: h11.Connection,
     stream: trio.SocketStream,
     scope: trio.CancelScope,
+    bound_bytes: int,
 ) -> None:
-    """Cancel the request when its caller hangs up."""
+    """Cancel the request when its caller hangs up or sends too much ahead."""
+    ahead_bytes = 0
     try:
-        while True:
+        while ahead_bytes <= bound_bytes:
             data = await stream.receive_some(_RECEIVE_BYTES)
             if not data:
                 break
+            ahead_bytes += len(data)
             connection.receive_data(bytes(data))
     except trio.BrokenResourceError:
         _LOGGER.debug("caller reset the connection")
@@ -341,7 +354,9 @@
 
 
 async def _reject(
-    connection: h11.Connection, responder: Responder, error: RejectedInputError
+    connection: h11.Connection,
+    responder: Responder,
+    error: _rejections.RejectedInputError,
 ) -> None:
     can_answer = connection.our_state in (h11.IDLE, h11.SEND_RESPONSE)
     if can_answer and not responder.started:
@@ -358,11 +373,7 @@
         _LOGGER.debug("connection was gone already")
 
 
-def _oversized(limit: int) -> RejectedInputError:
-    detail = f"The body is over {limit} bytes. Send a smaller one."
-    return RejectedInputError(status=413, code="body_too_large", detail=detail)
-
-
-def _slow_sender(seconds: float) -> RejectedInputError:
-    detail = f"The request did not arrive within {seconds:g} s. Send it again faster."
-    return RejectedInputError(status=408, code="slow_sender", detail=detail)
+async def _send_too_many(responder: Responder, limit: int) -> None:
+    detail = f"This listener has {limit} connections open. Close idle ones, then retry."
+    code = "too_many_connections"
+    await responder.send_problem(503, code, detail, retry_after_seconds=1)
--- a/src/jujubepass/_node.py
+++ b/src/jujubepass/_node.py
@@ -104,6 +104,7 @@
             new_request_id=_new_request_id,
         )
         callers = _http_server.Server(handler=caller_api, limits=_make_limits(listen))
+        _node_metrics.add_limit_metrics(metrics, blackboard, callers)
         nursery.start_soon(_read_wall_clock, shell)
         tick_seconds = node_settings.timing.tick_seconds
         nursery.start_soon(_tick, shell, tick_seconds, metrics)
--- a/src/jujubepass/_node_metrics.py
+++ b/src/jujubepass/_node_metrics.py
@@ -1,6 +1,6 @@
 """Metrics of what a node's shell and its peer connections do."""
 
-from jujubepass import _metrics, _peers, _shell
+from jujubepass import _blackboard, _http_server, _metrics, _peers, _shell
 
 
 def add_shell_metrics(metrics: _metrics.Metrics, shell: _shell.Shell) -> None:
@@ -29,3 +29,41 @@
         "Messages to other nodes that were dropped.",
         lambda: sender.dropped_messages,
     )
+    metrics.add_counter(
+        "peer_rejected_messages",
+        "Messages of other nodes that could not be read or handled.",
+        lambda: listener.rejected_messages,
+    )
+
+
+def add_limit_metrics(
+    metrics: _metrics.Metrics,
+    blackboard: _blackboard.Blackboard,
+    callers: _http_server.Server,
+) -> None:
+    """Expose the queue before the engines, the shares held and callers' connections."""
+    limits, shares = blackboard.limits, blackboard.shares
+    metrics.add_gauge(
+        "queued_requests", "Model requests that wait.", lambda: limits.queued
+    )
+    metrics.add_gauge(
+        "queued_cost", "Tokens of requests that wait.", lambda: limits.queued_cost
+    )
+    metrics.add_gauge(
+        "share_grants",
+        "Accounts whose share other nodes set.",
+        lambda: len(shares.grants),
+    )
+    metrics.add_gauge(
+        "share_divisor", "Nodes that divide each limit.", lambda: shares.divisor
+    )
+    metrics.add_gauge(
+        "caller_connections",
+        "Connections of callers that are open.",
+        lambda: callers.connections,
+    )
+    metrics.add_counter(
+        "refused_connections",
+        "Connections of callers refused over the bound.",
+        lambda: callers.refused_connections,
+    )
--- a/src/jujubepass/_peers.py
+++ b/src/jujubepass/_peers.py
@@ -6,6 +6,7 @@
 import hmac
 import logging
 import secrets
+import socket
 import struct
 
 import trio
@@ -22,6 +23,11 @@
 _SEND_TIMEOUT_SECONDS = 2.0
 _QUEUED_MESSAGES = 64
 _MAX_CONNECTIONS = 2_000
+_MAX_HANDSHAKES = 256
+_MAX_HANDSHAKE_FRAME_BYTES = 1_024
+_KEEPALIVE_IDLE_SECONDS = 30
+_KEEPALIVE_PROBE_SECONDS = 10
+_KEEPALIVE_PROBES = 3
 
 MessageHandler = collections.abc.Callable[[bytes], None]
 
@@ -37,7 +43,14 @@
         self._key = key
         self._handler = handler
         self._connections = 0
+        self._handshakes = 0
         self.received_bytes = 0
+        self.rejected_messages = 0
+
+    @property
+    def connections(self) -> int:
+        """Return how many connections are open."""
+        return self._connections
 
     async def serve(
         self,
@@ -53,17 +66,18 @@
             task_status.started()
 
     async def _receive(self, stream: trio.SocketStream) -> None:
-        if self._connections >= _MAX_CONNECTIONS:
+        if self._connections >= _MAX_CONNECTIONS or self._handshakes >= _MAX_HANDSHAKES:
             await trio.aclose_forcefully(stream)
             return
         self._connections += 1
         try:
+            _detect_dead_peer(stream)
             with trio.fail_after(_HANDSHAKE_TIMEOUT_SECONDS):
                 await self._check_proof(stream)
             while True:
-                data = await _receive_frame(stream)
+                data = await _receive_frame(stream, _MAX_FRAME_BYTES)
                 self.received_bytes += len(data) + _LENGTH.size
-                self._handler(data)
+                self._handle(data)
         except trio.EndOfChannel:
             _LOGGER.debug("peer closed its connection")
         except (PeerError, _peer_codec.PeerCodecError) as error:
@@ -74,11 +88,29 @@
             self._connections -= 1
             stream.socket.close()
 
+    def _handle(self, data: bytes) -> None:
+        """Hand a message over; one that fails costs neither connection nor node."""
+        try:
+            self._handler(data)
+        except _peer_codec.PeerCodecError as error:
+            self.rejected_messages += 1
+            _LOGGER.warning("peer message ignored: %s", error)
+        except Exception:
+            self.rejected_messages += 1
+            _LOGGER.exception("peer message failed")
+
     async def _check_proof(self, stream: trio.SocketStream) -> None:
+        self._handshakes += 1
+        try:
+            await self._exchange_proof(stream)
+        finally:
+            self._handshakes -= 1
+
+    async def _exchange_proof(self, stream: trio.SocketStream) -> None:
         nonce = secrets.token_bytes(_NONCE_BYTES)
         challenge = ttypes.Challenge(nonce=nonce)
         await _send_frame(stream, _peer_codec.encode_struct(challenge))
-        data = await _receive_frame(stream)
+        data = await _receive_frame(stream, _MAX_HANDSHAKE_FRAME_BYTES)
         proof = _peer_codec.decode_struct(ttypes.Proof(), data)
         if proof.node is None or proof.mac is None:
             raise PeerError("proof without a node or MAC")
@@ -147,7 +179,7 @@
     async def _connect(self, address: _http_client.Address) -> trio.SocketStream:
         stream = await trio.open_tcp_stream(address.host, address.port)
         try:
-            data = await _receive_frame(stream)
+            data = await _receive_frame(stream, _MAX_HANDSHAKE_FRAME_BYTES)
             challenge = _peer_codec.decode_struct(ttypes.Challenge(), data)
             if challenge.nonce is None:
                 raise PeerError("challenge without a nonce")
@@ -168,10 +200,21 @@
     await stream.send_all(_LENGTH.pack(len(data)) + data)
 
 
-async def _receive_frame(stream: trio.abc.Stream) -> bytes:
+def _detect_dead_peer(stream: trio.SocketStream) -> None:
+    """Let the kernel end a connection whose other VM has gone without a word."""
+    stream.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in (
+        (socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_SECONDS),
+        (socket.TCP_KEEPINTVL, _KEEPALIVE_PROBE_SECONDS),
+        (socket.TCP_KEEPCNT, _KEEPALIVE_PROBES),
+    ):
+        stream.setsockopt(socket.IPPROTO_TCP, option, value)
+
+
+async def _receive_frame(stream: trio.abc.Stream, max_bytes: int) -> bytes:
     (length,) = _LENGTH.unpack(await _receive_exactly(stream, _LENGTH.size))
-    if length > _MAX_FRAME_BYTES:
-        raise PeerError(f"frame of {length} bytes is over {_MAX_FRAME_BYTES}")
+    if length > max_bytes:
+        raise PeerError(f"frame of {length} bytes is over {max_bytes}")
     return await _receive_exactly(stream, length)
 
 
--- /dev/null
+++ b/src/jujubepass/_rejections.py
@@ -0,0 +1,38 @@
+"""Input that an HTTP listener rejects, with what the sender is told."""
+
+import attrs
+
+
+@attrs.frozen(kw_only=True)
+class RejectedInputError(Exception):
+    """Report input that the listener refuses."""
+
+    status: int
+    code: str
+    detail: str
+
+
+INTERNAL_ERROR = RejectedInputError(
+    status=500,
+    code="internal_error",
+    detail="The node failed to serve this request; see its log.",
+)
+
+
+TUNNEL = RejectedInputError(
+    status=405,
+    code="method_not_allowed",
+    detail="This node opens no tunnels. Send GET or POST.",
+)
+
+
+def make_oversized(limit: int) -> RejectedInputError:
+    """Reject a body over a number of bytes."""
+    detail = f"The body is over {limit} bytes. Send a smaller one."
+    return RejectedInputError(status=413, code="body_too_large", detail=detail)
+
+
+def make_slow_sender(seconds: float) -> RejectedInputError:
+    """Reject a request that did not arrive in time."""
+    detail = f"The request did not arrive within {seconds:g} s. Send it again faster."
+    return RejectedInputError(status=408, code="slow_sender", detail=detail)
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -9,7 +9,7 @@
 import cappa
 import trio
 
-from jujubepass import _http_client, _http_server
+from jujubepass import _http_client, _http_server, _rejections
 from standins import (
     accelerators,
     engine_state,
@@ -20,7 +20,7 @@
 )
 
 _LIMITS = _http_server.ServerLimits(connections=5_000, body_bytes=4 * 1024 * 1024)
-_NO_SUCH_PATH = _http_server.RejectedInputError(
+_NO_SUCH_PATH = _rejections.RejectedInputError(
     status=404, code="not_found", detail="See docs/interfaces.md for the paths."
 )
 _REFUSAL_STATUS = {"old_epoch": 409}
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -9,7 +9,7 @@
 import cappa
 import trio
 
-from jujubepass import _http_server
+from jujubepass import _http_server, _rejections
 
 MODEL = "stairs-32"
 LAYERS = 32
@@ -18,7 +18,7 @@
     connections=20_000, body_bytes=4 * 1024 * 1024, idle_timeout_seconds=600.0
 )
 _NDJSON = {"content-type": "application/x-ndjson", "transfer-encoding": "chunked"}
-_NO_SUCH_PATH = _http_server.RejectedInputError(
+_NO_SUCH_PATH = _rejections.RejectedInputError(
     status=404, code="not_found", detail="A fleet serves load, cache and generate."
 )
 _REGIONS = 9
--- a/standins/knobs.py
+++ b/standins/knobs.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from jujubepass import _http_server
+from jujubepass import _http_server, _rejections
 
 
 async def serve_knobs(
@@ -23,7 +23,7 @@
     """Set fields by name; reject unknown names without changing any."""
     unknown = sorted(set(changes) - {field.name for field in attrs.fields(type(knobs))})
     if unknown:
-        raise _http_server.RejectedInputError(
+        raise _rejections.RejectedInputError(
             status=400, code="unknown_knob", detail=f"No such knob: {unknown}."
         )
     for name, value in changes.items():
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -12,14 +12,14 @@
 import cappa
 import trio
 
-from jujubepass import _http_server
+from jujubepass import _http_server, _rejections
 from standins import knobs, rates, table
 
 _LONGEST_WAIT_SECONDS = 1.0
 _OBJECT_BYTES = 64 * 1024 * 1024
 _LIMITS = _http_server.ServerLimits(body_bytes=_OBJECT_BYTES, connections=5_000)
 _VM_SNAPSHOTS = 1_000
-_NO_SUCH_PATH = _http_server.RejectedInputError(
+_NO_SUCH_PATH = _rejections.RejectedInputError(
     status=404, code="not_found", detail="See docs/interfaces.md for the paths."
 )
 
--- a/standins/table.py
+++ b/standins/table.py
@@ -4,7 +4,7 @@
 import collections.abc
 import typing
 
-from jujubepass import _http_server
+from jujubepass import _rejections
 
 LARGEST_TRANSACTION = 100
 """Conditions, writes or keys in one call."""
@@ -69,6 +69,6 @@
     """Reject a call over the largest size."""
     if any(len(items) > LARGEST_TRANSACTION for items in lists):
         detail = f"At most {LARGEST_TRANSACTION} rows in one call."
-        raise _http_server.RejectedInputError(
+        raise _rejections.RejectedInputError(
             status=400, code="too_many_rows", detail=detail
         )
