--- a/bench/control.py
+++ b/bench/control.py
@@ -67,6 +67,8 @@
     return f'{_COMMAND}{{command="{name}"}}'
 
 
+_LEAST_POINTS = 2
+
 FIGURES = (
     "core_share",
     "resident_mebibytes",
@@ -77,17 +79,26 @@
 
 
 def add_slopes(
-    result: results.Result, x: str, columns: typing.Sequence[str] = FIGURES
+    result: results.Result,
+    x: str,
+    columns: typing.Sequence[str] = FIGURES,
+    *,
+    lowest: float = 0.0,
+    highest: float = float("inf"),
+    prefix: str = "",
 ) -> None:
     """Fit each column against x, with the worst distance from the line."""
+    rows = [row for row in result.rows if lowest <= row[x] <= highest]
+    xs = [float(row[x]) for row in rows]
+    if len(set(xs)) < _LEAST_POINTS:
+        return
     for column in columns:
-        xs = [float(row[x]) for row in result.rows]
-        ys = [float(row[column]) for row in result.rows]
+        ys = [float(row[column]) for row in rows]
         line = usage.fit_line(xs, ys)
         worst = max(
             abs(y - line["start"] - line["slope"] * x_value)
             for x_value, y in zip(xs, ys, strict=True)
         )
-        result.summary[f"{column}_start"] = line["start"]
-        result.summary[f"{column}_per_{x}"] = line["slope"]
-        result.summary[f"{column}_worst_distance"] = worst
+        result.summary[f"{prefix}{column}_start"] = line["start"]
+        result.summary[f"{prefix}{column}_per_{x}"] = line["slope"]
+        result.summary[f"{prefix}{column}_worst_distance"] = worst
--- a/bench/control_engines.py
+++ b/bench/control_engines.py
@@ -2,12 +2,14 @@
 
 from bench import control, experiments, results, trials
 
+_READ_ENGINES = 48
+
 
 def run(options: experiments.Options) -> results.Result:
     """Measure one idle node with engines of one process."""
     seconds = options.choose(8.0, 0.5)
     runs = options.choose(3, 1)
-    counts = options.choose((4, 25, 50, 100), (2, 4))
+    counts = options.choose((4, 16, 32, 48, 100, 200, 400), (2, 4))
     result = results.Result(
         name="control-engines",
         seed=options.seed,
@@ -22,5 +24,6 @@
                 cost = control.summarize(trials.measure_nodes(started, seconds))
                 row = control.describe(cost)
                 result.add(engines=count, run=index, **row)
-    control.add_slopes(result, "engines")
+    control.add_slopes(result, "engines", highest=_READ_ENGINES)
+    control.add_slopes(result, "engines", lowest=_READ_ENGINES + 1, prefix="large_")
     return result
--- a/bench/control_nodes.py
+++ b/bench/control_nodes.py
@@ -2,12 +2,14 @@
 
 from bench import control, experiments, results, trials, usage
 
+_MESH_NODES = 16
+
 
 def run(options: experiments.Options) -> results.Result:
     """Measure idle nodes, each a process, with a few engines."""
     seconds = options.choose(8.0, 0.5)
     runs = options.choose(3, 1)
-    counts = options.choose((3, 9, 18, 27, 32), (2, 3))
+    counts = options.choose((3, 9, 15, 20, 26, 32), (2, 3))
     result = results.Result(
         name="control-nodes",
         seed=options.seed,
@@ -22,5 +24,6 @@
                 cost = control.summarize(trials.measure_nodes(started, seconds))
                 row = control.describe(cost)
                 result.add(nodes=shape.nodes, run=index, **row)
-    control.add_slopes(result, "nodes")
+    control.add_slopes(result, "nodes", highest=_MESH_NODES)
+    control.add_slopes(result, "nodes", lowest=_MESH_NODES + 1, prefix="large_")
     return result
--- a/bench/experiments.py
+++ b/bench/experiments.py
@@ -15,6 +15,7 @@
     "control-engines",
     "control-accounts",
     "control-changes",
+    "control-size",
     "capacity",
     "throughput",
     "recovery",
--- a/bench/queue_engines.py
+++ b/bench/queue_engines.py
@@ -14,6 +14,9 @@
 _PREFILL_WORDS_PER_STEP = 512
 _WORDS_PER_BLOCK = 16
 _KV_TOKENS = 10_000_000
+_USUAL_LINK_SECONDS = 0.001
+
+MODEL = ids.ModelId("m")
 
 
 @attrs.frozen(kw_only=True)
@@ -28,6 +31,7 @@
     prefill_tokens_per_second: float = 20_000.0
     prefix_blocks: int = 512
     failure_domain: str = "a"
+    model: ids.ModelId = MODEL
 
 
 @attrs.frozen(kw_only=True)
@@ -75,6 +79,10 @@
         self._events: list[tuple[float, _backend_messages.CacheEvent]] = []
         self.busy_seconds = 0.0
 
+    def find_link(self, engine: str) -> float:
+        """Return the delay one way to another engine."""
+        return self._links.get(engine, _USUAL_LINK_SECONDS)
+
     def join(self, attempt: typing.Any) -> None:
         """Count an attempt as one that runs here."""
         self._active.add(id(attempt))
@@ -173,7 +181,7 @@
         return _backend_messages.LoadReport(
             engine=ids.BackendServerId(self.spec.name),
             incarnation="1",
-            model=ids.ModelId("m"),
+            model=self.spec.model,
             version="1",
             first_layer=self.spec.first_layer,
             end_layer=self.spec.end_layer,
--- a/bench/simulated_nodes.py
+++ b/bench/simulated_nodes.py
@@ -1,5 +1,6 @@
 """Nodes' own controllers, driven in one process by an injected clock."""
 
+import collections
 import collections.abc
 import functools
 import typing
@@ -21,6 +22,7 @@
     _prefixes,
     _share_codec,
     _share_messages,
+    _store_messages,
     declarations,
     ids,
     settings,
@@ -51,6 +53,9 @@
 """
 
 Command = typing.Any
+Wrap = collections.abc.Callable[
+    [list[_dispatch.Controller]], list[_dispatch.Controller]
+]
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -87,6 +92,13 @@
     refused: int = 0
 
 
+class Peer(typing.Protocol):
+    """Take messages of another node."""
+
+    def receive(self, seconds: float, event: typing.Any, size: int) -> None:
+        """Take a message of so many bytes after a delay."""
+
+
 class SimulatedNode:
     """Run one node's controllers and carry out their commands on queues."""
 
@@ -100,6 +112,7 @@
         declared: declarations.Declarations,
         policy: str,
         log: Log,
+        wrap: Wrap = list,
     ) -> None:
         self.name = ids.NodeId(f"node-{index}")
         self.address = queue_engines.make_address(10_000 + index)
@@ -118,10 +131,11 @@
             node_settings, self.blackboard, self.metrics
         )
         policies.choose_policy(controllers, policy, seed + index)
-        self._dispatcher = _dispatch.Dispatcher(controllers=controllers)
+        self._dispatcher = _dispatch.Dispatcher(controllers=wrap(controllers))
         self.answers: dict[ids.RequestId, Answer] = {}
         self._attempts: dict[tuple[str, int], Attempt] = {}
-        self.peers: dict[_http_client.Address, SimulatedNode] = {}
+        self.peers: dict[_http_client.Address, Peer] = {}
+        self.executed: collections.Counter[str] = collections.Counter()
         self.vms: tuple[_backend_messages.Vm, ...] = ()
         self.tick_seconds = node_settings.timing.tick_seconds
         self._executors: dict[type, collections.abc.Callable[[typing.Any], None]] = (
@@ -141,6 +155,8 @@
             _backend_messages.PollLoad: self._poll_load,
             _backend_messages.PollCache: self._poll_cache,
             _backend_messages.PollVms: self._poll_vms,
+            _store_messages.ReadRows: self._read_nothing,
+            _store_messages.ScanRows: self._read_nothing,
             _limit_messages.StartQueued: lambda command: self.post(command.event),
             _membership_messages.SendHeartbeat: self._send_heartbeat,
             _share_messages.SendDemands: self._send_demands,
@@ -150,6 +166,7 @@
     def post(self, event: typing.Any) -> None:
         """Dispatch an event now and carry out what comes of it."""
         for command in self._dispatcher.dispatch(event, self._clock.now):
+            self.executed[type(command).__name__] += 1
             execute = self._executors.get(type(command))
             if execute is not None:
                 execute(command)
@@ -169,7 +186,7 @@
         self.post(
             _answer_messages.PromptArrived(
                 request=request,
-                account=ids.AccountId("a"),
+                account=ids.AccountId(arrival.account_key),
                 model=_MODEL,
                 prompt=tuple(arrival.prompt.split()),
                 max_tokens=arrival.max_tokens,
@@ -244,7 +261,7 @@
     def _find_link(self, first: str, second: str) -> float:
         if first == second:
             return 0.0
-        return self._engines[first].report_load().link_seconds[second]
+        return self._engines[first].find_link(second)
 
     def _end_attempt(self, attempt: Attempt) -> None:
         attempt.cancelled = True
@@ -306,6 +323,12 @@
         listed = _backend_messages.VmsListed(vms=self.vms, age_seconds=0.0)
         self._post_later(2 * NETWORK_SECONDS, listed)
 
+    def _read_nothing(
+        self, command: _store_messages.ReadRows | _store_messages.ScanRows
+    ) -> None:
+        read = _store_messages.RowsRead(operation=command.operation, rows={})
+        self._post_later(2 * NETWORK_SECONDS, read)
+
     def _send_heartbeat(self, command: _membership_messages.SendHeartbeat) -> None:
         self._send(command.address, _peer_codec.encode_command(command))
 
@@ -320,4 +343,8 @@
     def _send(self, address: _http_client.Address, data: bytes) -> None:
         peer = self.peers.get(address)
         if peer is not None:
-            peer._post_later(NETWORK_SECONDS, _peer_codec.decode_event(data))
+            peer.receive(NETWORK_SECONDS, _peer_codec.decode_event(data), len(data))
+
+    def receive(self, seconds: float, event: typing.Any, size: int) -> None:
+        """Take a message from a peer after a delay."""
+        self._post_later(seconds, event)
