--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -5,9 +5,23 @@
 
 import attrs
 
-from bench import experiments, results
-
-_SLOPES = ("control-nodes", "control-engines", "control-accounts", "control-changes")
+from bench import experiments, results, usage
+
+_RESULTS = (
+    "control-nodes",
+    "control-engines",
+    "control-accounts",
+    "control-changes",
+    "control-size",
+)
+_MOST_READS = 96.0
+_STORE_CALLS = 0.64
+_LEAST_SHARE = 0.0005
+_COUNTED_ELSEWHERE = (
+    "AnswerController",
+    "MembershipController",
+    "sent to peers: Heartbeat",
+)
 
 
 @attrs.frozen(kw_only=True)
@@ -56,7 +70,7 @@
     """Read the committed results and multiply by the target's counts."""
     target = Target()
     folder = pathlib.Path("bench/results")
-    read = {name: _read_summary(folder / f"{name}.json") for name in _SLOPES}
+    read = {name: _read_rows(folder / f"{name}.json") for name in _RESULTS}
     result = results.Result(
         name="capacity",
         seed=options.seed,
@@ -75,64 +89,106 @@
     return result
 
 
-def list_lines(target: Target, read: dict[str, results.Row]) -> list[Line]:
-    """List the lines of today's code, each with what a node meets at the target."""
-    nodes, engines = read["control-nodes"], read["control-engines"]
-    accounts = read["control-accounts"]
-    started = Line(
-        role="timer and listeners",
-        unit="node",
-        count=1,
-        core_share_each=engines["core_share_start"],
-        bytes_per_second_each=engines["platform_sent_bytes_per_second_start"]
-        + engines["platform_received_bytes_per_second_start"],
-        mebibytes_each=engines["resident_mebibytes_start"],
-    )
-    listed = Line(
-        role="VM list",
-        unit="VM",
-        count=target.engines + target.nodes,
-        core_share_each=0.0,
-        bytes_per_second_each=_sum_bytes(engines, "engines", "platform"),
-    )
+def list_lines(target: Target, read: dict[str, list[results.Row]]) -> list[Line]:
+    """List what control costs a node of today's code at the target."""
+    engines, nodes = read["control-engines"], read["control-nodes"]
+    changes, accounts = read["control-changes"], read["control-accounts"]
+    few, many = min(engines, key=_count_engines), max(engines, key=_count_engines)
+    polls = _slope(engines, "load_polls_per_second", "core_share")
+    idle = few["core_share"] - few["load_polls_per_second"] * polls
+    calls = few["store_calls_per_second"]
+    largest = max(nodes, key=lambda row: row["nodes"])
+    change_bytes = "peers_received_bytes_per_second"
+    lines = [
+        _line("timer and listeners", "node", 1, idle, 0.0, few["resident_mebibytes"]),
+        _line(
+            "heartbeats",
+            "set of neighbours",
+            1,
+            largest["core_share"]
+            - min(nodes, key=lambda row: row["nodes"])["core_share"],
+            _sum_bytes(largest, "peers"),
+        ),
+        _line(
+            "load and cache reads",
+            "reads/s",
+            _MOST_READS,
+            polls,
+            _sum_bytes(many, "engines") / many["load_polls_per_second"],
+        ),
+        _line(
+            "configuration",
+            "changes/s",
+            target.changes_per_second,
+            _slope(changes, "changes_per_second", "core_share"),
+            2 * _slope(changes, "changes_per_second", change_bytes),
+        ),
+        _line(
+            "accounts",
+            "account",
+            target.accounts,
+            0.0,
+            0.0,
+            _slope(accounts, "accounts", "resident_mebibytes"),
+        ),
+        _line(
+            "table reads",
+            "calls/s",
+            _STORE_CALLS,
+            0.0,
+            _sum_bytes(few, "platform") / calls,
+        ),
+    ]
+    return lines + _list_size_lines(read["control-size"])
+
+
+def _list_size_lines(rows: list[results.Row]) -> list[Line]:
+    """List what the controllers took when one node stood in the whole system."""
+    largest = max(row["nodes"] for row in rows)
     return [
-        started,
-        _make_line("heartbeats", "nodes", target.nodes - 1, nodes, "peers"),
-        _make_line("load reads", "engines", target.engines, engines, "engines"),
-        listed,
-        _make_line("accounts", "accounts", target.accounts, accounts, "platform"),
+        _line(row["controller"], "node", 1, row["core_share"], row["bytes_per_second"])
+        for row in rows
+        if row["nodes"] == largest
+        and row["controller"] not in _COUNTED_ELSEWHERE
+        and row["core_share"] + row["bytes_per_second"] > _LEAST_SHARE
     ]
 
 
-def _make_line(
-    role: str, unit: str, count: float, summary: results.Row, side: str
+def _line(
+    role: str, unit: str, count: float, core: float, octets: float, mebibytes: float = 0
 ) -> Line:
     return Line(
         role=role,
         unit=unit,
         count=count,
-        core_share_each=summary[f"core_share_per_{unit}"],
-        bytes_per_second_each=_sum_bytes(summary, unit, side),
-        mebibytes_each=summary[f"resident_mebibytes_per_{unit}"],
+        core_share_each=core,
+        bytes_per_second_each=octets,
+        mebibytes_each=mebibytes,
     )
 
 
-def _sum_bytes(summary: results.Row, unit: str, side: str) -> float:
-    return float(
-        summary[f"{side}_sent_bytes_per_second_per_{unit}"]
-        + summary[f"{side}_received_bytes_per_second_per_{unit}"]
-    )
+def _count_engines(row: results.Row) -> int:
+    return int(row["engines"])
+
+
+def _slope(rows: list[results.Row], x: str, y: str) -> float:
+    return usage.fit_line([row[x] for row in rows], [row[y] for row in rows])["slope"]
+
+
+def _sum_bytes(row: results.Row, side: str) -> float:
+    sent = row[f"{side}_sent_bytes_per_second"]
+    return float(sent + row[f"{side}_received_bytes_per_second"])
 
 
-def _read_summary(path: pathlib.Path) -> results.Row:
-    value: results.Row = json.loads(path.read_text())["summary"]
+def _read_rows(path: pathlib.Path) -> list[results.Row]:
+    value: list[results.Row] = json.loads(path.read_text())["rows"]
     return value
 
 
 def _format(row: results.Row) -> str:
     return (
-        f"| {row['role']} | {row['count']:,.0f} {row['unit']} "
-        f"| {row['core_percent_each']:.4f} | {row['core_percent']:.1f} "
-        f"| {row['bytes_per_second_each']:.0f} | {row['bytes_per_second']:,.0f} "
+        f"| {row['role']} | {row['count']:,.3g} {row['unit']} "
+        f"| {row['core_percent_each']:.4f} | {row['core_percent']:.2f} "
+        f"| {row['bytes_per_second_each']:,.0f} | {row['bytes_per_second']:,.0f} "
         f"| {row['mebibytes']:.1f} |"
     )
