--- a/src/jujubepass/_departures.py
+++ b/src/jujubepass/_departures.py
@@ -5,6 +5,7 @@
 import attrs
 
 from jujubepass import (
+    _answer_messages,
     _backend_area,
     _backend_messages,
     _blackboard,
@@ -38,6 +39,7 @@
             _backend_messages.VmsListed: self.keep_list,
             _backend_messages.LoadReported: self.keep_report,
             _backend_messages.LeavingAnswered: self.keep_answer,
+            _answer_messages.AttemptFailed: self.keep_refusal,
             _membership_messages.HeartbeatReceived: self.keep_peer_word,
         }
 
@@ -127,11 +129,21 @@
         self, event: _backend_messages.LeavingAnswered, now: float
     ) -> collections.abc.Iterable[_dispatch.Command]:
         """Take over a refusal that says the backend server is leaving."""
-        if (event.backend, _Source.ITSELF) not in self.blackboard.departures.words:
-            incarnation = self._get_incarnation(event.backend)
-            self._add(event.backend, _Source.ITSELF, now, incarnation)
+        self._keep_own_word(event.backend, now)
         return ()
 
+    def keep_refusal(
+        self, event: _answer_messages.AttemptFailed, now: float
+    ) -> collections.abc.Iterable[_dispatch.Command]:
+        """Take over an engine's refusal that says it is leaving."""
+        if event.engine and event.fault is _answer_messages.AttemptFault.LEAVING:
+            self._keep_own_word(event.engine, now)
+        return ()
+
+    def _keep_own_word(self, name: ids.BackendServerId, now: float) -> None:
+        if (name, _Source.ITSELF) not in self.blackboard.departures.words:
+            self._add(name, _Source.ITSELF, now, self._get_incarnation(name))
+
     def keep_peer_word(
         self, event: _membership_messages.HeartbeatReceived, now: float
     ) -> collections.abc.Iterable[_dispatch.Command]:
