Mend unknown rows of attempts never sent; cut nodes off in the seeded runs

Cause: a paused node that woke without having sent found its row settled as unknown by another, and left it so. The runs had no node cut off from table, services or peers.

Ruled out: treating any own attempt found in a row as never sent; one written to take a call over says nothing of the attempt before it.

Change: an unknown row names the attempt in doubt, and its owner, when it never sent that attempt, goes on. Seeded runs cut nodes off and silence heartbeats of live nodes.

--- a/src/jujubepass/_call_area.py
+++ b/src/jujubepass/_call_area.py
@@ -33,7 +33,11 @@
 
 @attrs.define(kw_only=True)
 class OpenCall:
-    """Hold a call that this node works on; `version` is its row's, as last known."""
+    """Hold a call that this node works on; `version` is its row's, as last known.
+
+    `unsent` holds this node's attempts that certainly did not run; `doubted` is the
+    attempt that a row left in doubt.
+    """
 
     key: str
     digest: str
@@ -47,6 +51,8 @@
     row_is_read: bool = False
     attempt: ids.AttemptId = _NO_ATTEMPT
     attempts: int = 0
+    unsent: set[ids.AttemptId] = attrs.field(factory=set)
+    doubted: ids.AttemptId = _NO_ATTEMPT
     backend: ids.BackendServerId = _NO_BACKEND
     refused_by: set[ids.BackendServerId] = attrs.field(factory=set)
     fencing: ids.FencingNumber = _NO_FENCING
--- a/src/jujubepass/_call_journal.py
+++ b/src/jujubepass/_call_journal.py
@@ -14,6 +14,7 @@
     _store_writer,
 )
 
+_State = _call_area.CallState
 _OPENING_STEPS = (_call_area.CallStep.OPENING, _call_area.CallStep.TAKING_OVER)
 
 
@@ -71,11 +72,11 @@
         opening = call.step in _OPENING_STEPS
         latest = max(call.waiters.values(), default=now)
         hold = max(self.timing.send_window_seconds, latest - now)
-        state = _call_area.CallState.DISPATCHED if opening else call.closing_state
+        state = _State.DISPATCHED if opening else call.closing_state
         return _call_rows.CallRow(
             state=state,
             digest=call.digest,
-            attempt=call.attempt,
+            attempt=call.doubted if state is _State.UNKNOWN else call.attempt,
             node=identity.node,
             incarnation=identity.incarnation,
             backend=call.backend,
--- a/src/jujubepass/_call_steps.py
+++ b/src/jujubepass/_call_steps.py
@@ -130,6 +130,8 @@
         owner = self.blackboard.identity.incarnation
         call.attempt = ids.AttemptId(f"{name}/{owner}/{call.attempts}")
         self.by_attempt[call.attempt] = call
+        if step is _Step.OPENING:
+            call.unsent.add(call.attempt)
         call.step = step
         call.may_be_written = False
         call.written_at = now
@@ -148,6 +150,8 @@
         left = max(call.waiters.values()) - now
         settling = min(_LONGEST_SETTLING_SECONDS, _SETTLING_SHARE * left)
         call.step = _Step.SENDING
+        call.unsent.discard(call.attempt)
+        call.doubted = call.attempt
         self.balance.begin(call.backend, now)
         command = _call_messages.SendCall(
             request=call.arrived.request,
--- a/src/jujubepass/_call_sweep.py
+++ b/src/jujubepass/_call_sweep.py
@@ -139,6 +139,7 @@
             version=version,
             row_state=row.state,
             backend=row.backend,
+            doubted=row.attempt,
         )
         self.steps.open_calls[key] = call
         return self.steps.settle(call, now)
--- a/src/jujubepass/_calls.py
+++ b/src/jujubepass/_calls.py
@@ -230,7 +230,8 @@
         if not outcome.row.version:
             return self.steps.drop(call, now)
         row = _call_rows.read_value(outcome.row.value)
-        own_late_write = row.attempt == call.attempt and row.state is _State.DISPATCHED
+        open_states = (_State.DISPATCHED, _State.UNKNOWN)
+        own_late_write = row.attempt in call.unsent and row.state in open_states
         done = call.closing_state is _State.DONE and row.state is not _State.DONE
         if not (own_late_write or done):
             return self.steps.drop(call, now)
@@ -254,8 +255,9 @@
         if row.state is _State.DONE:
             answers = self.steps.answer(call, row.status, row.body)
             return [*answers, *self.steps.drop(call, now)]
-        if row.state is _State.NOT_RUN:
+        if row.state is _State.NOT_RUN or row.attempt in call.unsent:
             return self.steps.open(call, now)
+        call.doubted = row.attempt
         abandoned = self.steps.journal.is_abandoned(row, now)
         if row.state is _State.UNKNOWN or abandoned:
             return self.steps.settle(call, now)
@@ -309,6 +311,7 @@
         if meaning is _call_answers.AnswerMeaning.REFUSED:
             self.counters.count_retry(reasons.RetryReason.CALL_REFUSED)
             call.refused_by.add(call.backend)
+            call.unsent.add(call.attempt)
             return self.steps.open(call, now)
         if meaning is _call_answers.AnswerMeaning.OLD_FENCING:
             call.step = _Step.WAITING
@@ -326,6 +329,7 @@
         if call is None:
             return ()
         self.steps.balance.end(call.backend)
+        call.unsent.add(call.attempt)
         in_time = now < call.written_at + self.steps.journal.timing.send_window_seconds
         if in_time:
             self.steps.balance.note_failure(call.backend, now)
--- a/tests/call_system.py
+++ b/tests/call_system.py
@@ -37,6 +37,8 @@
         self.name = name
         self.alive = True
         self.paused_until = 0.0
+        self.unheard_until = 0.0
+        self.cut_until = 0.0
         identity = _blackboard.Identity(
             node=name,
             incarnation=f"{name}-{incarnation}",
@@ -127,7 +129,9 @@
 
     def _execute(self, command):
         table = self.system.table
-        if isinstance(command, _store_messages.Transact):
+        if self.system.world.now < self.cut_until:
+            self._lose(command)
+        elif isinstance(command, _store_messages.Transact):
             table.transact(command, self.post)
         elif isinstance(command, _store_messages.ReadRows | _store_messages.ScanRows):
             table.read(command, self.post)
@@ -137,6 +141,21 @@
             name = self.system.find_asked(self, command)
             self.system.services[name].ask(command, self.post)
 
+    def _lose(self, command):
+        """Tell what a node sees that is cut off: nothing, until its timeouts."""
+        names = {"detail": "cut off"}
+        if isinstance(command, _call_messages.SendCall | _call_messages.AskOutcome):
+            names |= {"request": command.request, "attempt": command.attempt}
+        else:
+            names["operation"] = command.operation
+        event_type = {
+            _call_messages.SendCall: _call_messages.CallUnclear,
+            _call_messages.AskOutcome: _call_messages.OutcomeUntold,
+            _store_messages.Transact: _store_messages.TransactionUnclear,
+        }.get(type(command), _store_messages.ReadFailed)
+        timeout = call_model.TABLE_TIMEOUT_SECONDS
+        self.system.world.after(timeout, self.post, event_type(**names))
+
 
 @attrs.define(kw_only=True)
 class Request:
@@ -202,7 +221,8 @@
     def _beat(self):
         now = self.world.now
         for node in self.nodes.values():
-            if node.alive and not node.is_paused():
+            silent = node.is_paused() or now < node.unheard_until
+            if node.alive and not silent:
                 self.heard[node.name] = now, node.blackboard.identity.incarnation
         for node in self.nodes.values():
             peers = node.blackboard.membership.peers
@@ -236,7 +256,7 @@
         node.paused_until = self.world.now + length
 
     def _break_something(self):
-        draw = self.world.random.randrange(4)
+        draw = self.world.random.randrange(6)
         node = self.nodes[self.world.random.choice(self.names)]
         until = self.world.now + self.world.random.uniform(0.2, 2.5)
         if draw == 0:
@@ -246,6 +266,10 @@
             service.down_until = until
         elif draw == 2 and node.alive:
             self._kill(node)
+        elif draw == 3:
+            node.unheard_until = until + call_model.DEAD_SECONDS
+        elif draw == 4:
+            node.cut_until = until
         else:
             self._pause(node)
 
@@ -314,6 +338,8 @@
         self.world.run_until(call_model.FAULT_SECONDS)
         self.world.faulty = False
         self.table.down_until = 0.0
+        for node in self.nodes.values():
+            node.cut_until = 0.0
         for service in self.services.values():
             service.down_until = 0.0
         self.world.run_until(call_model.FAULT_SECONDS + call_model.SETTLING_SECONDS)
