Write a call's row anew after a pause before it is sent

Cause: a node that woke after a pause shorter than the send window sent on a row that another node could have judged abandoned meanwhile.

Change: a detected pause counts as the end of the send window of all rows written before it; the conditional write shows whether the row is still this attempt's.

--- a/src/jujubepass/_call_steps.py
+++ b/src/jujubepass/_call_steps.py
@@ -48,6 +48,7 @@
     by_attempt: dict[ids.AttemptId, _call_area.OpenCall] = attrs.field(
         factory=dict, init=False
     )
+    resumed_at: float = attrs.field(default=float("-inf"), init=False)
 
     @property
     def open_calls(self) -> dict[str, _call_area.OpenCall]:
@@ -144,7 +145,8 @@
             return self.close(call, _State.NOT_RUN, now)
         send_before = call.written_at + self.journal.timing.send_window_seconds
         backend = self.blackboard.backends.services.get(call.backend)
-        if now >= send_before or backend is None:
+        paused_since = call.written_at < self.resumed_at
+        if now >= send_before or paused_since or backend is None:
             self.counters.count_retry(reasons.RetryReason.SEND_WINDOW_PASSED)
             return self.open(call, now)
         left = max(call.waiters.values()) - now
--- a/src/jujubepass/_calls.py
+++ b/src/jujubepass/_calls.py
@@ -53,6 +53,7 @@
         """Map each event type to the method that handles it."""
         return {
             _node_messages.Tick: self.look,
+            _node_messages.PauseDetected: self.note_pause,
             _call_messages.WallClockRead: self.set_clock,
             _call_messages.CallArrived: self.start,
             _call_messages.CallAsked: self.read_state,
@@ -69,6 +70,11 @@
             _call_messages.OutcomeUntold: self.ask_again,
         }
 
+    def note_pause(self, event: _node_messages.PauseDetected, now: float) -> Commands:
+        """Send nothing on a row from before a pause: write it anew first."""
+        self.steps.resumed_at = now
+        return ()
+
     def set_clock(self, event: _call_messages.WallClockRead, now: float) -> Commands:
         """Take over the time of day."""
         self.steps.journal.set_clock(event, now)
--- a/tests/call_system.py
+++ b/tests/call_system.py
@@ -18,6 +18,8 @@
 )
 from tests import call_model
 
+PAUSE_SECONDS = 0.25
+
 
 class Counts(collections.Counter):
     """Count what controllers count."""
@@ -51,7 +53,9 @@
         controllers = system.make_controllers(
             blackboard=self.blackboard, counters=system.counts
         )
-        self.dispatcher = _dispatch.Dispatcher(controllers=controllers)
+        self.dispatcher = _dispatch.Dispatcher(
+            controllers=controllers, pause_seconds=PAUSE_SECONDS
+        )
         self.post(
             _call_messages.WallClockRead(
                 seconds=call_model.WALL_START + system.world.now
