--- a/bench/postings.py
+++ b/bench/postings.py
@@ -38,7 +38,6 @@
 _ACCOUNT = ids.AccountId("munafa-counter")
 _SERVICE = ids.ServiceId("postings")
 _BACKENDS = 3
-_RUNS_PER_SECOND = 5_000.0
 _REQUEST_SECONDS = 10.0
 _TICK_SECONDS = 0.02
 _FIRST_PORT = int(os.environ.get("JUJUBEPASS_FIRST_PORT", "10000"))
@@ -307,6 +306,7 @@
     seconds: typing.Annotated[float, cappa.Arg(long=True)] = 5.0
     concurrency: typing.Annotated[int, cappa.Arg(long=True)] = 128
     transactions_per_second: typing.Annotated[float, cappa.Arg(long=True)] = 500.0
+    runs_per_second: typing.Annotated[float, cappa.Arg(long=True)] = 5_000.0
 
 
 def main() -> None:
@@ -323,10 +323,11 @@
             trial.platform, transactions_per_second=arguments.transactions_per_second
         )
         for port in trial.services.values():
-            processes.change_knobs(port, runs_per_second=_RUNS_PER_SECOND)
+            processes.change_knobs(port, runs_per_second=arguments.runs_per_second)
         print(
             f"{arguments.concurrency} callers, {_BACKENDS} backend servers, table at"
-            f" {arguments.transactions_per_second:g} transactions/s"
+            f" {arguments.transactions_per_second:g} transactions/s, each server at"
+            f" {arguments.runs_per_second:g} runs/s"
         )
         for variant in VARIANTS:
             trio.run(measure, variant, trial, arguments.concurrency, arguments.seconds)
