--- a/src/jujubepass/_calls.py
+++ b/src/jujubepass/_calls.py
@@ -53,6 +53,7 @@
         """Map each event type to the method that handles it."""
         return {
             _node_messages.Tick: self.look,
+            _node_messages.PauseDetected: self.note_pause,
             _call_messages.WallClockRead: self.set_clock,
             _call_messages.CallArrived: self.start,
             _call_messages.CallAsked: self.read_state,
@@ -69,6 +70,11 @@
             _call_messages.OutcomeUntold: self.ask_again,
         }
 
+    def note_pause(self, event: _node_messages.PauseDetected, now: float) -> Commands:
+        """Send nothing on a row from before a pause: write it anew first."""
+        self.steps.resumed_at = now
+        return ()
+
     def set_clock(self, event: _call_messages.WallClockRead, now: float) -> Commands:
         """Take over the time of day."""
         self.steps.journal.set_clock(event, now)
@@ -230,7 +236,8 @@
         if not outcome.row.version:
             return self.steps.drop(call, now)
         row = _call_rows.read_value(outcome.row.value)
-        own_late_write = row.attempt == call.attempt and row.state is _State.DISPATCHED
+        open_states = (_State.DISPATCHED, _State.UNKNOWN)
+        own_late_write = row.attempt in call.unsent and row.state in open_states
         done = call.closing_state is _State.DONE and row.state is not _State.DONE
         if not (own_late_write or done):
             return self.steps.drop(call, now)
@@ -254,8 +261,9 @@
         if row.state is _State.DONE:
             answers = self.steps.answer(call, row.status, row.body)
             return [*answers, *self.steps.drop(call, now)]
-        if row.state is _State.NOT_RUN:
+        if row.state is _State.NOT_RUN or row.attempt in call.unsent:
             return self.steps.open(call, now)
+        call.doubted = row.attempt
         abandoned = self.steps.journal.is_abandoned(row, now)
         if row.state is _State.UNKNOWN or abandoned:
             return self.steps.settle(call, now)
@@ -309,6 +317,7 @@
         if meaning is _call_answers.AnswerMeaning.REFUSED:
             self.counters.count_retry(reasons.RetryReason.CALL_REFUSED)
             call.refused_by.add(call.backend)
+            call.unsent.add(call.attempt)
             return self.steps.open(call, now)
         if meaning is _call_answers.AnswerMeaning.OLD_FENCING:
             call.step = _Step.WAITING
@@ -326,6 +335,7 @@
         if call is None:
             return ()
         self.steps.balance.end(call.backend)
+        call.unsent.add(call.attempt)
         in_time = now < call.written_at + self.steps.journal.timing.send_window_seconds
         if in_time:
             self.steps.balance.note_failure(call.backend, now)
