Record and replay the decisions on answers; keep healthy stages by preference

Cause: with routes of nearly equal cost a replaced answer moved its healthy stage too: the reported load of a stage counts the request itself, and a few microseconds a token outweighed its KV cache. Found by the scenario on a frozen second stage. Change: a stage that holds the cache does not count the request twice and is preferred unless another is a tenth cheaper. Nodes record to memory, serve the trace at /operator/trace, and replay compares every command.

--- a/src/jujubepass/_engine_costs.py
+++ b/src/jujubepass/_engine_costs.py
@@ -108,12 +108,15 @@
 ) -> Candidate:
     report = engine.report
     assert report is not None
+    holds_cache = name in request.holders
     busy = _estimate_busy(name, engine, blackboard, sharers)
+    if holds_cache:
+        # The reported load counts this request itself.
+        busy = max(0.0, busy - 1.0)
     load = (busy + 1.0) / report.max_batch
     share = max(1.0, load) + _WAIT_FOR_STEP_SHARE * min(1.0, busy / report.max_batch)
     share *= _weigh_doubt(engine, request, now)
     token_seconds = report.step_seconds * share
-    holds_cache = name in request.holders
     prepare, kv_from = 0.0, None
     if not holds_cache:
         prepare, kv_from = _predict_prepare(engine, request, blackboard, now)
--- a/src/jujubepass/_local_commands.py
+++ b/src/jujubepass/_local_commands.py
@@ -45,10 +45,24 @@
 
 def replay(trace: pathlib.Path, policy: str) -> _report.Report:
     """Replay a recorded trace and compare its outcomes."""
-    return _report.report_failure(
-        _report.ExitCode.REFUSED,
-        f"this build replays no traces yet (asked for {trace} with {policy})",
-    )
+    # The controllers are needed by this command alone.
+    from jujubepass import traces
+
+    try:
+        read = traces.read_trace(trace.read_text())
+    except (OSError, UnicodeDecodeError, traces.TraceError) as error:
+        return _report.report_failure(_report.ExitCode.BAD_INPUT, str(error))
+    found = traces.replay_trace(read, naive=policy == "naive")
+    value = {
+        "events": found.events,
+        "dropped_before": read.dropped,
+        "commands": dict(sorted(found.commands.items())),
+        "differing_events": [each.number for each in found.differences],
+    }
+    report = _report.report_value(value)
+    if found.differences and policy != "naive":
+        return attrs.evolve(report, code=_report.ExitCode.REFUSED)
+    return report
 
 
 def show_settings() -> _report.Report:
--- a/src/jujubepass/_node.py
+++ b/src/jujubepass/_node.py
@@ -52,6 +52,7 @@
     _vm_client,
     ids,
     settings,
+    traces,
 )
 
 _LOGGER = logging.getLogger(__name__)
@@ -65,7 +66,8 @@
     blackboard = _make_blackboard(node_settings)
     metrics = _metrics.Metrics(version=__version__)
     controllers = _make_controllers(node_settings, blackboard, metrics)
-    dispatcher = _dispatch.Dispatcher(controllers=controllers)
+    recorder = _make_recorder(node_settings, blackboard)
+    dispatcher = _dispatch.Dispatcher(controllers=controllers, recorder=recorder)
     mailboxes = _mailboxes.Mailboxes()
     verdicts = _operators.Verdicts()
     listen = node_settings.listen
@@ -81,6 +83,7 @@
             post=shell.post,
             verdicts=verdicts,
             key_hash=node_settings.security.operator_key_hash,
+            recorder=recorder,
         )
         operators = _http_server.Server(handler=operator_api)
         caller_api = _callers.CallerApi(
@@ -194,6 +197,31 @@
     )
 
 
+def _make_recorder(
+    node_settings: settings.Settings, blackboard: _blackboard.Blackboard
+) -> traces.MemoryRecorder | None:
+    if node_settings.trace.record is settings.TraceRecord.OFF:
+        return None
+    timing = node_settings.timing
+    start = traces.Start(
+        node=blackboard.identity.node,
+        seed=_find_seed(blackboard),
+        stall_seconds=timing.stall_seconds,
+        load_poll_seconds=timing.load_poll_seconds,
+        vm_poll_seconds=timing.vm_poll_seconds,
+    )
+    return traces.MemoryRecorder(
+        start=start,
+        blackboard=blackboard,
+        capacity=node_settings.trace.memory_events,
+    )
+
+
+def _find_seed(blackboard: _blackboard.Blackboard) -> int:
+    """Derive the seed of route choices, which a trace names, from the incarnation."""
+    return int(blackboard.identity.incarnation, 16) % 2**32
+
+
 def make_answers(
     node_settings: settings.Settings,
     blackboard: _blackboard.Blackboard,
@@ -203,9 +231,10 @@
     recovery = _recovery.ResumePolicy(
         longest_stall_seconds=node_settings.timing.stall_seconds
     )
+    source = random.Random(_find_seed(blackboard))
     attempts = _attempts.Attempts(
         blackboard=blackboard,
-        routes=_routes.PredictedTimePolicy(random_source=random.Random()),
+        routes=_routes.PredictedTimePolicy(random_source=source),
         recovery=recovery,
         counters=metrics,
     )
--- a/src/jujubepass/_operators.py
+++ b/src/jujubepass/_operators.py
@@ -16,6 +16,7 @@
     _metrics,
     _node_messages,
     ids,
+    traces,
 )
 
 _PROPOSAL_TIMEOUT_SECONDS = 10.0
@@ -54,6 +55,7 @@
     post: Post
     verdicts: Verdicts
     key_hash: str
+    recorder: traces.MemoryRecorder | None = None
 
     async def __call__(
         self, request: _http_server.Request, responder: _http_server.Responder
@@ -89,10 +91,20 @@
             await responder.send_json(200, self._describe())
         elif asked == ("POST", "/operator/changes"):
             await self._propose(request, responder)
+        elif asked == ("GET", "/operator/trace"):
+            await self._send_trace(responder)
         else:
             detail = f"{request.method} {request.path} is not served here."
             await responder.send_problem(404, "unknown_path", detail)
 
+    async def _send_trace(self, responder: _http_server.Responder) -> None:
+        if self.recorder is None:
+            detail = "Nothing is recorded; set record = memory in [trace]."
+            await responder.send_problem(404, "not_recorded", detail)
+            return
+        text = traces.write_trace(self.recorder.copy_trace())
+        await responder.send(200, text.encode(), content_type="application/x-ndjson")
+
     def _describe(self) -> dict[str, typing.Any]:
         board = self.blackboard
         nodes = [
--- a/src/jujubepass/_routes.py
+++ b/src/jujubepass/_routes.py
@@ -14,7 +14,8 @@
 )
 
 _BEST_PER_RANGE = 8
-_JITTER_SHARE = 0.1
+_JITTER_SHARE = 0.02
+_KEEP_SHARE = 0.9
 
 
 @attrs.frozen(kw_only=True)
@@ -67,6 +68,8 @@
             cost = candidate.first_token_seconds
             cost += candidate.token_seconds * request.tokens_left
             cost *= 1.0 + _JITTER_SHARE * self.random_source.random()
+            if candidate.holds_cache:
+                cost *= _KEEP_SHARE
             key = (candidate.first_layer, candidate.end_layer)
             best.setdefault(key, []).append((cost, candidate))
         kept = [found for group in best.values() for found in _keep_best(group)]
--- /dev/null
+++ b/src/jujubepass/traces.py
@@ -0,0 +1,339 @@
+"""Records what a node's answer controllers saw and did, and replays it."""
+
+import collections
+import collections.abc
+import json
+import random
+import typing
+
+import attrs
+import cattrs
+
+from jujubepass import (
+    _answer_messages,
+    _answers,
+    _attempts,
+    _backend_messages,
+    _backends,
+    _blackboard,
+    _dispatch,
+    _http_client,
+    _limit_messages,
+    _membership_area,
+    _naive,
+    _node_messages,
+    _recovery,
+    _routes,
+    declarations,
+    ids,
+    reasons,
+)
+
+_FORMAT = 1
+_EVENTS: tuple[type, ...] = (
+    _answer_messages.PromptArrived,
+    _answer_messages.TokensArrived,
+    _answer_messages.AttemptEnded,
+    _answer_messages.AttemptFailed,
+    _answer_messages.CallerLeft,
+    _answer_messages.EngineProbed,
+    _backend_messages.VmsListed,
+    _backend_messages.LoadReported,
+    _backend_messages.LoadUnanswered,
+    _backend_messages.CacheEventsReported,
+    _limit_messages.RequestEnded,
+    _node_messages.Tick,
+)
+_COMMANDS: tuple[type, ...] = (
+    _answer_messages.StartAttempt,
+    _answer_messages.CancelAttempt,
+    _answer_messages.ReleaseCache,
+    _answer_messages.ProbeEngine,
+    _answer_messages.DeliverTokens,
+    _answer_messages.FinishAnswer,
+    _answer_messages.Refuse,
+)
+_TYPES = {each.__name__: each for each in (*_EVENTS, *_COMMANDS)}
+_CONVERTER = cattrs.Converter(forbid_extra_keys=True)
+
+
+class TraceError(Exception):
+    """Report a trace that cannot be read."""
+
+
+@attrs.frozen(kw_only=True)
+class Start:
+    """Hold what controllers are made from."""
+
+    node: str
+    seed: int
+    stall_seconds: float
+    load_poll_seconds: float
+    vm_poll_seconds: float
+    format: int = _FORMAT
+
+
+@attrs.frozen(kw_only=True)
+class Entry:
+    """Hold one event with what the answer controllers read and commanded."""
+
+    at: float
+    event: typing.Any
+    commands: tuple[typing.Any, ...] = ()
+    admitted: bool = False
+    layers: int = 0
+    nodes: int = 1
+    drained: frozenset[str] = frozenset()
+
+
+@attrs.frozen(kw_only=True)
+class Trace:
+    """Hold a start and the entries after it; `dropped` counts forgotten ones."""
+
+    start: Start
+    entries: tuple[Entry, ...]
+    dropped: int = 0
+
+
+@attrs.define(kw_only=True)
+class MemoryRecorder:
+    """Keep the latest entries in memory."""
+
+    start: Start
+    blackboard: _blackboard.Blackboard
+    capacity: int
+    _entries: collections.deque[Entry] = attrs.field(init=False)
+    _dropped: int = attrs.field(default=0, init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._entries = collections.deque(maxlen=self.capacity)
+
+    def record(
+        self,
+        event: _dispatch.Event,
+        now: float,
+        commands: collections.abc.Sequence[_dispatch.Command],
+    ) -> None:
+        """Keep an event that the answer controllers handle."""
+        if type(event) not in _EVENTS:
+            return
+        kept = tuple(each for each in commands if type(each) in _COMMANDS)
+        board = self.blackboard
+        is_tick = type(event) is _node_messages.Tick
+        if is_tick and not commands and not board.answers.answers:
+            return
+        layers = 0
+        admitted = False
+        if isinstance(event, _answer_messages.PromptArrived):
+            model = board.configuration.declared.models.get(event.model)
+            layers = model.layers if model is not None else 0
+            admitted = event.request in board.limits.admitted
+        self._dropped += len(self._entries) == self.capacity
+        self._entries.append(
+            Entry(
+                at=now,
+                event=event,
+                commands=kept,
+                admitted=admitted,
+                layers=layers,
+                nodes=board.membership.count_live_nodes(),
+                drained=board.configuration.declared.drained,
+            )
+        )
+
+    def copy_trace(self) -> Trace:
+        """Return what is kept now."""
+        return Trace(
+            start=self.start, entries=tuple(self._entries), dropped=self._dropped
+        )
+
+
+def _write_typed(value: typing.Any) -> dict[str, typing.Any]:
+    fields = _CONVERTER.unstructure(value)
+    return {"type": type(value).__name__, **fields}
+
+
+def _read_typed(fields: dict[str, typing.Any]) -> typing.Any:
+    rest = dict(fields)
+    return _CONVERTER.structure(rest, _TYPES[rest.pop("type")])
+
+
+def write_trace(trace: Trace) -> str:
+    """Write a trace as lines of JSON, the start first."""
+    start = {**_CONVERTER.unstructure(trace.start), "dropped": trace.dropped}
+    lines = [json.dumps(start)]
+    for entry in trace.entries:
+        row = {
+            "at": entry.at,
+            "event": _write_typed(entry.event),
+            "commands": [_write_typed(each) for each in entry.commands],
+            "admitted": entry.admitted,
+            "layers": entry.layers,
+            "nodes": entry.nodes,
+            "drained": sorted(entry.drained),
+        }
+        lines.append(json.dumps(row))
+    return "\n".join(lines) + "\n"
+
+
+def read_trace(text: str) -> Trace:
+    """Read a trace; raise TraceError when it is none."""
+    first, *rows = text.splitlines() or [""]
+    try:
+        start = json.loads(first)
+        dropped = start.pop("dropped")
+        if start.get("format") != _FORMAT:
+            raise TraceError(f"trace format {start.get('format')!r} is not {_FORMAT}")
+        return Trace(
+            start=_CONVERTER.structure(start, Start),
+            entries=tuple(_read_entry(json.loads(row)) for row in rows),
+            dropped=dropped,
+        )
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        raise TraceError(f"not a trace: {error!r}") from error
+    except cattrs.BaseValidationError as error:
+        raise TraceError(f"not a trace: {error}") from error
+
+
+def _read_entry(row: dict[str, typing.Any]) -> Entry:
+    return Entry(
+        at=float(row["at"]),
+        event=_read_typed(row["event"]),
+        commands=tuple(map(_read_typed, row["commands"])),
+        admitted=bool(row["admitted"]),
+        layers=int(row["layers"]),
+        nodes=int(row["nodes"]),
+        drained=frozenset(row["drained"]),
+    )
+
+
+@attrs.frozen(kw_only=True)
+class Difference:
+    """Hold an entry whose commands came out otherwise."""
+
+    number: int
+    recorded: tuple[typing.Any, ...]
+    replayed: tuple[typing.Any, ...]
+
+
+@attrs.frozen(kw_only=True)
+class Replay:
+    """Hold what a replay gave."""
+
+    events: int
+    commands: collections.abc.Mapping[str, int]
+    differences: tuple[Difference, ...]
+
+
+class _NoCounters:
+    """Count nothing."""
+
+    def count_refusal(self, reason: reasons.RefusalReason) -> None:
+        """Ignore a refusal."""
+
+    def count_retry(self, reason: reasons.RetryReason) -> None:
+        """Ignore a retry."""
+
+    def count_drop(self, reason: reasons.DropReason) -> None:
+        """Ignore a dropped token."""
+
+    def count_unknown(self, cause: reasons.UnknownCause) -> None:
+        """Ignore an unknown outcome."""
+
+    def count_tokens(self, count: int) -> None:
+        """Ignore tokens."""
+
+    def observe_first_token(self, seconds: float) -> None:
+        """Ignore a time."""
+
+    def observe_between_tokens(self, seconds: float) -> None:
+        """Ignore a time."""
+
+    def observe_recovery(self, seconds: float) -> None:
+        """Ignore a time."""
+
+
+def replay_trace(trace: Trace, *, naive: bool = False) -> Replay:
+    """Dispatch a trace's events to new controllers and compare their commands."""
+    board = _make_blackboard(trace.start)
+    dispatcher = _make_dispatcher(trace.start, board, naive=naive)
+    differences = []
+    counts: collections.Counter[str] = collections.Counter()
+    for number, entry in enumerate(trace.entries):
+        _prepare(board, entry)
+        commands = tuple(
+            each
+            for each in dispatcher.dispatch(entry.event, entry.at)
+            if type(each) in _COMMANDS
+        )
+        counts.update(type(each).__name__ for each in commands)
+        if commands != entry.commands:
+            difference = Difference(
+                number=number, recorded=entry.commands, replayed=commands
+            )
+            differences.append(difference)
+    return Replay(
+        events=len(trace.entries), commands=counts, differences=tuple(differences)
+    )
+
+
+def _make_blackboard(start: Start) -> _blackboard.Blackboard:
+    identity = _blackboard.Identity(
+        node=ids.NodeId(start.node),
+        incarnation="replay",
+        region=ids.RegionId(""),
+        failure_domain=ids.FailureDomainId(""),
+    )
+    return _blackboard.Blackboard(identity=identity)
+
+
+def _make_dispatcher(
+    start: Start, board: _blackboard.Blackboard, *, naive: bool
+) -> _dispatch.Dispatcher:
+    routes: _routes.RoutePolicy
+    recovery: _recovery.RecoveryPolicy
+    if naive:
+        routes = _naive.NaiveRoutePolicy()
+        recovery = _naive.RestartPolicy(stall_seconds=start.stall_seconds)
+    else:
+        source = random.Random(start.seed)
+        routes = _routes.PredictedTimePolicy(random_source=source)
+        recovery = _recovery.ResumePolicy(longest_stall_seconds=start.stall_seconds)
+    attempts = _attempts.Attempts(
+        blackboard=board, routes=routes, recovery=recovery, counters=_NoCounters()
+    )
+    timing = _backends.BackendTiming(
+        load_poll_seconds=start.load_poll_seconds,
+        vm_poll_seconds=start.vm_poll_seconds,
+    )
+    return _dispatch.Dispatcher(
+        controllers=[
+            _backends.BackendController(blackboard=board, timing=timing),
+            _answers.AnswerController(attempts=attempts),
+        ]
+    )
+
+
+def _prepare(board: _blackboard.Blackboard, entry: Entry) -> None:
+    """Write what other controllers had written when the event came."""
+    declared = board.configuration.declared
+    if declared.drained != entry.drained:
+        declared = attrs.evolve(declared, drained=entry.drained)
+    event = entry.event
+    if isinstance(event, _answer_messages.PromptArrived):
+        if entry.layers and event.model not in declared.models:
+            model = declarations.Model(name=event.model, layers=entry.layers)
+            models = {**declared.models, event.model: model}
+            declared = attrs.evolve(declared, models=models)
+        if entry.admitted:
+            board.limits.admitted[event.request] = event.account
+    board.configuration.declared = declared
+    peers = board.membership.peers
+    if len(peers) != entry.nodes - 1:
+        peers.clear()
+        for number in range(entry.nodes - 1):
+            name = ids.NodeId(f"peer-{number}")
+            address = _http_client.Address(host="peer", port=0)
+            peers[name] = _membership_area.Peer(node=name, address=address)
+    if isinstance(event, _limit_messages.RequestEnded):
+        board.limits.admitted.pop(event.request, None)
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -126,10 +126,16 @@
 
 
 def start_system(
-    first_port: int, *, nodes: int = 1, node_module: str = "jujubepass"
+    first_port: int,
+    *,
+    nodes: int = 1,
+    node_module: str = "jujubepass",
+    settings: system.Overrides | None = None,
 ) -> system.System:
     """Start a system with these engines and wait until its nodes know them."""
-    trial = system.System(first_port=first_port, node_module=node_module)
+    trial = system.System(
+        first_port=first_port, settings=settings, node_module=node_module
+    )
     try:
         trial.start_platform()
         trial.start_engines(ENGINES)
--- a/tests/features/answers.feature
+++ b/tests/features/answers.feature
@@ -10,6 +10,7 @@
   Scenario: A lost line leads to another attempt
     When one line of an answer is lost
     Then the answer is whole and a retry of "token_gap" was counted
+    And it went on within 150 ms
 
   Scenario: Healthy stages are kept when one stage freezes
     When the second stage of an answer freezes
--- a/tests/features/steps/answers_steps.py
+++ b/tests/features/steps/answers_steps.py
@@ -163,6 +163,11 @@
     assert len(counts.recoveries) == 1, counts
 
 
+@behave.then("it went on within {bound:d} ms")
+def step_within(context, bound):
+    assert small_engines.summarize(context.trial)["longest_gap_ms"] <= bound
+
+
 @behave.when("the second stage of an answer freezes")
 def step_freeze(context):
     context.trial = make_trial()
