Keep one slow poll from lengthening an engine's probe timeout

An engine that thaws answers its polls late; the mean then made probes take 0.42 s and a recovery 0.6 s (seen in a recorded trace). A sample now counts at most twice the mean.

--- a/src/jujubepass/_backends.py
+++ b/src/jujubepass/_backends.py
@@ -19,6 +19,8 @@
 _MOST_POLLS_PER_SECOND = 96.0
 _GAP_WEIGHT = 0.2
 _POLL_WEIGHT = 0.3
+_POLL_GROWTH = 2.0
+_POLL_SLACK_SECONDS = 0.005
 
 
 @attrs.frozen(kw_only=True)
@@ -147,7 +149,8 @@
             engine.cached_prefixes.clear()
             engine.cache_sequence = 0
         if engine.poll_running:
-            taken = now - engine.polled_at
+            longest = _POLL_GROWTH * engine.poll_seconds + _POLL_SLACK_SECONDS
+            taken = min(now - engine.polled_at, longest)
             engine.poll_seconds += _POLL_WEIGHT * (taken - engine.poll_seconds)
         engine.report = event.report
         engine.reported_at = now - event.report.age_seconds
