--- a/bench/naive_node.py
+++ b/bench/naive_node.py
@@ -12,7 +12,7 @@
     _blackboard,
     _metrics,
     _naive,
-    _node,
+    _node_answers,
     cli,
     settings,
 )
@@ -34,5 +34,5 @@
 
 
 if __name__ == "__main__":
-    _node.make_answers = make_answers
+    _node_answers.make_answers = make_answers
     sys.exit(cli.run(sys.argv[1:]))
--- /dev/null
+++ b/bench/policies.py
@@ -0,0 +1,52 @@
+"""Route policies that throughput is compared over."""
+
+import collections.abc
+import random
+
+import attrs
+
+from bench import first_policy
+from jujubepass import (
+    _admission,
+    _answers,
+    _dispatch,
+    _limits,
+    _naive,
+    _routes,
+    ids,
+)
+
+OURS = "ours"
+NAIVE = "naive"
+OPEN = "ours without a queue"
+FIRST = "first"
+NAMES = (OURS, OPEN, FIRST, NAIVE)
+
+
+def choose_policy(
+    controllers: collections.abc.Iterable[_dispatch.Controller], name: str, seed: int
+) -> None:
+    """Give controllers a route policy; only OURS queues before the engines."""
+    for controller in controllers:
+        if isinstance(controller, _answers.AnswerController):
+            controller.attempts.routes = make_routes(name, seed)
+        if isinstance(controller, _limits.LimitController) and name != OURS:
+            board = controller.blackboard
+            controller.admission = OpenAdmission(blackboard=board)
+
+
+def make_routes(name: str, seed: int) -> _routes.RoutePolicy:
+    """Make a route policy whose random numbers follow a seed."""
+    if name == NAIVE:
+        return _naive.NaiveRoutePolicy()
+    if name == FIRST:
+        return first_policy.FirstPolicy()
+    return _routes.PredictedTimePolicy(random_source=random.Random(seed))
+
+
+@attrs.define(kw_only=True)
+class OpenAdmission(_admission.Admission):
+    """Let every admitted request to the engines at once."""
+
+    def _has_place(self, model: ids.ModelId) -> bool:
+        return True
--- a/src/jujubepass/_attempts.py
+++ b/src/jujubepass/_attempts.py
@@ -21,6 +21,7 @@
 
 _NO_ROUTE_RETRY_SECONDS = 1.0
 _MOST_ATTEMPTS = 64
+_MOST_FRUITLESS_ATTEMPTS = 12
 _DEADLINE_TOLERANCE = 0.8
 _FORGIVE_SECONDS = 1.0
 
@@ -129,7 +130,9 @@
         """Cancel the current attempt and go on over the best route left."""
         if now >= answer.arrived.deadline:
             return self.end_at_deadline(answer)
-        if answer.attempts >= _MOST_ATTEMPTS or not self.budget.take():
+        if not answer.attempt_has_token:
+            answer.fruitless_attempts += 1
+        if self._has_no_retry(answer):
             return self.refuse(
                 answer,
                 reasons.RefusalReason.RETRY_BUDGET_SPENT,
@@ -142,6 +145,11 @@
         self.counters.count_retry(reason)
         return self.move(answer, route, now)
 
+    def _has_no_retry(self, answer: _answer_area.Answer) -> bool:
+        if answer.fruitless_attempts >= _MOST_FRUITLESS_ATTEMPTS:
+            return True
+        return answer.attempts >= _MOST_ATTEMPTS or not self.budget.take()
+
     def _plan_forgiving(
         self, answer: _answer_area.Answer, now: float
     ) -> _routes.Route | None:
--- a/src/jujubepass/_backends.py
+++ b/src/jujubepass/_backends.py
@@ -9,12 +9,14 @@
     _backend_area,
     _backend_messages,
     _blackboard,
+    _configuration_messages,
     _dispatch,
     _node_messages,
     _subsets,
     ids,
 )
 
+_GONE_AFTER_POLLS = 3
 _MOST_CACHED_PREFIXES = 1_024
 _MOST_POLLS_PER_SECOND = 96.0
 _GAP_WEIGHT = 0.2
@@ -33,11 +35,13 @@
 
 @attrs.define(kw_only=True)
 class BackendController:
-    """Join the VM list, load reports and operators' drains."""
+    """Join the VM list and load reports."""
 
     blackboard: _blackboard.Blackboard
     timing: BackendTiming
     _vms_polled_at: float = attrs.field(default=float("-inf"), init=False)
+    _listed: tuple[_backend_messages.Vm, ...] = attrs.field(default=(), init=False)
+    _declared: object = attrs.field(default=None, init=False)
     _due: list[tuple[float, ids.BackendServerId]] = attrs.field(
         factory=list, init=False
     )
@@ -48,6 +52,7 @@
         return {
             _node_messages.Tick: self.poll,
             _backend_messages.VmsListed: self.join_list,
+            _configuration_messages.ConfigurationInstalled: self.join_declared,
             _backend_messages.LoadReported: self.keep_report,
             _backend_messages.LoadUnanswered: self.count_silence,
             _backend_messages.CacheEventsReported: self.keep_cache_events,
@@ -88,17 +93,36 @@
     def join_list(
         self, event: _backend_messages.VmsListed, now: float
     ) -> collections.abc.Iterable[_dispatch.Command]:
-        """Take over the platform's list of engines and services."""
+        """Take over the platform's list; who answers polls stays known."""
+        self.blackboard.backends.listed_at = now - event.age_seconds
+        self._listed = event.vms
+        return self._join(now)
+
+    def join_declared(
+        self, event: _configuration_messages.ConfigurationInstalled, now: float
+    ) -> collections.abc.Iterable[_dispatch.Command]:
+        """Take over the backend servers that operators added or drained."""
+        declared = self.blackboard.configuration.declared
+        seen = (declared.backends, declared.drained, declared.models)
+        if seen != self._declared:
+            self._declared = seen
+            self._join(now)
+        return ()
+
+    def _join(self, now: float) -> collections.abc.Iterable[_dispatch.Command]:
         area = self.blackboard.backends
+        vms = {**self.blackboard.configuration.declared.backends}
+        vms.update((ids.BackendServerId(vm.name), vm) for vm in self._listed)
         for role, known in (
             (_backend_messages.VmRole.ENGINE, area.engines),
             (_backend_messages.VmRole.SERVICE, area.services),
         ):
-            listed = {
-                ids.BackendServerId(vm.name): vm for vm in event.vms if vm.role is role
-            }
+            listed = {name: vm for name, vm in vms.items() if vm.role is role}
             for name in [name for name in known if name not in listed]:
-                del known[name]
+                # An engine that is not polled cannot show that it is still there.
+                silent = known[name].failed_polls >= _GONE_AFTER_POLLS
+                if name not in area.polled or silent:
+                    del known[name]
             for name, vm in listed.items():
                 self._join_vm(known, name, vm)
         self._choose_polled(now)
@@ -126,13 +150,6 @@
             rank = _subsets.rank_engine(self.blackboard.identity.node, name)
             backend = known[name] = _backend_area.BackendServer(vm=vm, rank=rank)
         backend.vm = vm
-        backend.leaving = self._is_leaving(backend)
-
-    def _is_leaving(self, backend: _backend_area.BackendServer) -> bool:
-        listed = backend.vm.state is _backend_messages.VmState.LEAVING
-        told = backend.report is not None and backend.report.leaving
-        drained = self.blackboard.configuration.declared.drained
-        return listed or told or backend.vm.name in drained
 
     def keep_report(
         self, event: _backend_messages.LoadReported, now: float
@@ -157,7 +174,6 @@
         engine.heard_at = now
         engine.poll_running = False
         engine.failed_polls = 0
-        engine.leaving = self._is_leaving(engine)
         return ()
 
     def count_silence(
--- a/src/jujubepass/_limits.py
+++ b/src/jujubepass/_limits.py
@@ -18,7 +18,7 @@
     reasons,
 )
 
-_LEAST_BURST = 2.0
+_LEAST_BURST = 4.0
 _RETRY_SECONDS = 1.0
 _IDLE_SECONDS = 60.0
 _SWEEP_SECONDS = 5.0
@@ -91,10 +91,12 @@
         self, event: _limit_messages.Arrival
     ) -> _answer_messages.Refuse | None:
         state = self.blackboard.node.state
-        if state is _node_messages.NodeState.STARTING:
-            return _admission.refuse(event, reasons.RefusalReason.NOT_READY, 1.0)
-        if state is not _node_messages.NodeState.READY:
-            return _admission.refuse(event, reasons.RefusalReason.NODE_STOPPING, 1.0)
+        if not _node_messages.admits_requests(state):
+            stopping = _node_messages.is_leaving(state)
+            reason = reasons.RefusalReason.NOT_READY
+            if stopping:
+                reason = reasons.RefusalReason.NODE_STOPPING
+            return _admission.refuse(event, reason, 1.0)
         full = len(self._admitted) >= self.bounds.running_requests
         if full or self._held_bytes + _measure(event) > self.bounds.held_bytes:
             wait = self._mean_seconds / max(1, len(self._admitted))
--- a/src/jujubepass/_node.py
+++ b/src/jujubepass/_node.py
@@ -4,7 +4,6 @@
 import functools
 import logging
 import random
-import signal
 import time
 import typing
 import uuid
@@ -14,8 +13,6 @@
 from jujubepass import (
     __version__,
     _answer_messages,
-    _answers,
-    _attempts,
     _backend_messages,
     _backends,
     _blackboard,
@@ -24,7 +21,13 @@
     _call_messages,
     _callers,
     _configuration,
+    _configuration_codec,
+    _configuration_installer,
     _configuration_messages,
+    _configuration_peers,
+    _configuration_proposals,
+    _configuration_snapshots,
+    _departures,
     _dispatch,
     _engine_client,
     _http_client,
@@ -35,39 +38,50 @@
     _membership,
     _membership_messages,
     _metrics,
+    _node_answers,
     _node_life,
     _node_messages,
+    _node_metrics,
+    _object_client,
+    _object_messages,
     _operators,
+    _order_client,
+    _order_control,
+    _order_messages,
     _peer_codec,
     _peers,
-    _recovery,
-    _routes,
     _service_client,
     _share_codec,
     _share_messages,
     _shares,
     _shell,
+    _shutdown,
     _store_messages,
     _table_client,
     _vm_client,
     ids,
     settings,
-    traces,
 )
 
 _LOGGER = logging.getLogger(__name__)
 
 _EXIT_DONE = 0
 _WALL_CLOCK_SECONDS = 1.0
+_OPERATOR_LIMITS = _http_server.ServerLimits(body_bytes=16 * 1_048_576)
 
 
 async def run(node_settings: settings.Settings) -> int:
     """Run a node until it is told to stop; return the exit code."""
     blackboard = _make_blackboard(node_settings)
     metrics = _metrics.Metrics(version=__version__)
+    _node_metrics.add_life_metrics(metrics, blackboard)
     controllers = _make_controllers(node_settings, blackboard, metrics)
-    recorder = _make_recorder(node_settings, blackboard)
-    dispatcher = _dispatch.Dispatcher(controllers=controllers, recorder=recorder)
+    recorder = _node_answers.make_recorder(node_settings, blackboard)
+    dispatcher = _dispatch.Dispatcher(
+        controllers=controllers,
+        recorder=recorder,
+        pause_seconds=node_settings.timing.pause_seconds,
+    )
     mailboxes = _mailboxes.Mailboxes()
     verdicts = _operators.Verdicts()
     listen = node_settings.listen
@@ -76,7 +90,7 @@
         _connect_platform(shell, node_settings)
         _connect_backends(shell, mailboxes)
         _connect_requests(shell, mailboxes, verdicts)
-        await _connect_peers(shell, node_settings, nursery)
+        await _connect_peers(shell, node_settings, nursery, metrics)
         operator_api = _operators.OperatorApi(
             blackboard=blackboard,
             metrics=metrics,
@@ -85,7 +99,6 @@
             key_hash=node_settings.security.operator_key_hash,
             recorder=recorder,
         )
-        operators = _http_server.Server(handler=operator_api)
         caller_api = _callers.CallerApi(
             blackboard=blackboard,
             mailboxes=mailboxes,
@@ -95,35 +108,20 @@
         )
         callers = _http_server.Server(handler=caller_api, limits=_make_limits(listen))
         nursery.start_soon(_read_wall_clock, shell)
-        nursery.start_soon(_tick, shell, node_settings.timing.tick_seconds)
-        address = listen.operators
-        await nursery.start(operators.serve, address.host, address.port)
-        await _serve_callers(shell, callers, node_settings)
+        tick_seconds = node_settings.timing.tick_seconds
+        nursery.start_soon(_tick, shell, tick_seconds, metrics)
+        await _serve_operators(operator_api, listen.operators, nursery)
+        await _shutdown.serve_callers(shell, callers, node_settings)
         nursery.cancel_scope.cancel()
     _LOGGER.info("node %s has stopped", blackboard.identity.node)
     return _EXIT_DONE
 
 
-async def _serve_callers(
-    shell: _shell.Shell,
-    callers: _http_server.Server,
-    node_settings: settings.Settings,
+async def _serve_operators(
+    api: _operators.OperatorApi, address: _http_client.Address, nursery: trio.Nursery
 ) -> None:
-    address = node_settings.listen.callers
-    async with trio.open_nursery() as serving:
-        await serving.start(callers.serve, address.host, address.port)
-        _LOGGER.info("node %s serves callers at %s", node_settings.node.name, address)
-        await _wait_for_signal()
-        shell.post(_node_messages.StopRequested())
-        bound = trio.current_time() + node_settings.timing.shutdown_seconds
-        serving.cancel_scope.deadline = bound
-        callers.stop()
-
-
-async def _wait_for_signal() -> None:
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
-            return
+    server = _http_server.Server(handler=api, limits=_OPERATOR_LIMITS)
+    await nursery.start(server.serve, address.host, address.port)
 
 
 async def _read_wall_clock(shell: _shell.Shell) -> None:
@@ -132,24 +130,35 @@
         await trio.sleep(_WALL_CLOCK_SECONDS)
 
 
-async def _tick(shell: _shell.Shell, tick_seconds: float) -> None:
+async def _tick(
+    shell: _shell.Shell, tick_seconds: float, metrics: _metrics.Metrics
+) -> None:
     event = _node_messages.Tick()
     while True:
         shell.post(event)
-        await trio.sleep(tick_seconds)
+        due = trio.current_time() + tick_seconds
+        await trio.sleep_until(due)
+        metrics.tick_delay.observe(trio.current_time() - due)
 
 
 def _new_request_id() -> ids.RequestId:
     return ids.RequestId(uuid.uuid4().hex)
 
 
+def _make_incarnation() -> str:
+    """Name this process; a later start of the same node sorts after it."""
+    milliseconds = time.time_ns() // 1_000_000
+    return f"{milliseconds:012x}{uuid.uuid4().hex[:8]}"
+
+
 def _make_blackboard(node_settings: settings.Settings) -> _blackboard.Blackboard:
     node = node_settings.node
     identity = _blackboard.Identity(
         node=node.name,
-        incarnation=uuid.uuid4().hex,
+        incarnation=_make_incarnation(),
         region=node.region,
         failure_domain=node.failure_domain,
+        address=node_settings.listen.peers,
     )
     return _blackboard.Blackboard(identity=identity)
 
@@ -162,10 +171,10 @@
     """Make the controllers in the order in which they see an event."""
     timing = node_settings.timing
     return [
-        _node_life.NodeController(blackboard=blackboard),
-        _configuration.ConfigurationController(
-            blackboard=blackboard, poll_seconds=timing.configuration_poll_seconds
+        _node_life.NodeController(
+            blackboard=blackboard, settling_seconds=timing.heartbeat_seconds
         ),
+        *_make_configuration(node_settings, blackboard),
         _membership.MembershipController(
             blackboard=blackboard,
             timing=_membership.MembershipTiming(
@@ -181,64 +190,58 @@
                 vm_poll_seconds=timing.vm_poll_seconds,
             ),
         ),
+        _departures.DepartureController(blackboard=blackboard),
+        *_order_control.make_controllers(blackboard=blackboard, timing=timing),
         _shares.ShareController(blackboard=blackboard),
         _limits.LimitController(blackboard=blackboard),
-        make_answers(node_settings, blackboard, metrics),
-        *_call_control.make_controllers(
-            blackboard=blackboard, counters=metrics, timing=_make_call_timing(timing)
-        ),
+        _node_answers.make_answers(node_settings, blackboard, metrics),
+        *_make_call_controllers(node_settings, blackboard, metrics),
     ]
 
 
-def _make_call_timing(timing: settings.Timing) -> _call_journal.CallTiming:
-    return _call_journal.CallTiming(
-        send_window_seconds=timing.lease_seconds - timing.lease_margin_seconds,
-        take_over_margin_seconds=timing.lease_margin_seconds,
-    )
-
-
-def _make_recorder(
-    node_settings: settings.Settings, blackboard: _blackboard.Blackboard
-) -> traces.MemoryRecorder | None:
-    if node_settings.trace.record is settings.TraceRecord.OFF:
-        return None
-    timing = node_settings.timing
-    start = traces.Start(
-        node=blackboard.identity.node,
-        seed=_find_seed(blackboard),
-        stall_seconds=timing.stall_seconds,
-        load_poll_seconds=timing.load_poll_seconds,
-        vm_poll_seconds=timing.vm_poll_seconds,
-    )
-    return traces.MemoryRecorder(
-        start=start,
-        blackboard=blackboard,
-        capacity=node_settings.trace.memory_events,
-    )
-
-
-def _find_seed(blackboard: _blackboard.Blackboard) -> int:
-    """Derive the seed of route choices, which a trace names, from the incarnation."""
-    return int(blackboard.identity.incarnation, 16) % 2**32
-
-
-def make_answers(
+def _make_call_controllers(
     node_settings: settings.Settings,
     blackboard: _blackboard.Blackboard,
     metrics: _metrics.Metrics,
-) -> _answers.AnswerController:
-    """Make the controller of model requests with its policies."""
-    recovery = _recovery.ResumePolicy(
-        longest_stall_seconds=node_settings.timing.stall_seconds
-    )
-    source = random.Random(_find_seed(blackboard))
-    attempts = _attempts.Attempts(
+) -> list[_dispatch.Controller]:
+    timing = node_settings.timing
+    return _call_control.make_controllers(
         blackboard=blackboard,
-        routes=_routes.PredictedTimePolicy(random_source=source),
-        recovery=recovery,
         counters=metrics,
+        timing=_call_journal.CallTiming(
+            send_window_seconds=timing.lease_seconds - timing.lease_margin_seconds,
+            take_over_margin_seconds=timing.lease_margin_seconds,
+            keep_seconds=node_settings.calls.keep_seconds,
+        ),
+        random=random.Random(node_settings.seeds.random or None),
+        largest_group=node_settings.calls.largest_group,
     )
-    return _answers.AnswerController(attempts=attempts)
+
+
+def _make_configuration(
+    node_settings: settings.Settings, blackboard: _blackboard.Blackboard
+) -> list[_dispatch.Controller]:
+    timing = node_settings.timing
+    installer = _configuration_installer.Installer(area=blackboard.configuration)
+    return [
+        _configuration.ConfigurationController(
+            blackboard=blackboard,
+            installer=installer,
+            poll_seconds=timing.configuration_poll_seconds,
+        ),
+        _configuration_proposals.ProposalController(
+            blackboard=blackboard, installer=installer
+        ),
+        _configuration_snapshots.SnapshotController(
+            blackboard=blackboard,
+            changes_per_snapshot=timing.configuration_snapshot_changes,
+        ),
+        _configuration_peers.PeerConfigurationController(
+            blackboard=blackboard,
+            installer=installer,
+            address=node_settings.listen.peers,
+        ),
+    ]
 
 
 def _make_limits(listen: settings.Listen) -> _http_server.ServerLimits:
@@ -260,10 +263,16 @@
     )
     vms = _vm_client.VmClient(client=client, address=platform.vms, post=shell.post)
 
+    objects = _object_client.HttpObjects(client=client, address=platform.objects)
+
     transact = _post_outcome(shell, table.transact)
     shell.spawn_with(_store_messages.Transact, transact)
     shell.spawn_with(_store_messages.ReadRows, _post_outcome(shell, table.read))
     shell.spawn_with(_store_messages.ScanRows, _post_outcome(shell, table.scan))
+    shell.spawn_with(_object_messages.PutObject, _post_outcome(shell, objects.put))
+    shell.spawn_with(_object_messages.GetObject, _post_outcome(shell, objects.get))
+    delete = _post_outcome(shell, objects.delete)
+    shell.spawn_with(_object_messages.DeleteObject, delete)
     shell.spawn_with(_backend_messages.PollVms, vms.poll)
 
 
@@ -292,6 +301,9 @@
     shell.spawn_with(_answer_messages.ProbeEngine, engines.probe_engine)
     shell.spawn_with(_backend_messages.PollLoad, engines.poll_load)
     shell.spawn_with(_backend_messages.PollCache, engines.poll_cache)
+    orders = _order_client.OrderClient(client=client, post=shell.post)
+    shell.spawn_with(_order_messages.ReadEngineState, orders.read_state)
+    shell.spawn_with(_order_messages.SendOrder, orders.send_order)
     shell.spawn_with(_call_messages.SendCall, services.send_call)
     shell.spawn_with(_call_messages.SendLookup, services.send_lookup)
     shell.spawn_with(_call_messages.CancelLookup, services.cancel_lookup)
@@ -312,10 +324,15 @@
     )
     shell.execute_with(_configuration_messages.ChangeAccepted, verdicts.put)
     shell.execute_with(_configuration_messages.ChangeRefused, verdicts.put)
+    shell.execute_with(_configuration_messages.ChangeCommitted, shell.post)
+    shell.execute_with(_configuration_messages.ConfigurationInstalled, shell.post)
 
 
 async def _connect_peers(
-    shell: _shell.Shell, node_settings: settings.Settings, nursery: trio.Nursery
+    shell: _shell.Shell,
+    node_settings: settings.Settings,
+    nursery: trio.Nursery,
+    metrics: _metrics.Metrics,
 ) -> None:
     key = node_settings.security.peer_key.encode()
     sender = _peers.PeerSender(node=node_settings.node.name, key=key, nursery=nursery)
@@ -334,9 +351,29 @@
     def _receive(data: bytes) -> None:
         shell.post(_peer_codec.decode_event(data))
 
+    def _forget(command: _membership_messages.ForgetPeer) -> None:
+        sender.forget(command.address)
+
+    _connect_configuration(shell, node_settings, sender)
     shell.execute_with(_membership_messages.SendHeartbeat, _send_heartbeat)
+    shell.execute_with(_membership_messages.ForgetPeer, _forget)
     shell.execute_with(_share_messages.SendDemands, _send_demands)
     shell.execute_with(_share_messages.SendGrants, _send_grants)
     listener = _peers.PeerListener(key=key, handler=_receive)
+    _node_metrics.add_shell_metrics(metrics, shell)
+    _node_metrics.add_peer_metrics(metrics, sender, listener)
     listen = node_settings.listen.peers
     await nursery.start(functools.partial(listener.serve, listen.host, listen.port))
+
+
+def _connect_configuration(
+    shell: _shell.Shell, node_settings: settings.Settings, sender: _peers.PeerSender
+) -> None:
+    name, address = node_settings.node.name, node_settings.listen.peers
+
+    def _send(command: _configuration_messages.PeerCommand) -> None:
+        message = _configuration_codec.make_message(command, name, address)
+        sender.send(command.address, _peer_codec.encode_struct(message))
+
+    for command_type in typing.get_args(_configuration_messages.PeerCommand):
+        shell.execute_with(command_type, _send)
--- a/src/jujubepass/_peer_codec.py
+++ b/src/jujubepass/_peer_codec.py
@@ -6,11 +6,12 @@
 import thrift.transport.TTransport
 
 from jujubepass import (
+    _configuration_codec,
+    _configuration_messages,
+    _membership_codec,
     _membership_messages,
-    _node_messages,
     _share_codec,
     _share_messages,
-    ids,
 )
 from jujubepass.generated.peer import ttypes
 
@@ -42,24 +43,21 @@
 
 def encode_command(command: _membership_messages.SendHeartbeat) -> bytes:
     """Write the message that a command sends."""
-    heartbeat = command.heartbeat
-    return encode_struct(
-        ttypes.Message(
-            heartbeat=ttypes.Heartbeat(
-                node=heartbeat.node,
-                incarnation=heartbeat.incarnation,
-                state=heartbeat.state.value,
-                configuration_number=heartbeat.configuration_number,
-                configuration_digest=heartbeat.configuration_digest,
-            )
-        )
-    )
+    heartbeat = _membership_codec.write_heartbeat(command.heartbeat)
+    return encode_struct(ttypes.Message(heartbeat=heartbeat))
 
 
-ShareEvent = _share_messages.DemandsReceived | _share_messages.GrantsReceived
+PeerEvent = (
+    _membership_messages.HeartbeatReceived
+    | _share_messages.DemandsReceived
+    | _share_messages.GrantsReceived
+    | _configuration_messages.PeerEvent
+)
 
 
-def _decode_share(message: typing.Any) -> ShareEvent | None:
+def _decode_share(
+    message: typing.Any,
+) -> _share_messages.DemandsReceived | _share_messages.GrantsReceived | None:
     try:
         if message.share_demands is not None:
             return _share_codec.read_demands(message.share_demands)
@@ -70,24 +68,25 @@
     return None
 
 
-def decode_event(data: bytes) -> _membership_messages.HeartbeatReceived | ShareEvent:
+def _decode_configuration(
+    message: typing.Any,
+) -> _configuration_messages.PeerEvent | None:
+    try:
+        return _configuration_codec.read_message(message)
+    except (TypeError, ValueError, AttributeError) as error:
+        raise PeerCodecError(f"configuration with a bad field: {error}") from error
+
+
+def decode_event(data: bytes) -> PeerEvent:
     """Read a message as the event it stands for; raise PeerCodecError."""
     message = decode_struct(ttypes.Message(), data)
-    share = _decode_share(message)
-    if share is not None:
-        return share
+    event = _decode_share(message) or _decode_configuration(message)
+    if event is not None:
+        return event
     if message.heartbeat is None:
         raise PeerCodecError("peer message has no field set that this node knows")
-    heartbeat = message.heartbeat
     try:
-        return _membership_messages.HeartbeatReceived(
-            heartbeat=_membership_messages.Heartbeat(
-                node=ids.NodeId(heartbeat.node),
-                incarnation=heartbeat.incarnation,
-                state=_node_messages.NodeState(heartbeat.state),
-                configuration_number=ids.ChangeNumber(heartbeat.configuration_number),
-                configuration_digest=heartbeat.configuration_digest,
-            )
-        )
-    except (TypeError, ValueError) as error:
+        heartbeat = _membership_codec.read_heartbeat(message.heartbeat)
+    except (TypeError, ValueError, AttributeError) as error:
         raise PeerCodecError(f"heartbeat with a bad field: {error}") from error
+    return _membership_messages.HeartbeatReceived(heartbeat=heartbeat)
--- a/src/jujubepass/settings.py
+++ b/src/jujubepass/settings.py
@@ -130,6 +130,13 @@
     configuration_poll_seconds: float = _ini.seconds_key(
         2.0, "period of reading the configuration head", minimum=0.01, maximum=60.0
     )
+    configuration_snapshot_changes: int = _ini.key(
+        default=500,
+        meaning="changes of the configuration from one snapshot to the next",
+        unit="changes",
+        minimum=1,
+        maximum=100_000,
+    )
     heartbeat_seconds: float = _ini.seconds_key(
         0.5, "period of heartbeats to peers", minimum=0.01, maximum=60.0
     )
@@ -148,14 +155,48 @@
         minimum=0.01,
         maximum=300.0,
     )
+    pause_seconds: float = _ini.seconds_key(
+        1.0,
+        "time without any event after which the node gives up what it held",
+        minimum=0.05,
+        maximum=60.0,
+    )
+    drain_seconds: float = _ini.seconds_key(
+        5.0,
+        "time at shutdown in which the node is not ready but takes requests",
+        minimum=0.0,
+        maximum=300.0,
+    )
     shutdown_seconds: float = _ini.seconds_key(
-        30.0, "time running requests have at shutdown", minimum=0.0, maximum=3_600.0
+        30.0,
+        "time running requests have at shutdown after the drain",
+        minimum=0.0,
+        maximum=3_600.0,
     )
     stall_seconds: float = _ini.seconds_key(
         0.5, "silence that makes a stage stalled", minimum=0.01, maximum=60.0
     )
 
 
+@attrs.frozen(kw_only=True)
+class Calls:
+    """Choose how calls that may not be repeated are journalled."""
+
+    largest_group: int = _ini.key(
+        default=100,
+        meaning="most calls whose rows are written in one transaction",
+        unit="rows",
+        minimum=1,
+        maximum=100,
+    )
+    keep_seconds: float = _ini.seconds_key(
+        86_400.0,
+        "time a finished call's row and answer are kept",
+        minimum=600.0,
+        maximum=2_592_000.0,
+    )
+
+
 @attrs.frozen(kw_only=True)
 class Trace:
     """Choose what is recorded for replay."""
@@ -205,6 +246,7 @@
     platform: Platform
     security: Security
     timing: Timing = attrs.field(factory=Timing)
+    calls: Calls = attrs.field(factory=Calls)
     trace: Trace = attrs.field(factory=Trace)
     log: Log = attrs.field(factory=Log)
     seeds: Seeds = attrs.field(factory=Seeds)
@@ -267,6 +309,7 @@
     ("heartbeat_seconds", "suspect_seconds"),
     ("suspect_seconds", "dead_seconds"),
     ("lease_margin_seconds", "lease_seconds"),
+    ("pause_seconds", "lease_seconds"),
 )
 
 
--- a/tests/features/answers.feature
+++ b/tests/features/answers.feature
@@ -41,3 +41,8 @@
   Scenario: Prefix affinity fades with age and with gaps in the news
     Then words expected in a cache fall with the age and the gaps of its events
     And the memory kept for one engine's cache is bounded
+
+  Scenario: A prompt that every engine breaks on does not shut the engines off
+    When an engine cuts the stream of each attempt of one prompt before a token
+    Then that answer ends as "retry_budget_spent" after at most 12 attempts
+    And another prompt is answered
