--- a/src/jujubepass/_node.py
+++ b/src/jujubepass/_node.py
@@ -13,8 +13,6 @@
 from jujubepass import (
     __version__,
     _answer_messages,
-    _answers,
-    _attempts,
     _backend_messages,
     _backends,
     _blackboard,
@@ -40,6 +38,7 @@
     _membership,
     _membership_messages,
     _metrics,
+    _node_answers,
     _node_life,
     _node_messages,
     _node_metrics,
@@ -51,8 +50,6 @@
     _order_messages,
     _peer_codec,
     _peers,
-    _recovery,
-    _routes,
     _service_client,
     _share_codec,
     _share_messages,
@@ -79,8 +76,11 @@
     metrics = _metrics.Metrics(version=__version__)
     _node_metrics.add_life_metrics(metrics, blackboard)
     controllers = _make_controllers(node_settings, blackboard, metrics)
+    recorder = _node_answers.make_recorder(node_settings, blackboard)
     dispatcher = _dispatch.Dispatcher(
-        controllers=controllers, pause_seconds=node_settings.timing.pause_seconds
+        controllers=controllers,
+        recorder=recorder,
+        pause_seconds=node_settings.timing.pause_seconds,
     )
     mailboxes = _mailboxes.Mailboxes()
     verdicts = _operators.Verdicts()
@@ -97,6 +97,7 @@
             post=shell.post,
             verdicts=verdicts,
             key_hash=node_settings.security.operator_key_hash,
+            recorder=recorder,
         )
         caller_api = _callers.CallerApi(
             blackboard=blackboard,
@@ -194,7 +195,7 @@
         *_order_control.make_controllers(blackboard=blackboard, timing=timing),
         _shares.ShareController(blackboard=blackboard),
         _limits.LimitController(blackboard=blackboard),
-        make_answers(node_settings, blackboard, metrics),
+        _node_answers.make_answers(node_settings, blackboard, metrics),
         *_make_call_controllers(node_settings, blackboard, metrics),
     ]
 
@@ -244,26 +245,6 @@
     ]
 
 
-def make_answers(
-    node_settings: settings.Settings,
-    blackboard: _blackboard.Blackboard,
-    metrics: _metrics.Metrics,
-) -> _answers.AnswerController:
-    """Make the controller of model requests with its policies."""
-    recovery = _recovery.ResumePolicy(
-        longest_stall_seconds=node_settings.timing.stall_seconds
-    )
-    attempts = _attempts.Attempts(
-        blackboard=blackboard,
-        routes=_routes.PredictedTimePolicy(
-            random_source=random.Random(node_settings.seeds.random or None)
-        ),
-        recovery=recovery,
-        counters=metrics,
-    )
-    return _answers.AnswerController(attempts=attempts)
-
-
 def _make_limits(listen: settings.Listen) -> _http_server.ServerLimits:
     return _http_server.ServerLimits(
         header_bytes=listen.header_bytes,
--- /dev/null
+++ b/src/jujubepass/_node_answers.py
@@ -0,0 +1,62 @@
+"""Assembly of a node's model requests: policies, controller and recorder."""
+
+import random
+
+from jujubepass import (
+    _answers,
+    _attempts,
+    _blackboard,
+    _metrics,
+    _recovery,
+    _routes,
+    settings,
+    traces,
+)
+
+
+def make_answers(
+    node_settings: settings.Settings,
+    blackboard: _blackboard.Blackboard,
+    metrics: _metrics.Metrics,
+) -> _answers.AnswerController:
+    """Make the controller of model requests with its policies."""
+    recovery = _recovery.ResumePolicy(
+        longest_stall_seconds=node_settings.timing.stall_seconds
+    )
+    source = random.Random(_find_seed(node_settings, blackboard))
+    attempts = _attempts.Attempts(
+        blackboard=blackboard,
+        routes=_routes.PredictedTimePolicy(random_source=source),
+        recovery=recovery,
+        counters=metrics,
+    )
+    return _answers.AnswerController(attempts=attempts)
+
+
+def make_recorder(
+    node_settings: settings.Settings, blackboard: _blackboard.Blackboard
+) -> traces.MemoryRecorder | None:
+    """Make the recorder that the settings ask for."""
+    if node_settings.trace.record is settings.TraceRecord.OFF:
+        return None
+    timing = node_settings.timing
+    start = traces.Start(
+        node=blackboard.identity.node,
+        seed=_find_seed(node_settings, blackboard),
+        stall_seconds=timing.stall_seconds,
+        load_poll_seconds=timing.load_poll_seconds,
+        vm_poll_seconds=timing.vm_poll_seconds,
+    )
+    return traces.MemoryRecorder(
+        start=start,
+        blackboard=blackboard,
+        capacity=node_settings.trace.memory_events,
+    )
+
+
+def _find_seed(
+    node_settings: settings.Settings, blackboard: _blackboard.Blackboard
+) -> int:
+    """Return the seed of route choices, which a trace names."""
+    drawn = int(blackboard.identity.incarnation, 16) % 2**32
+    return node_settings.seeds.random or drawn
