Measure the time from an accepted change to its force everywhere

Status says how long a node's number has been in force, so that a trial reads the moment of the installation and not that of its own reading.

--- a/bench/throughput.py
+++ b/bench/throughput.py
@@ -13,7 +13,7 @@
     simulation,
     usage,
 )
-from jujubepass import _backend_messages, declarations, ids
+from jujubepass import _backend_messages, _declaration_changes, declarations, ids
 
 _WARM_SECONDS = 4.0
 _DRAIN_SECONDS = 3.0
@@ -99,9 +99,10 @@
     log: simulated_nodes.Log,
 ) -> list[simulated_nodes.SimulatedNode]:
     engines = _make_engines(scenario, seed, clock)
-    declared = declarations.build_declarations(
-        {"model m": {"layers": str(scenarios.LAYERS)}, "account a": _ACCOUNT}
-    )
+    sections = {"model m": {"layers": str(scenarios.LAYERS)}, "account a": _ACCOUNT}
+    declared = _declaration_changes.update_declarations(
+        declarations.Declarations(), {}, sections
+    ).declared
     nodes = [
         simulated_nodes.SimulatedNode(
             index=index,
--- a/src/jujubepass/_operators.py
+++ b/src/jujubepass/_operators.py
@@ -4,6 +4,7 @@
 import hashlib
 import hmac
 import json
+import math
 import typing
 
 import attrs
@@ -105,6 +106,7 @@
                 "state": board.node.state.value,
                 "configuration_number": board.configuration.number,
                 "configuration_digest": board.configuration.digest,
+                "configuration_age_seconds": self._measure_age(),
                 "store_answers": board.configuration.store_answers,
             }
         ]
@@ -129,6 +131,11 @@
         ]
         return {"nodes": nodes, "backends": backends}
 
+    def _measure_age(self) -> float | None:
+        installed_at = self.blackboard.configuration.installed_at
+        known = math.isfinite(installed_at)
+        return trio.current_time() - installed_at if known else None
+
     def _describe_configuration(self) -> dict[str, typing.Any]:
         area = self.blackboard.configuration
         return {
--- a/tests/features/bench.feature
+++ b/tests/features/bench.feature
@@ -10,6 +10,7 @@
       | data-path       | streams, tokens_per_second, microseconds_per_token  |
       | control-changes | accounts, accepted_per_second, in_force_seconds     |
       | throughput      | scenario, policy, ratio_to_bound                    |
+      | changes         | path, nodes, everywhere_max_seconds                 |
 
   Scenario: Load polls and heartbeats show in the cost of control
     When the experiment "control-nodes" runs in its tiny size
--- a/tests/features/steps/configuration_process_steps.py
+++ b/tests/features/steps/configuration_process_steps.py
@@ -1,15 +1,12 @@
 import json
 import os
-import random
 import subprocess
 import sys
-import threading
-import time
 
 import behave
 
-from jujubepass import _http_client
 from standins import processes, system
+from tests import configuration_trials
 
 COMMAND_SECONDS = 60
 CHANGES_IN_RACE = 40
@@ -19,54 +16,6 @@
 THROUGH = {"loses the answer": "lose_answers", "loses the write": "lose_before_effect"}
 
 
-class Sampler:
-    """Read the number and digest of every node, in a thread each, until stopped."""
-
-    def __init__(self, *, watched):
-        self.system = watched
-        self.stopped = threading.Event()
-        self.digests = {}
-        self.faults = []
-        self.threads = [
-            threading.Thread(target=self.watch, args=(name,)) for name in watched.nodes
-        ]
-        for thread in self.threads:
-            thread.start()
-
-    def stop(self):
-        """End the threads."""
-        self.stopped.set()
-        for thread in self.threads:
-            thread.join()
-
-    def watch(self, name):
-        """Follow one node; it is another process after a restart, once ready."""
-        highest = 0
-        while not self.stopped.wait(SAMPLE_SECONDS):
-            try:
-                node = read_node(self.system, name, timeout_seconds=1.0)
-            except (_http_client.ClientError, KeyError):
-                continue
-            number = node["configuration_number"]
-            digest = node["configuration_digest"]
-            if node["state"] == "ready":
-                if number < highest:
-                    self.faults.append((name, highest, number))
-                highest = max(number, highest)
-            if self.digests.setdefault(number, digest) != digest:
-                self.faults.append((name, number, digest))
-
-
-def read_node(running, name, timeout_seconds=10.0):
-    headers = {"authorization": f"Bearer {system.OPERATOR_KEY}"}
-    port = running.nodes[name].operators
-    path = "/operator/status"
-    answer = processes.call(
-        "GET", port, path, headers=headers, timeout_seconds=timeout_seconds
-    )
-    return answer.read_json()["nodes"][0]
-
-
 def start_command(context, node, *words):
     port = context.system.nodes[node].operators
     command = [sys.executable, "-m", "jujubepass", words[0], "--json"]
@@ -92,9 +41,15 @@
     return str(path)
 
 
-def declare(index, **parameters):
-    key = f"key-{index}"
-    return {f"account a{index}": system.declare_account(key, **parameters)}
+def write_account(context, name, index):
+    return write_file(context, name, configuration_trials.declare(index))
+
+
+def read_all(context):
+    return [
+        configuration_trials.read_node(context.system, name)
+        for name in context.system.nodes
+    ]
 
 
 def apply_words(path, base, author):
@@ -106,6 +61,11 @@
     context.system = system.System(first_port=context.first_port)
     context.add_cleanup(context.system.processes.close)
     context.system.start_all(nodes=count)
+    for node in context.system.nodes:
+        processes.wait_for(
+            lambda node=node: len(context.system.read_status(node)["nodes"]) == count,
+            f"{node} knows {count} nodes",
+        )
 
 
 @behave.when("two operators apply different files on the same base at two nodes")
@@ -114,7 +74,9 @@
         start_command(
             context,
             f"node-{index}",
-            *apply_words(write_file(context, name, declare(index)), 1, name),
+            *apply_words(
+                write_file(context, name, configuration_trials.declare(index)), 1, name
+            ),
         )
         for index, name in ((1, "ana"), (2, "bruno"))
     ]
@@ -151,7 +113,7 @@
 
 @behave.when("an operator applies a file")
 def step_apply(context):
-    path = write_file(context, "one", declare(1))
+    path = write_file(context, "one", configuration_trials.declare(1))
     context.result = run_command(context, "node-1", *apply_words(path, 1, "ana"))
 
 
@@ -161,19 +123,19 @@
     assert code == 0 and value["number"] == 2, context.result
     knobs = processes.call("GET", context.system.platform, "/knobs").read_json()
     assert not any(knobs[name] for name in THROUGH.values()), knobs
-    numbers = [read_number(context, name) for name in context.system.nodes]
+    numbers = [
+        configuration_trials.read_number(context, name) for name in context.system.nodes
+    ]
     assert numbers == [2, 2, 2], numbers
 
 
-def read_number(context, name):
-    return read_node(context.system, name)["configuration_number"]
-
-
 @behave.when('"{name}" is paused while {count:d} changes are applied')
 def step_pause(context, name, count):
     context.system.processes.suspend(name)
     for index in range(count):
-        context.newest = context.system.apply(declare(index), base=1 + index)
+        context.newest = context.system.apply(
+            configuration_trials.declare(index), base=1 + index
+        )
 
 
 @behave.when('"{name}" goes on')
@@ -184,7 +146,10 @@
 @behave.then("every running node has the newest number and one digest")
 def step_newest(context):
     context.system.wait_for_number(context.newest)
-    nodes = [read_node(context.system, name) for name in context.system.nodes]
+    nodes = [
+        configuration_trials.read_node(context.system, name)
+        for name in context.system.nodes
+    ]
     assert {node["configuration_number"] for node in nodes} == {context.newest}
     assert len({node["configuration_digest"] for node in nodes}) == 1, nodes
 
@@ -196,7 +161,7 @@
 
 @behave.then('a change is refused as "{code}"')
 def step_refused(context, code):
-    path = write_file(context, "one", declare(1))
+    path = write_file(context, "one", configuration_trials.declare(1))
     result = run_command(context, "node-1", *apply_words(path, 1, "ana"))
     assert result[0] == REFUSED and result[1]["code"] == code, result
 
@@ -210,7 +175,7 @@
 
 @behave.then("it was never ready with an older number")
 def step_ready(context):
-    node = read_node(context.system, context.restarted)
+    node = configuration_trials.read_node(context.system, context.restarted)
     assert node["state"] == "ready" and node["configuration_number"] == 1, node
 
 
@@ -221,115 +186,11 @@
 
 @behave.then("a change is accepted and in force on 3 of 3 nodes")
 def step_in_force(context):
-    path = write_file(context, "one", declare(1))
+    path = write_file(context, "one", configuration_trials.declare(1))
     result = run_command(context, "node-1", *apply_words(path, 1, "ana"))
     assert result[0] == 0 and len(result[1]["nodes"]) == 3, result
 
 
-def offer(running, node, change, base, sections):
-    """Offer a change without a command; return (status, body), or None if unclear."""
-    body = {"change_id": change, "base": base, "author": change, "sections": sections}
-    headers = {"authorization": f"Bearer {system.OPERATOR_KEY}"}
-    port = running.nodes[node].operators
-    try:
-        answer = processes.call(
-            "POST", port, "/operator/changes", body, headers=headers
-        )
-    except _http_client.ClientError:
-        return None
-    return answer.status, answer.read_json()
-
-
-def race(context, chance, index):
-    names = [name for name in context.system.nodes if name not in context.stopped]
-    first, second = chance.sample(names, 2)
-    base = max(read_number(context, name) for name in (first, second))
-    offers = []
-    for place, node in enumerate((first, second)):
-        sections = declare(place, concurrency=str(1 + index))
-        change = f"change-{index}-{place}"
-        arguments = (context.system, node, change, base, sections)
-        offers.append((change, arguments))
-    threads = [
-        threading.Thread(
-            target=lambda change=change, arguments=arguments: context.answers.update(
-                {change: offer(*arguments)}
-            )
-        )
-        for change, arguments in offers
-    ]
-    for thread in threads:
-        thread.start()
-    return threads
-
-
-def disturb(context, chance):
-    name = chance.choice(list(context.system.nodes))
-    if name in context.stopped:
-        kind = context.stopped.pop(name)
-        if kind == "paused":
-            context.system.processes.resume(name)
-        else:
-            context.system.start_node(name, wait=False)
-            processes.wait_for(
-                lambda: processes.can_connect(context.system.nodes[name].operators),
-                f"{name} listens",
-            )
-    elif len(context.stopped) < 3:
-        kind = context.stopped[name] = chance.choice(("paused", "killed"))
-        if kind == "paused":
-            context.system.processes.suspend(name)
-        else:
-            context.system.processes.kill(name)
-
-
-@behave.when(
-    "operators race at random nodes while nodes are paused, killed and restarted"
-)
-def step_nine(context):
-    chance = random.Random(3)
-    context.answers, context.stopped = {}, {}
-    context.sampler = Sampler(watched=context.system)
-    context.add_cleanup(context.sampler.stop)
-    for index in range(CHANGES_IN_RACE):
-        threads = race(context, chance, index)
-        if index % 3 == 0:
-            disturb(context, chance)
-        for thread in threads:
-            thread.join()
-        time.sleep(SAMPLE_SECONDS)
-    for name, kind in context.stopped.items():
-        if kind == "paused":
-            context.system.processes.resume(name)
-        else:
-            context.system.start_node(name)
-    context.newest = max(read_number(context, name) for name in context.system.nodes)
-    context.system.wait_for_number(context.newest)
-    context.sampler.stop()
-
-
-@behave.then("no node was seen to go back, or two digests of one number")
-def step_forward(context):
-    assert not context.sampler.faults, context.sampler.faults
-    seen = len(context.sampler.digests)
-    assert seen > CHANGES_IN_RACE // 2, (seen, context.newest)
-
-
-@behave.then("each number has one change, and no change that was refused")
-def step_one_each(context):
-    path = "/table/scan?prefix=configuration/change/&limit=1000"
-    rows = processes.call("GET", context.system.platform, path).read_json()["rows"]
-    changes = {row["value"]["number"]: row["value"]["change"] for row in rows}
-    assert sorted(changes) == list(range(1, len(changes) + 1)), changes
-    assert len(changes) == context.newest, (len(changes), context.newest)
-    accepted = {c: a for c, a in context.answers.items() if a and a[0] == 200}
-    for change, (_, body) in accepted.items():
-        assert changes[body["number"]] == change, (change, body)
-    for change, answer in context.answers.items():
-        if answer and answer[0] in (409, 422, 503):
-            assert change not in changes.values(), (change, answer)
-
-
 @behave.when('an operator drains "{backend}"')
 def step_drain(context, backend):
     context.backend = backend
@@ -367,7 +228,7 @@
 
 
 def apply_sections(context, sections):
-    base = read_number(context, "node-1")
+    base = configuration_trials.read_number(context, "node-1")
     path = write_file(context, "sections", sections)
     result = run_command(context, "node-1", *apply_words(path, base, "ana"))
     assert result[0] == 0, result
@@ -397,7 +258,10 @@
 
 @behave.when("an operator retires a template that is in use")
 def step_retire(context):
-    sections = {"template t": {"burst": 5}, **declare(7, template="t")}
+    sections = {
+        "template t": {"burst": 5},
+        **configuration_trials.declare(7, template="t"),
+    }
     apply_sections(context, sections)
     words = ("retire", "template", "t", "--author=ana")
     context.result = run_command(context, "node-1", *words)
--- /dev/null
+++ b/tests/features/steps/configuration_property_steps.py
@@ -0,0 +1,156 @@
+import random
+
+import behave
+import hypothesis
+import hypothesis.strategies as st
+
+from jujubepass import (
+    _configuration_codec,
+    _configuration_messages,
+    _configuration_push,
+    _declaration_changes,
+    _http_client,
+    _ini,
+    _peer_codec,
+    declarations,
+)
+from tests import configuration_history
+
+EXAMPLES = 150
+QUICK = hypothesis.settings(
+    max_examples=EXAMPLES, deadline=None, derandomize=True, database=None
+)
+
+
+@behave.given("{count:d} nodes in {regions:d} regions and {domains:d} failure domains")
+def step_places(context, count, regions, domains):
+    context.targets = []
+    for index in range(count):
+        domain = index % domains
+        place = (f"region-{domain % regions}", f"domain-{domain}", f"node-{index:03d}")
+        address = _http_client.Address(host="10.0.0.1", port=1 + index)
+        target = _configuration_push.Target(place=place, address=address)
+        context.targets.append(target)
+
+
+def push(targets, origin):
+    """Return the messages received, sent, sent between regions, and the hops."""
+    by_name = {target.place[2]: target for target in targets}
+    received, sent, crossing, deepest = {}, {}, 0, 0
+    waiting = [(origin, None, 0)]
+    while waiting:
+        target, segment, depth = waiting.pop()
+        deepest = max(deepest, depth)
+        others = [each for each in targets if each is not target]
+        relays = _configuration_push.choose_relays(others, segment)
+        if depth and segment is None:
+            relays = []
+        sent[target.place[2]] = len(relays)
+        for relay in relays:
+            other = by_name[relay.node]
+            received[relay.node] = received.get(relay.node, 0) + 1
+            crossing += other.place[0] != target.place[0]
+            waiting.append((other, relay.segment, depth + 1))
+    return received, sent, crossing, deepest
+
+
+@behave.when("a change is pushed from each of {count:d} nodes")
+def step_push(context, count):
+    chosen = random.Random(1).sample(context.targets, count)
+    context.pushes = [(origin, push(context.targets, origin)) for origin in chosen]
+
+
+@behave.then("each other node receives it once, and that one at most once")
+def step_once(context):
+    for origin, (received, _, _, _) in context.pushes:
+        others = {each.place[2] for each in context.targets} - {origin.place[2]}
+        assert others <= received.keys(), others - received.keys()
+        repeated = {name: n for name, n in received.items() if n > 1}
+        assert not repeated, repeated
+
+
+@behave.then("no node sends more than {count:d} messages, over at most {hops:d} hops")
+def step_fan_out(context, count, hops):
+    for _, (_, sent, _, deepest) in context.pushes:
+        assert max(sent.values()) <= count
+        assert deepest <= hops, deepest
+
+
+@behave.then("at most {count:d} messages cross regions")
+def step_crossing(context, count):
+    crossings = [crossing for _, (_, _, crossing, _) in context.pushes]
+    assert max(crossings) <= count, crossings
+
+
+@behave.then("any sequence of changes declares the same as the sections it leaves")
+def step_incremental(context):
+    @QUICK
+    @hypothesis.given(st.lists(configuration_history.DELTAS, max_size=8))
+    def check(deltas):
+        declared, sections = declarations.Declarations(), {}
+        for delta in deltas:
+            update = _declaration_changes.update_declarations(declared, sections, delta)
+            if update.problems:
+                continue
+            lazily = _declaration_changes.update_declarations(
+                declared, sections, delta, accepted=True
+            )
+            declared = lazily.declared
+            sections = _declaration_changes.merge_delta(sections, delta)
+        whole = _declaration_changes.update_declarations(
+            declarations.Declarations(), {}, sections
+        )
+        assert not whole.problems, whole.problems
+        assert dict(whole.declared.accounts) == dict(declared.accounts)
+        assert whole.declared.templates == declared.templates
+        assert whole.declared.accounts_by_key_hash == declared.accounts_by_key_hash
+        assert whole.declared.drained == declared.drained
+
+    check()
+
+
+@behave.then("any message is decoded or refused")
+def step_any_bytes(context):
+    entry = _configuration_messages.Entry(
+        number=1, digest="0" * 32, change="c", author="a", delta={"account a": {}}
+    )
+    segment = _configuration_messages.Segment(
+        first=("r", "d", "a"), last=("r", "d", "b")
+    )
+    address = _http_client.Address(host="h", port=1)
+    push_command = _configuration_messages.PushChanges(
+        peer="p", address=address, entries=(entry,), segment=segment
+    )
+    message = _configuration_codec.make_message(push_command, "n", address)
+    valid = _peer_codec.encode_struct(message)
+
+    @QUICK
+    @hypothesis.given(st.binary(max_size=60), st.integers(0, len(valid)), st.integers())
+    def check(noise, position, width):
+        mutated = valid[:position] + noise + valid[position + abs(width) % 8 :]
+        for data in (noise, mutated):
+            try:
+                _peer_codec.decode_event(data)
+            except _peer_codec.PeerCodecError:
+                continue
+
+    check()
+
+
+@behave.then("any declaration file is read or refused")
+def step_any_text(context):
+    words = st.sampled_from(
+        ["[account a]", "[template t]", "key_hash = ", "parameter.x.type = text", "="]
+    )
+    text = st.lists(st.one_of(words, st.text(max_size=20)), max_size=12)
+
+    @QUICK
+    @hypothesis.given(text.map("\n".join))
+    def check(text):
+        sections, _ = _ini.read_sections("f", text)
+        update = _declaration_changes.update_declarations(
+            declarations.Declarations(), {}, sections
+        )
+        assert all(str(problem) for problem in update.problems)
+
+    check()
