--- a/src/jujubepass/_node.py
+++ b/src/jujubepass/_node.py
@@ -3,7 +3,7 @@
 import collections.abc
 import functools
 import logging
-import signal
+import random
 import time
 import typing
 import uuid
@@ -14,6 +14,7 @@
     __version__,
     _answer_messages,
     _answers,
+    _attempts,
     _backend_messages,
     _backends,
     _blackboard,
@@ -28,6 +29,7 @@
     _configuration_peers,
     _configuration_proposals,
     _configuration_snapshots,
+    _departures,
     _dispatch,
     _engine_client,
     _http_client,
@@ -44,14 +46,19 @@
     _object_client,
     _object_messages,
     _operators,
+    _order_client,
+    _order_control,
+    _order_messages,
     _peer_codec,
     _peers,
+    _recovery,
     _routes,
     _service_client,
     _share_codec,
     _share_messages,
     _shares,
     _shell,
+    _shutdown,
     _store_messages,
     _table_client,
     _vm_client,
@@ -70,8 +77,11 @@
     """Run a node until it is told to stop; return the exit code."""
     blackboard = _make_blackboard(node_settings)
     metrics = _metrics.Metrics(version=__version__)
+    _node_metrics.add_life_metrics(metrics, blackboard)
     controllers = _make_controllers(node_settings, blackboard, metrics)
-    dispatcher = _dispatch.Dispatcher(controllers=controllers)
+    dispatcher = _dispatch.Dispatcher(
+        controllers=controllers, pause_seconds=node_settings.timing.pause_seconds
+    )
     mailboxes = _mailboxes.Mailboxes()
     verdicts = _operators.Verdicts()
     listen = node_settings.listen
@@ -88,7 +98,6 @@
             verdicts=verdicts,
             key_hash=node_settings.security.operator_key_hash,
         )
-        operators = _http_server.Server(handler=operator_api, limits=_OPERATOR_LIMITS)
         caller_api = _callers.CallerApi(
             blackboard=blackboard,
             mailboxes=mailboxes,
@@ -100,34 +109,18 @@
         nursery.start_soon(_read_wall_clock, shell)
         tick_seconds = node_settings.timing.tick_seconds
         nursery.start_soon(_tick, shell, tick_seconds, metrics)
-        address = listen.operators
-        await nursery.start(operators.serve, address.host, address.port)
-        await _serve_callers(shell, callers, node_settings)
+        await _serve_operators(operator_api, listen.operators, nursery)
+        await _shutdown.serve_callers(shell, callers, node_settings)
         nursery.cancel_scope.cancel()
     _LOGGER.info("node %s has stopped", blackboard.identity.node)
     return _EXIT_DONE
 
 
-async def _serve_callers(
-    shell: _shell.Shell,
-    callers: _http_server.Server,
-    node_settings: settings.Settings,
+async def _serve_operators(
+    api: _operators.OperatorApi, address: _http_client.Address, nursery: trio.Nursery
 ) -> None:
-    address = node_settings.listen.callers
-    async with trio.open_nursery() as serving:
-        await serving.start(callers.serve, address.host, address.port)
-        _LOGGER.info("node %s serves callers at %s", node_settings.node.name, address)
-        await _wait_for_signal()
-        shell.post(_node_messages.StopRequested())
-        bound = trio.current_time() + node_settings.timing.shutdown_seconds
-        serving.cancel_scope.deadline = bound
-        callers.stop()
-
-
-async def _wait_for_signal() -> None:
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
-            return
+    server = _http_server.Server(handler=api, limits=_OPERATOR_LIMITS)
+    await nursery.start(server.serve, address.host, address.port)
 
 
 async def _read_wall_clock(shell: _shell.Shell) -> None:
@@ -151,13 +144,20 @@
     return ids.RequestId(uuid.uuid4().hex)
 
 
+def _make_incarnation() -> str:
+    """Name this process; a later start of the same node sorts after it."""
+    milliseconds = time.time_ns() // 1_000_000
+    return f"{milliseconds:012x}{uuid.uuid4().hex[:8]}"
+
+
 def _make_blackboard(node_settings: settings.Settings) -> _blackboard.Blackboard:
     node = node_settings.node
     identity = _blackboard.Identity(
         node=node.name,
-        incarnation=uuid.uuid4().hex,
+        incarnation=_make_incarnation(),
         region=node.region,
         failure_domain=node.failure_domain,
+        address=node_settings.listen.peers,
     )
     return _blackboard.Blackboard(identity=identity)
 
@@ -170,7 +170,9 @@
     """Make the controllers in the order in which they see an event."""
     timing = node_settings.timing
     return [
-        _node_life.NodeController(blackboard=blackboard),
+        _node_life.NodeController(
+            blackboard=blackboard, settling_seconds=timing.heartbeat_seconds
+        ),
         *_make_configuration(node_settings, blackboard),
         _membership.MembershipController(
             blackboard=blackboard,
@@ -187,24 +189,31 @@
                 vm_poll_seconds=timing.vm_poll_seconds,
             ),
         ),
+        _departures.DepartureController(blackboard=blackboard),
+        *_order_control.make_controllers(blackboard=blackboard, timing=timing),
         _shares.ShareController(blackboard=blackboard),
         _limits.LimitController(blackboard=blackboard),
-        _answers.AnswerController(
-            blackboard=blackboard,
-            routes=_routes.PredictedTimePolicy(),
-            timing=_answers.AnswerTiming(stall_seconds=timing.stall_seconds),
-            counters=metrics,
-        ),
-        *_call_control.make_controllers(
-            blackboard=blackboard, counters=metrics, timing=_make_call_timing(timing)
-        ),
+        make_answers(node_settings, blackboard, metrics),
+        *_make_call_controllers(node_settings, blackboard, metrics),
     ]
 
 
-def _make_call_timing(timing: settings.Timing) -> _call_journal.CallTiming:
-    return _call_journal.CallTiming(
-        send_window_seconds=timing.lease_seconds - timing.lease_margin_seconds,
-        take_over_margin_seconds=timing.lease_margin_seconds,
+def _make_call_controllers(
+    node_settings: settings.Settings,
+    blackboard: _blackboard.Blackboard,
+    metrics: _metrics.Metrics,
+) -> list[_dispatch.Controller]:
+    timing = node_settings.timing
+    return _call_control.make_controllers(
+        blackboard=blackboard,
+        counters=metrics,
+        timing=_call_journal.CallTiming(
+            send_window_seconds=timing.lease_seconds - timing.lease_margin_seconds,
+            take_over_margin_seconds=timing.lease_margin_seconds,
+            keep_seconds=node_settings.calls.keep_seconds,
+        ),
+        random=random.Random(node_settings.seeds.random or None),
+        largest_group=node_settings.calls.largest_group,
     )
 
 
@@ -234,6 +243,26 @@
     ]
 
 
+def make_answers(
+    node_settings: settings.Settings,
+    blackboard: _blackboard.Blackboard,
+    metrics: _metrics.Metrics,
+) -> _answers.AnswerController:
+    """Make the controller of model requests with its policies."""
+    recovery = _recovery.ResumePolicy(
+        longest_stall_seconds=node_settings.timing.stall_seconds
+    )
+    attempts = _attempts.Attempts(
+        blackboard=blackboard,
+        routes=_routes.PredictedTimePolicy(
+            random_source=random.Random(node_settings.seeds.random or None)
+        ),
+        recovery=recovery,
+        counters=metrics,
+    )
+    return _answers.AnswerController(attempts=attempts)
+
+
 def _make_limits(listen: settings.Listen) -> _http_server.ServerLimits:
     return _http_server.ServerLimits(
         header_bytes=listen.header_bytes,
@@ -288,8 +317,12 @@
     shell.spawn_with(_answer_messages.StartAttempt, _run_attempt)
     shell.spawn_with(_answer_messages.CancelAttempt, engines.cancel_attempt)
     shell.spawn_with(_answer_messages.ReleaseCache, engines.release_cache)
+    shell.spawn_with(_answer_messages.ProbeEngine, engines.probe_engine)
     shell.spawn_with(_backend_messages.PollLoad, engines.poll_load)
     shell.spawn_with(_backend_messages.PollCache, engines.poll_cache)
+    orders = _order_client.OrderClient(client=client, post=shell.post)
+    shell.spawn_with(_order_messages.ReadEngineState, orders.read_state)
+    shell.spawn_with(_order_messages.SendOrder, orders.send_order)
     shell.spawn_with(_call_messages.SendCall, services.send_call)
     shell.spawn_with(_call_messages.SendLookup, services.send_lookup)
     shell.spawn_with(_call_messages.CancelLookup, services.cancel_lookup)
@@ -337,8 +370,12 @@
     def _receive(data: bytes) -> None:
         shell.post(_peer_codec.decode_event(data))
 
+    def _forget(command: _membership_messages.ForgetPeer) -> None:
+        sender.forget(command.address)
+
     _connect_configuration(shell, node_settings, sender)
     shell.execute_with(_membership_messages.SendHeartbeat, _send_heartbeat)
+    shell.execute_with(_membership_messages.ForgetPeer, _forget)
     shell.execute_with(_share_messages.SendDemands, _send_demands)
     shell.execute_with(_share_messages.SendGrants, _send_grants)
     listener = _peers.PeerListener(key=key, handler=_receive)
