--- a/tests/features/command_line.feature
+++ b/tests/features/command_line.feature
@@ -88,6 +88,14 @@
     Then it ends with code 4
     And it shows "in force on 1 of 2 nodes"
 
+  Scenario: A change is not called in force on a node that was not heard
+    Given declarations
+    And a node with configuration 42 on nodes at 42 and 42
+    And it lists a node that it has not heard
+    When "jujubepass apply accounts.ini --node NODE --base 41 --author ana --wait-seconds 0.5" runs
+    Then it ends with code 4
+    And it shows "not heard by the node asked: 1 nodes"
+
   Scenario: Files that do not give the digest planned are refused
     Given declarations
     And a node with configuration 41 on nodes at 41 and 41
--- a/tests/features/steps/command_line_steps.py
+++ b/tests/features/steps/command_line_steps.py
@@ -130,6 +130,12 @@
     }
 
 
+@behave.given("it lists a node that it has not heard")
+def step_unheard(context):
+    unheard = {"node": "n3", "configuration_number": 0, "configuration_digest": ""}
+    context.node.answers["GET /operator/status"][1]["nodes"].append(unheard)
+
+
 @behave.given('its answer to "{asked}" is {status:d} "{code}"')
 def step_answer(context, asked, status, code):
     detail = f"{code}: see the docs"
