--- a/tests/features/configuration.feature
+++ b/tests/features/configuration.feature
@@ -32,7 +32,7 @@
   Scenario: A change that is retried after its row was removed is not called refused
     Given a fleet of 3 nodes
     When 20 changes are accepted and the first is asked again
-    Then it is refused as "base_forgotten"
+    Then the repeated one is refused as "base_forgotten"
 
   Scenario Outline: A change reaches every node while <missing> fails
     Given a fleet of 9 nodes
--- a/tests/features/steps/configuration_steps.py
+++ b/tests/features/steps/configuration_steps.py
@@ -174,7 +174,7 @@
     fleet.run(1.0)
 
 
-@behave.then('it is refused as "{code}"')
+@behave.then('the repeated one is refused as "{code}"')
 def step_forgotten(context, code):
     assert context.fleet.verdicts["change-0"].code == code
 
