--- a/tests/features/steps/leaving_steps.py
+++ b/tests/features/steps/leaving_steps.py
@@ -204,9 +204,14 @@
 
 def count_work(context, engine, service):
     trial = context.system
-    runs = processes.read_counts(trial.engines[engine])["runs"]
-    counts = processes.read_counts(trial.services[service])
-    return len(runs), counts["lookups"]
+    asked = processes.read_counts(trial.engines[engine])
+    looked_up = processes.read_counts(trial.services[service])
+    return (
+        len(asked["runs"]),
+        asked["asked_after_leaving"],
+        looked_up["lookups"],
+        looked_up["new_after_leaving"],
+    )
 
 
 def leave_by_word(trial, engine, service):
