--- a/src/jujubepass/_http_server.py
+++ b/src/jujubepass/_http_server.py
@@ -52,11 +52,16 @@
 class Responder:
     """Write one response."""
 
-    __slots__ = ("_connection", "_stream", "omits_body", "started")
+    __slots__ = ("_closing", "_connection", "_stream", "omits_body", "started")
 
     def __init__(
-        self, *, connection: h11.Connection, stream: trio.SocketStream
+        self,
+        *,
+        connection: h11.Connection,
+        stream: trio.SocketStream,
+        closing: collections.abc.Callable[[], bool],
     ) -> None:
+        self._closing = closing
         self._connection = connection
         self._stream = stream
         self.omits_body = False
@@ -67,11 +72,14 @@
     ) -> None:
         """Send the status line and headers."""
         self.started = True
-        event = h11.Response(
-            status_code=status, headers=[(k, v) for k, v in headers.items()]
-        )
+        event = self._make_head(status, list(headers.items()))
         await _socket_io.send(self._stream, self._connection.send(event) or b"")
 
+    def _make_head(self, status: int, fields: list[tuple[str, str]]) -> h11.Response:
+        if self._closing():
+            fields = [*fields, ("connection", "close")]
+        return h11.Response(status_code=status, headers=fields)
+
     async def write(self, data: bytes) -> None:
         """Send part of the body."""
         await _socket_io.send(
@@ -96,7 +104,7 @@
         self.started = True
         fields = [("content-type", content_type), ("content-length", str(len(body)))]
         fields += list((headers or {}).items())
-        event = h11.Response(status_code=status, headers=fields)
+        event = self._make_head(status, fields)
         parts = [self._connection.send(event) or b""]
         if not self.omits_body:
             parts.append(self._connection.send(h11.Data(data=body)) or b"")
@@ -143,6 +151,7 @@
         self._handler = handler
         self._limits = limits or ServerLimits()
         self._stopping = trio.Event()
+        self._draining = False
         self._idle_scopes: set[trio.CancelScope] = set()
         self._refusing = 0
         self.connections = 0
@@ -172,6 +181,13 @@
                 await self._stopping.wait()
                 accepting.cancel_scope.cancel()
 
+    def drain(self) -> None:
+        """Go on accepting, but close each connection after its next answer."""
+        self._draining = True
+
+    def _is_closing(self) -> bool:
+        return self._draining or self._stopping.is_set()
+
     def stop(self) -> None:
         """Stop accepting; idle connections close, running requests finish."""
         self._stopping.set()
@@ -201,7 +217,9 @@
             if self._refusing <= _MAX_REFUSING:
                 with trio.move_on_after(_CLOSE_TIMEOUT_SECONDS):
                     connection = h11.Connection(h11.SERVER)
-                    responder = Responder(connection=connection, stream=stream)
+                    responder = Responder(
+                        connection=connection, stream=stream, closing=lambda: True
+                    )
                     await _send_too_many(responder, self._limits.connections)
                     await _close(stream)
         except trio.BrokenResourceError:
@@ -216,7 +234,9 @@
         )
         peer = str(stream.socket.getpeername()[0])
         while True:
-            responder = Responder(connection=connection, stream=stream)
+            responder = Responder(
+                connection=connection, stream=stream, closing=self._is_closing
+            )
             try:
                 request = await self._receive(connection, stream, peer)
             except _rejections.RejectedInputError as error:
--- a/src/jujubepass/_node.py
+++ b/src/jujubepass/_node.py
@@ -4,7 +4,6 @@
 import functools
 import logging
 import random
-import signal
 import time
 import typing
 import uuid
@@ -47,6 +46,9 @@
     _object_client,
     _object_messages,
     _operators,
+    _order_client,
+    _order_control,
+    _order_messages,
     _peer_codec,
     _peers,
     _recovery,
@@ -56,6 +58,7 @@
     _share_messages,
     _shares,
     _shell,
+    _shutdown,
     _store_messages,
     _table_client,
     _vm_client,
@@ -74,7 +77,7 @@
     """Run a node until it is told to stop; return the exit code."""
     blackboard = _make_blackboard(node_settings)
     metrics = _metrics.Metrics(version=__version__)
-    _add_gauges(metrics, blackboard)
+    _node_metrics.add_life_metrics(metrics, blackboard)
     controllers = _make_controllers(node_settings, blackboard, metrics)
     dispatcher = _dispatch.Dispatcher(
         controllers=controllers, pause_seconds=node_settings.timing.pause_seconds
@@ -95,7 +98,6 @@
             verdicts=verdicts,
             key_hash=node_settings.security.operator_key_hash,
         )
-        operators = _http_server.Server(handler=operator_api, limits=_OPERATOR_LIMITS)
         caller_api = _callers.CallerApi(
             blackboard=blackboard,
             mailboxes=mailboxes,
@@ -108,63 +110,18 @@
         nursery.start_soon(_read_wall_clock, shell)
         tick_seconds = node_settings.timing.tick_seconds
         nursery.start_soon(_tick, shell, tick_seconds, metrics)
-        address = listen.operators
-        await nursery.start(operators.serve, address.host, address.port)
-        await _serve_callers(shell, callers, node_settings)
+        await _serve_operators(operator_api, listen.operators, nursery)
+        await _shutdown.serve_callers(shell, callers, node_settings)
         nursery.cancel_scope.cancel()
     _LOGGER.info("node %s has stopped", blackboard.identity.node)
     return _EXIT_DONE
 
 
-def _add_gauges(metrics: _metrics.Metrics, blackboard: _blackboard.Blackboard) -> None:
-    node, membership = blackboard.node, blackboard.membership
-    metrics.add_counter("pauses", "Pauses of this process.", lambda: node.pauses)
-    metrics.add_counter(
-        "paused_seconds", "Time paused, in seconds.", lambda: node.paused_seconds
-    )
-    metrics.add_gauge("live_nodes", "Nodes not held dead.", membership.count_live_nodes)
-    metrics.add_counter(
-        "refutations",
-        "Times this node denied that it is dead.",
-        lambda: membership.refutations,
-    )
-    metrics.add_counter(
-        "old_heartbeats",
-        "Heartbeats ignored for an old incarnation.",
-        lambda: membership.ignored_heartbeats,
-    )
-    metrics.add_gauge(
-        "vm_list_age_seconds",
-        "Age of the list of VMs in use.",
-        lambda: trio.current_time() - blackboard.backends.listed_at,
-    )
-    metrics.add_gauge(
-        "leaving_backends",
-        "Backend servers that take no new work.",
-        lambda: len({name for name, _ in blackboard.departures.words}),
-    )
-
-
-async def _serve_callers(
-    shell: _shell.Shell,
-    callers: _http_server.Server,
-    node_settings: settings.Settings,
+async def _serve_operators(
+    api: _operators.OperatorApi, address: _http_client.Address, nursery: trio.Nursery
 ) -> None:
-    address = node_settings.listen.callers
-    async with trio.open_nursery() as serving:
-        await serving.start(callers.serve, address.host, address.port)
-        _LOGGER.info("node %s serves callers at %s", node_settings.node.name, address)
-        await _wait_for_signal()
-        shell.post(_node_messages.StopRequested())
-        bound = trio.current_time() + node_settings.timing.shutdown_seconds
-        serving.cancel_scope.deadline = bound
-        callers.stop()
-
-
-async def _wait_for_signal() -> None:
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
-            return
+    server = _http_server.Server(handler=api, limits=_OPERATOR_LIMITS)
+    await nursery.start(server.serve, address.host, address.port)
 
 
 async def _read_wall_clock(shell: _shell.Shell) -> None:
@@ -234,6 +191,7 @@
             ),
         ),
         _departures.DepartureController(blackboard=blackboard),
+        *_order_control.make_controllers(blackboard=blackboard, timing=timing),
         _shares.ShareController(blackboard=blackboard),
         _limits.LimitController(blackboard=blackboard),
         make_answers(node_settings, blackboard, metrics),
@@ -363,6 +321,9 @@
     shell.spawn_with(_answer_messages.ProbeEngine, engines.probe_engine)
     shell.spawn_with(_backend_messages.PollLoad, engines.poll_load)
     shell.spawn_with(_backend_messages.PollCache, engines.poll_cache)
+    orders = _order_client.OrderClient(client=client, post=shell.post)
+    shell.spawn_with(_order_messages.ReadEngineState, orders.read_state)
+    shell.spawn_with(_order_messages.SendOrder, orders.send_order)
     shell.spawn_with(_call_messages.SendCall, services.send_call)
     shell.spawn_with(_call_messages.SendLookup, services.send_lookup)
     shell.spawn_with(_call_messages.CancelLookup, services.cancel_lookup)
