--- a/src/jujubepass/_node.py
+++ b/src/jujubepass/_node.py
@@ -108,8 +108,7 @@
         callers = _http_server.Server(handler=caller_api, limits=_make_limits(listen))
         _node_metrics.add_limit_metrics(metrics, blackboard, callers)
         nursery.start_soon(_read_wall_clock, shell)
-        tick_seconds = node_settings.timing.tick_seconds
-        nursery.start_soon(_tick, shell, tick_seconds, metrics)
+        nursery.start_soon(_tick, shell, node_settings.timing.tick_seconds, metrics)
         await _serve_operators(operator_api, listen.operators, nursery)
         await _shutdown.serve_callers(shell, callers, node_settings)
         nursery.cancel_scope.cancel()
