Measure postings and counter traffic together at month-end

Cause: postings and prompts had been measured apart only. Change: the experiment month-end on processes, open loop, counted at the ledgers.

--- a/bench/experiments.py
+++ b/bench/experiments.py
@@ -18,6 +18,7 @@
     "control-size",
     "capacity",
     "throughput",
+    "month-end",
     "recovery",
     "postings",
     "changes",
--- a/tests/features/bench.feature
+++ b/tests/features/bench.feature
@@ -9,6 +9,7 @@
       | experiment      | columns                                             |
       | data-path       | streams, tokens_per_second, microseconds_per_token  |
       | control-changes | accounts, accepted_per_second, in_force_seconds     |
+      | month-end       | phase, ratio_to_bound, runs, duplicates             |
       | throughput      | scenario, policy, ratio_to_bound                    |
 
   Scenario: Load polls and heartbeats show in the cost of control
