--- a/src/jujubepass/_answer_area.py
+++ b/src/jujubepass/_answer_area.py
@@ -14,8 +14,8 @@
     """Hold one answer in progress."""
 
     arrived: _answer_messages.PromptArrived
-    arrived_at: float
     layers: int
+    arrived_at: float = 0.0
     blocks: tuple[str, ...] = ()
     epoch: ids.Epoch = NO_EPOCH
     stages: tuple[_answer_messages.Stage, ...] = ()
@@ -30,6 +30,7 @@
     last_token_at: float | None = None
     is_recovering: bool = False
     attempts: int = 0
+    fruitless_attempts: int = 0
     patience: float = 1.0
     avoided_at: dict[ids.BackendServerId, float] = attrs.field(factory=dict)
     retried: set[ids.BackendServerId] = attrs.field(factory=set)
--- a/src/jujubepass/_answers.py
+++ b/src/jujubepass/_answers.py
@@ -147,6 +147,7 @@
             gap = (now - answer.progress_at) / count
             answer.gap_seconds += _GAP_WEIGHT * (gap - answer.gap_seconds)
         answer.attempt_has_token = True
+        answer.fruitless_attempts = 0
         answer.progress_at = now
         answer.last_token_at = now
 
@@ -161,7 +162,7 @@
         self, answer: _answer_area.Answer, engine: ids.BackendServerId, now: float
     ) -> None:
         """Count an unclear fault; avoid an engine at its second one."""
-        if not answer.attempt_has_token:
+        if not answer.attempt_has_token and engine not in answer.retried:
             self.attempts.count_fault(engine, now, is_certain=False)
         if engine in answer.retried:
             self.attempts.avoid_if_possible(answer, (engine,), now)
--- a/src/jujubepass/_call_steps.py
+++ b/src/jujubepass/_call_steps.py
@@ -48,6 +48,7 @@
     by_attempt: dict[ids.AttemptId, _call_area.OpenCall] = attrs.field(
         factory=dict, init=False
     )
+    resumed_at: float = attrs.field(default=float("-inf"), init=False)
 
     @property
     def open_calls(self) -> dict[str, _call_area.OpenCall]:
@@ -130,6 +131,8 @@
         owner = self.blackboard.identity.incarnation
         call.attempt = ids.AttemptId(f"{name}/{owner}/{call.attempts}")
         self.by_attempt[call.attempt] = call
+        if step is _Step.OPENING:
+            call.unsent.add(call.attempt)
         call.step = step
         call.may_be_written = False
         call.written_at = now
@@ -142,12 +145,15 @@
             return self.close(call, _State.NOT_RUN, now)
         send_before = call.written_at + self.journal.timing.send_window_seconds
         backend = self.blackboard.backends.services.get(call.backend)
-        if now >= send_before or backend is None:
+        paused_since = call.written_at < self.resumed_at
+        if now >= send_before or paused_since or backend is None:
             self.counters.count_retry(reasons.RetryReason.SEND_WINDOW_PASSED)
             return self.open(call, now)
         left = max(call.waiters.values()) - now
         settling = min(_LONGEST_SETTLING_SECONDS, _SETTLING_SHARE * left)
         call.step = _Step.SENDING
+        call.unsent.discard(call.attempt)
+        call.doubted = call.attempt
         self.balance.begin(call.backend, now)
         command = _call_messages.SendCall(
             request=call.arrived.request,
--- a/tests/features/bench.feature
+++ b/tests/features/bench.feature
@@ -11,6 +11,7 @@
       | control-changes | accounts, accepted_per_second, in_force_seconds     |
       | month-end       | phase, ratio_to_bound, runs, duplicates             |
       | throughput      | scenario, policy, ratio_to_bound                    |
+      | changes         | path, nodes, everywhere_max_seconds                 |
 
   Scenario: Load polls and heartbeats show in the cost of control
     When the experiment "control-nodes" runs in its tiny size
