--- a/src/jujubepass/_operators.py
+++ b/src/jujubepass/_operators.py
@@ -4,6 +4,7 @@
 import hashlib
 import hmac
 import json
+import math
 import typing
 
 import attrs
@@ -17,6 +18,7 @@
     _metrics,
     _node_messages,
     ids,
+    traces,
 )
 
 _PROPOSAL_TIMEOUT_SECONDS = 10.0
@@ -56,6 +58,7 @@
     post: Post
     verdicts: Verdicts
     key_hash: str
+    recorder: traces.MemoryRecorder | None = None
 
     async def __call__(
         self, request: _http_server.Request, responder: _http_server.Responder
@@ -93,10 +96,20 @@
             await responder.send_json(200, self._describe_configuration())
         elif asked == ("POST", "/operator/changes"):
             await self._propose(request, responder)
+        elif asked == ("GET", "/operator/trace"):
+            await self._send_trace(responder)
         else:
             detail = f"{request.method} {request.path} is not served here."
             await responder.send_problem(404, "unknown_path", detail)
 
+    async def _send_trace(self, responder: _http_server.Responder) -> None:
+        if self.recorder is None:
+            detail = "Nothing is recorded; set record = memory in [trace]."
+            await responder.send_problem(404, "not_recorded", detail)
+            return
+        text = traces.write_trace(self.recorder.copy_trace())
+        await responder.send(200, text.encode(), content_type="application/x-ndjson")
+
     def _describe(self) -> dict[str, typing.Any]:
         board = self.blackboard
         nodes = [
@@ -105,6 +118,7 @@
                 "state": board.node.state.value,
                 "configuration_number": board.configuration.number,
                 "configuration_digest": board.configuration.digest,
+                "configuration_age_seconds": self._measure_age(),
                 "store_answers": board.configuration.store_answers,
             }
         ]
@@ -129,6 +143,11 @@
         ]
         return {"nodes": nodes, "backends": backends}
 
+    def _measure_age(self) -> float | None:
+        installed_at = self.blackboard.configuration.installed_at
+        known = math.isfinite(installed_at)
+        return trio.current_time() - installed_at if known else None
+
     def _describe_configuration(self) -> dict[str, typing.Any]:
         area = self.blackboard.configuration
         return {
