Be ready only once every polled engine has answered or failed to

Cause: a node that had just become ready refused a prompt with no_route: the VM list was there, load reports were not yet (seen once in the shutdown feature, under load). Change: readiness waits for a report or a failed poll of each engine to poll.

--- a/src/jujubepass/_node_life.py
+++ b/src/jujubepass/_node_life.py
@@ -24,6 +24,7 @@
     blackboard: _blackboard.Blackboard
     settling_seconds: float = 1.0
     _listed: bool = attrs.field(default=False, init=False)
+    _lists_engines: bool = attrs.field(default=False, init=False)
     _configured: bool = attrs.field(default=False, init=False)
     _resumed_at: float = attrs.field(default=float("-inf"), init=False)
 
@@ -35,6 +36,7 @@
             _store_messages.RowsRead: self.note_contact,
             _membership_messages.HeartbeatReceived: self.note_contact,
             _node_messages.PauseDetected: self.resume,
+            _node_messages.Tick: self.check_ready,
             _node_messages.StopRequested: self.drain,
             _node_messages.DrainEnded: self.stop,
         }
@@ -44,6 +46,9 @@
     ) -> collections.abc.Iterable[_dispatch.Command]:
         """Note that the VM list is known."""
         self._listed = True
+        self._lists_engines = any(
+            vm.role is _backend_messages.VmRole.ENGINE for vm in event.vms
+        )
         self._become_ready()
         return self.note_contact(event, now)
 
@@ -57,9 +62,26 @@
 
     def _become_ready(self) -> None:
         node = self.blackboard.node
-        if node.state is _State.STARTING and self._listed and self._configured:
+        if node.state is not _State.STARTING:
+            return
+        if self._listed and self._configured and self._knows_engines():
             node.state = _State.READY
 
+    def _knows_engines(self) -> bool:
+        """Tell whether every engine to poll has answered or failed to."""
+        backends = self.blackboard.backends
+        engines = [backends.engines[name] for name in backends.list_polled()]
+        if self._lists_engines and not engines:
+            return False
+        return all(engine.report or engine.failed_polls for engine in engines)
+
+    def check_ready(
+        self, event: _node_messages.Tick, now: float
+    ) -> collections.abc.Iterable[_dispatch.Command]:
+        """Become ready once all that requests need is known."""
+        self._become_ready()
+        return ()
+
     def resume(
         self, event: _node_messages.PauseDetected, now: float
     ) -> collections.abc.Iterable[_dispatch.Command]:
