--- a/src/jujubepass/_prefixes.py
+++ b/src/jujubepass/_prefixes.py
@@ -21,7 +21,9 @@
     end = min(len(prompt) - BLOCK_WORDS + 1, _MOST_BLOCKS * BLOCK_WORDS)
     for start in range(0, end, BLOCK_WORDS):
         block = "\x1f".join(prompt[start : start + BLOCK_WORDS])
-        previous = hashlib.sha256((previous + block).encode()).hexdigest()[:16]
+        previous = hashlib.sha256(
+            (previous + block).encode(errors="surrogatepass")
+        ).hexdigest()[:16]
         hashes.append(previous)
     return tuple(hashes)
 
--- a/tests/features/answers.feature
+++ b/tests/features/answers.feature
@@ -10,6 +10,7 @@
   Scenario: A lost line leads to another attempt
     When one line of an answer is lost
     Then the answer is whole and a retry of "token_gap" was counted
+    And it went on within 150 ms
 
   Scenario: Healthy stages are kept when one stage freezes
     When the second stage of an answer freezes
@@ -40,3 +41,8 @@
   Scenario: Prefix affinity fades with age and with gaps in the news
     Then words expected in a cache fall with the age and the gaps of its events
     And the memory kept for one engine's cache is bounded
+
+  Scenario: A prompt that every engine breaks on does not shut the engines off
+    When an engine cuts the stream of each attempt of one prompt before a token
+    Then that answer ends as "retry_budget_spent" after at most 12 attempts
+    And another prompt is answered
--- a/tests/features/steps/answers_steps.py
+++ b/tests/features/steps/answers_steps.py
@@ -163,6 +163,11 @@
     assert len(counts.recoveries) == 1, counts
 
 
+@behave.then("it went on within {bound:d} ms")
+def step_within(context, bound):
+    assert small_engines.summarize(context.trial)["longest_gap_ms"] <= bound
+
+
 @behave.when("the second stage of an answer freezes")
 def step_freeze(context):
     context.trial = make_trial()
@@ -275,6 +280,27 @@
     assert sum(delivered.starts for delivered in answers) <= 100
 
 
+@behave.when("an engine cuts the stream of each attempt of one prompt before a token")
+def step_poison(context):
+    context.trial = make_trial(noise=small_engines.Noise(cut=1.0))
+    context.delivered = ask(context.trial, "poison", timeout_seconds=30.0)
+    context.trial.run_until(6.0)
+
+
+@behave.then('that answer ends as "{reason}" after at most {count:d} attempts')
+def step_poison_ended(context, reason, count):
+    assert context.delivered.end is reasons.RefusalReason(reason), context.delivered
+    assert context.delivered.starts <= count, context.delivered
+
+
+@behave.then("another prompt is answered")
+def step_answered(context):
+    context.trial.noise.cut = 0.0
+    delivered = ask(context.trial, "next")
+    context.trial.run_until(12.0)
+    assert delivered.tokens == delivered.expected, delivered
+
+
 def make_listing(count):
     return _backend_messages.VmsListed(
         vms=tuple(
