--- a/src/jujubepass/_operator_commands.py
+++ b/src/jujubepass/_operator_commands.py
@@ -24,6 +24,7 @@
 
 _CHANGE_ID_BYTES = 8
 _STATUS_POLL_SECONDS = 0.1
+_DEAD = "dead"
 _STORE_UNAVAILABLE = "store_unavailable"
 _UNCLEAR_TRIES = 4
 _UNCLEAR_PAUSE_SECONDS = 0.5
@@ -234,6 +235,29 @@
     raise unclear
 
 
+@attrs.frozen(kw_only=True)
+class _Reach:
+    """Hold which nodes have a number, as one node has heard it."""
+
+    numbers: dict[str, int]
+    dead: list[str]
+    unheard: list[str]
+
+    def is_complete(self, number: int) -> bool:
+        """Tell whether every node that lives is heard to have the number."""
+        heard = bool(self.numbers) and min(self.numbers.values()) >= number
+        return heard and not self.unheard
+
+    def list_lines(self, number: int) -> list[str]:
+        """Name the nodes that are not known to have the number."""
+        behind = [name for name, seen in self.numbers.items() if seen < number]
+        lines = [f"not in force: {name}" for name in behind]
+        lines += [f"dead, takes the newest at its start: {name}" for name in self.dead]
+        if self.unheard:
+            lines.append(f"not heard by the node asked: {len(self.unheard)} nodes")
+        return lines
+
+
 async def _wait_in_force(
     client: _operator_client.OperatorClient,
     change: _operator_client.Change,
@@ -242,46 +266,44 @@
 ) -> _report.Report:
     number = answer["number"]
     started = trio.current_time()
-    numbers: dict[str, int] = {}
-    dead: list[str] = []
+    reach = _Reach(numbers={}, dead=[], unheard=[])
     with trio.move_on_after(wait_seconds):
-        while not numbers or min(numbers.values()) < number:
-            numbers, dead = await _read_numbers(client)
-            if numbers and min(numbers.values()) >= number:
-                break
-            await trio.sleep(_STATUS_POLL_SECONDS)
-    reached = sum(seen >= number for seen in numbers.values())
-    in_force = bool(numbers) and reached == len(numbers)
+        while not reach.is_complete(number):
+            reach = await _read_reach(client)
+            if not reach.is_complete(number):
+                await trio.sleep(_STATUS_POLL_SECONDS)
+    reached = sum(seen >= number for seen in reach.numbers.values())
     seconds = trio.current_time() - started
+    in_force = reach.is_complete(number)
     value = {
         **answer,
         "change_id": change.change_id,
-        "nodes": numbers,
-        "dead_nodes": dead,
+        "nodes": reach.numbers,
+        "dead_nodes": reach.dead,
+        "unheard_nodes": reach.unheard,
         "in_force_everywhere": in_force,
         "seconds": round(seconds, 3),
     }
-    lines = [
+    lines = (
         f"change {change.change_id} accepted as number {number}",
-        f"in force on {reached} of {len(numbers)} nodes after {seconds:.1f} s",
-    ]
-    lines += [f"not in force: {n}" for n, seen in numbers.items() if seen < number]
-    lines += [f"dead, takes the newest when it starts: {name}" for name in dead]
+        f"in force on {reached} of {len(reach.numbers)} nodes after {seconds:.1f} s",
+        *reach.list_lines(number),
+    )
     code = _report.ExitCode.DONE if in_force else _report.ExitCode.NOT_IN_FORCE
-    return _report.Report(code=code, value=value, lines=tuple(lines))
-
-
-async def _read_numbers(
-    client: _operator_client.OperatorClient,
-) -> tuple[dict[str, int], list[str]]:
-    nodes = (await client.read_status()).get("nodes", ())
-    dead = [str(node["node"]) for node in nodes if node.get("state") == "dead"]
-    numbers = {
-        str(node["node"]): int(node["configuration_number"])
-        for node in nodes
-        if node.get("state") != "dead"
-    }
-    return numbers, dead
+    return _report.Report(code=code, value=value, lines=lines)
+
+
+async def _read_reach(client: _operator_client.OperatorClient) -> _Reach:
+    reach = _Reach(numbers={}, dead=[], unheard=[])
+    for node in (await client.read_status()).get("nodes", ()):
+        name = str(node["node"])
+        if node.get("state") == _DEAD:
+            reach.dead.append(name)
+        elif node.get("configuration_digest") == "":
+            reach.unheard.append(name)
+        else:
+            reach.numbers[name] = int(node["configuration_number"])
+    return reach
 
 
 def _read_files(
