Measure the data path again, with engines that report enough places

Cause: the light engines reported 64 places each, so that the queue before the engines let 128 of 256 streams run, and the run at 256 was none.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -23,7 +23,7 @@
 )
 _REGIONS = 9
 _FAILURE_DOMAINS = 34
-_MAX_BATCH = 64
+_MAX_BATCH = 512
 
 Responder = _http_server.Responder
 
