Keep one circuit breaker for engines and plain services

Cause: _breakers.py (engines) and _circuit.py (services) held the same decision twice, with different rules for a failed probe and for a late success.

Change: one Breaker in _breakers.py, with the bounds of engines and of services; _circuit.py is gone. The engines' rules stay: 3 faults open it for 1 s up to 30 s, certain silence opens it at once, news from a silent engine closes it, one attempt while half open. The services' rules stay, with their jitter. New for engines: a failed probe opens the breaker again at once instead of being passed over while the probe's second lasts, and an answer that began before the opening no longer closes it. A forced attempt (no other route left) counts as the probe, as before.

Tests: the steps name the new class; what they assert is unchanged. The new rules for engines are proved by the scenarios of services alone, with the services' bounds.

--- a/src/jujubepass/_attempts.py
+++ b/src/jujubepass/_attempts.py
@@ -174,7 +174,9 @@
     ) -> list[_dispatch.Command]:
         """End an answer that no route can carry; say when to come back."""
         breakers = self.blackboard.answers.breakers.values()
-        waits = [each.open_until - now for each in breakers if each.is_open(now)]
+        waits = [
+            each.predict_wait_seconds(now) for each in breakers if each.is_open(now)
+        ]
         if waits and self.plan_route(answer, now, ignores_breakers=True) is not None:
             return self.refuse(
                 answer,
@@ -221,7 +223,7 @@
         for stage in answer.stages:
             breaker = self.blackboard.answers.breakers.get(stage.engine)
             if breaker is not None:
-                breaker.close()
+                breaker.note_success()
         request = answer.arrived.request
         release = self._release_cache(answer)
         self.forget(answer)
@@ -278,8 +280,10 @@
     ) -> None:
         """Count a fault of an engine at its circuit breaker."""
         breakers = self.blackboard.answers.breakers
-        breaker = breakers.setdefault(engine, _breakers.Breaker())
-        breaker.count_fault(now, is_certain=is_certain)
+        if engine not in breakers:
+            bounds = _breakers.ENGINE_BOUNDS
+            breakers[engine] = _breakers.Breaker(bounds=bounds)
+        breakers[engine].count_fault(now, is_certain=is_certain)
 
     def _cancel(self, answer: _answer_area.Answer) -> _answer_messages.CancelAttempt:
         return _answer_messages.CancelAttempt(
--- a/src/jujubepass/_service_balance.py
+++ b/src/jujubepass/_service_balance.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from jujubepass import _backend_area, _circuit, ids
+from jujubepass import _backend_area, _breakers, ids
 
 _NO_BACKEND_PAUSE_SECONDS = 1.0
 
@@ -20,7 +20,7 @@
     _in_flight: collections.Counter[ids.BackendServerId] = attrs.field(
         factory=collections.Counter, init=False
     )
-    _circuits: dict[ids.BackendServerId, _circuit.Circuit] = attrs.field(
+    _by_server: dict[ids.BackendServerId, _breakers.Breaker] = attrs.field(
         factory=dict, init=False
     )
     _turn: int = attrs.field(default=0, init=False)
@@ -37,7 +37,7 @@
             backend
             for backend in self.backends.list_service(service)
             if backend.vm.name not in avoid
-            and self._find_circuit(backend.vm.name).may_allow(now)
+            and not self._find_breaker(backend.vm.name).is_open(now)
         ]
         if not usable:
             return None
@@ -51,7 +51,7 @@
     def find_pause(self, service: ids.ServiceId, now: float) -> float:
         """Return the seconds until a server of the service may be tried."""
         waits = [
-            self._find_circuit(backend.vm.name).predict_wait_seconds(now)
+            self._find_breaker(backend.vm.name).predict_wait_seconds(now)
             for backend in self.backends.list_service(service)
         ]
         return min(waits, default=_NO_BACKEND_PAUSE_SECONDS)
@@ -59,23 +59,27 @@
     def begin(self, backend: ids.BackendServerId, now: float) -> None:
         """Count an attempt in."""
         self._in_flight[backend] += 1
-        self._find_circuit(backend).allow(now)
+        breaker = self._find_breaker(backend)
+        if not breaker.is_open(now):
+            breaker.note_dispatch(now)
 
     def end(self, backend: ids.BackendServerId) -> None:
         """Count an attempt out."""
         self._in_flight[backend] -= 1
 
     def note_success(self, backend: ids.BackendServerId, now: float) -> None:
-        """Report an answer to the server's circuit."""
-        self._find_circuit(backend).report_success(now)
+        """Report an answer to the server's circuit breaker."""
+        self._find_breaker(backend).note_success()
 
     def note_failure(self, backend: ids.BackendServerId, now: float) -> None:
-        """Report a failure to the server's circuit."""
-        self._find_circuit(backend).report_failure(now)
+        """Report a failure to the server's circuit breaker."""
+        self._find_breaker(backend).count_fault(now)
 
-    def _find_circuit(self, backend: str) -> _circuit.Circuit:
+    def _find_breaker(self, backend: str) -> _breakers.Breaker:
         name = ids.BackendServerId(backend)
-        circuit = self._circuits.get(name)
-        if circuit is None:
-            circuit = self._circuits[name] = _circuit.Circuit(random=self.random)
-        return circuit
+        breaker = self._by_server.get(name)
+        if breaker is None:
+            bounds = _breakers.SERVICE_BOUNDS
+            breaker = _breakers.Breaker(bounds=bounds, jitter_random=self.random)
+            self._by_server[name] = breaker
+        return breaker
--- a/tests/features/steps/retries_steps.py
+++ b/tests/features/steps/retries_steps.py
@@ -4,7 +4,7 @@
 import hypothesis
 import hypothesis.strategies as st
 
-from jujubepass import _circuit, _retry_budget
+from jujubepass import _breakers, _retry_budget
 
 BOUNDS = _retry_budget.RetryBudgetBounds()
 
@@ -51,17 +51,28 @@
 
 @behave.given("a circuit that opens after 3 failures")
 def step_circuit(context):
-    context.bounds = _circuit.CircuitBounds(failures_to_open=3)
-    context.circuit = _circuit.Circuit(random=random.Random(1), bounds=context.bounds)
+    context.bounds = _breakers.BreakerBounds(failures_to_open=3)
+    context.circuit = _breakers.Breaker(
+        jitter_random=random.Random(1), bounds=context.bounds
+    )
     context.now = 50.0
     context.open_times = []
 
 
+def allow(context, seconds=0.0):
+    """Send an attempt out so much later if the breaker lets it; tell whether."""
+    now = context.now + seconds
+    if context.circuit.is_open(now):
+        return False
+    context.circuit.note_dispatch(now)
+    return True
+
+
 @behave.when("3 attempts fail")
 def step_fail(context):
     for _ in range(3):
-        assert context.circuit.allow(context.now)
-        context.circuit.report_failure(context.now)
+        assert allow(context)
+        context.circuit.count_fault(context.now)
     context.open_times.append(context.circuit.predict_wait_seconds(context.now))
 
 
@@ -70,32 +81,32 @@
     wait = context.circuit.predict_wait_seconds(context.now)
     assert wait > 0.0
     for part in (0.0, 0.5, 0.99):
-        assert not context.circuit.allow(context.now + part * wait)
+        assert not allow(context, part * wait)
     context.now += wait
 
 
 @behave.then("exactly one probe goes out then")
 def step_probe(context):
-    assert [context.circuit.allow(context.now) for _ in range(5)].count(True) == 1
+    assert [allow(context) for _ in range(5)].count(True) == 1
 
 
 @behave.when("the probe succeeds")
 def step_probe_succeeds(context):
-    context.circuit.report_success(context.now)
+    context.circuit.note_success()
 
 
 @behave.then("attempts go out again")
 def step_closed_again(context):
-    assert context.circuit.state is _circuit.CircuitState.CLOSED
-    assert all(context.circuit.allow(context.now) for _ in range(5))
+    assert context.circuit.state is _breakers.BreakerState.CLOSED
+    assert all(allow(context) for _ in range(5))
 
 
 @behave.when("12 probes fail one after another")
 def step_probes_fail(context):
     for _ in range(12):
         context.now += context.open_times[-1]
-        assert context.circuit.allow(context.now)
-        context.circuit.report_failure(context.now)
+        assert allow(context)
+        context.circuit.count_fault(context.now)
         context.open_times.append(context.circuit.predict_wait_seconds(context.now))
 
 
@@ -115,18 +126,17 @@
 
 @behave.when("an attempt from before the opening succeeds")
 def step_late(context):
-    context.circuit.report_success(context.now)
+    context.circuit.note_success()
 
 
 @behave.when("a probe goes out and is never heard of again")
 def step_lost_probe(context):
     context.now += context.open_times[-1]
-    assert context.circuit.allow(context.now)
+    assert allow(context)
 
 
 @behave.then("another probe goes out after the probe timeout")
 def step_again(context):
-    assert not context.circuit.allow(context.now + 1.0)
+    assert not allow(context, 1.0)
     context.now += context.bounds.probe_timeout_seconds
-    assert context.circuit.may_allow(context.now)
-    assert context.circuit.allow(context.now)
+    assert allow(context)
--- a/tests/features/steps/routing_steps.py
+++ b/tests/features/steps/routing_steps.py
@@ -21,7 +21,7 @@
 
 @behave.when("an engine's circuit breaker opens")
 def step_breaker(context):
-    context.breaker = _breakers.Breaker()
+    context.breaker = _breakers.Breaker(bounds=_breakers.ENGINE_BOUNDS)
     for _ in range(2):
         context.breaker.count_fault(0.0, is_certain=False)
     assert not context.breaker.is_open(0.0)
@@ -34,7 +34,7 @@
     assert breaker.is_open(0.5) and not breaker.is_open(1.5)
     breaker.note_dispatch(1.5)
     assert breaker.is_open(1.6), "a second attempt goes through"
-    breaker.close()
+    breaker.note_success()
     assert not breaker.is_open(1.6)
     breaker.count_fault(2.0, is_certain=True)
     assert breaker.is_open(2.1, heard_at=1.9)
