Keep the place of an answer that is replaced after a gap

Cause: an attempt that engines ended at the full length before the answer's last token is replaced, but admission had freed the answer's place by then, because it hears of the end first. A waiting request took that place while the answer went on: more work at the engines than the bound, one request for each such gap.

Ruled out: freeing on the commands FinishAnswer and Refuse, which controllers do not see; freeing on RequestEnded alone, which lets a slow caller hold a place.

Change: Answer.is_cut_short tells both the answer controller and admission whether an end leads to a replacement; admission keeps the place then, until a whole end or RequestEnded.

Seen failing first: without the step, the new scenario "An answer that is replaced after a gap keeps its place" saw StartQueued of the waiting request beside the StartAttempt of the replaced answer, with one place.

--- a/src/jujubepass/_admission.py
+++ b/src/jujubepass/_admission.py
@@ -138,11 +138,13 @@
         self.blackboard.limits.admitted[event.request] = event.account
 
     def finish_engines(self, event: _answer_messages.AttemptEnded, now: float) -> None:
-        """Free a place and learn the service time when engines end an answer."""
+        """Free a place and learn the service time when engines end a whole answer."""
         running = self._running.get(event.request)
         answer = self.blackboard.answers.answers.get(event.request)
         if running is None or answer is None or answer.epoch != event.epoch:
             return
+        if answer.is_cut_short(event.end):
+            return
         cost = compute_cost(running.event, max(1, len(answer.sent)))
         seconds = now - running.started_at
         self._get_service(running.event.model).add(seconds, cost)
--- a/src/jujubepass/_answer_area.py
+++ b/src/jujubepass/_answer_area.py
@@ -45,6 +45,11 @@
         """Return how many tokens the answer may still get."""
         return self.arrived.max_tokens - len(self.sent)
 
+    def is_cut_short(self, end: _answer_messages.AnswerEnd) -> bool:
+        """Tell whether engines ended at the full length before the last token."""
+        at_length = end is _answer_messages.AnswerEnd.LENGTH
+        return at_length and self.tokens_left > 0
+
 
 @attrs.define(kw_only=True)
 class Probe:
--- a/src/jujubepass/_answers.py
+++ b/src/jujubepass/_answers.py
@@ -175,8 +175,7 @@
         answer = self._find_answer(event.request)
         if answer is None or event.epoch != answer.epoch:
             return ()
-        at_length = event.end is _answer_messages.AnswerEnd.LENGTH
-        if at_length and answer.tokens_left > 0:
+        if answer.is_cut_short(event.end):
             return self._replace_after_gap(answer, now)
         return self.attempts.finish(answer, event.end)
 
--- a/tests/features/overload.feature
+++ b/tests/features/overload.feature
@@ -26,6 +26,13 @@
     When time passes without a free place
     Then it is refused once as "deadline_unreachable" while its caller still waits
 
+  Scenario: An answer that is replaced after a gap keeps its place
+    Given a node whose only place is taken and one waiting request
+    When the engines end the running answer before its last token
+    Then the answer is started again and the waiting request still waits
+    When the engines end the running answer whole
+    Then the waiting request is started
+
   Scenario: A node at its bounds refuses early
     Given a node bounded to 5 requests
     When 8 requests arrive
--- /dev/null
+++ b/tests/features/steps/overload_places_steps.py
@@ -0,0 +1,94 @@
+import behave
+
+from jujubepass import (
+    _answer_messages,
+    _dispatch,
+    _limit_messages,
+    _limits,
+    _node_messages,
+    _recovery,
+    _routes,
+    declarations,
+    ids,
+)
+from tests import small_engines, small_parts
+
+
+@behave.given("a node whose only place is taken and one waiting request")
+def step_one_place(context):
+    engines = [small_parts.Engine(name="e0", first_layer=0, end_layer=32, max_batch=1)]
+    trial = small_engines.Trial(engines=engines, make_policies=make_policies)
+    trial.run_until(1.0)
+    (node,) = trial.nodes
+    node.board.node.state = _node_messages.NodeState.READY
+    account = declarations.Account(
+        name=ids.AccountId("a"), template=ids.TemplateId("t"), key_hash="k"
+    )
+    node.board.configuration.declared.accounts[account.name] = account
+    limits = _limits.LimitController(blackboard=node.board)
+    admission = _dispatch.Dispatcher(controllers=[limits])
+    context.post = lambda event: (
+        admission.dispatch(event, trial.now)
+        + node.dispatcher.dispatch(event, trial.now)
+    )
+    (context.start,) = context.post(ask_small_model("r1"))
+    assert not context.post(ask_small_model("r2"))
+    assert node.board.limits.queued == 1
+
+
+def make_policies(source):
+    return (
+        _routes.PredictedTimePolicy(random_source=source),
+        _recovery.ResumePolicy(longest_stall_seconds=0.5),
+    )
+
+
+def ask_small_model(request):
+    return _answer_messages.PromptArrived(
+        request=ids.RequestId(request),
+        account=ids.AccountId("a"),
+        model=small_engines.MODEL,
+        prompt=("why",),
+        max_tokens=10,
+        priority=1,
+        deadline=60.0,
+    )
+
+
+def end_attempt(context, end):
+    started = context.start
+    ended = _answer_messages.AttemptEnded(
+        request=started.request, epoch=started.epoch, end=end
+    )
+    return context.post(ended)
+
+
+@behave.when("the engines end the running answer before its last token")
+def step_end_early(context):
+    context.commands = end_attempt(context, _answer_messages.AnswerEnd.LENGTH)
+
+
+@behave.then("the answer is started again and the waiting request still waits")
+def step_still_waits(context):
+    assert not find_started(context.commands), context.commands
+    (context.start,) = [
+        each
+        for each in context.commands
+        if isinstance(each, _answer_messages.StartAttempt)
+    ]
+    assert context.start.request == "r1", context.start
+
+
+def find_started(commands):
+    kind = _limit_messages.StartQueued
+    return [each.event.request for each in commands if isinstance(each, kind)]
+
+
+@behave.when("the engines end the running answer whole")
+def step_end_whole(context):
+    context.commands = end_attempt(context, _answer_messages.AnswerEnd.STOP)
+
+
+@behave.then("the waiting request is started")
+def step_started(context):
+    assert find_started(context.commands) == ["r2"], context.commands
