Count questions after calls against the account's limits

Cause: CallAsked (GET /v1/calls/KEY) went to the table past admission, so that an account could read rows at any rate, also at a node at its bounds.

Change: CallAsked is an arrival that LimitController admits or refuses by the node's state and bounds and by the account's rate and concurrency; CallController reads the row of an admitted question only. A node that is starting or stopping now refuses questions, too, as it refuses calls.

Seen failing first: before the change, the new scenario "Questions after calls count against the rate" saw four reads of the row with a burst of 3.

--- a/src/jujubepass/_callers.py
+++ b/src/jujubepass/_callers.py
@@ -153,7 +153,7 @@
 
     async def _serve(
         self,
-        event: _limit_messages.Arrival | _call_messages.CallAsked,
+        event: _limit_messages.Arrival,
         writer: "_AnswerWriter",
         kind: typing.Any,
     ) -> None:
@@ -171,7 +171,7 @@
             self.post(_limit_messages.RequestEnded(request=event.request))
 
 
-def _bound_time(event: _limit_messages.Arrival | _call_messages.CallAsked) -> float:
+def _bound_time(event: _limit_messages.Arrival) -> float:
     """Return when a caller that does not read its answer is given up on."""
     if isinstance(event, _call_messages.CallAsked):
         return trio.current_time() + _QUESTION_SECONDS
--- a/src/jujubepass/_calls.py
+++ b/src/jujubepass/_calls.py
@@ -373,7 +373,9 @@
         return self.steps.ask_again(call, cause, now)
 
     def read_state(self, event: _call_messages.CallAsked, now: float) -> Commands:
-        """Read the row that a caller asks about."""
+        """Read the row that a caller asks about, once the question is admitted."""
+        if event.request not in self.blackboard.limits.admitted:
+            return ()
         operation = _store_messages.OperationId(f"{_ASK_PREFIX}{event.request}")
         key = _call_rows.make_row_key(event.account, event.key)
         self._asked[operation] = (event.request, key)
--- a/src/jujubepass/_limit_messages.py
+++ b/src/jujubepass/_limit_messages.py
@@ -7,6 +7,7 @@
 Arrival = (
     _answer_messages.PromptArrived
     | _call_messages.CallArrived
+    | _call_messages.CallAsked
     | _call_messages.LookupArrived
 )
 
--- a/src/jujubepass/_limits.py
+++ b/src/jujubepass/_limits.py
@@ -64,6 +64,7 @@
         return {
             _answer_messages.PromptArrived: self.admit,
             _call_messages.CallArrived: self.admit,
+            _call_messages.CallAsked: self.admit,
             _call_messages.LookupArrived: self.admit,
             _answer_messages.AttemptEnded: self.finish_engines,
             _limit_messages.RequestEnded: self.release,
--- a/tests/features/limits.feature
+++ b/tests/features/limits.feature
@@ -33,6 +33,11 @@
     Then a request that waits as told is admitted and one that comes earlier is not
     And a fourth request at once is refused until one has ended
 
+  Scenario: Questions after calls count against the rate
+    Given a node alone with an account of 2 requests a second and 3 at once
+    When the account asks 4 times at once what became of a call
+    Then 3 questions read the call's row and the other is refused as "account_rate"
+
   Scenario: One node of three serves more than its third
     Given three nodes with an account of 12 lookups a second
     When all lookups go to "node-1" until it admits over 6 a second
--- a/tests/features/steps/limits_steps.py
+++ b/tests/features/steps/limits_steps.py
@@ -1,5 +1,6 @@
 import itertools
 import math
+import random
 import time
 
 import behave
@@ -9,16 +10,22 @@
 from bench import shares
 from jujubepass import (
     _answer_messages,
+    _call_control,
+    _call_journal,
     _call_messages,
+    _dispatch,
     _limit_messages,
+    _limits,
     _rendezvous,
     _share_home,
     _share_messages,
+    _store_messages,
     declarations,
     ids,
     reasons,
 )
 from standins import processes, system
+from tests import call_system
 
 
 @behave.when(
@@ -187,6 +194,42 @@
     assert not post_lookup(cluster, "j")
 
 
+@behave.when("the account asks {count:d} times at once what became of a call")
+def step_question(context, count):
+    board = context.cluster.nodes[0].board
+    calls = _call_control.make_controllers(
+        blackboard=board,
+        counters=call_system.Counts(),
+        timing=_call_journal.CallTiming(),
+        random=random.Random(1),
+    )
+    limits = _limits.LimitController(blackboard=board)
+    dispatcher = _dispatch.Dispatcher(controllers=[limits, *calls])
+    context.commands = []
+    for number in range(count):
+        event = _call_messages.CallAsked(
+            request=ids.RequestId(f"q{number}"),
+            account=ids.AccountId("shop"),
+            key=ids.IdempotencyKey("k"),
+        )
+        context.commands += dispatcher.dispatch(event, context.cluster.now)
+        ended = _limit_messages.RequestEnded(request=event.request)
+        context.commands += dispatcher.dispatch(ended, context.cluster.now)
+
+
+@behave.then(
+    '{count:d} questions read the call\'s row and the other is refused as "{code}"'
+)
+def step_question_refused(context, count, code):
+    kinds = [type(command) for command in context.commands]
+    assert kinds.count(_store_messages.ReadRows) == count, context.commands
+    (refusal,) = [
+        each for each in context.commands if isinstance(each, _answer_messages.Refuse)
+    ]
+    assert refusal.reason is reasons.RefusalReason(code), refusal
+    assert refusal.retry_after_seconds > 0.0, refusal
+
+
 @behave.given("three nodes with an account of 12 lookups a second")
 def step_nodes(context):
     context.system = system.System(first_port=context.first_port)
