--- a/src/jujubepass/_admission.py
+++ b/src/jujubepass/_admission.py
@@ -19,7 +19,7 @@
 
 _PROMPT_WORDS_PER_COST = 16.0
 _LEAST_WEIGHT = 0.01
-_MAX_PRIORITY = 8
+_MAX_PRIORITY = 9
 _SLOTS_PERIOD_SECONDS = 0.25
 _RETRY_SECONDS = 1.0
 _WAIT_MARGIN = 1.3
@@ -33,9 +33,9 @@
 
 
 def compute_weight(account: declarations.Account) -> float:
-    """Return an account's part of the engines; each priority step halves it."""
+    """Return an account's part of the engines; each step up of the number halves it."""
     priority = min(max(account.priority, 0), _MAX_PRIORITY)
-    return float(max(_LEAST_WEIGHT, account.weight * 2.0 ** (1 - priority)))
+    return float(max(_LEAST_WEIGHT, account.weight) * 2.0 ** (1 - priority))
 
 
 @attrs.define(kw_only=True)
--- a/src/jujubepass/_declaration_schema.py
+++ b/src/jujubepass/_declaration_schema.py
@@ -97,11 +97,14 @@
         maximum=100_000,
     )
     priority: int = _ini.key(
-        default=1, meaning="priority; lower goes first", minimum=0, maximum=9
+        default=1,
+        meaning="priority; lower goes first, each step up halves the weight",
+        minimum=0,
+        maximum=9,
     )
     weight: float = _ini.key(
         default=1.0,
-        meaning="share among accounts of the same priority",
+        meaning="part of the engines among accounts that wait, halved by priority",
         minimum=0.01,
         maximum=1_000,
     )
--- a/tests/features/overload.feature
+++ b/tests/features/overload.feature
@@ -16,6 +16,9 @@
   Scenario: The fair queue serves by weight and loses nothing
     Then any mix of accounts is served whole and each backlogged one by its weight
 
+  Scenario: Each step of priority halves an account's part
+    Then an account of any weight gets half the part at each next priority
+
   Scenario: A request that left the queue is neither started nor refused later
     Given a node whose engines are full and one waiting request
     When the waiting request's caller leaves
--- a/tests/features/steps/overload_places_steps.py
+++ b/tests/features/steps/overload_places_steps.py
@@ -1,6 +1,7 @@
 import behave
 
 from jujubepass import (
+    _admission,
     _answer_messages,
     _dispatch,
     _limit_messages,
@@ -92,3 +93,21 @@
 @behave.then("the waiting request is started")
 def step_started(context):
     assert find_started(context.commands) == ["r2"], context.commands
+
+
+@behave.then("an account of any weight gets half the part at each next priority")
+def step_priorities(context):
+    for weight in (0.01, 1.0, 1_000.0):
+        parts = [weigh(weight, priority) for priority in range(10)]
+        assert parts == [2.0 * weight * 0.5**step for step in range(10)], parts
+
+
+def weigh(weight, priority):
+    account = declarations.Account(
+        name=ids.AccountId("a"),
+        template=ids.TemplateId("t"),
+        key_hash="k",
+        priority=priority,
+        weight=weight,
+    )
+    return _admission.compute_weight(account)
