Give the model of calls keyword-only constructors

Cause: World, Table, Service and Node in the tests' model of calls took positional arguments, against the house style.

Change: the constructors are keyword-only, and their call sites name what they pass.

--- a/tests/call_model.py
+++ b/tests/call_model.py
@@ -37,7 +37,7 @@
 class World:
     """Run scheduled steps in order of time."""
 
-    def __init__(self, seed):
+    def __init__(self, *, seed):
         self.random = random.Random(seed)
         self.now = 0.0
         self.faulty = True
@@ -67,7 +67,7 @@
 class Table:
     """Keep rows; lose, delay or refuse transactions as the world draws."""
 
-    def __init__(self, world):
+    def __init__(self, *, world):
         self.world = world
         self.rows = {}
         self.version = 0
@@ -147,7 +147,7 @@
 class Service:
     """Run calls and keep when each attempt ran."""
 
-    def __init__(self, world, kind):
+    def __init__(self, *, world, kind):
         self.world = world
         self.kind = kind
         self.runs = collections.defaultdict(list)
--- a/tests/call_system.py
+++ b/tests/call_system.py
@@ -34,7 +34,7 @@
 class Node:
     """Run controllers; a paused node does later what it was about to do."""
 
-    def __init__(self, system, name, incarnation):
+    def __init__(self, *, system, name, incarnation):
         self.system = system
         self.name = name
         self.alive = True
@@ -187,14 +187,14 @@
         key_count=6,
         faulty=True,
     ):
-        self.world = call_model.World(seed)
+        self.world = call_model.World(seed=seed)
         self.world.faulty = faulty
         self.kind = kind
         self.make_controllers = make_controllers
         self.counts = Counts()
-        self.table = call_model.Table(self.world)
+        self.table = call_model.Table(world=self.world)
         self.services = {
-            name: call_model.Service(self.world, kind)
+            name: call_model.Service(world=self.world, kind=kind)
             for name in ("bookings-1", "bookings-2")
         }
         self.requests = {}
@@ -213,7 +213,8 @@
             self.world.after(at, self._break_something)
 
     def start_node(self, name):
-        self.nodes[name] = Node(self, name, next(self.incarnations))
+        incarnation = next(self.incarnations)
+        self.nodes[name] = Node(system=self, name=name, incarnation=incarnation)
 
     def find_asked(self, node, command):
         """The model's servers share one address: find the row's backend server."""
