Take a node's bounds from its settings

Cause: how many requests, waiting requests and bytes a node carries was fixed in the code.

Seen failing first: with the settings not handed to the controller, the new scenario "A real node keeps to the bounds of its settings" saw a prompt of 20,000 words answered with held_bytes of one mebibyte. Not proved on a real node: running_requests (proved on the controller) and queued_requests.

--- /dev/null
+++ b/src/jujubepass/_limit_control.py
@@ -0,0 +1,19 @@
+"""Assembly of the controller that admits requests."""
+
+from jujubepass import _admission, _blackboard, _limits, settings
+
+
+def make_controller(
+    node_settings: settings.Settings, blackboard: _blackboard.Blackboard
+) -> _limits.LimitController:
+    """Make the controller with the bounds of the settings."""
+    limits = node_settings.limits
+    return _limits.LimitController(
+        blackboard=blackboard,
+        bounds=_limits.NodeBounds(
+            running_requests=limits.running_requests, held_bytes=limits.held_bytes
+        ),
+        admission=_admission.Admission(
+            blackboard=blackboard, maximum_queued=limits.queued_requests
+        ),
+    )
--- a/src/jujubepass/_node.py
+++ b/src/jujubepass/_node.py
@@ -32,8 +32,8 @@
     _engine_client,
     _http_client,
     _http_server,
+    _limit_control,
     _limit_messages,
-    _limits,
     _mailboxes,
     _membership,
     _membership_messages,
@@ -193,7 +193,7 @@
         _departures.DepartureController(blackboard=blackboard),
         *_order_control.make_controllers(blackboard=blackboard, timing=timing),
         _shares.ShareController(blackboard=blackboard),
-        _limits.LimitController(blackboard=blackboard),
+        _limit_control.make_controller(node_settings, blackboard),
         _node_answers.make_answers(node_settings, blackboard, metrics),
         *_make_call_controllers(node_settings, blackboard, metrics),
     ]
--- a/src/jujubepass/settings.py
+++ b/src/jujubepass/settings.py
@@ -197,6 +197,33 @@
     )
 
 
+@attrs.frozen(kw_only=True)
+class Limits:
+    """Bound what this node carries at once; it refuses what goes beyond."""
+
+    running_requests: int = _ini.key(
+        default=2_000,
+        meaning="requests in progress or waiting at this node",
+        unit="requests",
+        minimum=1,
+        maximum=100_000,
+    )
+    queued_requests: int = _ini.key(
+        default=2_000,
+        meaning="model requests that wait at this node for a place at the engines",
+        unit="requests",
+        minimum=0,
+        maximum=100_000,
+    )
+    held_bytes: int = _ini.key(
+        default=100_000_000,
+        meaning="estimated memory of the prompts and bodies held, 64 bytes a word",
+        unit="bytes",
+        minimum=_MEBIBYTE,
+        maximum=4_096 * _MEBIBYTE,
+    )
+
+
 @attrs.frozen(kw_only=True)
 class Trace:
     """Choose what is recorded for replay."""
@@ -247,6 +274,7 @@
     security: Security
     timing: Timing = attrs.field(factory=Timing)
     calls: Calls = attrs.field(factory=Calls)
+    limits: Limits = attrs.field(factory=Limits)
     trace: Trace = attrs.field(factory=Trace)
     log: Log = attrs.field(factory=Log)
     seeds: Seeds = attrs.field(factory=Seeds)
--- a/tests/features/overload.feature
+++ b/tests/features/overload.feature
@@ -48,6 +48,10 @@
     When a long prompt arrives
     Then the arrival is refused as "node_overloaded"
 
+  Scenario: A real node keeps to the bounds of its settings
+    Given a node whose settings let it hold one mebibyte
+    Then a prompt of 20000 words is refused as "node_overloaded" and a short one is not
+
   Scenario: Small accounts are answered while a large one floods a real node
     Given a node before slow engines with a large and a small account
     When the large account sends four times what the engines can do
--- a/tests/features/settings.feature
+++ b/tests/features/settings.feature
@@ -20,7 +20,7 @@
     When the settings are read
     Then these problems are found
       | section | key  | value | allowed                                                                          |
-      | logg    |      |       | node, listen, platform, security, timing, calls, trace, log, seeds (nearest: log)       |
+      | logg    |      |       | node, listen, platform, security, timing, calls, limits, trace, log, seeds (nearest: log) |
       | node    | nmae |       | name, region, failure_domain (nearest: name)                                     |
 
   Scenario: Values out of bounds and out of order
--- a/tests/features/steps/overload_places_steps.py
+++ b/tests/features/steps/overload_places_steps.py
@@ -12,6 +12,7 @@
     declarations,
     ids,
 )
+from standins import processes, system
 from tests import small_engines, small_parts
 
 
@@ -111,3 +112,24 @@
         weight=weight,
     )
     return _admission.compute_weight(account)
+
+
+@behave.given("a node whose settings let it hold one mebibyte")
+def step_settings(context):
+    context.system = system.System(
+        first_port=context.first_port, settings={"limits": {"held_bytes": 1_048_576}}
+    )
+    context.add_cleanup(context.system.processes.close)
+    context.system.start_all(nodes=1)
+
+
+@behave.then(
+    'a prompt of {count:d} words is refused as "{code}" and a short one is not'
+)
+def step_long_prompt(context, count, code):
+    refused = context.system.ask("node-1", "why " * count)
+    assert refused.status != 200 and refused.read_json()["code"] == code, refused
+    processes.wait_for(
+        lambda: context.system.ask("node-1", "why", max_tokens=1).status == 200,
+        "an answer to a short prompt",
+    )
