Keep a node alive through a controller's fault; log the end of each request

Cause: a controller that raised on a tick ended the node, and a fault on an event that waited its turn reached the task that had posted another one. Lines of requests carried no ids, since nothing bound them. Change: the shell gives a fault to the task that posted the event, and logs and counts the others (jujubepass_faults_total); each request logs its end with ids, kind, outcome, backend servers and time.

--- a/src/jujubepass/_callers.py
+++ b/src/jujubepass/_callers.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import json
+import logging
 import math
 import typing
 import urllib.parse
@@ -16,6 +17,7 @@
     _caller_input,
     _http_server,
     _limit_messages,
+    _logs,
     _mailboxes,
     _metrics,
     _node_messages,
@@ -24,6 +26,8 @@
     reasons,
 )
 
+_LOGGER = logging.getLogger(__name__)
+
 _COMPLETION_PATHS = ("/v1/completions", "/v1/chat/completions")
 _SERVICE_PREFIX = "/services/"
 _CALL_PREFIX = "/v1/calls/"
@@ -155,20 +159,34 @@
         self,
         event: _limit_messages.Arrival | _call_messages.CallAsked,
         writer: "_AnswerWriter",
-        kind: typing.Any,
+        kind: _metrics.RequestKind,
     ) -> None:
         mailbox = self.mailboxes.open(event.request)
         outcome = _metrics.RequestOutcome.CALLER_GONE
-        try:
-            self.post(event)
-            with trio.CancelScope(deadline=_bound_time(event)):
-                outcome = await _write_replies(writer, mailbox)
-        finally:
-            self.mailboxes.close(event.request)
-            self.metrics.count_request(kind, outcome)
-            if outcome is _metrics.RequestOutcome.CALLER_GONE:
-                self.post(_answer_messages.CallerLeft(request=event.request))
-            self.post(_limit_messages.RequestEnded(request=event.request))
+        arrived_at = trio.current_time()
+        with _logs.bind_fields(request=event.request, account=event.account):
+            try:
+                self.post(event)
+                with trio.CancelScope(deadline=_bound_time(event)):
+                    outcome = await _write_replies(writer, mailbox)
+            finally:
+                self.mailboxes.close(event.request)
+                self.metrics.count_request(kind, outcome)
+                if outcome is _metrics.RequestOutcome.CALLER_GONE:
+                    self.post(_answer_messages.CallerLeft(request=event.request))
+                self.post(_limit_messages.RequestEnded(request=event.request))
+                seconds = trio.current_time() - arrived_at
+                _log_end(kind, outcome, mailbox.backends, seconds)
+
+
+def _log_end(
+    kind: _metrics.RequestKind,
+    outcome: _metrics.RequestOutcome,
+    backends: str,
+    seconds: float,
+) -> None:
+    fields = {"kind": kind.value, "outcome": outcome.value, "backends": backends}
+    _LOGGER.info("request ended", extra={**fields, "seconds": round(seconds, 4)})
 
 
 def _bound_time(event: _limit_messages.Arrival | _call_messages.CallAsked) -> float:
--- a/src/jujubepass/_node.py
+++ b/src/jujubepass/_node.py
@@ -75,22 +75,17 @@
     blackboard = _make_blackboard(node_settings)
     metrics = _metrics.Metrics(version=__version__)
     _node_metrics.add_life_metrics(metrics, blackboard)
-    controllers = _make_controllers(node_settings, blackboard, metrics)
     recorder = _node_answers.make_recorder(node_settings, blackboard)
     dispatcher = _dispatch.Dispatcher(
-        controllers=controllers,
+        controllers=_make_controllers(node_settings, blackboard, metrics),
         recorder=recorder,
         pause_seconds=node_settings.timing.pause_seconds,
     )
     mailboxes = _mailboxes.Mailboxes()
     verdicts = _operators.Verdicts()
-    listen = node_settings.listen
     async with trio.open_nursery() as nursery:
         shell = _shell.Shell(dispatcher=dispatcher, nursery=nursery)
-        _connect_platform(shell, node_settings)
-        _connect_backends(shell, mailboxes)
-        _connect_requests(shell, mailboxes, verdicts)
-        await _connect_peers(shell, node_settings, nursery, metrics)
+        await _connect(shell, node_settings, mailboxes, verdicts, metrics)
         operator_api = _operators.OperatorApi(
             blackboard=blackboard,
             metrics=metrics,
@@ -99,6 +94,7 @@
             key_hash=node_settings.security.operator_key_hash,
             recorder=recorder,
         )
+        await _serve_operators(operator_api, node_settings.listen.operators, nursery)
         caller_api = _callers.CallerApi(
             blackboard=blackboard,
             mailboxes=mailboxes,
@@ -106,17 +102,30 @@
             post=shell.post,
             new_request_id=_new_request_id,
         )
-        callers = _http_server.Server(handler=caller_api, limits=_make_limits(listen))
+        limits = _make_limits(node_settings.listen)
+        callers = _http_server.Server(handler=caller_api, limits=limits)
         _node_metrics.add_limit_metrics(metrics, blackboard, callers)
-        nursery.start_soon(_read_wall_clock, shell)
-        nursery.start_soon(_tick, shell, node_settings.timing.tick_seconds, metrics)
-        await _serve_operators(operator_api, listen.operators, nursery)
+        _start_clocks(shell, node_settings, metrics, nursery)
         await _shutdown.serve_callers(shell, callers, node_settings)
         nursery.cancel_scope.cancel()
     _LOGGER.info("node %s has stopped", blackboard.identity.node)
     return _EXIT_DONE
 
 
+async def _connect(
+    shell: _shell.Shell,
+    node_settings: settings.Settings,
+    mailboxes: _mailboxes.Mailboxes,
+    verdicts: _operators.Verdicts,
+    metrics: _metrics.Metrics,
+) -> None:
+    """Say who executes each type of command."""
+    _connect_platform(shell, node_settings)
+    _connect_backends(shell, mailboxes)
+    _connect_requests(shell, mailboxes, verdicts)
+    await _connect_peers(shell, node_settings, shell.nursery, metrics)
+
+
 async def _serve_operators(
     api: _operators.OperatorApi, address: _http_client.Address, nursery: trio.Nursery
 ) -> None:
@@ -124,9 +133,19 @@
     await nursery.start(server.serve, address.host, address.port)
 
 
+def _start_clocks(
+    shell: _shell.Shell,
+    node_settings: settings.Settings,
+    metrics: _metrics.Metrics,
+    nursery: trio.Nursery,
+) -> None:
+    nursery.start_soon(_read_wall_clock, shell)
+    nursery.start_soon(_tick, shell, node_settings.timing.tick_seconds, metrics)
+
+
 async def _read_wall_clock(shell: _shell.Shell) -> None:
     while True:
-        shell.post(_call_messages.WallClockRead(seconds=time.time()))
+        shell.post_or_log(_call_messages.WallClockRead(seconds=time.time()))
         await trio.sleep(_WALL_CLOCK_SECONDS)
 
 
@@ -135,7 +154,7 @@
 ) -> None:
     event = _node_messages.Tick()
     while True:
-        shell.post(event)
+        shell.post_or_log(event)
         due = trio.current_time() + tick_seconds
         await trio.sleep_until(due)
         metrics.tick_delay.observe(trio.current_time() - due)
--- a/src/jujubepass/_node_metrics.py
+++ b/src/jujubepass/_node_metrics.py
@@ -10,6 +10,11 @@
     metrics.add_labelled_counter(
         "commands", "Commands executed, by type.", "command", shell.count_executed
     )
+    metrics.add_counter(
+        "faults",
+        "Events and commands that failed inside the node; each is logged.",
+        lambda: shell.faults,
+    )
 
 
 def add_peer_metrics(
--- a/src/jujubepass/_shell.py
+++ b/src/jujubepass/_shell.py
@@ -24,6 +24,7 @@
 
     dispatcher: _dispatch.Dispatcher
     nursery: trio.Nursery
+    faults: int = attrs.field(default=0, init=False)
     _immediate: dict[type, Execute] = attrs.field(factory=dict, init=False)
     _spawned: dict[type, ExecuteAsync] = attrs.field(factory=dict, init=False)
     _events: collections.deque[typing.Any] = attrs.field(
@@ -33,7 +34,6 @@
     _executed: collections.Counter[type] = attrs.field(
         factory=collections.Counter, init=False
     )
-
     _running: collections.Counter[type] = attrs.field(
         factory=collections.Counter, init=False
     )
@@ -47,21 +47,42 @@
         self._spawned[command_type] = execute
 
     def post(self, event: _dispatch.Event) -> None:
-        """Dispatch an event; one that comes up meanwhile waits its turn."""
-        self._events.append(event)
+        """Dispatch an event; one that comes up meanwhile waits its turn.
+
+        Raises what a controller raised on this event, not on those that waited.
+        """
         if self._dispatching:
+            self._events.append(event)
             return
         self._dispatching = True
         try:
-            while self._events:
-                commands = self.dispatcher.dispatch(
-                    self._events.popleft(), trio.current_time()
-                )
-                for command in commands:
-                    self._execute(command)
+            self._carry_out(event)
         finally:
+            while self._events:
+                self._carry_out_or_log(self._events.popleft())
             self._dispatching = False
 
+    def post_or_log(self, event: _dispatch.Event) -> None:
+        """Dispatch an event that nobody waits for; log and count a fault."""
+        try:
+            self.post(event)
+        except Exception:
+            self._count_fault(event)
+
+    def _carry_out(self, event: _dispatch.Event) -> None:
+        for command in self.dispatcher.dispatch(event, trio.current_time()):
+            self._execute(command)
+
+    def _carry_out_or_log(self, event: _dispatch.Event) -> None:
+        try:
+            self._carry_out(event)
+        except Exception:
+            self._count_fault(event)
+
+    def _count_fault(self, event: _dispatch.Event) -> None:
+        self.faults += 1
+        _LOGGER.exception("event failed: %s", type(event).__name__)
+
     def count_executed(self) -> dict[str, float]:
         """Return how many commands of each type were executed."""
         return {each.__name__: count for each, count in self._executed.items()}
@@ -84,6 +105,7 @@
         try:
             await spawned(command)
         except Exception:
+            self.faults += 1
             _LOGGER.exception("command failed: %s", type(command).__name__)
         finally:
             self._running[type(command)] -= 1
