Admit as many requests as keep the scarcest layer busy, not as it has batch places

Cause: admission counted the batch places of the scarcest layer. Change: places by Little's law, the scarcest layer's tokens a second times the time of a token through all stages, a step and one step's wait at each stage that hands on.

--- a/src/jujubepass/_capacity.py
+++ b/src/jujubepass/_capacity.py
@@ -7,13 +7,17 @@
 
 from jujubepass import _backend_messages, _blackboard, ids
 
+# A token that comes from another stage meets a step that runs: one batch gathers while
+# another runs, so that an engine never waits for work.
+_STEPS_PER_VISIT = 2.0
+_LEAST_STEP_SECONDS = 1e-6
 _SAMPLE_WEIGHT = 0.1
 _DEVIATIONS = 3.0
 
 
 @attrs.frozen(kw_only=True)
 class Slots:
-    """Hold the batch places of a model's scarcest layer and how many are taken."""
+    """Hold how many requests keep a model's scarcest layer busy, and how many run."""
 
     total: int
     taken: int
@@ -39,42 +43,75 @@
         reports.setdefault(ids.ModelId(report.model), []).append(report)
     capacities = {}
     for name, model in blackboard.configuration.declared.models.items():
-        slots = _find_scarcest(reports.get(name, []), model.layers)
-        if slots is not None:
-            token_seconds = _estimate_token_seconds(reports[name], model.layers)
-            capacities[name] = Capacity(slots=slots, token_seconds=token_seconds)
+        found = reports.get(name, [])
+        scarcest = _find_scarcest(found, model.layers)
+        if scarcest is None:
+            continue
+        token_seconds = _estimate_token_seconds(found, model.layers)
+        slots = _count_slots(scarcest, token_seconds)
+        capacities[name] = Capacity(slots=slots, token_seconds=token_seconds)
     return capacities
 
 
+@attrs.frozen(kw_only=True)
+class _Layer:
+    """Hold what the engines that hold one layer do together."""
+
+    tokens_per_second: float
+    places: int
+    taken: int
+
+
+def _count_slots(scarcest: _Layer, token_seconds: float) -> Slots:
+    """Count the requests that keep the scarcest layer busy, by Little's law.
+
+    A request of several stages takes a place at one of them at a time.
+    """
+    busy = round(scarcest.tokens_per_second * token_seconds)
+    return Slots(total=max(scarcest.places, busy), taken=scarcest.taken)
+
+
 def _estimate_token_seconds(
     reports: list[_backend_messages.LoadReport], layers: int
 ) -> float:
-    """Estimate the time for one token from mean steps and mean layer ranges."""
+    """Estimate the time for one token from mean steps, links and layer ranges."""
     spans = sum(report.end_layer - report.first_layer for report in reports)
-    steps = sum(report.step_seconds for report in reports)
-    return steps * layers / spans
+    visits = sum(_estimate_visit_seconds(report, layers) for report in reports)
+    return visits * layers / spans
+
+
+def _estimate_visit_seconds(report: _backend_messages.LoadReport, layers: int) -> float:
+    """Estimate a token's time at one stage and on the link to the next."""
+    if report.end_layer - report.first_layer >= layers:
+        return report.step_seconds
+    # Routes favour short links.
+    link = min(report.link_seconds.values(), default=0.0)
+    return report.step_seconds * _STEPS_PER_VISIT + link
 
 
 def _find_scarcest(
     reports: list[_backend_messages.LoadReport], layers: int
-) -> Slots | None:
-    total: collections.Counter[int] = collections.Counter()
-    taken: collections.Counter[int] = collections.Counter()
+) -> _Layer | None:
+    changes: dict[int, list[tuple[float, int, int]]] = collections.defaultdict(list)
     for report in reports:
-        total[report.first_layer] += report.max_batch
-        total[report.end_layer] -= report.max_batch
-        taken[report.first_layer] += report.running + report.waiting
-        taken[report.end_layer] -= report.running + report.waiting
-    places, busy, scarcest = 0, 0, None
-    for layer in sorted({0, *total}):
-        places += total[layer]
-        busy += taken[layer]
+        rate = report.max_batch / max(report.step_seconds, _LEAST_STEP_SECONDS)
+        taken = report.running + report.waiting
+        changes[report.first_layer].append((rate, report.max_batch, taken))
+        changes[report.end_layer].append((-rate, -report.max_batch, -taken))
+    rate, places, taken, scarcest = 0.0, 0, 0, None
+    for layer in sorted({0, *changes}):
+        for change in changes[layer]:
+            rate, places, taken = (
+                rate + change[0],
+                places + change[1],
+                taken + change[2],
+            )
         if layer >= layers:
             break
         if places == 0:
             return None
-        if scarcest is None or places < scarcest.total:
-            scarcest = Slots(total=places, taken=busy)
+        if scarcest is None or rate < scarcest.tokens_per_second:
+            scarcest = _Layer(tokens_per_second=rate, places=places, taken=taken)
     return scarcest
 
 
