--- a/src/jujubepass/_call_sweep.py
+++ b/src/jujubepass/_call_sweep.py
@@ -89,7 +89,9 @@
         own = self.blackboard.identity.node
         for step in range(1, _call_rows.SHARDS + 1):
             shard = (self._shard + step) % _call_rows.SHARDS
-            if max(nodes, key=lambda node: _weigh(node, shard)) == own:
+            weight = _weigh(own, shard)
+            # Looking for one that weighs more ends early on all but the own shards.
+            if not any(_weigh(node, shard) > weight for node in nodes):
                 self._shard = shard
                 return True
         return False
