Read the list of VMs only when it has changed, and leave out rows that cannot be read

One row of an unknown role or without an address hid the whole list. Ruled out: a list of changes, which the platform's interface does not give. Change: If-None-Match and 304, HTTP's own way, where the platform gives an ETag; rows seen before are not parsed again; a row that cannot be read is logged once and left out.

--- a/src/jujubepass/_vm_client.py
+++ b/src/jujubepass/_vm_client.py
@@ -1,41 +1,81 @@
 """Client of the platform's list of VMs."""
 
 import collections.abc
+import logging
 import typing
 
 import attrs
 
 from jujubepass import _backend_messages, _http_client, ids
 
+_LOGGER = logging.getLogger(__name__)
+
 _TIMEOUT_SECONDS = 2.0
+_NOT_MODIFIED = 304
 
+Row = dict[str, typing.Any]
 Post = collections.abc.Callable[[typing.Any], None]
 
 
 @attrs.define(kw_only=True)
 class VmClient:
-    """Read the list and post it."""
+    """Read the list and post it; a list that has not changed is not read again."""
 
     client: _http_client.Client
     address: _http_client.Address
     post: Post
+    _etag: str = attrs.field(default="", init=False)
+    _age_seconds: float = attrs.field(default=0.0, init=False)
+    _vms: tuple[_backend_messages.Vm, ...] = attrs.field(default=(), init=False)
+    _read: dict[str, tuple[Row, _backend_messages.Vm]] = attrs.field(
+        factory=dict, init=False
+    )
+    _rejected: frozenset[str] = attrs.field(default=frozenset(), init=False)
 
     async def poll(self, command: _backend_messages.PollVms) -> None:
         """Read the list once."""
+        headers = {"if-none-match": self._etag} if self._etag else {}
         try:
             answer = await self.client.request(
-                "GET", self.address, "/vms", timeout_seconds=_TIMEOUT_SECONDS
+                "GET",
+                self.address,
+                "/vms",
+                headers=headers,
+                timeout_seconds=_TIMEOUT_SECONDS,
             )
-            found = answer.read_json()
-            vms = tuple(_read_vm(row) for row in found["vms"])
-            age = float(found["as_of_seconds_ago"])
+            if answer.status != _NOT_MODIFIED:
+                self._keep(answer)
+            age = float(answer.headers.get("age", self._age_seconds))
         except (_http_client.ClientError, KeyError, TypeError, ValueError) as error:
             self.post(_backend_messages.VmsUnlisted(detail=str(error)))
             return
-        self.post(_backend_messages.VmsListed(vms=vms, age_seconds=age))
+        self.post(_backend_messages.VmsListed(vms=self._vms, age_seconds=age))
+
+    def _keep(self, answer: _http_client.Answer) -> None:
+        found = answer.read_json()
+        rows: list[Row] = found["vms"]
+        self._age_seconds = float(found["as_of_seconds_ago"])
+        rejected = set()
+        read = {}
+        for row in rows:
+            name = str(row["name"])
+            known = self._read.get(name)
+            if known is not None and known[0] == row:
+                read[name] = known
+                continue
+            try:
+                read[name] = (row, _read_vm(row))
+            except (KeyError, TypeError, ValueError) as error:
+                rejected.add(name)
+                if name not in self._rejected:
+                    _LOGGER.warning("VM %s in the list is left out: %r", name, error)
+        self._read = read
+        self._rejected = frozenset(rejected)
+        self._vms = tuple(vm for _, vm in read.values())
+        self._etag = answer.headers.get("etag", "")
 
 
-def _read_vm(row: dict[str, typing.Any]) -> _backend_messages.Vm:
+def _read_vm(row: Row) -> _backend_messages.Vm:
     properties = row.get("properties") or {}
     return _backend_messages.Vm(
         name=row["name"],
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import copy
+import hashlib
 import json
 import logging
 import random
@@ -62,7 +63,9 @@
         self._read_rate = rates.RateLimit(longest_wait_seconds=_LONGEST_WAIT_SECONDS)
         self._weight_rate = rates.RateLimit(longest_wait_seconds=0.0)
         self._counts = dict.fromkeys(
-            ["transactions", "conflicts", "writes", "reads", "scans", "refused"], 0
+            ("transactions", "conflicts", "writes", "reads", "scans", "refused")
+            + ("vm_lists", "vm_lists_unchanged"),
+            0,
         )
 
     async def handle(self, request: _http_server.Request, responder: Responder) -> None:
@@ -186,7 +189,7 @@
     ) -> None:
         name = path.removeprefix("/vms").strip("/")
         if request.method == "GET":
-            await self._show_vms(responder)
+            await self._show_vms(request, responder)
             return
         if request.method == "PUT" and not name:
             self._vms |= {vm["name"]: vm for vm in json.loads(request.body)["vms"]}
@@ -198,7 +201,9 @@
         self._vm_snapshots = [*self._vm_snapshots[-_VM_SNAPSHOTS:], snapshot]
         await responder.send(200, b"{}")
 
-    async def _show_vms(self, responder: Responder) -> None:
+    async def _show_vms(
+        self, request: _http_server.Request, responder: Responder
+    ) -> None:
         if self.settings.vms_down:
             await self._refuse(responder)
             return
@@ -208,8 +213,16 @@
         for changed_at, vms in self._vm_snapshots:
             if changed_at <= as_of:
                 seen = vms.values()
-        answer = {"vms": list(seen), "as_of_seconds_ago": lag}
-        await responder.send_json(200, answer)
+        answer = json.dumps({"vms": list(seen), "as_of_seconds_ago": lag}).encode()
+        etag = f'"{hashlib.sha256(answer).hexdigest()[:16]}"'
+        headers = {"etag": etag, "age": f"{lag:g}"}
+        if request.headers.get("if-none-match") == etag:
+            self._counts["vm_lists_unchanged"] += 1
+            await responder.start(304, headers)
+            await responder.finish()
+        else:
+            self._counts["vm_lists"] += 1
+            await responder.send(200, answer, headers=headers)
 
 
 @cappa.command(name="platform")
