--- a/src/jujubepass/_callers.py
+++ b/src/jujubepass/_callers.py
@@ -157,7 +157,7 @@
 
     async def _serve(
         self,
-        event: _limit_messages.Arrival | _call_messages.CallAsked,
+        event: _limit_messages.Arrival,
         writer: "_AnswerWriter",
         kind: _metrics.RequestKind,
     ) -> None:
@@ -189,7 +189,7 @@
     _LOGGER.info("request ended", extra={**fields, "seconds": round(seconds, 4)})
 
 
-def _bound_time(event: _limit_messages.Arrival | _call_messages.CallAsked) -> float:
+def _bound_time(event: _limit_messages.Arrival) -> float:
     """Return when a caller that does not read its answer is given up on."""
     if isinstance(event, _call_messages.CallAsked):
         return trio.current_time() + _QUESTION_SECONDS
--- a/tests/features/overload.feature
+++ b/tests/features/overload.feature
@@ -16,6 +16,9 @@
   Scenario: The fair queue serves by weight and loses nothing
     Then any mix of accounts is served whole and each backlogged one by its weight
 
+  Scenario: Each step of priority halves an account's part
+    Then an account of any weight gets half the part at each next priority
+
   Scenario: A request that left the queue is neither started nor refused later
     Given a node whose engines are full and one waiting request
     When the waiting request's caller leaves
@@ -26,6 +29,13 @@
     When time passes without a free place
     Then it is refused once as "deadline_unreachable" while its caller still waits
 
+  Scenario: An answer that is replaced after a gap keeps its place
+    Given a node whose only place is taken and one waiting request
+    When the engines end the running answer before its last token
+    Then the answer is started again and the waiting request still waits
+    When the engines end the running answer whole
+    Then the waiting request is started
+
   Scenario: A node at its bounds refuses early
     Given a node bounded to 5 requests
     When 8 requests arrive
