Remove the explain command, which no node serves

Cause: explain asked /operator/explanations/ID, and every node answers 404. Ruled out: a ring of recent outcomes by request id; no place writes an outcome whole, and the logs carry the id already.

--- a/src/jujubepass/_operator_client.py
+++ b/src/jujubepass/_operator_client.py
@@ -3,7 +3,6 @@
 import collections.abc
 import json
 import typing
-import urllib.parse
 
 import attrs
 import trio
@@ -70,11 +69,6 @@
         """Read the configuration in force: its number, digest and sections."""
         return await self._read("/operator/configuration")
 
-    async def read_explanation(self, request: ids.RequestId) -> Json:
-        """Read why a request was routed or refused as it was."""
-        name = urllib.parse.quote(request, safe="")
-        return await self._read(f"/operator/explanations/{name}")
-
     async def post_change(self, change: Change) -> Json:
         """Offer a change; posting it again with the same id does no harm."""
         body = json.dumps(attrs.asdict(change)).encode()
--- a/src/jujubepass/_operator_commands.py
+++ b/src/jujubepass/_operator_commands.py
@@ -1,4 +1,4 @@
-"""Commands that ask a node: status, plan, apply, retire, drain, add, explain."""
+"""Commands that ask a node: status, plan, apply, retire, drain, add."""
 
 import collections.abc
 import os
@@ -76,17 +76,6 @@
     return _report.report_value(await client.read_status())
 
 
-def explain(request: str) -> Operation:
-    """Show why a request was routed or refused as it was."""
-
-    async def operate(client: _operator_client.OperatorClient) -> _report.Report:
-        """Ask the node."""
-        answer = await client.read_explanation(ids.RequestId(request))
-        return _report.report_value(answer)
-
-    return operate
-
-
 def plan(paths: tuple[pathlib.Path, ...]) -> Operation:
     """Show what applying the declarations would change."""
 
--- a/src/jujubepass/cli.py
+++ b/src/jujubepass/cli.py
@@ -291,22 +291,6 @@
         return _local_commands.replay(self.trace, self.policy)
 
 
-@_declare(
-    "explain",
-    "Show why a request was routed or refused as it was.",
-    f"explain 5f0c9a {_NODE_EXAMPLE}",
-)
-@attrs.frozen(kw_only=True)
-class Explain(_NodeCommand):
-    """Show why a request was routed or refused as it was."""
-
-    request: typing.Annotated[str, cappa.Arg(help="Id of the request.")]
-
-    def run(self) -> _report.Report:
-        """Ask the node."""
-        return self._ask(_operator_commands.explain(self.request))
-
-
 @_declare("settings", "Show the reference of all settings.", "settings")
 @attrs.frozen(kw_only=True)
 class ShowSettings(_LocalCommand):
@@ -346,7 +330,6 @@
         | Add
         | Status
         | Replay
-        | Explain
         | ShowSettings
         | Version
     ]
