Count configurations whose digest does not come out

Cause: a wrong copy was counted on the blackboard and shown in the log alone. No test brings about a mismatch on a running node.

--- a/src/jujubepass/_node_metrics.py
+++ b/src/jujubepass/_node_metrics.py
@@ -76,6 +76,12 @@
 ) -> None:
     """Expose pauses, membership and backend servers that leave."""
     node, membership = blackboard.node, blackboard.membership
+    configuration = blackboard.configuration
+    metrics.add_counter(
+        "configuration_digest_mismatches",
+        "Changes not installed as their digest did not come out.",
+        lambda: configuration.digest_mismatches,
+    )
     metrics.add_counter("pauses", "Pauses of this process.", lambda: node.pauses)
     metrics.add_counter(
         "paused_seconds", "Time paused, in seconds.", lambda: node.paused_seconds
