--- a/src/jujubepass/_stall_watch.py
+++ b/src/jujubepass/_stall_watch.py
@@ -61,6 +61,8 @@
     def _push_next(self, answer: _answer_area.Answer, now: float) -> None:
         bounds = self.attempts.recovery.bound_silence(answer)
         at = answer.progress_at + bounds.probe_seconds
+        if at <= now:
+            at = answer.progress_at + bounds.doubt_seconds
         if at <= now:
             at = now + _SHORTEST_PROBE_SECONDS
         self._push(answer, at)
@@ -158,9 +160,11 @@
         self, answer: _answer_area.Answer, now: float
     ) -> list[_dispatch.Command]:
         """Deal with silence while every stage answers."""
+        bounds = self.attempts.recovery.bound_silence(answer)
+        if now - answer.progress_at < bounds.doubt_seconds:
+            return []
         reason = reasons.RetryReason.STAGE_STALLED
         commands = self._move_if_faster(answer, reason, now)
-        bounds = self.attempts.recovery.bound_silence(answer)
         if commands or now - answer.progress_at < bounds.stall_seconds:
             return commands
         answer.patience = min(_MOST_PATIENCE, 2.0 * answer.patience)
