Probe silent stages again after 40 ms

Cause: after a probe that all stages answered, the next one came 0.1 s later, so news of a slowed stage waited up to 0.1 s more than its report's lag. Change: the next probe comes after 40 ms; answers at one engine still share it.

--- a/src/jujubepass/_stall_watch.py
+++ b/src/jujubepass/_stall_watch.py
@@ -17,6 +17,7 @@
 )
 
 _SHORTEST_PROBE_SECONDS = 0.1
+_PROBE_AGAIN_SECONDS = 0.04
 _LONGEST_PROBE_SECONDS = 0.5
 _POLL_TIMES = 8.0
 _PROBE_LOST_SECONDS = 1.0
@@ -64,7 +65,7 @@
         if at <= now:
             at = answer.progress_at + bounds.doubt_seconds
         if at <= now:
-            at = now + _SHORTEST_PROBE_SECONDS
+            at = now + _PROBE_AGAIN_SECONDS
         self._push(answer, at)
 
     def _check(
