--- a/standins/platform.py
+++ b/standins/platform.py
@@ -63,8 +63,10 @@
         self._read_rate = rates.RateLimit(longest_wait_seconds=_LONGEST_WAIT_SECONDS)
         self._weight_rate = rates.RateLimit(longest_wait_seconds=0.0)
         self._counts = dict.fromkeys(
-            ("transactions", "conflicts", "writes", "reads", "scans", "refused")
-            + ("vm_lists", "vm_lists_unchanged"),
+            (
+                *("transactions", "conflicts", "writes", "reads", "scans", "refused"),
+                *("vm_lists", "vm_lists_unchanged"),
+            ),
             0,
         )
 
