--- a/src/jujubepass/_node_metrics.py
+++ b/src/jujubepass/_node_metrics.py
@@ -10,6 +10,11 @@
     metrics.add_labelled_counter(
         "commands", "Commands executed, by type.", "command", shell.count_executed
     )
+    metrics.add_counter(
+        "faults",
+        "Events and commands that failed inside the node; each is logged.",
+        lambda: shell.faults,
+    )
 
 
 def add_peer_metrics(
@@ -76,6 +81,12 @@
 ) -> None:
     """Expose pauses, membership and backend servers that leave."""
     node, membership = blackboard.node, blackboard.membership
+    configuration = blackboard.configuration
+    metrics.add_counter(
+        "configuration_digest_mismatches",
+        "Changes not installed as their digest did not come out.",
+        lambda: configuration.digest_mismatches,
+    )
     metrics.add_counter("pauses", "Pauses of this process.", lambda: node.pauses)
     metrics.add_counter(
         "paused_seconds", "Time paused, in seconds.", lambda: node.paused_seconds
