Admit what the target's pace between tokens allows

Ruled out: the measured time of a token instead of the estimate, which feeds on itself. Change: requests of several stages may have the target's 30 ms between tokens, or the estimate where that is longer.

--- a/src/jujubepass/_capacity.py
+++ b/src/jujubepass/_capacity.py
@@ -10,6 +10,7 @@
 # A token that comes from another stage meets a step that runs: one batch gathers while
 # another runs, so that an engine never waits for work.
 _STEPS_PER_VISIT = 2.0
+_TARGET_PACE_SECONDS = 0.030
 _LEAST_STEP_SECONDS = 1e-6
 _SAMPLE_WEIGHT = 0.1
 _DEVIATIONS = 3.0
@@ -48,7 +49,7 @@
         if scarcest is None:
             continue
         token_seconds = _estimate_token_seconds(found, model.layers)
-        slots = _count_slots(scarcest, token_seconds)
+        slots = _count_slots(scarcest, _choose_pace(found, model.layers, token_seconds))
         capacities[name] = Capacity(slots=slots, token_seconds=token_seconds)
     return capacities
 
@@ -62,12 +63,25 @@
     taken: int
 
 
-def _count_slots(scarcest: _Layer, token_seconds: float) -> Slots:
-    """Count the requests that keep the scarcest layer busy, by Little's law.
+def _choose_pace(
+    reports: list[_backend_messages.LoadReport], layers: int, token_seconds: float
+) -> float:
+    """Return the time between tokens that requests at the engines may have.
 
     A request of several stages takes a place at one of them at a time.
     """
-    busy = round(scarcest.tokens_per_second * token_seconds)
+    if all(_holds_all(report, layers) for report in reports):
+        return token_seconds
+    return max(token_seconds, _TARGET_PACE_SECONDS)
+
+
+def _holds_all(report: _backend_messages.LoadReport, layers: int) -> bool:
+    return report.end_layer - report.first_layer >= layers
+
+
+def _count_slots(scarcest: _Layer, pace_seconds: float) -> Slots:
+    """Count the requests that keep the scarcest layer busy, by Little's law."""
+    busy = round(scarcest.tokens_per_second * pace_seconds)
     return Slots(total=max(scarcest.places, busy), taken=scarcest.taken)
 
 
@@ -82,7 +96,7 @@
 
 def _estimate_visit_seconds(report: _backend_messages.LoadReport, layers: int) -> float:
     """Estimate a token's time at one stage and on the link to the next."""
-    if report.end_layer - report.first_layer >= layers:
+    if _holds_all(report, layers):
         return report.step_seconds
     # Routes favour short links.
     link = min(report.link_seconds.values(), default=0.0)
