Say "not run" of a model request or lookup only where nothing went out

Cause: a whole answer given up on after engines had run a part of it was refused with run: no, and so was a lookup that backend servers had been asked; only calls were exact. Change: a refusal after an attempt says incomplete (model) or unknown (lookup). Writers of answers have a module of their own, and calls and lookups are read in one way. The scenario kills the second half's engines while a whole answer is made; before, its refusal said no.

--- /dev/null
+++ b/src/jujubepass/_answer_writers.py
@@ -0,0 +1,202 @@
+"""Writers of what callers get back."""
+
+import collections.abc
+import json
+import math
+import typing
+
+import attrs
+
+from jujubepass import (
+    _answer_messages,
+    _call_messages,
+    _http_server,
+    _mailboxes,
+    _metrics,
+    ids,
+    reasons,
+)
+
+_RUN_BY_REASON = {
+    reasons.RefusalReason.OUTCOME_UNKNOWN: "unknown",
+    reasons.RefusalReason.ANSWER_NOT_KEPT: "yes",
+}
+_EVENT_STREAM = "text/event-stream"
+
+
+@attrs.define(kw_only=True)
+class AnswerWriter:
+    """Write the replies of one request to its caller."""
+
+    # What a refusal says of a request that went to a backend server before.
+    run_when_sent: typing.ClassVar[str] = "incomplete"
+
+    node: ids.NodeId
+    metrics: _metrics.Metrics
+    responder: _http_server.Responder
+    request: ids.RequestId
+
+    async def write(
+        self,
+        replies: collections.abc.Sequence[_mailboxes.Reply],
+        mailbox: _mailboxes.Mailbox,
+    ) -> _metrics.RequestOutcome | None:
+        """Write what is ready; return the outcome once it is known."""
+        raise NotImplementedError
+
+    def _describe(self, mailbox: _mailboxes.Mailbox) -> dict[str, str]:
+        return {
+            "x-jujubepass-node": self.node,
+            "x-jujubepass-request": self.request,
+            "x-jujubepass-backend": mailbox.backends,
+        }
+
+    async def _refuse(
+        self, refusal: _answer_messages.Refuse, mailbox: _mailboxes.Mailbox
+    ) -> _metrics.RequestOutcome:
+        self.metrics.count_refusal(refusal.reason)
+        unknown = refusal.reason is reasons.RefusalReason.OUTCOME_UNKNOWN
+        sent = self.run_when_sent if mailbox.backends else "no"
+        run = _RUN_BY_REASON.get(refusal.reason, sent)
+        await self.responder.send_problem(
+            refusal.reason.status,
+            refusal.reason.code,
+            refusal.detail,
+            retry_after_seconds=max(1, math.ceil(refusal.retry_after_seconds)),
+            extra={"request": self.request, "run": run},
+        )
+        if unknown:
+            return _metrics.RequestOutcome.UNKNOWN
+        return _metrics.RequestOutcome.REFUSED
+
+
+@attrs.define(kw_only=True)
+class CallWriter(AnswerWriter):
+    """Write the answer of a call, a lookup or a question."""
+
+    run_when_sent: typing.ClassVar[str] = "unknown"
+
+    async def write(
+        self,
+        replies: collections.abc.Sequence[_mailboxes.Reply],
+        mailbox: _mailboxes.Mailbox,
+    ) -> _metrics.RequestOutcome | None:
+        """Write what is ready; return the outcome once it is known."""
+        for reply in replies:
+            if isinstance(reply, _answer_messages.Refuse):
+                return await self._refuse(reply, mailbox)
+            if isinstance(reply, _call_messages.AnswerCall):
+                mailbox.backends = reply.backend
+                await self.responder.send(
+                    reply.status, reply.body.encode(), headers=self._describe(mailbox)
+                )
+                return _metrics.RequestOutcome.ANSWERED
+        return None
+
+
+@attrs.define(kw_only=True)
+class WholeWriter(AnswerWriter):
+    """Write a model's answer once it is whole."""
+
+    _tokens: list[str] = attrs.field(factory=list, init=False)
+
+    async def write(
+        self,
+        replies: collections.abc.Sequence[_mailboxes.Reply],
+        mailbox: _mailboxes.Mailbox,
+    ) -> _metrics.RequestOutcome | None:
+        """Write what is ready; return the outcome once it is known."""
+        for reply in replies:
+            if isinstance(reply, _answer_messages.Refuse):
+                return await self._refuse(reply, mailbox)
+            if isinstance(reply, _answer_messages.DeliverTokens):
+                self._tokens += reply.tokens
+            if isinstance(reply, _answer_messages.FinishAnswer):
+                await self._finish(reply, mailbox)
+                return _metrics.RequestOutcome.ANSWERED
+        return None
+
+    async def _finish(
+        self, reply: _answer_messages.FinishAnswer, mailbox: _mailboxes.Mailbox
+    ) -> None:
+        text = " ".join(self._tokens)
+        choice = {
+            "index": 0,
+            "text": text,
+            "message": {"role": "assistant", "content": text},
+            "finish_reason": reply.end.value,
+        }
+        usage = {"completion_tokens": len(self._tokens)}
+        value = {"id": self.request, "choices": [choice], "usage": usage}
+        await self.responder.send(
+            200, json.dumps(value).encode(), headers=self._describe(mailbox)
+        )
+
+
+@attrs.define(kw_only=True)
+class StreamWriter(AnswerWriter):
+    """Write a model's answer as server-sent events."""
+
+    _written: int = attrs.field(default=0, init=False)
+    _prefix: str = attrs.field(init=False)
+
+    @_prefix.default
+    def _make_prefix(self) -> str:
+        return f'data: {{"id": "{self.request}", "choices": [{{"index": 0, '
+
+    async def write(
+        self,
+        replies: collections.abc.Sequence[_mailboxes.Reply],
+        mailbox: _mailboxes.Mailbox,
+    ) -> _metrics.RequestOutcome | None:
+        """Write what is ready; return the outcome once it is known."""
+        data: list[bytes] = []
+        outcome = None
+        for reply in replies:
+            if isinstance(reply, _answer_messages.DeliverTokens):
+                data += map(self._format_token, reply.tokens)
+            elif isinstance(reply, _answer_messages.FinishAnswer):
+                data.append(_format_end(reply.end))
+                outcome = _metrics.RequestOutcome.ANSWERED
+            elif isinstance(reply, _answer_messages.Refuse):
+                if not self.responder.started and not data:
+                    return await self._refuse(reply, mailbox)
+                data.append(self._format_refusal(reply))
+                outcome = _metrics.RequestOutcome.CUT
+        if data:
+            await self._send(b"".join(data), mailbox)
+        if outcome is not None:
+            await self.responder.finish()
+        return outcome
+
+    async def _send(self, data: bytes, mailbox: _mailboxes.Mailbox) -> None:
+        if not self.responder.started:
+            headers = {"content-type": _EVENT_STREAM, "cache-control": "no-store"}
+            headers |= self._describe(mailbox)
+            headers["transfer-encoding"] = "chunked"
+            await self.responder.start(200, headers)
+        await self.responder.write(data)
+
+    def _format_token(self, token: str) -> bytes:
+        text = json.dumps(f" {token}" if self._written else token)
+        self._written += 1
+        chunk = f'"text": {text}, "delta": {{"content": {text}}}}}]}}\n\n'
+        return (self._prefix + chunk).encode()
+
+    def _format_refusal(self, refusal: _answer_messages.Refuse) -> bytes:
+        self.metrics.count_refusal(refusal.reason)
+        error = {
+            "code": refusal.reason.code,
+            "message": refusal.detail,
+            "retry_after_seconds": max(1, math.ceil(refusal.retry_after_seconds)),
+        }
+        return _format_event({"id": self.request, "error": error})
+
+
+def _format_event(value: object) -> bytes:
+    return b"data: " + json.dumps(value).encode() + b"\n\n"
+
+
+def _format_end(end: _answer_messages.AnswerEnd) -> bytes:
+    choice = {"index": 0, "text": "", "delta": {}, "finish_reason": end.value}
+    return _format_event({"choices": [choice]}) + b"data: [DONE]\n\n"
--- a/src/jujubepass/_callers.py
+++ b/src/jujubepass/_callers.py
@@ -1,9 +1,7 @@
 """HTTP interface for callers."""
 
 import collections.abc
-import json
 import logging
-import math
 import typing
 import urllib.parse
 
@@ -12,6 +10,7 @@
 
 from jujubepass import (
     _answer_messages,
+    _answer_writers,
     _blackboard,
     _call_messages,
     _caller_input,
@@ -23,7 +22,6 @@
     _node_messages,
     declarations,
     ids,
-    reasons,
 )
 
 _LOGGER = logging.getLogger(__name__)
@@ -31,15 +29,11 @@
 _COMPLETION_PATHS = ("/v1/completions", "/v1/chat/completions")
 _SERVICE_PREFIX = "/services/"
 _CALL_PREFIX = "/v1/calls/"
-_RUN_BY_REASON = {
-    reasons.RefusalReason.OUTCOME_UNKNOWN: "unknown",
-    reasons.RefusalReason.ANSWER_NOT_KEPT: "yes",
-}
 _READ_GRACE_SECONDS = 30.0
 _QUESTION_SECONDS = 60.0
-_EVENT_STREAM = "text/event-stream"
 
 Post = collections.abc.Callable[[typing.Any], None]
+ReadArrival = collections.abc.Callable[..., _limit_messages.Arrival]
 NewRequestId = collections.abc.Callable[[], ids.RequestId]
 
 
@@ -106,11 +100,13 @@
         checked = _caller_input.read_model_request(
             request, account, declared, request_id, trio.current_time()
         )
-        writer: _AnswerWriter
-        if checked.stream:
-            writer = _StreamWriter(api=self, responder=responder, request=request_id)
-        else:
-            writer = _WholeWriter(api=self, responder=responder, request=request_id)
+        writer = self._make_writer(
+            _answer_writers.StreamWriter
+            if checked.stream
+            else _answer_writers.WholeWriter,
+            responder,
+            request_id,
+        )
         await self._serve(checked.event, writer, _metrics.RequestKind.MODEL)
 
     async def _serve_call(
@@ -119,13 +115,8 @@
         responder: _http_server.Responder,
         account: declarations.Account,
     ) -> None:
-        declared = self.blackboard.configuration.declared
-        request_id = self.new_request_id()
-        event = _caller_input.read_call(
-            request, account, declared, request_id, trio.current_time()
-        )
-        writer = _CallWriter(api=self, responder=responder, request=request_id)
-        await self._serve(event, writer, _metrics.RequestKind.CALL)
+        event = self._read(_caller_input.read_call, request, account)
+        await self._serve_event(event, responder, _metrics.RequestKind.CALL)
 
     async def _serve_lookup(
         self,
@@ -133,13 +124,28 @@
         responder: _http_server.Responder,
         account: declarations.Account,
     ) -> None:
+        event = self._read(_caller_input.read_lookup, request, account)
+        await self._serve_event(event, responder, _metrics.RequestKind.LOOKUP)
+
+    def _read(
+        self,
+        read: ReadArrival,
+        request: _http_server.Request,
+        account: declarations.Account,
+    ) -> _limit_messages.Arrival:
         declared = self.blackboard.configuration.declared
-        request_id = self.new_request_id()
-        event = _caller_input.read_lookup(
-            request, account, declared, request_id, trio.current_time()
-        )
-        writer = _CallWriter(api=self, responder=responder, request=request_id)
-        await self._serve(event, writer, _metrics.RequestKind.LOOKUP)
+        now = trio.current_time()
+        return read(request, account, declared, self.new_request_id(), now)
+
+    async def _serve_event(
+        self,
+        event: _limit_messages.Arrival,
+        responder: _http_server.Responder,
+        kind: _metrics.RequestKind,
+    ) -> None:
+        writer_type = _answer_writers.CallWriter
+        writer = self._make_writer(writer_type, responder, event.request)
+        await self._serve(event, writer, kind)
 
     async def _serve_question(
         self,
@@ -152,13 +158,25 @@
         event = _call_messages.CallAsked(
             request=request_id, account=account.name, key=ids.IdempotencyKey(key)
         )
-        writer = _CallWriter(api=self, responder=responder, request=request_id)
-        await self._serve(event, writer, _metrics.RequestKind.LOOKUP)
+        await self._serve_event(event, responder, _metrics.RequestKind.LOOKUP)
+
+    def _make_writer(
+        self,
+        writer_type: type[_answer_writers.AnswerWriter],
+        responder: _http_server.Responder,
+        request: ids.RequestId,
+    ) -> _answer_writers.AnswerWriter:
+        return writer_type(
+            node=self.blackboard.identity.node,
+            metrics=self.metrics,
+            responder=responder,
+            request=request,
+        )
 
     async def _serve(
         self,
         event: _limit_messages.Arrival,
-        writer: "_AnswerWriter",
+        writer: _answer_writers.AnswerWriter,
         kind: _metrics.RequestKind,
     ) -> None:
         mailbox = self.mailboxes.open(event.request)
@@ -197,175 +215,10 @@
 
 
 async def _write_replies(
-    writer: "_AnswerWriter", mailbox: _mailboxes.Mailbox
+    writer: _answer_writers.AnswerWriter, mailbox: _mailboxes.Mailbox
 ) -> _metrics.RequestOutcome:
     while True:
         replies = await mailbox.receive_ready()
         outcome = await writer.write(replies, mailbox)
         if outcome is not None:
             return outcome
-
-
-@attrs.define(kw_only=True)
-class _AnswerWriter:
-    """Write the replies of one request to its caller."""
-
-    api: CallerApi
-    responder: _http_server.Responder
-    request: ids.RequestId
-
-    async def write(
-        self,
-        replies: collections.abc.Sequence[_mailboxes.Reply],
-        mailbox: _mailboxes.Mailbox,
-    ) -> _metrics.RequestOutcome | None:
-        """Write what is ready; return the outcome once it is known."""
-        raise NotImplementedError
-
-    def _describe(self, mailbox: _mailboxes.Mailbox) -> dict[str, str]:
-        return {
-            "x-jujubepass-node": self.api.blackboard.identity.node,
-            "x-jujubepass-request": self.request,
-            "x-jujubepass-backend": mailbox.backends,
-        }
-
-    async def _refuse(
-        self, refusal: _answer_messages.Refuse
-    ) -> _metrics.RequestOutcome:
-        self.api.metrics.count_refusal(refusal.reason)
-        unknown = refusal.reason is reasons.RefusalReason.OUTCOME_UNKNOWN
-        run = _RUN_BY_REASON.get(refusal.reason, "no")
-        await self.responder.send_problem(
-            refusal.reason.status,
-            refusal.reason.code,
-            refusal.detail,
-            retry_after_seconds=max(1, math.ceil(refusal.retry_after_seconds)),
-            extra={"request": self.request, "run": run},
-        )
-        if unknown:
-            return _metrics.RequestOutcome.UNKNOWN
-        return _metrics.RequestOutcome.REFUSED
-
-
-@attrs.define(kw_only=True)
-class _CallWriter(_AnswerWriter):
-    async def write(
-        self,
-        replies: collections.abc.Sequence[_mailboxes.Reply],
-        mailbox: _mailboxes.Mailbox,
-    ) -> _metrics.RequestOutcome | None:
-        """Write what is ready; return the outcome once it is known."""
-        for reply in replies:
-            if isinstance(reply, _answer_messages.Refuse):
-                return await self._refuse(reply)
-            if isinstance(reply, _call_messages.AnswerCall):
-                mailbox.backends = reply.backend
-                await self.responder.send(
-                    reply.status, reply.body.encode(), headers=self._describe(mailbox)
-                )
-                return _metrics.RequestOutcome.ANSWERED
-        return None
-
-
-@attrs.define(kw_only=True)
-class _WholeWriter(_AnswerWriter):
-    _tokens: list[str] = attrs.field(factory=list, init=False)
-
-    async def write(
-        self,
-        replies: collections.abc.Sequence[_mailboxes.Reply],
-        mailbox: _mailboxes.Mailbox,
-    ) -> _metrics.RequestOutcome | None:
-        """Write what is ready; return the outcome once it is known."""
-        for reply in replies:
-            if isinstance(reply, _answer_messages.Refuse):
-                return await self._refuse(reply)
-            if isinstance(reply, _answer_messages.DeliverTokens):
-                self._tokens += reply.tokens
-            if isinstance(reply, _answer_messages.FinishAnswer):
-                await self._finish(reply, mailbox)
-                return _metrics.RequestOutcome.ANSWERED
-        return None
-
-    async def _finish(
-        self, reply: _answer_messages.FinishAnswer, mailbox: _mailboxes.Mailbox
-    ) -> None:
-        text = " ".join(self._tokens)
-        choice = {
-            "index": 0,
-            "text": text,
-            "message": {"role": "assistant", "content": text},
-            "finish_reason": reply.end.value,
-        }
-        usage = {"completion_tokens": len(self._tokens)}
-        value = {"id": self.request, "choices": [choice], "usage": usage}
-        await self.responder.send(
-            200, json.dumps(value).encode(), headers=self._describe(mailbox)
-        )
-
-
-@attrs.define(kw_only=True)
-class _StreamWriter(_AnswerWriter):
-    _written: int = attrs.field(default=0, init=False)
-    _prefix: str = attrs.field(init=False)
-
-    @_prefix.default
-    def _make_prefix(self) -> str:
-        return f'data: {{"id": "{self.request}", "choices": [{{"index": 0, '
-
-    async def write(
-        self,
-        replies: collections.abc.Sequence[_mailboxes.Reply],
-        mailbox: _mailboxes.Mailbox,
-    ) -> _metrics.RequestOutcome | None:
-        """Write what is ready; return the outcome once it is known."""
-        data: list[bytes] = []
-        outcome = None
-        for reply in replies:
-            if isinstance(reply, _answer_messages.DeliverTokens):
-                data += map(self._format_token, reply.tokens)
-            elif isinstance(reply, _answer_messages.FinishAnswer):
-                data.append(_format_end(reply.end))
-                outcome = _metrics.RequestOutcome.ANSWERED
-            elif isinstance(reply, _answer_messages.Refuse):
-                if not self.responder.started and not data:
-                    return await self._refuse(reply)
-                data.append(self._format_refusal(reply))
-                outcome = _metrics.RequestOutcome.CUT
-        if data:
-            await self._send(b"".join(data), mailbox)
-        if outcome is not None:
-            await self.responder.finish()
-        return outcome
-
-    async def _send(self, data: bytes, mailbox: _mailboxes.Mailbox) -> None:
-        if not self.responder.started:
-            headers = {"content-type": _EVENT_STREAM, "cache-control": "no-store"}
-            headers |= self._describe(mailbox)
-            headers["transfer-encoding"] = "chunked"
-            await self.responder.start(200, headers)
-        await self.responder.write(data)
-
-    def _format_token(self, token: str) -> bytes:
-        text = json.dumps(f" {token}" if self._written else token)
-        self._written += 1
-        chunk = f'"text": {text}, "delta": {{"content": {text}}}}}]}}\n\n'
-        return (self._prefix + chunk).encode()
-
-    def _format_refusal(self, refusal: _answer_messages.Refuse) -> bytes:
-        self.api.metrics.count_refusal(refusal.reason)
-        error = {
-            "code": refusal.reason.code,
-            "message": refusal.detail,
-            "retry_after_seconds": max(1, math.ceil(refusal.retry_after_seconds)),
-        }
-        return _format_event({"id": self.request, "error": error})
-
-
-def _format_event(value: object) -> bytes:
-    return b"data: " + json.dumps(value).encode() + b"\n\n"
-
-
-def _format_end(end: _answer_messages.AnswerEnd) -> bytes:
-    choice = {"index": 0, "text": "", "delta": {}, "finish_reason": end.value}
-    return _format_event({"choices": [choice]}) + b"data: [DONE]\n\n"
--- a/src/jujubepass/_node_connections.py
+++ b/src/jujubepass/_node_connections.py
@@ -93,6 +93,10 @@
         mailboxes.note_backends(command.request, names)
         await engines.run_attempt(command)
 
+    async def _send_lookup(command: _call_messages.SendLookup) -> None:
+        mailboxes.note_backends(command.request, [command.backend])
+        await services.send_lookup(command)
+
     shell.spawn_with(_answer_messages.StartAttempt, _run_attempt)
     shell.spawn_with(_answer_messages.CancelAttempt, engines.cancel_attempt)
     shell.spawn_with(_answer_messages.ReleaseCache, engines.release_cache)
@@ -103,7 +107,7 @@
     shell.spawn_with(_order_messages.ReadEngineState, orders.read_state)
     shell.spawn_with(_order_messages.SendOrder, orders.send_order)
     shell.spawn_with(_call_messages.SendCall, services.send_call)
-    shell.spawn_with(_call_messages.SendLookup, services.send_lookup)
+    shell.spawn_with(_call_messages.SendLookup, _send_lookup)
     shell.spawn_with(_call_messages.CancelLookup, services.cancel_lookup)
     shell.spawn_with(_call_messages.AskOutcome, services.ask_outcome)
 
--- a/tests/features/steps/tokens_steps.py
+++ b/tests/features/steps/tokens_steps.py
@@ -1,3 +1,4 @@
+import concurrent.futures
 import random
 import re
 
@@ -129,6 +130,38 @@
     assert stream.tokens == expected[: len(stream.tokens)], stream
 
 
+@behave.when("the second half's engines are killed while a whole answer is made")
+def step_kill_and_wait(context):
+    with concurrent.futures.ThreadPoolExecutor(1) as pool:
+        asked = pool.submit(context.system.ask, "node-1", "why", max_tokens=1_000)
+        processes.wait_for(
+            lambda: any(
+                processes.read_counts(port)["tokens"]
+                for port in context.system.engines.values()
+            ),
+            "a first token",
+        )
+        for spec in faults.ENGINES:
+            if spec.first_layer:
+                context.system.processes.kill(spec.name)
+        context.answer = asked.result()
+
+
+@behave.when("answers are asked for until the node knows that no route is left")
+def step_ask_again(context):
+    def ask():
+        context.answer = context.system.ask("node-1", "why", max_tokens=64)
+        return context.answer.read_json()["run"] != "incomplete"
+
+    processes.wait_for(ask, "a refusal without an attempt")
+
+
+@behave.then('its refusal says that it was run "{run}"')
+def step_run(context, run):
+    assert context.answer.status >= 500, context.answer
+    assert context.answer.read_json()["run"] == run, context.answer
+
+
 @behave.then("a new prompt is refused with Retry-After")
 def step_refused(context):
     answer = context.system.ask("node-1", "is anybody there", max_tokens=4)
--- a/tests/features/tokens.feature
+++ b/tests/features/tokens.feature
@@ -33,6 +33,13 @@
     Then the answer ends with an error, a part of the right tokens and a time to retry
     And a new prompt is refused with Retry-After
 
+  Scenario: A refusal says "not run" only where nothing ran
+    Given a system with three engines for each half of the layers
+    When the second half's engines are killed while a whole answer is made
+    Then its refusal says that it was run "incomplete"
+    When answers are asked for until the node knows that no route is left
+    Then its refusal says that it was run "no"
+
   Scenario: A full engine is passed over
     Given a system with three engines for each half of the layers
     And engines "engine-0" and "engine-1" that are full
