--- a/src/jujubepass/_http_client.py
+++ b/src/jujubepass/_http_client.py
@@ -4,6 +4,7 @@
 import collections.abc
 import contextlib
 import json
+import re
 import typing
 
 import attrs
@@ -13,6 +14,15 @@
 from jujubepass import _socket_io
 
 _IDLE_CONNECTIONS_PER_ADDRESS = 64
+# A server that counts whole seconds may close up to this much early.
+_KEEP_ALIVE_MARGIN_SECONDS = 0.5
+_KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d+)")
+
+Fields = collections.abc.Sequence[tuple[str, str]]
+"""Header fields in order; a name may come more than once."""
+
+HeaderFields = collections.abc.Mapping[str, str] | Fields
+"""Header fields to send; a host among them replaces the address."""
 
 
 class ClientError(Exception):
@@ -69,7 +79,15 @@
 class StreamedAnswer:
     """Read one answer part by part."""
 
-    __slots__ = ("_connection", "_drained", "_ended", "_stream", "headers", "status")
+    __slots__ = (
+        "_connection",
+        "_drained",
+        "_ended",
+        "_stream",
+        "fields",
+        "headers",
+        "status",
+    )
 
     def __init__(
         self,
@@ -83,7 +101,8 @@
         self._ended = False
         self._drained = False
         self.status = head.status_code
-        self.headers = {k.decode(): v.decode("latin-1") for k, v in head.headers}
+        self.fields = [(k.decode(), v.decode("latin-1")) for k, v in head.headers]
+        self.headers = dict(self.fields)
 
     async def receive(self) -> bytes:
         """Wait for data and return all that is ready; return b"" at the end."""
@@ -111,14 +130,23 @@
         return Answer(status=self.status, headers=self.headers, body=b"".join(parts))
 
 
+@attrs.frozen(kw_only=True)
+class _IdleConnection:
+    """Hold a pooled connection and the time at which its server may close it."""
+
+    stream: trio.SocketStream
+    usable_until: float
+
+
 class Client:
     """Send requests over pooled connections."""
 
     def __init__(self, *, connect_timeout_seconds: float = 1.0) -> None:
         self._connect_timeout_seconds = connect_timeout_seconds
-        self._idle: dict[Address, collections.deque[trio.SocketStream]] = (
+        self._idle: dict[Address, collections.deque[_IdleConnection]] = (
             collections.defaultdict(collections.deque)
         )
+        self.opened_connections = 0
 
     async def request(
         self,
@@ -127,7 +155,7 @@
         path: str,
         *,
         body: bytes = b"",
-        headers: collections.abc.Mapping[str, str] | None = None,
+        headers: HeaderFields | None = None,
         timeout_seconds: float = 5.0,
         fresh: bool = False,
         once: bool = False,
@@ -164,7 +192,7 @@
         path: str,
         *,
         body: bytes = b"",
-        headers: collections.abc.Mapping[str, str] | None = None,
+        headers: HeaderFields | None = None,
         fresh: bool = False,
         once: bool = False,
     ) -> collections.abc.AsyncIterator[StreamedAnswer]:
@@ -178,7 +206,7 @@
         try:
             yield StreamedAnswer(connection=connection, stream=stream, head=head)
         finally:
-            self._release(address, stream, connection)
+            self._release(address, stream, connection, head)
 
     async def _exchange(
         self,
@@ -206,9 +234,11 @@
     def _take_idle(self, address: Address) -> trio.SocketStream | None:
         """Take a pooled connection that the server has not closed yet."""
         idle = self._idle[address]
+        now = trio.current_time()
         while idle:
-            stream = idle.pop()
-            if not stream.socket.is_readable():
+            found = idle.pop()
+            stream = found.stream
+            if now < found.usable_until and not stream.socket.is_readable():
                 return stream
             stream.socket.close()
         return None
@@ -216,31 +246,51 @@
     async def _connect(self, address: Address) -> trio.SocketStream:
         try:
             with trio.fail_after(self._connect_timeout_seconds):
-                return await trio.open_tcp_stream(address.host, address.port)
+                stream = await trio.open_tcp_stream(address.host, address.port)
+                self.opened_connections += 1
+                return stream
         except (OSError, trio.TooSlowError) as error:
             raise NotSentError(f"cannot connect to {address}: {error}") from error
 
     def _release(
-        self, address: Address, stream: trio.SocketStream, connection: h11.Connection
+        self,
+        address: Address,
+        stream: trio.SocketStream,
+        connection: h11.Connection,
+        head: h11.Response,
     ) -> None:
         idle = self._idle[address]
         reusable = connection.our_state is h11.DONE
         reusable = reusable and connection.their_state is h11.DONE
+        # Bytes behind a whole answer belong to no request.
+        reusable = reusable and not connection.trailing_data[0]
         if reusable and len(idle) < _IDLE_CONNECTIONS_PER_ADDRESS:
-            idle.append(stream)
+            until = trio.current_time() + _read_keep_alive_seconds(head)
+            idle.append(_IdleConnection(stream=stream, usable_until=until))
         else:
             stream.socket.close()
 
 
+def _read_keep_alive_seconds(head: h11.Response) -> float:
+    """Return how long the server keeps an idle connection; infinity if unsaid."""
+    for name, value in head.headers:
+        found = _KEEP_ALIVE_TIMEOUT.search(value.decode("latin-1"))
+        if name == b"keep-alive" and found:
+            return int(found.group(1)) - _KEEP_ALIVE_MARGIN_SECONDS
+    return float("inf")
+
+
 def _write_request(
     method: str,
     address: Address,
     path: str,
     body: bytes,
-    headers: collections.abc.Mapping[str, str],
+    headers: HeaderFields,
 ) -> tuple[h11.Request, bytes]:
-    fields = [("host", str(address)), ("content-length", str(len(body)))]
-    fields += list(headers.items())
+    given = headers.items() if isinstance(headers, collections.abc.Mapping) else headers
+    fields = [("content-length", str(len(body))), *given]
+    if not any(name == "host" for name, _ in fields):
+        fields.insert(0, ("host", str(address)))
     return h11.Request(method=method, target=path, headers=fields), body
 
 
--- a/src/jujubepass/_http_server.py
+++ b/src/jujubepass/_http_server.py
@@ -40,6 +40,7 @@
     headers: collections.abc.Mapping[str, str]
     body: bytes
     peer: str
+    fields: tuple[tuple[str, str], ...] = ()
 
 
 class Handler(typing.Protocol):
@@ -111,6 +112,30 @@
         parts.append(self._connection.send(h11.EndOfMessage()) or b"")
         await _socket_io.send(self._stream, b"".join(parts))
 
+    async def start_fields(
+        self, status: int, fields: collections.abc.Iterable[tuple[str, str]]
+    ) -> None:
+        """Send the status line and header fields that may repeat a name."""
+        self.started = True
+        event = self._make_head(status, list(fields))
+        await _socket_io.send(self._stream, self._connection.send(event) or b"")
+
+    async def send_fields(
+        self,
+        status: int,
+        fields: collections.abc.Iterable[tuple[str, str]],
+        body: bytes,
+    ) -> None:
+        """Send a whole response with header fields of its own in one write."""
+        self.started = True
+        length = ("content-length", str(len(body)))
+        kept = [field for field in fields if field[0] != "content-length"]
+        parts = [self._connection.send(self._make_head(status, [*kept, length])) or b""]
+        if not self.omits_body:
+            parts.append(self._connection.send(h11.Data(data=body)) or b"")
+        parts.append(self._connection.send(h11.EndOfMessage()) or b"")
+        await _socket_io.send(self._stream, b"".join(parts))
+
     async def send_json(self, status: int, value: object) -> None:
         """Send a whole JSON response."""
         await self.send(status, json.dumps(value).encode())
@@ -121,8 +146,9 @@
         code: str,
         detail: str,
         *,
-        retry_after_seconds: int | None = None,
+        retry_after_seconds: float | None = None,
         extra: collections.abc.Mapping[str, object] | None = None,
+        fields: collections.abc.Iterable[tuple[str, str]] = (),
     ) -> None:
         """Send problem+json with a stable code."""
         problem = {
@@ -133,9 +159,9 @@
             "detail": detail,
             **(extra or {}),
         }
-        headers = {}
+        headers = dict(fields)
         if retry_after_seconds is not None:
-            headers["retry-after"] = str(retry_after_seconds)
+            headers["retry-after"] = f"{retry_after_seconds:g}"
         await self.send(
             status,
             json.dumps(problem).encode(),
@@ -149,7 +175,7 @@
 
     def __init__(self, *, handler: Handler, limits: ServerLimits | None = None) -> None:
         self._handler = handler
-        self._limits = limits or ServerLimits()
+        self.limits = limits or ServerLimits()
         self._stopping = trio.Event()
         self._draining = False
         self._idle_scopes: set[trio.CancelScope] = set()
@@ -195,7 +221,7 @@
             scope.cancel()
 
     async def _serve_connection(self, stream: trio.SocketStream) -> None:
-        if self.connections >= self._limits.connections:
+        if self.connections >= self.limits.connections:
             await self._refuse_connection(stream)
             return
         self.connections += 1
@@ -220,7 +246,7 @@
                     responder = Responder(
                         connection=connection, stream=stream, closing=lambda: True
                     )
-                    await _send_too_many(responder, self._limits.connections)
+                    await _send_too_many(responder, self.limits.connections)
                     await _close(stream)
         except trio.BrokenResourceError:
             _LOGGER.debug("refused connection broke")
@@ -230,7 +256,7 @@
 
     async def _serve_requests(self, stream: trio.SocketStream) -> None:
         connection = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=self._limits.header_bytes
+            h11.SERVER, max_incomplete_event_size=self.limits.header_bytes
         )
         peer = str(stream.socket.getpeername()[0])
         while True:
@@ -264,7 +290,7 @@
         stream: trio.SocketStream,
     ) -> None:
         async with trio.open_nursery() as nursery:
-            bound = self._limits.header_bytes + self._limits.body_bytes
+            bound = self.limits.header_bytes + self.limits.body_bytes
             scope = nursery.cancel_scope
             nursery.start_soon(_watch_peer, connection, stream, scope, bound)
             try:
@@ -288,14 +314,17 @@
             return None
         if head.method == b"CONNECT":
             raise _rejections.TUNNEL
-        headers = {k.decode(): v.decode("latin-1") for k, v in head.headers}
-        if int(headers.get("content-length", "0")) > self._limits.body_bytes:
-            raise _rejections.make_oversized(self._limits.body_bytes)
+        fields = tuple((k.decode(), v.decode("latin-1")) for k, v in head.headers)
+        headers = dict(fields)
+        if "content-length" in headers and "transfer-encoding" in headers:
+            raise _rejections.TWO_LENGTHS
+        if int(headers.get("content-length", "0")) > self.limits.body_bytes:
+            raise _rejections.make_oversized(self.limits.body_bytes)
         if connection.they_are_waiting_for_100_continue:
             go_ahead = h11.InformationalResponse(status_code=100, headers=[])
             await _socket_io.send(stream, connection.send(go_ahead) or b"")
         body = bytearray()
-        with trio.move_on_after(self._limits.receive_timeout_seconds):
+        with trio.move_on_after(self.limits.receive_timeout_seconds):
             while True:
                 event = await _next_event(connection, stream)
                 if isinstance(event, h11.EndOfMessage):
@@ -305,20 +334,21 @@
                         headers=headers,
                         body=bytes(body),
                         peer=peer,
+                        fields=fields,
                     )
                 if not isinstance(event, h11.Data):
                     return None
                 body += event.data
-                if len(body) > self._limits.body_bytes:
-                    raise _rejections.make_oversized(self._limits.body_bytes)
-        raise _rejections.make_slow_sender(self._limits.receive_timeout_seconds)
+                if len(body) > self.limits.body_bytes:
+                    raise _rejections.make_oversized(self.limits.body_bytes)
+        raise _rejections.make_slow_sender(self.limits.receive_timeout_seconds)
 
     async def _receive_head(
         self, connection: h11.Connection, stream: trio.SocketStream
     ) -> h11.Request | None:
         with trio.CancelScope() as idle:
             self._idle_scopes.add(idle)
-            idle.deadline = trio.current_time() + self._limits.idle_timeout_seconds
+            idle.deadline = trio.current_time() + self.limits.idle_timeout_seconds
             if self._stopping.is_set():
                 idle.cancel()
             try:
@@ -332,10 +362,10 @@
                 self._idle_scopes.discard(idle)
         if idle.cancelled_caught:
             return None
-        with trio.move_on_after(self._limits.receive_timeout_seconds):
+        with trio.move_on_after(self.limits.receive_timeout_seconds):
             event = await _next_event(connection, stream)
             return event if isinstance(event, h11.Request) else None
-        raise _rejections.make_slow_sender(self._limits.receive_timeout_seconds)
+        raise _rejections.make_slow_sender(self.limits.receive_timeout_seconds)
 
 
 async def _next_event(connection: h11.Connection, stream: trio.abc.Stream) -> object:
--- a/src/jujubepass/_ini.py
+++ b/src/jujubepass/_ini.py
@@ -149,6 +149,28 @@
         return None, _describe_invalid(schema, file, section, values, error)
 
 
+def structure_sections(
+    schema: type, file: str, text: str
+) -> tuple[dict[str, typing.Any], list[Problem]]:
+    """Read INI text into a class's sections; with problems they are incomplete."""
+    sections, problems = read_sections(file, text)
+    schemas = {field.name: field.type for field in attrs.fields(schema)}
+    for name in sorted(set(sections) - set(schemas)):
+        allowed = suggest(name, schemas)
+        problems.append(
+            Problem(file=file, section=name, what="is no section", allowed=allowed)
+        )
+    read: dict[str, typing.Any] = {}
+    for name, section_schema in schemas.items():
+        assert section_schema is not None
+        value, found = structure_section(
+            section_schema, file, name, sections.get(name, {})
+        )
+        problems += found
+        read[name] = value
+    return read, problems
+
+
 def suggest(name: str, allowed: collections.abc.Iterable[str]) -> str:
     """Name the allowed name nearest to `name`, then all of them."""
     names = list(allowed)
--- a/src/jujubepass/_logs.py
+++ b/src/jujubepass/_logs.py
@@ -55,9 +55,13 @@
     return _SECRET_TEXT.sub(_keep_label, text)
 
 
-def set_up(log: settings.Log, secrets: collections.abc.Iterable[str] = ()) -> None:
-    """Send all logs to standard error; `secrets` never appear in them."""
-    handler = logging.StreamHandler(sys.stderr)
+def set_up(
+    log: settings.Log,
+    secrets: collections.abc.Iterable[str] = (),
+    stream: typing.TextIO | None = None,
+) -> None:
+    """Send all logs to standard error or a stream; `secrets` never appear in them."""
+    handler = logging.StreamHandler(stream or sys.stderr)
     handler.addFilter(_ContextFilter())
     formatter: logging.Formatter
     if log.format is settings.LogFormat.JSON:
--- a/src/jujubepass/_metrics.py
+++ b/src/jujubepass/_metrics.py
@@ -3,19 +3,13 @@
 import collections.abc
 import enum
 import itertools
-import time
 import typing
 
-import opentelemetry.exporter.prometheus
 import opentelemetry.metrics
-import opentelemetry.sdk.metrics
-import opentelemetry.sdk.metrics.export
-import opentelemetry.sdk.resources
-import prometheus_client
 
-from jujubepass import _distribution, reasons
+from jujubepass import _distribution, _metric_registry, reasons
 
-CONTENT_TYPE = prometheus_client.CONTENT_TYPE_LATEST
+CONTENT_TYPE = _metric_registry.CONTENT_TYPE
 
 # fmt: off
 _FIRST_TOKEN_BOUNDS_SECONDS = (
@@ -36,13 +30,6 @@
 )
 # fmt: on
 
-ReadValue = collections.abc.Callable[[], float]
-ReadValues = collections.abc.Callable[[], collections.abc.Mapping[str, float]]
-_Observe = collections.abc.Callable[
-    [opentelemetry.metrics.CallbackOptions],
-    collections.abc.Iterable[opentelemetry.metrics.Observation],
-]
-
 
 class RequestKind(enum.Enum):
     """Tell the kinds of callers' requests apart."""
@@ -62,24 +49,7 @@
     UNKNOWN = "unknown"
 
 
-class _Reader(opentelemetry.exporter.prometheus.PrometheusMetricReader):
-    """Add the distributions to what the meters hold."""
-
-    distributions: tuple[_distribution.Distribution, ...] = ()
-
-    def _receive_metrics(
-        self,
-        metrics_data: opentelemetry.sdk.metrics.export.MetricsData,
-        timeout_millis: float = 10_000,
-        **options: typing.Any,
-    ) -> None:
-        data = _distribution.append_distributions(
-            metrics_data, self.distributions, time.time_ns()
-        )
-        super()._receive_metrics(data, timeout_millis, **options)
-
-
-class Metrics:
+class Metrics(_metric_registry.Registry):
     """Count what the node does; counting is a dictionary update."""
 
     def __init__(self, *, version: str) -> None:
@@ -109,29 +79,14 @@
             description="Delay of the controllers' timer behind its period.",
             bounds_seconds=_TICK_DELAY_BOUNDS_SECONDS,
         )
-        self._registry = prometheus_client.CollectorRegistry()
-        self._meter = self._make_meter(version)
-        self._add_reason_counters()
-
-    def _make_meter(self, version: str) -> opentelemetry.metrics.Meter:
-        reader = _Reader(
-            disable_target_info=True,
-            prefix="jujubepass",
-            scope_info_enabled=False,
-            registry=self._registry,
-        )
-        reader.distributions = (
+        distributions = (
             self.first_token,
             self.between_tokens,
             self.recovery,
             self.tick_delay,
         )
-        provider = opentelemetry.sdk.metrics.MeterProvider(
-            metric_readers=[reader],
-            resource=opentelemetry.sdk.resources.Resource({}),
-            shutdown_on_exit=False,
-        )
-        return provider.get_meter("jujubepass", version)
+        super().__init__(version=version, distributions=distributions)
+        self._add_reason_counters()
 
     def _add_reason_counters(self) -> None:
         self._add_enum_counter("refusals", "Requests refused.", self.refusals)
@@ -183,44 +138,18 @@
         """Count one request that ended."""
         self.requests[kind, outcome] += 1
 
-    def add_counter(self, name: str, description: str, read: ReadValue) -> None:
-        """Expose a value that only grows."""
-        observe = _make_observer(read)
-        self._meter.create_observable_counter(name, [observe], description=description)
-
-    def add_gauge(self, name: str, description: str, read: ReadValue) -> None:
-        """Expose a value that is read at each scrape."""
-        observe = _make_observer(read)
-        self._meter.create_observable_gauge(name, [observe], description=description)
-
-    def add_labelled_counter(
-        self, name: str, description: str, label: str, read: ReadValues
-    ) -> None:
-        """Expose values that only grow, one for each label."""
-        observe = _make_labelled_observer(label, read)
-        self._meter.create_observable_counter(name, [observe], description=description)
-
-    def add_labelled_gauge(
-        self, name: str, description: str, label: str, read: ReadValues
-    ) -> None:
-        """Expose one value for each label, read at each scrape."""
-        observe = _make_labelled_observer(label, read)
-        self._meter.create_observable_gauge(name, [observe], description=description)
-
-    def expose(self) -> bytes:
-        """Write all metrics in the Prometheus text format."""
-        return prometheus_client.generate_latest(self._registry)
-
     def _add_enum_counter(
         self,
         name: str,
         description: str,
         counts: collections.abc.Mapping[typing.Any, int],
     ) -> None:
-        observe = _make_labelled_observer(
-            "reason", lambda: {reason.value: count for reason, count in counts.items()}
+        self.add_labelled_counter(
+            name,
+            description,
+            "reason",
+            lambda: {reason.value: count for reason, count in counts.items()},
         )
-        self._meter.create_observable_counter(name, [observe], description=description)
 
     def _observe_requests(
         self,
@@ -231,14 +160,3 @@
             )
             for (kind, outcome), count in self.requests.items()
         ]
-
-
-def _make_observer(read: ReadValue) -> _Observe:
-    return lambda _options: [opentelemetry.metrics.Observation(read())]
-
-
-def _make_labelled_observer(label: str, read: ReadValues) -> _Observe:
-    return lambda _options: [
-        opentelemetry.metrics.Observation(value, {label: name})
-        for name, value in read().items()
-    ]
--- a/src/jujubepass/_rejections.py
+++ b/src/jujubepass/_rejections.py
@@ -26,6 +26,13 @@
 )
 
 
+TWO_LENGTHS = RejectedInputError(
+    status=400,
+    code="malformed_http",
+    detail="The request has both Content-Length and Transfer-Encoding. Send one.",
+)
+
+
 def make_oversized(limit: int) -> RejectedInputError:
     """Reject a body over a number of bytes."""
     detail = f"The body is over {limit} bytes. Send a smaller one."
--- /dev/null
+++ b/src/jujubepass/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Forwarding of callers' HTTP requests to services and to engines on paths."""
--- /dev/null
+++ b/src/jujubepass/forwarding/admission.py
@@ -0,0 +1,109 @@
+"""Admits requests by the declarations in force, and only while they are proven."""
+
+import random
+
+import attrs
+
+from jujubepass import reasons
+from jujubepass.forwarding import board, declarations, exchange
+
+# Knowledge of the store's newest state that is younger suffices to say that a route
+# or key does not exist; a change is in force within two seconds at the latest.
+_DENIAL_AGE_SECONDS = 1.0
+# Time in which the store is asked again, by its rate of polls.
+_STALE_RETRY_SECONDS = 0.5
+
+
+@attrs.frozen(kw_only=True)
+class Refusal:
+    """Hold why a request is refused and when it may come back."""
+
+    reason: reasons.RefusalReason
+    retry_after_seconds: float | None = None
+
+
+@attrs.define(kw_only=True)
+class Admission:
+    """Decide on requests; the bounds are ages of the declarations, in seconds."""
+
+    blackboard: board.Blackboard
+    keyed_age_seconds: float
+    """Age from which a key may have been revoked unseen."""
+    random_source: random.Random = attrs.field(factory=random.Random)
+
+    def needs_proof(self, ask: exchange.Ask, now: float) -> bool:
+        """Tell whether the store must be asked before this request is denied."""
+        area = self.blackboard.configuration
+        if area.declarations is None or now - area.proven_at <= _DENIAL_AGE_SECONDS:
+            return False
+        found = self._decide(ask, area.declarations, now)
+        denials = (
+            reasons.RefusalReason.UNKNOWN_ROUTE,
+            reasons.RefusalReason.UNKNOWN_ACCOUNT,
+        )
+        return isinstance(found, Refusal) and found.reason in denials
+
+    def admit(self, ask: exchange.Ask, now: float) -> exchange.Admitted | Refusal:
+        """Admit a request, or refuse it with the reason."""
+        area = self.blackboard.configuration
+        if area.declarations is None:
+            return Refusal(
+                reason=reasons.RefusalReason.NOT_READY,
+                retry_after_seconds=_STALE_RETRY_SECONDS,
+            )
+        found = self._decide(ask, area.declarations, now)
+        proven = now - area.proven_at <= _DENIAL_AGE_SECONDS
+        if isinstance(found, Refusal) and not proven:
+            return self._refuse_stale()
+        return found
+
+    def is_stale(self, now: float) -> bool:
+        """Tell whether a key may have been revoked without this node's knowledge."""
+        return now - self.blackboard.configuration.proven_at > self.keyed_age_seconds
+
+    def _decide(
+        self, ask: exchange.Ask, declared: declarations.Declarations, now: float
+    ) -> exchange.Admitted | Refusal:
+        route = declared.find_route(ask.host, ask.target)
+        if route is None:
+            return Refusal(reason=reasons.RefusalReason.UNKNOWN_ROUTE)
+        account = None
+        if declared.checks_keys and not route.anonymous:
+            account = declared.accounts.get(ask.key or "")
+            if account is None:
+                return Refusal(reason=reasons.RefusalReason.UNKNOWN_ACCOUNT)
+            if self.is_stale(now):
+                return self._refuse_stale()
+        service = self._choose_service(declared, route)
+        if service is None:
+            return Refusal(reason=reasons.RefusalReason.BACKEND_UNAVAILABLE)
+        patience = route.timeout_seconds
+        if ask.patience_seconds is not None:
+            patience = min(patience, ask.patience_seconds)
+        return exchange.Admitted(
+            route=route,
+            service=service,
+            account=account,
+            version=declared.version,
+            ends_at=ask.arrived_at + patience,
+        )
+
+    def _refuse_stale(self) -> Refusal:
+        return Refusal(
+            reason=reasons.RefusalReason.CONFIGURATION_STALE,
+            retry_after_seconds=_STALE_RETRY_SECONDS,
+        )
+
+    def _choose_service(
+        self, declared: declarations.Declarations, route: declarations.Route
+    ) -> declarations.Service | None:
+        known = [
+            each for each in route.destinations if each.service in declared.services
+        ]
+        if not known:
+            return None
+        if len(known) == 1:
+            return declared.services[known[0].service]
+        weights = [each.weight for each in known]
+        chosen = self.random_source.choices(known, weights=weights)[0]
+        return declared.services[chosen.service]
--- /dev/null
+++ b/src/jujubepass/forwarding/backend_list.py
@@ -0,0 +1,92 @@
+"""Controller that keeps the list of backend servers."""
+
+import collections.abc
+import logging
+
+import attrs
+
+from jujubepass import ids
+from jujubepass.forwarding import backends, board, feeds
+
+_LOGGER = logging.getLogger(__name__)
+
+# Servers whose entries lapsed while the store was away list themselves anew within
+# about two seconds of its return; until shortly before that a missing one is kept.
+LAPSE_SECONDS = 1.8
+# A change that removes more than this share of the list at once is a mass lapse.
+_MASS_LAPSE_SHARE = 0.5
+
+
+@attrs.define(kw_only=True)
+class BackendController:
+    """Write the backends area from what the list says."""
+
+    area: board.BackendArea
+    _missing_until: dict[ids.BackendServerId, float] = attrs.field(
+        factory=dict, init=False
+    )
+    _lapsing_until: float = attrs.field(default=float("-inf"), init=False)
+
+    def note_contact_regained(self, now: float) -> None:
+        """Expect entries that lapsed meanwhile to come back."""
+        self._lapsing_until = now + LAPSE_SECONDS
+
+    def apply(self, changes: feeds.Changes[backends.Backend], now: float) -> None:
+        """Take over what changed; entries that cannot be read name no server."""
+        removed = [
+            name
+            for name, backend in changes.items.items()
+            if backend is None and name in self.area.listed
+        ]
+        if changes.is_whole:
+            removed += [name for name in self.area.listed if name not in changes.items]
+        if len(removed) > max(1, _MASS_LAPSE_SHARE * len(self.area.listed)):
+            self.note_contact_regained(now)
+        for name, backend in changes.items.items():
+            if backend is not None:
+                self._missing_until.pop(ids.BackendServerId(name), None)
+                self._list(backend)
+        for name in removed:
+            self._note_missing(ids.BackendServerId(name), now)
+        self.drop_missing(now)
+        self.area.known = True
+
+    def _list(self, backend: backends.Backend) -> None:
+        before = self.area.listed.get(backend.name)
+        self.area.listed[backend.name] = backend
+        self.area.revision += 1
+        if before is None or before.started_at != backend.started_at:
+            self.area.restarted.append(backend.name)
+        if before is None or before.state is not backend.state:
+            _LOGGER.info(
+                "backend server listed",
+                extra={
+                    "backend": backend.name,
+                    "service": backend.service,
+                    "state": backend.state.value,
+                    "started_at": backend.started_at,
+                },
+            )
+
+    def _note_missing(self, name: ids.BackendServerId, now: float) -> None:
+        until = max(now, self._lapsing_until)
+        self._missing_until.setdefault(name, until)
+
+    def drop_missing(self, now: float) -> None:
+        """Drop the servers whose time to list themselves again has passed."""
+        for name, until in list(self._missing_until.items()):
+            if now < until:
+                continue
+            del self._missing_until[name]
+            if self.area.listed.pop(name, None) is not None:
+                self.area.revision += 1
+                _LOGGER.info("backend server gone", extra={"backend": name})
+
+
+def list_ready(
+    area: board.BackendArea, service: ids.ServiceId
+) -> collections.abc.Iterator[backends.Backend]:
+    """Return a service's backend servers that take new work."""
+    for backend in area.listed.values():
+        if backend.service == service and backend.state is backends.BackendState.READY:
+            yield backend
--- /dev/null
+++ b/src/jujubepass/forwarding/configuration.py
@@ -0,0 +1,38 @@
+"""Controller that puts the newest declarations in force."""
+
+import logging
+
+import attrs
+
+from jujubepass.forwarding import board, declarations, feeds
+
+_LOGGER = logging.getLogger(__name__)
+
+
+@attrs.define(kw_only=True)
+class ConfigurationController:
+    """Write the configuration area; a version never goes back."""
+
+    area: board.ConfigurationArea
+
+    def apply(
+        self, changes: feeds.Changes[declarations.Declarations], now: float
+    ) -> None:
+        """Install newer declarations, and note how fresh they are."""
+        self.area.proven_at = max(self.area.proven_at, changes.proven_at)
+        for declared in changes.items.values():
+            if declared is None:
+                continue
+            before = self.area.declarations
+            if before is not None and declared.version <= before.version:
+                continue
+            self.area.declarations = declared
+            _LOGGER.info(
+                "configuration in force",
+                extra={
+                    "version": declared.version,
+                    "before": before.version if before else None,
+                    "routes": len(declared.routes),
+                    "age_seconds": round(now - changes.proven_at, 3),
+                },
+            )
--- /dev/null
+++ b/src/jujubepass/forwarding/declarations.py
@@ -0,0 +1,143 @@
+"""Routes, services and client accounts that are in force together.
+
+declarations.find_route("shop.example", "/orders/17")
+"""
+
+import collections.abc
+import enum
+
+import attrs
+
+from jujubepass import ids
+
+
+class Repetition(enum.Enum):
+    """Say whether a request may run more than once."""
+
+    IDEMPOTENT = "idempotent"
+    ONCE = "once"
+    STREAM = "stream"
+
+
+@attrs.frozen(kw_only=True)
+class Destination:
+    """Send a share of a route's requests to a service."""
+
+    service: ids.ServiceId
+    weight: float
+
+
+@attrs.frozen(kw_only=True)
+class Route:
+    """Say how requests under one host and path prefix are served."""
+
+    name: str
+    host: str
+    prefix: str
+    repetition: Repetition
+    timeout_seconds: float
+    goal_seconds: float
+    priority: int
+    destinations: tuple[Destination, ...]
+    most_attempts: int = 1
+    anonymous: bool = False
+    resumable: bool = False
+    gap_seconds: float = float("inf")
+
+    @property
+    def is_repeatable(self) -> bool:
+        """Tell whether a request that may have run may be sent again."""
+        if self.repetition is Repetition.STREAM:
+            return self.resumable
+        return self.repetition is Repetition.IDEMPOTENT
+
+
+@attrs.frozen(kw_only=True)
+class Accelerator:
+    """Describe one kind of accelerator; paces multiply the model's times."""
+
+    memory_megabytes: float
+    step_pace: float
+    read_pace: float
+
+
+@attrs.frozen(kw_only=True)
+class Model:
+    """Describe the model that a service's engines run in parts."""
+
+    layers: int
+    layer_megabytes: float
+    token_kilobytes: float
+    """Memory that one token takes over all layers."""
+    slots: int
+    step_seconds: float
+    sequence_seconds: float
+    read_tokens_per_second: float
+    load_seconds: float
+    """Time to load all layers onto one engine."""
+    answer_tokens: float
+    prompt_tokens: float
+    accelerators: collections.abc.Mapping[str, Accelerator]
+
+
+@attrs.frozen(kw_only=True)
+class Service:
+    """Name a service; its backend servers are engines when it has a model."""
+
+    name: ids.ServiceId
+    model: Model | None = None
+
+
+@attrs.frozen(kw_only=True)
+class CallerLimits:
+    """Bound what callers may send, in bytes and seconds."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 1_048_576
+    header_timeout_seconds: float = 10.0
+    idle_timeout_seconds: float = 75.0
+
+
+@attrs.frozen(kw_only=True)
+class Account:
+    """Hold a client account; a priority of None leaves the route's."""
+
+    name: ids.AccountId
+    priority: int | None = None
+
+
+@attrs.frozen(kw_only=True)
+class Declarations:
+    """Hold one version of everything that decides where a request goes."""
+
+    version: int
+    routes: tuple[Route, ...]
+    services: collections.abc.Mapping[ids.ServiceId, Service]
+    limits: CallerLimits
+    accounts: collections.abc.Mapping[str, Account]
+    """Client accounts by their keys."""
+    checks_keys: bool
+    _by_host: dict[str, dict[str, Route]] = attrs.field(init=False, repr=False)
+
+    def __attrs_post_init__(self) -> None:
+        by_host: dict[str, dict[str, Route]] = {}
+        for route in self.routes:
+            by_host.setdefault(route.host, {})[route.prefix] = route
+        object.__setattr__(self, "_by_host", by_host)
+
+    def find_route(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix that begins the path."""
+        prefixes = self._by_host.get(host.partition(":")[0].lower())
+        if prefixes is None:
+            return None
+        end = path.partition("?")[0].rfind("/") + 1
+        while end > 0:
+            route = prefixes.get(path[:end])
+            if route is not None:
+                return route
+            end = path.rfind("/", 0, end - 1) + 1
+        return None
+
+    def find_model_services(self) -> list[Service]:
+        """Return the services whose backend servers are engines."""
+        return [each for each in self.services.values() if each.model is not None]
--- /dev/null
+++ b/src/jujubepass/forwarding/events.py
@@ -0,0 +1,57 @@
+r"""Splits an event stream into whole events.
+
+splitter.feed(b"id: 1\\ndata: a\\n\\nid: 2") -> [Event(identity="1", ...)]
+"""
+
+import re
+
+import attrs
+
+_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+_ID = re.compile(rb"(?:^|[\r\n])id: ?([^\r\n]*)")
+
+
+@attrs.frozen(kw_only=True)
+class Event:
+    """Hold one event as it came, with its id, empty when it has none."""
+
+    identity: str
+    data: bytes
+
+
+@attrs.define(kw_only=True)
+class EventSplitter:
+    """Keep what has come of an event until its end has come too."""
+
+    _pending: bytes = b""
+
+    @property
+    def has_partial(self) -> bool:
+        """Tell whether an event has begun and not ended."""
+        return bool(self._pending)
+
+    def feed(self, data: bytes) -> list[Event]:
+        """Take more of the stream and return the events that are whole now."""
+        pending = self._pending + data
+        events = []
+        start = 0
+        for end in _END.finditer(pending):
+            events.append(_read_event(pending[start : end.end()]))
+            start = end.end()
+        self._pending = pending[start:]
+        return events
+
+
+def _read_event(data: bytes) -> Event:
+    found = _ID.search(data)
+    identity = found.group(1).decode("latin-1").strip() if found else ""
+    return Event(identity=identity, data=data)
+
+
+def is_later(identity: str, last: str | None) -> bool:
+    """Tell whether an event comes after the last one that was forwarded."""
+    if last is None or not identity:
+        return True
+    if identity.isdigit() and last.isdigit():
+        return int(identity) > int(last)
+    return identity != last
--- /dev/null
+++ b/src/jujubepass/forwarding/forwarder.py
@@ -0,0 +1,91 @@
+"""Handler of callers' requests: admits, serves and logs each one."""
+
+import collections.abc
+import logging
+
+import attrs
+
+from jujubepass import _http_server
+from jujubepass.forwarding import (
+    admission,
+    board,
+    clocks,
+    exchange,
+    measures,
+    replies,
+    service_exchange,
+    stream_exchange,
+)
+
+_LOGGER = logging.getLogger(__name__)
+
+# Time in which the store is asked anew before a request is denied.
+_PROOF_SECONDS = 0.6
+
+
+@attrs.define(kw_only=True)
+class Forwarder:
+    """Serve callers' requests."""
+
+    blackboard: board.Blackboard
+    wire: exchange.Wire
+    gate: admission.Admission
+    services: service_exchange.ServiceExchange
+    streams: stream_exchange.StreamExchange
+    measures: measures.Measures
+    prove: collections.abc.Callable[[float], collections.abc.Awaitable[None]]
+    """Read the declarations anew, within a time in seconds."""
+
+    async def __call__(
+        self, request: _http_server.Request, responder: _http_server.Responder
+    ) -> None:
+        """Serve one request and log how it ended."""
+        now = clocks.read_boot_clock()
+        ask = self.wire.read_request(request, now)
+        reply = replies.Reply(ask=ask, wire=self.wire, responder=responder)
+        if self.gate.needs_proof(ask, now):
+            await self.prove(_PROOF_SECONDS)
+        found = self.gate.admit(ask, clocks.read_boot_clock())
+        try:
+            if isinstance(found, admission.Refusal):
+                await reply.refuse(found)
+            elif found.service.model is not None:
+                self.blackboard.is_first_start = False
+                await self.streams.serve(ask, found, reply)
+            else:
+                await self.services.serve(ask, found, reply)
+        finally:
+            self._note_ended(ask, found, reply)
+
+    def _note_ended(
+        self,
+        ask: exchange.Ask,
+        found: exchange.Admitted | admission.Refusal,
+        reply: replies.Reply,
+    ) -> None:
+        now = clocks.read_boot_clock()
+        outcome = reply.outcome
+        if outcome in ("open", "started"):
+            outcome = "caller_gone"
+        self.measures.note_request(outcome, reply.reason, now - ask.arrived_at)
+        inputs = {}
+        if isinstance(found, exchange.Admitted):
+            inputs["route"] = found.route.name
+            inputs["service"] = found.service.name
+            if found.account is not None:
+                inputs["account"] = found.account.name
+        area = self.blackboard.configuration
+        if area.declarations is not None:
+            inputs["version"] = str(area.declarations.version)
+            inputs["version_age"] = f"{now - area.proven_at:.3f}"
+        _LOGGER.info(
+            "request ended",
+            extra={
+                "request": ask.request,
+                "outcome": outcome,
+                "status": reply.status,
+                "reason": reply.reason,
+                "seconds": round(now - ask.arrived_at, 3),
+                **inputs,
+            },
+        )
--- /dev/null
+++ b/src/jujubepass/forwarding/metrics_page.py
@@ -0,0 +1,61 @@
+"""Counters, gauges and histograms of a forwarding node, for its metrics address."""
+
+import functools
+
+import attrs
+
+from jujubepass import _http_client, _metric_registry
+from jujubepass.forwarding import board, clocks, ordering
+from jujubepass.forwarding import measures as node_measures
+
+
+@attrs.frozen(kw_only=True)
+class Page:
+    """Hold the page and its type."""
+
+    content_type: str
+    data: bytes
+
+
+def expose(
+    *,
+    version: str,
+    measures: node_measures.Measures,
+    blackboard: board.Blackboard,
+    client: _http_client.Client,
+    orders: ordering.OrderKeeper,
+) -> Page:
+    """Write all metrics in the Prometheus text format."""
+    registry = _metric_registry.Registry(
+        version=version,
+        distributions=(measures.request_times, measures.first_events),
+    )
+    for name, description, label, values in (
+        ("requests", "Requests that ended.", "outcome", measures.outcomes),
+        ("refusals", "Requests refused or cut.", "reason", measures.refusals),
+        ("retries", "Attempts after the first.", "reason", measures.retries),
+    ):
+        registry.add_labelled_counter(
+            name, description, label, functools.partial(dict, values)
+        )
+    area = blackboard.configuration
+    registry.add_counter(
+        "connections_opened",
+        "Connections opened to backend servers and the store.",
+        lambda: client.opened_connections,
+    )
+    registry.add_counter("orders", "Orders to engines.", lambda: orders.orders_sent)
+    registry.add_gauge(
+        "configuration_version",
+        "Version of the configuration in force.",
+        lambda: area.declarations.version if area.declarations else 0,
+    )
+    registry.add_gauge(
+        "configuration_age_seconds",
+        "Time since it was surely the newest.",
+        lambda: clocks.read_boot_clock() - area.proven_at,
+    )
+    registry.add_gauge(
+        "backend_servers", "Listed.", lambda: len(blackboard.backends.listed)
+    )
+    return Page(content_type=_metric_registry.CONTENT_TYPE, data=registry.expose())
--- /dev/null
+++ b/src/jujubepass/forwarding/node.py
@@ -0,0 +1,290 @@
+"""Assembly of a forwarding node: followers, controllers, listeners and shutdown."""
+
+import collections
+import collections.abc
+import logging
+import os
+import signal
+
+import trio
+
+from jujubepass import __version__, _http_client, _http_server, _retry_budget, ids
+from jujubepass.forwarding import (
+    adapters,
+    admission,
+    backend_list,
+    board,
+    clocks,
+    configuration,
+    engine_choice,
+    following,
+    forwarder,
+    measures,
+    ordering,
+    planner,
+    planning,
+    readiness,
+    sending,
+    service_exchange,
+    settings,
+    stall_watch,
+    stream_exchange,
+    suspicion,
+)
+
+_LOGGER = logging.getLogger(__name__)
+
+# Longest waits for changes. A changed configuration has two seconds to be in force,
+# silent connections included; the others only save calls to the store.
+_CONFIGURATION_WAIT_SECONDS = 1.0
+_BACKENDS_WAIT_SECONDS = 1.5
+_PLANS_WAIT_SECONDS = 5.0
+# Share of the bound on revoked keys after which keyed requests are refused.
+_KEYED_AGE_SHARE = 0.6
+# Nodes that may share a service's retries; a node keeps to its part alone.
+_SHARING_NODES = 12
+# Time before SIGKILL at which running answers are cut and the process ends.
+_EXIT_MARGIN_SECONDS = 0.4
+# The balancer takes a node out after two questions, a second apart.
+_UNLISTED_SECONDS = 3.5
+_DRAIN_POLL_SECONDS = 0.1
+_HOUSEKEEPING_SECONDS = 0.1
+_CONNECT_TIMEOUT_SECONDS = 0.5
+
+
+class Node:
+    """Hold the parts of a forwarding node."""
+
+    def __init__(
+        self,
+        *,
+        settings: settings.Settings,
+        adapter: adapters.Adapter,
+        client: _http_client.Client,
+    ) -> None:
+        self.settings = settings
+        self.adapter = adapter
+        self.client = client
+        self.measures = measures.Measures()
+        self.suspects = suspicion.Suspects()
+        node = settings.node
+        self.blackboard = board.Blackboard(
+            node=node.name,
+            failure_domain=node.failure_domain,
+            is_first_start=node.first_start,
+        )
+        bounds = settings.bounds
+        self._gate = admission.Admission(
+            blackboard=self.blackboard,
+            keyed_age_seconds=_KEYED_AGE_SHARE
+            * bounds.revocation_milliseconds
+            / 1_000.0,
+        )
+        self._readiness = readiness.Readiness(
+            blackboard=self.blackboard, gate=self._gate
+        )
+        self._stalls = stall_watch.StallWatch(
+            blackboard=self.blackboard,
+            suspects=self.suspects,
+            control=self.adapter.control,
+        )
+        self._orders = ordering.OrderKeeper(
+            blackboard=self.blackboard, control=self.adapter.control
+        )
+        self._make_followers()
+        self._callers = _http_server.Server(handler=self._make_forwarder())
+
+    def _make_followers(self) -> None:
+        self._backend_list = backend_list.BackendController(
+            area=self.blackboard.backends
+        )
+        installer = configuration.ConfigurationController(
+            area=self.blackboard.configuration
+        )
+        self._planning = planning.Planning(
+            blackboard=self.blackboard,
+            controller=planner.PlanController(
+                blackboard=self.blackboard, suspects=self.suspects
+            ),
+            table=self.adapter.table,
+        )
+        self._configuration = following.Follower(
+            name="configuration",
+            feed=self.adapter.configuration,
+            wait_seconds=_CONFIGURATION_WAIT_SECONDS,
+            apply=installer.apply,
+        )
+        self._backends = following.Follower(
+            name="backends",
+            feed=self.adapter.backends,
+            wait_seconds=_BACKENDS_WAIT_SECONDS,
+            apply=self._backend_list.apply,
+            note_regained=self._backend_list.note_contact_regained,
+        )
+        self._plans = following.Follower(
+            name="plans",
+            feed=self.adapter.plans,
+            wait_seconds=_PLANS_WAIT_SECONDS,
+            apply=self._planning.apply,
+        )
+
+    def _make_forwarder(self) -> forwarder.Forwarder:
+        sender = sending.Sender(client=self.client, wire=self.adapter.wire)
+        budgets: collections.defaultdict[ids.ServiceId, _retry_budget.RetryBudget] = (
+            collections.defaultdict(self._make_budget)
+        )
+        return forwarder.Forwarder(
+            blackboard=self.blackboard,
+            wire=self.adapter.wire,
+            gate=self._gate,
+            services=service_exchange.ServiceExchange(
+                sender=sender,
+                gate=self._gate,
+                choice=service_exchange.ServiceChoice(
+                    blackboard=self.blackboard, suspects=self.suspects
+                ),
+                suspects=self.suspects,
+                budgets=budgets,
+                count_retry=self.measures.count_retry,
+            ),
+            streams=stream_exchange.StreamExchange(
+                sender=sender,
+                gate=self._gate,
+                choice=engine_choice.EngineChoice(
+                    blackboard=self.blackboard, suspects=self.suspects
+                ),
+                suspects=self.suspects,
+                stalls=self._stalls,
+                budgets=budgets,
+                count_retry=self.measures.count_retry,
+                observe_first=self.measures.observe_first_event,
+            ),
+            measures=self.measures,
+            prove=self._prove,
+        )
+
+    def _make_budget(self) -> _retry_budget.RetryBudget:
+        bounds = self.settings.bounds
+        slack = bounds.retry_slack / _SHARING_NODES / 2.0
+        return _retry_budget.RetryBudget(
+            bounds=_retry_budget.RetryBudgetBounds(
+                retries_per_attempt=bounds.retry_share,
+                idle_retries_per_second=slack / bounds.retry_window_seconds,
+                maximum_saved=max(1.0, slack),
+            )
+        )
+
+    async def _prove(self, timeout_seconds: float) -> None:
+        with trio.move_on_after(timeout_seconds):
+            await self._configuration.read_now()
+
+    async def run(self) -> None:
+        """Run until SIGTERM, then finish what runs."""
+        listen = self.settings.listen
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
+            async with trio.open_nursery() as nursery:
+                for follower in (self._configuration, self._backends, self._plans):
+                    nursery.start_soon(_supervise, follower.run)
+                for task in (
+                    self._planning.run,
+                    self._orders.run,
+                    self._stalls.run,
+                    self._keep_house,
+                ):
+                    nursery.start_soon(_supervise, task)
+                ready = _http_server.Server(handler=self._readiness)
+                for server, address in (
+                    (ready, listen.readiness),
+                    (_http_server.Server(handler=self._expose), listen.metrics),
+                    (self._callers, listen.callers),
+                ):
+                    await nursery.start(server.serve, address.host, address.port)
+                _LOGGER.info(
+                    "node started",
+                    extra={
+                        "node": self.settings.node.name,
+                        "callers": str(listen.callers),
+                        "process_id": os.getpid(),
+                        "first_start": self.settings.node.first_start,
+                    },
+                )
+                await self._wait_for_stop(signals)
+                await self._shut_down()
+                nursery.cancel_scope.cancel()
+        _LOGGER.info("node stopped", extra={"node": self.settings.node.name})
+
+    async def _wait_for_stop(self, signals: collections.abc.AsyncIterator[int]) -> None:
+        async for received in signals:
+            if received == signal.SIGTERM:
+                return
+            _LOGGER.info("settings reloaded; nothing of them changes while running")
+
+    async def _shut_down(self) -> None:
+        """Let callers go elsewhere and finish what they still ask."""
+        began = clocks.read_boot_clock()
+        self._readiness.drain()
+        self._callers.drain()
+        end = began + self.settings.bounds.shutdown_seconds - _EXIT_MARGIN_SECONDS
+        while clocks.read_boot_clock() < end:
+            waited = clocks.read_boot_clock() - began
+            busy = self._callers.running_requests or self._callers.connections
+            if waited >= _UNLISTED_SECONDS and not busy:
+                break
+            await trio.sleep(_DRAIN_POLL_SECONDS)
+        _LOGGER.info(
+            "node drained",
+            extra={
+                "seconds": round(clocks.read_boot_clock() - began, 2),
+                "running": self._callers.running_requests,
+            },
+        )
+
+    async def _keep_house(self) -> None:
+        """Keep what time alone changes."""
+        while True:
+            await trio.sleep(_HOUSEKEEPING_SECONDS)
+            self._backend_list.drop_missing(clocks.read_boot_clock())
+            area = self.blackboard.backends
+            while area.restarted:
+                self.suspects.clear(area.restarted.pop())
+            self._readiness.check()
+            self._apply_limits()
+
+    def _apply_limits(self) -> None:
+        declared = self.blackboard.configuration.declarations
+        if declared is None:
+            return
+        limits = declared.limits
+        self._callers.limits = _http_server.ServerLimits(
+            header_bytes=limits.header_bytes,
+            body_bytes=limits.body_bytes,
+            receive_timeout_seconds=limits.header_timeout_seconds,
+            idle_timeout_seconds=limits.idle_timeout_seconds,
+        )
+
+    async def _expose(
+        self, request: _http_server.Request, responder: _http_server.Responder
+    ) -> None:
+        # OpenTelemetry is needed here alone; a node that nobody asks saves its memory.
+        from jujubepass.forwarding import metrics_page
+
+        page = metrics_page.expose(
+            version=__version__,
+            measures=self.measures,
+            blackboard=self.blackboard,
+            client=self.client,
+            orders=self._orders,
+        )
+        await responder.send(200, page.data, content_type=page.content_type)
+
+
+async def _supervise(
+    run: collections.abc.Callable[[], collections.abc.Awaitable[None]],
+) -> None:
+    """Start a task again when a fault ended it; one fault must not end the node."""
+    while True:
+        try:
+            await run()
+        except Exception:
+            _LOGGER.exception("task failed; starting it again")
+            await trio.sleep(_HOUSEKEEPING_SECONDS)
--- /dev/null
+++ b/src/jujubepass/forwarding/paths.py
@@ -0,0 +1,121 @@
+"""Finds the cheapest path of engines through all layers of a model."""
+
+import collections
+import collections.abc
+import math
+
+import attrs
+
+from jujubepass import _http_client, ids
+from jujubepass.forwarding import backends, declarations
+
+# A hop inside a failure domain, by the sites' sheets (0.2 ms one way).
+_HOP_SECONDS = 0.0002
+# A crossing moves the activations of each token: as dear as the slowest stage is
+# slow, so that a path stays inside one failure domain where one can.
+_CROSSING_SECONDS = 0.05
+# Requests whose first engine stands elsewhere cross once an event, not once a token.
+_REMOTE_ENTRY_SECONDS = 0.002
+
+
+@attrs.frozen(kw_only=True)
+class Part:
+    """Run a span of layers on one engine."""
+
+    engine: ids.BackendServerId
+    address: _http_client.Address
+    span: backends.Span
+
+
+@attrs.frozen(kw_only=True)
+class Path:
+    """Hold the parts that run every layer once and in order."""
+
+    parts: tuple[Part, ...]
+    step_seconds: float
+    """Predicted time of one token."""
+
+    @property
+    def engines(self) -> frozenset[ids.BackendServerId]:
+        """Return the engines on the path."""
+        return frozenset(part.engine for part in self.parts)
+
+
+@attrs.frozen(kw_only=True)
+class Option:
+    """Offer an engine for any part of a span, at a cost a layer."""
+
+    backend: backends.Backend
+    span: backends.Span
+    layer_seconds: float
+
+
+_State = tuple[int, ids.FailureDomainId]
+
+
+def find_path(
+    model: declarations.Model,
+    options: collections.abc.Sequence[Option],
+    entry_domain: ids.FailureDomainId,
+) -> Path | None:
+    """Return the cheapest path for a caller in a failure domain, or None."""
+    bounds = {0, model.layers}
+    for each in options:
+        bounds |= {each.span.first, each.span.end}
+    best: dict[_State, tuple[float, tuple[Part, ...]]] = {}
+    ordered = sorted(bound for bound in bounds if 0 <= bound <= model.layers)
+    for layer in ordered[:-1]:
+        for option in options:
+            if option.span.first <= layer < option.span.end:
+                _extend(best, option, layer, ordered, entry_domain)
+    finals = [found for (end, _), found in best.items() if end == model.layers]
+    if not finals:
+        return None
+    cost, parts = min(finals, key=lambda found: found[0])
+    return Path(parts=parts, step_seconds=cost)
+
+
+def _extend(
+    best: dict[_State, tuple[float, tuple[Part, ...]]],
+    option: Option,
+    layer: int,
+    ordered: list[int],
+    entry_domain: ids.FailureDomainId,
+) -> None:
+    """Go on from every way to a layer with one more engine."""
+    domain = option.backend.failure_domain
+    before = _find_before(best, option, layer, entry_domain)
+    if before is None:
+        return
+    cost, parts = before
+    for end in ordered:
+        if not layer < end <= option.span.end:
+            continue
+        total = cost + (end - layer) * option.layer_seconds + _HOP_SECONDS
+        state = (end, domain)
+        if total < best.get(state, (math.inf, ()))[0]:
+            part = Part(
+                engine=option.backend.name,
+                address=option.backend.address,
+                span=backends.Span(first=layer, end=end),
+            )
+            best[state] = (total, (*parts, part))
+
+
+def _find_before(
+    best: dict[_State, tuple[float, tuple[Part, ...]]],
+    option: Option,
+    layer: int,
+    entry_domain: ids.FailureDomainId,
+) -> tuple[float, tuple[Part, ...]] | None:
+    domain = option.backend.failure_domain
+    if layer == 0:
+        return (0.0 if domain == entry_domain else _REMOTE_ENTRY_SECONDS), ()
+    found: tuple[float, tuple[Part, ...]] | None = None
+    for (end, last_domain), (cost, parts) in best.items():
+        if end != layer or any(part.engine == option.backend.name for part in parts):
+            continue
+        total = cost + (_CROSSING_SECONDS if last_domain != domain else 0.0)
+        if found is None or total < found[0]:
+            found = total, parts
+    return found
--- /dev/null
+++ b/src/jujubepass/forwarding/plan_rows.py
@@ -0,0 +1,70 @@
+"""Rows of plans in the platform's table."""
+
+import collections.abc
+import typing
+
+import attrs
+
+from jujubepass import _store_messages, ids
+from jujubepass.forwarding import backends, plans
+
+_PREFIX = "plan/"
+
+
+class PlanRowError(Exception):
+    """Report a row that holds no plan."""
+
+
+def read_plan(key: str, version: int, value: typing.Any) -> plans.Plan:
+    """Read a plan from its row; raises PlanRowError."""
+    if not key.startswith(_PREFIX):
+        raise PlanRowError(f"{key!r} is no plan's key")
+    try:
+        return plans.Plan(
+            service=ids.ServiceId(key.removeprefix(_PREFIX)),
+            version=version,
+            revision=int(value["revision"]),
+            author=ids.NodeId(value["author"]),
+            placements={
+                ids.BackendServerId(name): _read_placement(placement)
+                for name, placement in value["placements"].items()
+            },
+            excluded={
+                ids.BackendServerId(name): int(started_at)
+                for name, started_at in value["excluded"].items()
+            },
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise PlanRowError(f"{key!r} holds no plan: {error!r}") from error
+
+
+def _read_placement(value: collections.abc.Sequence[int]) -> plans.Placement:
+    first, end, chain = value
+    return plans.Placement(span=backends.Span(first=first, end=end), chain=chain)
+
+
+def write_plan(
+    operation: _store_messages.OperationId, plan: plans.Plan
+) -> _store_messages.Transact:
+    """Write a plan if its row is still at the version that the plan names."""
+    key = _PREFIX + plan.service
+    value = {
+        "revision": plan.revision,
+        "author": plan.author,
+        "placements": {
+            name: [placement.span.first, placement.span.end, placement.chain]
+            for name, placement in plan.placements.items()
+        },
+        "excluded": dict(plan.excluded),
+    }
+    return _store_messages.Transact(
+        operation=operation,
+        conditions=(_store_messages.Condition(key=key, version=plan.version),),
+        writes=(_store_messages.Write(key=key, value=value),),
+    )
+
+
+def take_written(plan: plans.Plan, outcome: _store_messages.Transacted) -> plans.Plan:
+    """Return a plan with the version that its write got."""
+    version = outcome.versions[_PREFIX + plan.service]
+    return attrs.evolve(plan, version=version)
--- /dev/null
+++ b/src/jujubepass/forwarding/planning.py
@@ -0,0 +1,59 @@
+"""Runs the plan controller and writes its plans to the store."""
+
+import itertools
+import logging
+
+import attrs
+import trio
+
+from jujubepass import _store_messages, _table_client
+from jujubepass.forwarding import board, clocks, feeds, plan_rows, planner, plans
+
+_LOGGER = logging.getLogger(__name__)
+
+_PERIOD_SECONDS = 0.1
+# Pause after a write that did not take effect, so that the feed can tell why.
+_FAILED_PAUSE_SECONDS = 0.3
+
+
+@attrs.define(kw_only=True)
+class Planning:
+    """Write the plans that the controller asks for."""
+
+    blackboard: board.Blackboard
+    controller: planner.PlanController
+    table: _table_client.Table
+    _operations: "itertools.count[int]" = attrs.field(
+        factory=itertools.count, init=False
+    )
+
+    def apply(self, changes: feeds.Changes[plans.Plan], now: float) -> None:
+        """Take over plans that other nodes wrote."""
+        for plan in changes.items.values():
+            if plan is not None:
+                self.controller.note_plan(plan)
+        self.blackboard.plans.known = True
+
+    async def run(self) -> None:
+        """Check the plans again and again."""
+        while True:
+            await trio.sleep(_PERIOD_SECONDS)
+            for command in self.controller.check(clocks.read_boot_clock()):
+                await self._write(command.plan)
+
+    async def _write(self, plan: plans.Plan) -> None:
+        operation = _store_messages.OperationId(f"plan/{next(self._operations)}")
+        outcome = await self.table.transact(plan_rows.write_plan(operation, plan))
+        _LOGGER.info(
+            "plan written",
+            extra={
+                "service": plan.service,
+                "revision": plan.revision,
+                "replaces": plan.version,
+                "outcome": type(outcome).__name__,
+            },
+        )
+        if isinstance(outcome, _store_messages.Transacted):
+            self.controller.note_plan(plan_rows.take_written(plan, outcome))
+        else:
+            await trio.sleep(_FAILED_PAUSE_SECONDS)
--- /dev/null
+++ b/src/jujubepass/forwarding/readiness.py
@@ -0,0 +1,77 @@
+"""Answers the balancer's question whether this node takes new connections."""
+
+import logging
+
+import attrs
+
+from jujubepass import _http_server
+from jujubepass.forwarding import admission, board, clocks
+
+_LOGGER = logging.getLogger(__name__)
+
+_READY = 200
+_NOT_READY = 503
+
+
+@attrs.define(kw_only=True)
+class Readiness:
+    """Write the node's state, and answer with it."""
+
+    blackboard: board.Blackboard
+    gate: admission.Admission
+
+    def check(self) -> None:
+        """Bring the node's state up to date."""
+        area = self.blackboard
+        if area.state is board.NodeState.DRAINING:
+            return
+        known = (
+            area.configuration.declarations is not None
+            and area.backends.known
+            and area.plans.known
+            and self._has_plans()
+        )
+        if not known:
+            self._enter(board.NodeState.STARTING)
+        elif self.gate.is_stale(clocks.read_boot_clock()):
+            self._enter(board.NodeState.STALE)
+        else:
+            self._enter(board.NodeState.READY)
+
+    def _has_plans(self) -> bool:
+        declared = self.blackboard.configuration.declarations
+        assert declared is not None
+        listed = {each.service for each in self.blackboard.backends.listed.values()}
+        return all(
+            each.name in self.blackboard.plans.plans
+            for each in declared.find_model_services()
+            if each.name in listed
+        )
+
+    def drain(self) -> None:
+        """Take no new connections any more."""
+        self._enter(board.NodeState.DRAINING)
+
+    def _enter(self, state: board.NodeState) -> None:
+        before = self.blackboard.state
+        if before is state:
+            return
+        self.blackboard.state = state
+        area = self.blackboard.configuration
+        _LOGGER.info(
+            "node state changed",
+            extra={
+                "before": before.value,
+                "state": state.value,
+                "version_age": round(clocks.read_boot_clock() - area.proven_at, 3),
+            },
+        )
+
+    async def __call__(
+        self, request: _http_server.Request, responder: _http_server.Responder
+    ) -> None:
+        """Answer the balancer."""
+        self.check()
+        ready = self.blackboard.state is board.NodeState.READY
+        status = _READY if ready else _NOT_READY
+        await responder.send_json(status, {"state": self.blackboard.state.value})
--- /dev/null
+++ b/src/jujubepass/forwarding/replies.py
@@ -0,0 +1,80 @@
+"""Writes answers and refusals to the caller of one request."""
+
+import logging
+
+import attrs
+
+from jujubepass import _http_server, reasons
+from jujubepass.forwarding import admission, exchange
+
+_LOGGER = logging.getLogger(__name__)
+
+_DETAILS = {
+    reasons.RefusalReason.NOT_READY: "The node has no configuration yet.",
+    reasons.RefusalReason.CONFIGURATION_STALE: (
+        "The node lost the platform's store and may not know the newest keys."
+    ),
+    reasons.RefusalReason.UNKNOWN_ROUTE: "No route serves this host and path.",
+    reasons.RefusalReason.UNKNOWN_ACCOUNT: "The key is missing or not valid.",
+    reasons.RefusalReason.BACKEND_UNAVAILABLE: "No backend server can take it now.",
+    reasons.RefusalReason.BACKEND_REFUSED: "The backend servers took no more requests.",
+    reasons.RefusalReason.NO_ROUTE: "No path of engines holds every layer now.",
+    reasons.RefusalReason.DEADLINE_UNREACHABLE: "The time left is too short.",
+    reasons.RefusalReason.DEADLINE_PASSED: "No answer came in time; it may have run.",
+    reasons.RefusalReason.OUTCOME_UNKNOWN: "The answer was lost; it may have run.",
+}
+
+
+@attrs.define(kw_only=True)
+class Reply:
+    """Write one answer, and remember how the request ended."""
+
+    ask: exchange.Ask
+    wire: exchange.Wire
+    responder: _http_server.Responder
+    outcome: str = "open"
+    reason: str = ""
+    status: int = 0
+
+    @property
+    def started(self) -> bool:
+        """Tell whether the caller has been sent the start of an answer."""
+        return self.responder.started
+
+    async def refuse(self, refusal: admission.Refusal) -> None:
+        """Send the final answer of a request that is not served."""
+        reason = refusal.reason
+        self.outcome, self.reason = "refused", reason.code
+        self.status = reason.status
+        await self.responder.send_problem(
+            reason.status,
+            reason.code,
+            _DETAILS[reason],
+            retry_after_seconds=refusal.retry_after_seconds,
+            fields=self.wire.write_refusal(self.ask),
+        )
+
+    async def send_whole(self, head: exchange.AnswerHead, body: bytes) -> None:
+        """Send a backend server's whole answer unchanged."""
+        self.status = head.status
+        self.outcome = "answered"
+        await self.responder.send_fields(head.status, head.fields, body)
+
+    async def start(self, head: exchange.AnswerHead) -> None:
+        """Send the start of an answer whose body follows as it comes."""
+        self.status = head.status
+        self.outcome = "started"
+        await self.responder.start_fields(head.status, head.fields)
+
+    async def write(self, data: bytes) -> None:
+        """Send a part of the body."""
+        await self.responder.write(data)
+
+    async def finish(self) -> None:
+        """End the body."""
+        await self.responder.finish()
+        self.outcome = "answered"
+
+    def cut(self, reason: reasons.RefusalReason) -> None:
+        """Leave a started answer without its end, so that it does not look whole."""
+        self.outcome, self.reason = "cut", reason.code
--- /dev/null
+++ b/src/jujubepass/forwarding/sending.py
@@ -0,0 +1,68 @@
+"""Sends one attempt of a request to a backend server and reads how it starts."""
+
+import collections.abc
+import contextlib
+import logging
+
+import attrs
+
+from jujubepass import _http_client
+from jujubepass.forwarding import exchange
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class AttemptError(Exception):
+    """Report an attempt without a usable answer."""
+
+
+class NotRunError(AttemptError):
+    """Report that the backend server surely did not run the request."""
+
+    def __init__(self, *, detail: str, head: exchange.AnswerHead | None = None) -> None:
+        super().__init__(detail)
+        self.head = head
+
+
+class UnclearError(AttemptError):
+    """Report that the backend server may have run the request."""
+
+
+@attrs.frozen(kw_only=True)
+class Sender:
+    """Send attempts over one client's connections."""
+
+    client: _http_client.Client
+    wire: exchange.Wire
+
+    @contextlib.asynccontextmanager
+    async def open(
+        self, ask: exchange.Ask, send: exchange.Send, address: _http_client.Address
+    ) -> collections.abc.AsyncIterator[
+        tuple[exchange.AnswerHead, _http_client.StreamedAnswer]
+    ]:
+        """Send an attempt once and yield its answer; raises AttemptError.
+
+        What breaks while the answer is read comes out as UnclearError too.
+        """
+        try:
+            async with self.client.open(
+                ask.method,
+                address,
+                ask.target,
+                body=ask.body,
+                headers=self.wire.write_request(ask, send),
+                fresh=send.path is None,
+                once=True,
+            ) as answer:
+                head = self.wire.read_answer(ask, answer.status, answer.fields)
+                if head.kind is exchange.AnswerKind.NOT_RUN:
+                    detail = f"answered {answer.status} without running the request"
+                    raise NotRunError(detail=detail, head=head)
+                if head.kind is not exchange.AnswerKind.RAN:
+                    raise UnclearError(f"{head.kind.value} answer {answer.status}")
+                yield head, answer
+        except _http_client.NotSentError as error:
+            raise NotRunError(detail=str(error)) from error
+        except _http_client.ClientError as error:
+            raise UnclearError(str(error)) from error
--- /dev/null
+++ b/src/jujubepass/forwarding/service_exchange.py
@@ -0,0 +1,272 @@
+"""Serves requests to plain services, some of which may not be repeated."""
+
+import collections
+import logging
+
+import attrs
+import trio
+
+from jujubepass import _retry_budget, ids, reasons
+from jujubepass.forwarding import (
+    admission,
+    backend_list,
+    backends,
+    board,
+    clocks,
+    exchange,
+    replies,
+    sending,
+    suspicion,
+)
+
+_LOGGER = logging.getLogger(__name__)
+
+# Answers up to this size are read whole first, so that a broken one can be asked for
+# again; larger ones go out as they come.
+_HELD_BODY_BYTES = 65_536
+# A lookup that takes this long is asked of another backend server: three times the
+# latency goal of the sites' lookups (150 ms).
+_PATIENCE_SECONDS = 0.45
+# Time left below which a first send cannot be answered any more.
+_LEAST_SECONDS = 0.02
+# Time after which a full backend server has worked off part of its queue.
+_FULL_RETRY_SECONDS = 0.3
+# Time in which a failed backend server is replaced by what the list then shows.
+_ABSENT_RETRY_SECONDS = 1.0
+_FIRST_FAILING_STATUS = 500
+
+
+@attrs.define(kw_only=True)
+class ServiceChoice:
+    """Choose a backend server of a plain service, the nearest and idlest first."""
+
+    blackboard: board.Blackboard
+    suspects: suspicion.Suspects
+    running: collections.Counter[ids.BackendServerId] = attrs.field(
+        factory=collections.Counter
+    )
+
+    def choose(
+        self,
+        service: ids.ServiceId,
+        tried: collections.abc.Set[ids.BackendServerId],
+        now: float,
+    ) -> backends.Backend | None:
+        """Return the backend server to ask next, or None."""
+        ready = [
+            each
+            for each in backend_list.list_ready(self.blackboard.backends, service)
+            if each.name not in tried
+        ]
+        return min(ready, key=lambda each: self._rank(each, now), default=None)
+
+    def _rank(self, backend: backends.Backend, now: float) -> tuple[bool, bool, int]:
+        suspect = self.suspects.is_suspect(backend.name, now)
+        remote = backend.failure_domain != self.blackboard.failure_domain
+        running = self.running[backend.name]
+        # One that is full here is worse than one that is far.
+        return suspect, remote and running < backend.slots, running
+
+
+@attrs.define(kw_only=True)
+class _Progress:
+    """Hold what has become of one request so far."""
+
+    tried: set[ids.BackendServerId] = attrs.field(factory=set)
+    runs: int = 0
+    may_have_run: bool = False
+    full: bool = False
+
+
+@attrs.define(kw_only=True)
+class ServiceExchange:
+    """Send a request to backend servers until one has answered it."""
+
+    sender: sending.Sender
+    gate: admission.Admission
+    choice: ServiceChoice
+    suspects: suspicion.Suspects
+    budgets: collections.defaultdict[ids.ServiceId, _retry_budget.RetryBudget]
+    count_retry: collections.abc.Callable[[reasons.RetryReason], None]
+
+    async def serve(
+        self, ask: exchange.Ask, admitted: exchange.Admitted, reply: replies.Reply
+    ) -> None:
+        """Serve one request within its time."""
+        progress = _Progress()
+        budget = self.budgets[admitted.service.name]
+        budget.count_attempt(ask.arrived_at)
+        with clocks.move_on_at(admitted.ends_at):
+            refusal = await self._try_each(ask, admitted, reply, progress)
+            if refusal is not None:
+                await reply.refuse(refusal)
+            return
+        if reply.started:
+            reply.cut(reasons.RefusalReason.DEADLINE_PASSED)
+        else:
+            await reply.refuse(_refuse_late(progress))
+
+    async def _try_each(
+        self,
+        ask: exchange.Ask,
+        admitted: exchange.Admitted,
+        reply: replies.Reply,
+        progress: _Progress,
+    ) -> admission.Refusal | None:
+        """Return why the request was not served, or None when it was."""
+        route = admitted.route
+        while True:
+            now = clocks.read_boot_clock()
+            checked = self.gate.admit(ask, now)
+            if isinstance(checked, admission.Refusal):
+                return _keep_unknown(checked, progress)
+            backend = self.choice.choose(admitted.service.name, progress.tried, now)
+            if backend is None:
+                return _refuse_none_left(progress)
+            if admitted.ends_at - now < _LEAST_SECONDS:
+                return _refuse_late(progress)
+            if progress.tried and not self.budgets[admitted.service.name].spend(now):
+                return _refuse_none_left(progress)
+            progress.tried.add(backend.name)
+            last = progress.runs + 1 >= route.most_attempts
+            try:
+                await self._send(ask, admitted, backend, reply, hurried=not last)
+                return None
+            except sending.NotRunError as error:
+                self._note_not_run(backend, error, progress, now)
+            except sending.UnclearError as error:
+                progress.may_have_run = True
+                progress.runs += 1
+                reason = suspicion.SuspicionReason.BROKE_OFF
+                self.suspects.suspect(backend.name, reason, now)
+                _log_attempt(ask, backend, "unclear", str(error))
+                if reply.started:
+                    reply.cut(reasons.RefusalReason.OUTCOME_UNKNOWN)
+                    return None
+                if not route.is_repeatable or last:
+                    return _refuse_none_left(progress)
+                self.count_retry(reasons.RetryReason.LOOKUP_FAILED)
+
+    def _note_not_run(
+        self,
+        backend: backends.Backend,
+        error: sending.NotRunError,
+        progress: _Progress,
+        now: float,
+    ) -> None:
+        if error.head is None:
+            reason = suspicion.SuspicionReason.UNREACHABLE
+            self.suspects.suspect(backend.name, reason, now)
+            self.count_retry(reasons.RetryReason.CONNECT_FAILED)
+        else:
+            progress.full = True
+            self.count_retry(reasons.RetryReason.CALL_REFUSED)
+        _LOGGER.info(
+            "backend server did not run the request",
+            extra={"backend": backend.name, "detail": str(error)},
+        )
+
+    async def _send(
+        self,
+        ask: exchange.Ask,
+        admitted: exchange.Admitted,
+        backend: backends.Backend,
+        reply: replies.Reply,
+        *,
+        hurried: bool,
+    ) -> None:
+        """Send one attempt and its answer on; raises sending.AttemptError."""
+        now = clocks.read_boot_clock()
+        account = admitted.account
+        send = exchange.Send(
+            backend=backend.name,
+            account=account.name if account else None,
+            priority=admitted.priority,
+            left_seconds=admitted.ends_at - now,
+        )
+        hurry = _PATIENCE_SECONDS if hurried and admitted.route.is_repeatable else None
+        self.choice.running[backend.name] += 1
+        try:
+            with trio.CancelScope() as patience:
+                if hurry is not None:
+                    patience.deadline = trio.current_time() + hurry
+                async with self.sender.open(ask, send, backend.address) as opened:
+                    head, answer = opened
+                    body, whole = await _read_body(answer, _HELD_BODY_BYTES)
+                    patience.deadline = float("inf")
+                    if hurry is not None and head.status >= _FIRST_FAILING_STATUS:
+                        raise sending.UnclearError(f"answered {head.status}")
+                    if whole:
+                        await reply.send_whole(head, body)
+                    else:
+                        await _relay(head, body, answer, reply)
+            if patience.cancelled_caught:
+                raise sending.UnclearError(f"no answer within {hurry:g} s")
+        finally:
+            self.choice.running[backend.name] -= 1
+        self.suspects.clear(backend.name)
+
+
+async def _read_body(answer: object, limit: int) -> tuple[bytes, bool]:
+    """Read up to a limit; tell whether that was all."""
+    parts = bytearray()
+    while len(parts) <= limit:
+        part = await answer.receive()  # type: ignore[attr-defined]
+        if not part:
+            return bytes(parts), True
+        parts += part
+    return bytes(parts), False
+
+
+async def _relay(
+    head: exchange.AnswerHead, begun: bytes, answer: object, reply: replies.Reply
+) -> None:
+    await reply.start(head)
+    await reply.write(begun)
+    while part := await answer.receive():  # type: ignore[attr-defined]
+        await reply.write(part)
+    await reply.finish()
+
+
+def _refuse_late(progress: _Progress) -> admission.Refusal:
+    if progress.may_have_run or progress.tried:
+        return admission.Refusal(reason=reasons.RefusalReason.DEADLINE_PASSED)
+    return admission.Refusal(
+        reason=reasons.RefusalReason.DEADLINE_UNREACHABLE,
+        retry_after_seconds=_FULL_RETRY_SECONDS,
+    )
+
+
+def _refuse_none_left(progress: _Progress) -> admission.Refusal:
+    if progress.may_have_run:
+        return admission.Refusal(reason=reasons.RefusalReason.OUTCOME_UNKNOWN)
+    if progress.full:
+        return admission.Refusal(
+            reason=reasons.RefusalReason.BACKEND_UNAVAILABLE,
+            retry_after_seconds=_FULL_RETRY_SECONDS,
+        )
+    return admission.Refusal(
+        reason=reasons.RefusalReason.BACKEND_UNAVAILABLE,
+        retry_after_seconds=_ABSENT_RETRY_SECONDS,
+    )
+
+
+def _keep_unknown(refusal: admission.Refusal, progress: _Progress) -> admission.Refusal:
+    """Say that the outcome is unknown when an attempt may have run."""
+    if progress.may_have_run:
+        return admission.Refusal(reason=reasons.RefusalReason.OUTCOME_UNKNOWN)
+    return refusal
+
+
+def _log_attempt(
+    ask: exchange.Ask, backend: backends.Backend, outcome: str, detail: str
+) -> None:
+    _LOGGER.info(
+        "attempt ended",
+        extra={
+            "request": ask.request,
+            "backend": backend.name,
+            "outcome": outcome,
+            "detail": detail,
+        },
+    )
--- /dev/null
+++ b/src/jujubepass/forwarding/settings.py
@@ -0,0 +1,113 @@
+"""Settings of a forwarding node, read from an INI file."""
+
+import os
+import pathlib
+
+import attrs
+import returns.result
+
+from jujubepass import _http_client, _ini, ids
+from jujubepass import settings as node_settings
+
+
+@attrs.frozen(kw_only=True)
+class Node:
+    """Name this node and its place."""
+
+    name: ids.NodeId = _ini.name_key("unique name of this node")
+    region: ids.RegionId = _ini.name_key("region that the VM stands in")
+    failure_domain: ids.FailureDomainId = _ini.name_key("failure domain of the VM")
+    first_start: bool = _ini.key(
+        default=False, meaning="whether the whole system starts for the first time"
+    )
+
+
+@attrs.frozen(kw_only=True)
+class Listen:
+    """Hold the addresses this node listens on."""
+
+    callers: _http_client.Address = _ini.key(meaning="listener for callers")
+    readiness: _http_client.Address = _ini.key(meaning="listener for the balancer")
+    metrics: _http_client.Address = _ini.key(meaning="listener for metrics")
+
+
+@attrs.frozen(kw_only=True)
+class Store:
+    """Hold the address of the platform's store."""
+
+    address: _http_client.Address = _ini.key(meaning="the platform's store")
+
+
+@attrs.frozen(kw_only=True)
+class Bounds:
+    """Hold the bounds that the platform sets."""
+
+    revocation_milliseconds: int = _ini.key(
+        default=5_000,
+        meaning="time after which a revoked key runs nothing any more",
+        unit="milliseconds",
+        minimum=100,
+        maximum=3_600_000,
+    )
+    shutdown_seconds: float = _ini.seconds_key(
+        8.0, "time from SIGTERM to SIGKILL", minimum=0.1, maximum=3_600.0
+    )
+    retry_share: float = _ini.key(
+        default=0.2,
+        meaning="retries that a request pays for, over all nodes",
+        minimum=0.0,
+        maximum=10.0,
+    )
+    retry_slack: float = _ini.key(
+        default=200.0,
+        meaning="retries of a service beside those, over all nodes, in the window",
+        unit="retries",
+        minimum=0.0,
+        maximum=1e9,
+    )
+    retry_window_seconds: float = _ini.seconds_key(
+        10.0, "window in which retries are counted", minimum=0.1, maximum=3_600.0
+    )
+
+
+@attrs.frozen(kw_only=True)
+class Settings:
+    """Hold all settings of one forwarding node."""
+
+    node: Node
+    listen: Listen
+    store: Store
+    bounds: Bounds = attrs.field(factory=Bounds)
+    log: node_settings.Log = attrs.field(factory=node_settings.Log)
+
+
+def is_forwarding(text: str) -> bool:
+    """Tell whether settings are a forwarding node's: they name its store."""
+    return "store" in _ini.read_sections("", text)[0]
+
+
+def read_settings(
+    path: str | os.PathLike[str],
+) -> returns.result.Result[Settings, node_settings.SettingsError]:
+    """Read a settings file; a failure holds every problem found."""
+    try:
+        text = pathlib.Path(path).read_bytes().decode("utf-8-sig")
+    except (OSError, ValueError) as error:
+        problem = _ini.Problem(
+            file=str(path),
+            what=f"cannot be read ({error})",
+            allowed="INI text in UTF-8",
+        )
+        return returns.result.Failure(node_settings.SettingsError(problems=(problem,)))
+    return parse_settings(str(path), text)
+
+
+def parse_settings(
+    file: str, text: str
+) -> returns.result.Result[Settings, node_settings.SettingsError]:
+    """Read settings from INI text; `file` names it in problems."""
+    read, problems = _ini.structure_sections(Settings, file, text)
+    if problems:
+        found = node_settings.SettingsError(problems=tuple(problems))
+        return returns.result.Failure(found)
+    return returns.result.Success(Settings(**read))
--- /dev/null
+++ b/src/jujubepass/forwarding/stream_exchange.py
@@ -0,0 +1,323 @@
+"""Serves model requests: one answer from as many paths as it takes."""
+
+import collections
+import collections.abc
+import logging
+
+import attrs
+import trio
+
+from jujubepass import _http_client, _retry_budget, ids, reasons
+from jujubepass.forwarding import (
+    admission,
+    clocks,
+    declarations,
+    engine_choice,
+    events,
+    exchange,
+    paths,
+    replies,
+    sending,
+    stall_watch,
+    suspicion,
+)
+
+_LOGGER = logging.getLogger(__name__)
+
+# A route's pause allowed between events, doubled, makes a silent stream suspicious.
+_SUSPICIOUS_GAPS = 2.0
+_LEAST_SUSPICIOUS_SECONDS = 0.3
+# Callers give up a stream after two seconds without an event; a stream that has been
+# silent for half of that goes on elsewhere whatever its engines report.
+_LONGEST_GAP_SECONDS = 1.0
+# The first event is due at the route's goal; a path silent for longer is checked.
+_FIRST_EVENT_GOALS = 1.2
+_LONGEST_FIRST_EVENT_SECONDS = 1.6
+# Time for which a request waits for a path: an engine's failure is noticed and a
+# chain placed anew within about this time on the sites' sheets.
+_PATH_WAIT_SECONDS = 3.0
+_PATH_POLL_SECONDS = 0.05
+_PATH_RETRY_SECONDS = 1.5
+_FULL_RETRY_SECONDS = 0.5
+# Refusals without a run that one request takes before it is refused itself.
+_MOST_REFUSALS = 4
+
+
+class PathFailedError(Exception):
+    """Report that an answer cannot go on over its path."""
+
+
+@attrs.define(kw_only=True)
+class _Progress:
+    """Hold how far one answer has come."""
+
+    last_event: str | None
+    deadline: float
+    events: int = 0
+    runs: int = 0
+    refusals: int = 0
+    began_at: float = 0.0
+    avoided: set[ids.BackendServerId] = attrs.field(factory=set)
+
+
+@attrs.define(kw_only=True)
+class StreamExchange:
+    """Run a request on a path, and go on at the next event over another."""
+
+    sender: sending.Sender
+    gate: admission.Admission
+    choice: engine_choice.EngineChoice
+    suspects: suspicion.Suspects
+    stalls: stall_watch.StallWatch
+    budgets: collections.defaultdict[ids.ServiceId, _retry_budget.RetryBudget]
+    count_retry: collections.abc.Callable[[reasons.RetryReason], None]
+    observe_first: collections.abc.Callable[[float], None]
+
+    async def serve(
+        self, ask: exchange.Ask, admitted: exchange.Admitted, reply: replies.Reply
+    ) -> None:
+        """Serve one request within its time."""
+        progress = _Progress(last_event=ask.resume_after, deadline=admitted.ends_at)
+        self.budgets[admitted.service.name].count_attempt(ask.arrived_at)
+        with clocks.move_on_at(admitted.ends_at):
+            refusal = await self._run(ask, admitted, reply, progress)
+            if refusal is not None:
+                await self._give_up(refusal, reply)
+            return
+        reason = reasons.RefusalReason.DEADLINE_PASSED
+        await self._give_up(admission.Refusal(reason=reason), reply)
+
+    async def _give_up(self, refusal: admission.Refusal, reply: replies.Reply) -> None:
+        if reply.started:
+            reply.cut(refusal.reason)
+        else:
+            await reply.refuse(refusal)
+
+    async def _run(
+        self,
+        ask: exchange.Ask,
+        admitted: exchange.Admitted,
+        reply: replies.Reply,
+        progress: _Progress,
+    ) -> admission.Refusal | None:
+        """Return why the answer was not finished, or None when it was."""
+        while True:
+            path = await self._find_path(admitted, progress)
+            now = clocks.read_boot_clock()
+            checked = self.gate.admit(ask, now)
+            if isinstance(checked, admission.Refusal):
+                return self._refuse(checked, progress)
+            if path is None:
+                refusal = admission.Refusal(
+                    reason=reasons.RefusalReason.NO_ROUTE,
+                    retry_after_seconds=_PATH_RETRY_SECONDS,
+                )
+                return self._refuse(refusal, progress)
+            budget = self.budgets[admitted.service.name]
+            if progress.runs + progress.refusals and not budget.spend(now):
+                return self._refuse(_FULL, progress)
+            try:
+                await self._run_on(ask, admitted, path, reply, progress)
+                return None
+            except sending.NotRunError as error:
+                self._note_refusal(ask, path, error, progress)
+                if progress.refusals >= _MOST_REFUSALS:
+                    return self._refuse(_FULL, progress)
+            except (sending.UnclearError, PathFailedError) as error:
+                self._note_failure(ask, path, error, progress)
+                if not admitted.route.is_repeatable:
+                    return self._refuse(_LOST, progress)
+                if progress.runs > admitted.route.most_attempts + _SPARE_RUNS:
+                    return self._refuse(_LOST, progress)
+
+    def _refuse(
+        self, refusal: admission.Refusal, progress: _Progress
+    ) -> admission.Refusal:
+        """Promise that nothing ran only where nothing did."""
+        return _LOST if progress.runs else refusal
+
+    async def _find_path(
+        self, admitted: exchange.Admitted, progress: _Progress
+    ) -> paths.Path | None:
+        """Return a path, waiting for one that is being repaired."""
+        until = clocks.read_boot_clock() + _PATH_WAIT_SECONDS
+        while True:
+            now = clocks.read_boot_clock()
+            service = admitted.service
+            path = self.choice.choose(service, now, progress.avoided)
+            if path is None and progress.avoided:
+                path = self.choice.choose(service, now)
+            if path is not None or now >= until:
+                return path
+            await trio.sleep(_PATH_POLL_SECONDS)
+
+    async def _run_on(
+        self,
+        ask: exchange.Ask,
+        admitted: exchange.Admitted,
+        path: paths.Path,
+        reply: replies.Reply,
+        progress: _Progress,
+    ) -> None:
+        """Run the rest of the answer on one path; raises what ended it early."""
+        first = path.parts[0]
+        progress.began_at = clocks.read_boot_clock()
+        send = exchange.Send(
+            backend=first.engine,
+            account=admitted.account.name if admitted.account else None,
+            priority=admitted.priority,
+            left_seconds=progress.deadline - progress.began_at,
+            path=path,
+            resume_after=progress.last_event,
+        )
+        self.choice.note_started(path)
+        try:
+            await self._relay(ask, admitted, send, reply, progress)
+        finally:
+            self.choice.note_ended(path)
+
+    async def _relay(
+        self,
+        ask: exchange.Ask,
+        admitted: exchange.Admitted,
+        send: exchange.Send,
+        reply: replies.Reply,
+        progress: _Progress,
+    ) -> None:
+        assert send.path is not None
+        first = send.path.parts[0]
+        patience = _make_patience(admitted.route)
+        with self.stalls.watch(send.path, ask.request, patience) as watched:
+            async with self.sender.open(ask, send, first.address) as (head, answer):
+                await self._take_answer(head, answer, watched, reply, progress, ask)
+        if watched.scope.cancelled_caught:
+            raise PathFailedError(watched.reason)
+
+    async def _take_answer(
+        self,
+        head: exchange.AnswerHead,
+        answer: _http_client.StreamedAnswer,
+        watched: stall_watch.Watched,
+        reply: replies.Reply,
+        progress: _Progress,
+        ask: exchange.Ask,
+    ) -> None:
+        if head.status != _OK:
+            body = await answer.receive_all()
+            if reply.started:
+                raise PathFailedError(f"answered {head.status} when resumed")
+            await reply.send_whole(head, body.body)
+            return
+        splitter = events.EventSplitter()
+        while data := await answer.receive():
+            watched.note_data()
+            await self._forward(splitter.feed(data), head, reply, progress, ask)
+        if splitter.has_partial:
+            raise PathFailedError("stream ended inside an event")
+        if not reply.started:
+            await reply.start(head)
+        await reply.finish()
+
+    async def _forward(
+        self,
+        found: list[events.Event],
+        head: exchange.AnswerHead,
+        reply: replies.Reply,
+        progress: _Progress,
+        ask: exchange.Ask,
+    ) -> None:
+        new = [
+            each
+            for each in found
+            if events.is_later(each.identity, progress.last_event)
+        ]
+        if not new:
+            return
+        if not reply.started:
+            self.observe_first(clocks.read_boot_clock() - ask.arrived_at)
+            await reply.start(head)
+        progress.events += len(new)
+        progress.last_event = new[-1].identity or progress.last_event
+        await reply.write(b"".join(each.data for each in new))
+
+    def _note_refusal(
+        self,
+        ask: exchange.Ask,
+        path: paths.Path,
+        error: sending.NotRunError,
+        progress: _Progress,
+    ) -> None:
+        """Avoid the engine that could not take its part."""
+        progress.refusals += 1
+        now = clocks.read_boot_clock()
+        part = path.parts[0]
+        reason = suspicion.SuspicionReason.UNREACHABLE
+        if error.head is not None:
+            at_fault = error.head.at_fault
+            reason = suspicion.SuspicionReason.NAMED_AT_FAULT
+            part = next((each for each in path.parts if each.address == at_fault), part)
+        self.suspects.suspect(part.engine, reason, now)
+        progress.avoided.add(part.engine)
+        self.count_retry(reasons.RetryReason.ENGINE_FULL)
+        _log_attempt(ask, path, "not run", f"{part.engine}: {error}", progress)
+
+    def _note_failure(
+        self,
+        ask: exchange.Ask,
+        path: paths.Path,
+        error: Exception,
+        progress: _Progress,
+    ) -> None:
+        """Go on elsewhere; without a culprit the whole path is avoided."""
+        progress.runs += 1
+        now = clocks.read_boot_clock()
+        culprits = {
+            name for name in path.engines if self.suspects.is_suspect(name, now)
+        }
+        progress.avoided |= culprits or path.engines
+        self.count_retry(reasons.RetryReason.STREAM_CUT)
+        _log_attempt(ask, path, "broken", str(error), progress)
+
+
+def _make_patience(route: declarations.Route) -> stall_watch.Patience:
+    gap = min(
+        max(_LEAST_SUSPICIOUS_SECONDS, _SUSPICIOUS_GAPS * route.gap_seconds),
+        _LONGEST_GAP_SECONDS,
+    )
+    first = min(_FIRST_EVENT_GOALS * route.goal_seconds, _LONGEST_FIRST_EVENT_SECONDS)
+    return stall_watch.Patience(
+        first_suspicious=first,
+        first_longest=_LONGEST_FIRST_EVENT_SECONDS,
+        gap_suspicious=gap,
+        gap_longest=_LONGEST_GAP_SECONDS,
+    )
+
+
+_OK = 200
+# Runs beyond a route's attempts, for those that ended with their engine.
+_SPARE_RUNS = 1
+_LOST = admission.Refusal(reason=reasons.RefusalReason.OUTCOME_UNKNOWN)
+_FULL = admission.Refusal(
+    reason=reasons.RefusalReason.ENGINES_FULL,
+    retry_after_seconds=_FULL_RETRY_SECONDS,
+)
+
+
+def _log_attempt(
+    ask: exchange.Ask,
+    path: paths.Path,
+    outcome: str,
+    detail: str,
+    progress: _Progress,
+) -> None:
+    _LOGGER.info(
+        "attempt ended",
+        extra={
+            "request": ask.request,
+            "backend": path.parts[0].engine,
+            "parts": len(path.parts),
+            "outcome": outcome,
+            "events": progress.events,
+            "detail": detail,
+        },
+    )
--- /dev/null
+++ b/src/jujubepass/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to the users' platform; no other module knows its names."""
--- /dev/null
+++ b/src/jujubepass/platform/__main__.py
@@ -0,0 +1,38 @@
+"""Entry point of a node on the platform; the environment names its settings file."""
+
+import os
+import sys
+
+from jujubepass import _startup
+
+_startup.avoid_child_processes()
+
+import returns.result  # noqa: E402
+import trio  # noqa: E402
+
+from jujubepass import _logs  # noqa: E402
+from jujubepass.forwarding import settings  # noqa: E402
+from jujubepass.platform import assembly  # noqa: E402
+
+_SETTINGS_VARIABLE = "JUJUBEPASS_SETTINGS"
+_BAD_INPUT = 2
+
+
+def main() -> int:
+    """Run a node until SIGTERM; return the exit code."""
+    path = os.environ.get(_SETTINGS_VARIABLE)
+    if path is None:
+        print(f"{_SETTINGS_VARIABLE} names no settings file", file=sys.stderr)
+        return _BAD_INPUT
+    read = settings.read_settings(path)
+    if isinstance(read, returns.result.Failure):
+        print(read.failure(), file=sys.stderr)
+        return _BAD_INPUT
+    node_settings = read.unwrap()
+    _logs.set_up(node_settings.log, stream=sys.stdout)
+    trio.run(assembly.make_node(node_settings).run)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/jujubepass/platform/assembly.py
@@ -0,0 +1,48 @@
+"""Builds a forwarding node that runs on the platform."""
+
+import typing
+
+from jujubepass import _http_client
+from jujubepass.forwarding import adapters, node, plan_rows, plans, settings
+from jujubepass.platform import backends, configuration, engines, store, wire
+
+_CONNECT_TIMEOUT_SECONDS = 0.5
+
+
+def make_node(node_settings: settings.Settings) -> node.Node:
+    """Build a node; it does nothing until it runs."""
+    client = _http_client.Client(connect_timeout_seconds=_CONNECT_TIMEOUT_SECONDS)
+    return node.Node(
+        settings=node_settings,
+        adapter=make_adapter(client, node_settings.store.address),
+        client=client,
+    )
+
+
+def make_adapter(
+    client: _http_client.Client, address: _http_client.Address
+) -> adapters.Adapter:
+    """Build the adapter to one store and the engines that it lists."""
+    rows = store.StoreClient(client=client, address=address)
+    return adapters.Adapter(
+        wire=wire.HttpWire(),
+        control=engines.HttpEngineControl(client=client),
+        table=store.StoreTable(store=rows),
+        configuration=store.TableFeed(
+            store=rows,
+            table="op",
+            decode=configuration.read_configuration,
+            keys=frozenset(("config",)),
+        ),
+        backends=store.TableFeed(
+            store=rows, table="servers", decode=backends.read_backend
+        ),
+        plans=store.TableFeed(store=rows, table=store.OWN_TABLE, decode=_read_plan),
+    )
+
+
+def _read_plan(key: str, version: int, value: typing.Any) -> plans.Plan:
+    try:
+        return plan_rows.read_plan(key, version, value)
+    except plan_rows.PlanRowError as error:
+        raise store.UnreadableRowError(str(error)) from error
--- /dev/null
+++ b/src/jujubepass/platform/configuration.py
@@ -0,0 +1,122 @@
+"""Decodes the operator's configuration."""
+
+import collections.abc
+import typing
+
+import attrs
+
+from jujubepass import ids
+from jujubepass.forwarding import declarations
+from jujubepass.platform import store
+
+_KINDS = {
+    "idempotent": declarations.Repetition.IDEMPOTENT,
+    "non_idempotent": declarations.Repetition.ONCE,
+    "streaming": declarations.Repetition.STREAM,
+}
+_Json = typing.Any
+
+
+def read_configuration(
+    key: str, row_version: int, value: _Json
+) -> declarations.Declarations:
+    """Decode the whole configuration; raises store.UnreadableRowError."""
+    try:
+        return _read(value)
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise store.UnreadableRowError(f"no configuration: {error!r}") from error
+
+
+def _read(value: _Json) -> declarations.Declarations:
+    accounts = {
+        key: declarations.Account(
+            name=ids.AccountId(tenant["name"]), priority=tenant.get("priority")
+        )
+        for tenant in value.get("tenants") or ()
+        for key in tenant["apiKeys"]
+    }
+    services = [_read_service(each) for each in value["services"]]
+    return declarations.Declarations(
+        version=int(value["version"]),
+        routes=tuple(_read_route(each) for each in value["routes"]),
+        services={each.name: each for each in services},
+        limits=_read_limits(value.get("limits") or {}),
+        accounts=accounts,
+        # Without tenants nobody needs a key; with none left, every key is wrong.
+        checks_keys=value.get("tenants") is not None,
+    )
+
+
+def _read_route(value: _Json) -> declarations.Route:
+    # A split names services with weights; otherwise there is one service.
+    shares = value.get("split") or [{"service": value["service"], "weight": 1.0}]
+    timeout_seconds = value["timeoutMs"] / 1_000.0
+    return declarations.Route(
+        name=value["name"],
+        host=value["host"].lower(),
+        prefix=value["prefix"],
+        repetition=_KINDS.get(value["kind"], declarations.Repetition.ONCE),
+        timeout_seconds=timeout_seconds,
+        goal_seconds=value.get("latencyGoalMs", value["timeoutMs"]) / 1_000.0,
+        priority=value.get("priority", 0),
+        destinations=tuple(
+            declarations.Destination(
+                service=ids.ServiceId(each["service"]), weight=each["weight"]
+            )
+            for each in shares
+        ),
+        most_attempts=value.get("maxAttempts", 1),
+        anonymous=bool(value.get("anonymous", False)),
+        resumable=bool(value.get("resumable", False)),
+        gap_seconds=value.get("gapTargetMs", value["timeoutMs"]) / 1_000.0,
+    )
+
+
+def _read_service(value: _Json) -> declarations.Service:
+    engine = value.get("engine")
+    has_layers = engine is not None and engine.get("layers")
+    return declarations.Service(
+        name=ids.ServiceId(value["name"]),
+        model=_read_model(engine) if has_layers else None,
+    )
+
+
+def _read_model(value: _Json) -> declarations.Model:
+    models = value.get("models") or [{}]
+    usual = value.get("usual") or {}
+    return declarations.Model(
+        layers=value["layers"],
+        layer_megabytes=value["layerMb"],
+        token_kilobytes=value["kvTokenBytes"] / 1_000.0,
+        slots=value["slots"],
+        step_seconds=value["step_ms"] / 1_000.0,
+        sequence_seconds=value.get("per_seq_ms", 0.0) / 1_000.0,
+        read_tokens_per_second=value["read_per_s"],
+        load_seconds=models[0].get("loadS", 0.0),
+        answer_tokens=usual.get("answer", 1),
+        prompt_tokens=usual.get("prompt", 1),
+        accelerators={
+            each["name"]: declarations.Accelerator(
+                memory_megabytes=each["sizeMb"],
+                step_pace=each["pace"],
+                read_pace=each["readX"],
+            )
+            for each in value.get("kinds") or ()
+        },
+    )
+
+
+def _read_limits(
+    value: collections.abc.Mapping[str, _Json],
+) -> declarations.CallerLimits:
+    usual = declarations.CallerLimits()
+    changed = {}
+    for name, field, scale in (
+        ("maxHeaderBytes", "header_bytes", 1),
+        ("maxBodyBytes", "body_bytes", 1),
+        ("headerTimeoutMs", "header_timeout_seconds", 0.001),
+        ("idleTimeoutMs", "idle_timeout_seconds", 0.001),
+    ):
+        if value.get(name):
+            changed[field] = value[name] * scale
+    return attrs.evolve(usual, **changed)
--- /dev/null
+++ b/src/jujubepass/platform/engines.py
@@ -0,0 +1,100 @@
+"""Reads engines' reports and orders layers onto them."""
+
+import json
+import typing
+
+import attrs
+
+from jujubepass import _http_client, ids
+from jujubepass.forwarding import backends, engines
+from jujubepass.platform import backends as entries
+from jujubepass.platform import headers
+
+_TIMEOUT_SECONDS = 0.5
+_OK = 200
+_ACCEPTED = 202
+_ORDER_OUTCOMES = {
+    _ACCEPTED: engines.OrderOutcome.BEGUN,
+    _OK: engines.OrderOutcome.DONE,
+    # The engine's state, its number of orders or the engine itself is another.
+    400: engines.OrderOutcome.REFUSED,
+    409: engines.OrderOutcome.REFUSED,
+    412: engines.OrderOutcome.REFUSED,
+    421: engines.OrderOutcome.REFUSED,
+}
+
+
+@attrs.frozen(kw_only=True)
+class HttpEngineControl:
+    """Reach engines over HTTP."""
+
+    client: _http_client.Client
+
+    async def read_report(self, engine: backends.Backend) -> engines.EngineReport:
+        """Read an engine's report."""
+        try:
+            answer = await self.client.request(
+                "GET",
+                engine.address,
+                "/v1/report",
+                headers=((headers.EXPECTED_BACKEND, engine.name),),
+                timeout_seconds=_TIMEOUT_SECONDS,
+            )
+            if answer.status != _OK:
+                raise engines.EngineError(f"report answered {answer.status}")
+            return _read_report(answer.read_json())
+        except (_http_client.ClientError, KeyError, TypeError, ValueError) as error:
+            raise engines.EngineError(f"no report: {error!r}") from error
+
+    async def order_span(
+        self,
+        engine: backends.Backend,
+        span: backends.Span,
+        *,
+        orders_begun: int,
+        cuts_requests: bool,
+    ) -> engines.OrderOutcome:
+        """Order an engine to hold a span, if it has begun so many orders."""
+        order = {
+            "operation": "place",
+            "from": span.first,
+            "to": span.end,
+            "mode": "cancel" if cuts_requests else "queue_wait",
+            "precondition": orders_begun,
+        }
+        try:
+            answer = await self.client.request(
+                "POST",
+                engine.address,
+                "/v1/order",
+                body=json.dumps(order).encode(),
+                headers=(
+                    ("content-type", "application/json"),
+                    (headers.EXPECTED_BACKEND, engine.name),
+                ),
+                timeout_seconds=_TIMEOUT_SECONDS,
+                fresh=True,
+                once=True,
+            )
+        except _http_client.ClientError as error:
+            raise engines.EngineError(f"order unclear: {error}") from error
+        outcome = _ORDER_OUTCOMES.get(answer.status)
+        if outcome is None:
+            raise engines.EngineError(f"order answered {answer.status}")
+        return outcome
+
+
+def _read_report(value: typing.Any) -> engines.EngineReport:
+    return engines.EngineReport(
+        started_at=int(value.get("born") or 0),
+        held=entries.read_span(value.get("layers")),
+        is_busy=bool(value["busy"]),
+        # Counts orders here; the list's field of this name counts heartbeats.
+        orders_begun=int(value["seqNo"]),
+        running=int(value.get("running") or 0),
+        queued=int(value.get("queued") or 0),
+        stalled=tuple(
+            (ids.RequestId(each["id"]), _http_client.parse_address(each["address"]))
+            for each in value.get("stalled") or ()
+        ),
+    )
--- /dev/null
+++ b/src/jujubepass/platform/store.py
@@ -0,0 +1,327 @@
+"""Client of the platform's store: rows, transactions, changes and objects."""
+
+import base64
+import collections.abc
+import json
+import logging
+import typing
+import urllib.parse
+
+import attrs
+
+from jujubepass import _http_client, _store_messages
+from jujubepass.forwarding import clocks, feeds
+
+_LOGGER = logging.getLogger(__name__)
+
+_Item = typing.TypeVar("_Item")
+
+_OK = 200
+_CONDITION_FAILED = 412
+_HISTORY_GONE = 410
+# Nothing was done: too many calls, no service, or a call that is not valid.
+_NO_EFFECT_STATUSES = frozenset((400, 403, 404, 413, 429, 503, 507))
+# Rows of the product's own.
+OWN_TABLE = "jujubepass"
+# A calm store answers within 4 ms; twice its slowest measured day (67 times) fits.
+_ANSWER_SECONDS = 0.6
+# An answer to a wait for changes that is later than this came over a dead connection.
+_LATE_SECONDS = 0.5
+
+
+class UnreadableRowError(Exception):
+    """Report a row whose value says nothing to this program."""
+
+
+@attrs.frozen(kw_only=True)
+class _Reply:
+    status: int
+    value: dict[str, typing.Any]
+    sent_at: float
+    received_at: float
+
+
+@attrs.define(kw_only=True)
+class StoreClock:
+    """Tell since when an answer was surely true, from the store's own clock.
+
+    The store stamps each answer. An earlier answer with a short way bounds from below
+    at which local time a stamp was made.
+    """
+
+    _offset: float | None = attrs.field(default=None, init=False)
+    _newest: float = attrs.field(default=float("-inf"), init=False)
+
+    def find_time(self, stamp_seconds: float, sent_at: float) -> float:
+        """Return a local time, not later than when the stamp was made."""
+        if self._offset is None or stamp_seconds < self._newest:
+            self._offset = sent_at - stamp_seconds
+        self._newest = stamp_seconds
+        self._offset = max(self._offset, sent_at - stamp_seconds)
+        return self._offset + stamp_seconds
+
+
+@attrs.define(kw_only=True)
+class StoreClient:
+    """Call the store over HTTP; raises feeds.FeedError for reads without answer."""
+
+    client: _http_client.Client
+    address: _http_client.Address
+    clock: StoreClock = attrs.field(factory=StoreClock)
+    calls: int = attrs.field(default=0, init=False)
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        *,
+        query: collections.abc.Mapping[str, object] | None = None,
+        body: bytes = b"",
+        timeout_seconds: float = _ANSWER_SECONDS,
+    ) -> _Reply:
+        """Call the store once; raises _http_client.ClientError."""
+        target = f"{path}?{urllib.parse.urlencode(query)}" if query else path
+        self.calls += 1
+        sent_at = clocks.read_boot_clock()
+        answer = await self.client.request(
+            method,
+            self.address,
+            target,
+            body=body,
+            headers=(("content-type", "application/json"),) if body else (),
+            timeout_seconds=timeout_seconds,
+            once=True,
+        )
+        received_at = clocks.read_boot_clock()
+        value = answer.read_json() if answer.body else {}
+        if not isinstance(value, dict):
+            raise _http_client.InterruptedAnswerError("answer is no JSON object")
+        return _Reply(
+            status=answer.status, value=value, sent_at=sent_at, received_at=received_at
+        )
+
+    async def read_table(self, table: str) -> tuple[list[typing.Any], _Reply]:
+        """Read all rows of a table as of its first page's moment or later."""
+        rows: list[typing.Any] = []
+        query: dict[str, object] = {"table": table, "part": ""}
+        first: _Reply | None = None
+        while True:
+            reply = await self._read("/v1/rows-get", query, _ANSWER_SECONDS)
+            first = first or reply
+            rows += reply.value["rows"]
+            if not reply.value.get("hasMore"):
+                return rows, first
+            # The next page begins right behind the last key of this one.
+            query["from"] = rows[-1]["key"] + "\0"
+
+    async def follow_table(self, table: str, after: int, wait_seconds: float) -> _Reply:
+        """Wait for changes of a table after a version."""
+        query = {
+            "table": table,
+            "after": after,
+            "waitMs": round(wait_seconds * 1_000),
+        }
+        return await self._read("/v1/rows-feed", query, wait_seconds + _LATE_SECONDS)
+
+    async def _read(
+        self,
+        path: str,
+        query: collections.abc.Mapping[str, object],
+        timeout_seconds: float,
+    ) -> _Reply:
+        try:
+            reply = await self.call(
+                "GET", path, query=query, timeout_seconds=timeout_seconds
+            )
+        except _http_client.ClientError as error:
+            raise feeds.FeedError(str(error)) from error
+        if reply.status == _HISTORY_GONE:
+            raise feeds.HistoryLostError("the store forgot its history")
+        if reply.status != _OK or "rows" not in reply.value:
+            raise feeds.FeedError(f"the store answered {reply.status}")
+        return reply
+
+    def find_proof(self, reply: _Reply) -> float:
+        """Return the latest local time at which an answer was surely the newest."""
+        stamp = reply.value.get("nowMs")  # the store's steady clock, milliseconds
+        if not isinstance(stamp, (int, float)):
+            return reply.sent_at
+        return min(
+            reply.received_at, self.clock.find_time(stamp / 1_000.0, reply.sent_at)
+        )
+
+
+Decode = collections.abc.Callable[[str, int, typing.Any], _Item]
+"""Read a row's key, version and JSON value; raises UnreadableRowError."""
+
+
+@attrs.frozen(kw_only=True)
+class TableFeed(typing.Generic[_Item]):
+    """Follow one table, with each row decoded."""
+
+    store: StoreClient
+    table: str
+    decode: Decode[_Item]
+    keys: frozenset[str] | None = None
+    """Keys to look at; None for all."""
+
+    async def read(self) -> feeds.Changes[_Item]:
+        """Read all rows."""
+        rows, reply = await self.store.read_table(self.table)
+        return self._make_changes(rows, reply, is_whole=True)
+
+    async def follow(self, after: int, wait_seconds: float) -> feeds.Changes[_Item]:
+        """Wait for rows that changed after a version, or for nothing to change."""
+        reply = await self.store.follow_table(self.table, after, wait_seconds)
+        return self._make_changes(reply.value["rows"], reply, is_whole=False)
+
+    def _make_changes(
+        self, rows: list[typing.Any], reply: _Reply, *, is_whole: bool
+    ) -> feeds.Changes[_Item]:
+        items: dict[str, _Item | None] = {}
+        for row in rows:
+            self._take_row(row, items)
+        return feeds.Changes(
+            items=items,
+            version=int(reply.value["ver"]),
+            proven_at=self.store.find_proof(reply),
+            is_whole=is_whole,
+        )
+
+    def _take_row(self, row: typing.Any, items: dict[str, _Item | None]) -> None:
+        key = row["key"]
+        if row.get("part") or (self.keys is not None and key not in self.keys):
+            return
+        if row.get("deleted"):
+            items[key] = None
+            return
+        try:
+            value = json.loads(base64.b64decode(row["value"]))
+            items[key] = self.decode(key, row["ver"], value)
+        except (UnreadableRowError, ValueError, KeyError, TypeError) as error:
+            # Another writer's row: it names nothing to use, and what it named is gone.
+            items[key] = None
+            _LOGGER.warning(
+                "row cannot be read",
+                extra={"table": self.table, "key": key, "detail": repr(error)[:200]},
+            )
+
+
+@attrs.frozen(kw_only=True)
+class StoreTable:
+    """Carry out the product's table commands in a table of its own."""
+
+    store: StoreClient
+
+    async def transact(
+        self, command: _store_messages.Transact
+    ) -> (
+        _store_messages.Transacted
+        | _store_messages.TransactionConflicted
+        | _store_messages.TransactionUnsent
+        | _store_messages.TransactionUnclear
+    ):
+        """Run a conditional transaction."""
+        operation = command.operation
+        body = json.dumps(_write_transaction(command)).encode()
+        try:
+            reply = await self.store.call("POST", "/v1/rows-tx", body=body)
+            if reply.status == _OK:
+                version = int(reply.value["ver"])
+                versions = {
+                    each.key: version if each.value is not None else 0
+                    for each in command.writes
+                }
+                return _store_messages.Transacted(
+                    operation=operation, versions=versions
+                )
+            if reply.status == _CONDITION_FAILED:
+                rows = tuple(map(_read_row, reply.value.get("rows", ())))
+                return _store_messages.TransactionConflicted(
+                    operation=operation, rows=rows
+                )
+        except _http_client.NotSentError as error:
+            return _store_messages.TransactionUnsent(
+                operation=operation, detail=str(error)
+            )
+        except (_http_client.ClientError, KeyError, TypeError, ValueError) as error:
+            return _store_messages.TransactionUnclear(
+                operation=operation, detail=str(error)
+            )
+        detail = f"the store answered {reply.status}"
+        if reply.status in _NO_EFFECT_STATUSES:
+            return _store_messages.TransactionUnsent(operation=operation, detail=detail)
+        return _store_messages.TransactionUnclear(operation=operation, detail=detail)
+
+    async def read(
+        self, command: _store_messages.ReadRows
+    ) -> _store_messages.RowsRead | _store_messages.ReadFailed:
+        """Read rows by key."""
+        found: dict[str, _store_messages.VersionedRow] = {}
+        for key in command.keys:
+            query = {"table": OWN_TABLE, "part": "", "from": key, "limit": 1}
+            read = await self._read_rows(command.operation, query)
+            if isinstance(read, _store_messages.ReadFailed):
+                return read
+            found.update({k: row for k, row in read.rows.items() if k == key})
+        return _store_messages.RowsRead(operation=command.operation, rows=found)
+
+    async def scan(
+        self, command: _store_messages.ScanRows
+    ) -> _store_messages.RowsRead | _store_messages.ReadFailed:
+        """Read rows by prefix."""
+        start = command.after + "\0" if command.after else command.prefix
+        query = {
+            "table": OWN_TABLE,
+            "part": "",
+            "from": start,
+            "to": command.prefix + "\U0010ffff",
+            "limit": command.limit,
+        }
+        return await self._read_rows(command.operation, query)
+
+    async def _read_rows(
+        self,
+        operation: _store_messages.OperationId,
+        query: collections.abc.Mapping[str, object],
+    ) -> _store_messages.RowsRead | _store_messages.ReadFailed:
+        try:
+            reply = await self.store.call("GET", "/v1/rows-get", query=query)
+            if reply.status == _OK:
+                rows = map(_read_row, reply.value["rows"])
+                return _store_messages.RowsRead(
+                    operation=operation,
+                    rows={row.key: row for row in rows},
+                    more=bool(reply.value.get("hasMore")),
+                )
+            detail = f"the store answered {reply.status}"
+        except (_http_client.ClientError, KeyError, TypeError, ValueError) as error:
+            detail = str(error)
+        return _store_messages.ReadFailed(operation=operation, detail=detail)
+
+
+def _write_transaction(command: _store_messages.Transact) -> dict[str, typing.Any]:
+    place = {"table": OWN_TABLE, "part": ""}
+    return {
+        "precondition": [
+            {**place, "key": each.key, "ver": each.version}
+            for each in command.conditions
+        ],
+        "puts": [
+            {**place, "key": each.key, "value": _encode(each.value)}
+            for each in command.writes
+            if each.value is not None
+        ],
+        "remove": [
+            {**place, "key": each.key} for each in command.writes if each.value is None
+        ],
+    }
+
+
+def _encode(value: _store_messages.Row) -> str:
+    return base64.b64encode(json.dumps(value).encode()).decode()
+
+
+def _read_row(row: typing.Any) -> _store_messages.VersionedRow:
+    value = json.loads(base64.b64decode(row["value"])) if row.get("value") else {}
+    return _store_messages.VersionedRow(key=row["key"], version=row["ver"], value=value)
--- a/src/jujubepass/reasons.py
+++ b/src/jujubepass/reasons.py
@@ -44,6 +44,9 @@
     BACKEND_LEAVING = "backend_leaving", 503
     BACKEND_REFUSED = "backend_refused", 502
     ANSWER_NOT_KEPT = "answer_not_kept", 410
+    UNKNOWN_ROUTE = "unknown_route", 404
+    CONFIGURATION_STALE = "configuration_stale", 503
+    ENGINES_FULL = "engines_full", 503
 
 
 class RetryReason(enum.Enum):
--- a/src/jujubepass/settings.py
+++ b/src/jujubepass/settings.py
@@ -4,7 +4,6 @@
 import os
 import pathlib
 import re
-import typing
 
 import attrs
 import returns.result
@@ -307,25 +306,7 @@
     file: str, text: str
 ) -> returns.result.Result[Settings, SettingsError]:
     """Read settings from INI text; `file` names it in problems."""
-    sections, problems = _ini.read_sections(file, text)
-    schemas = {field.name: field.type for field in attrs.fields(Settings)}
-    for name in sorted(set(sections) - set(schemas)):
-        problems.append(
-            _ini.Problem(
-                file=file,
-                section=name,
-                what="is no section",
-                allowed=_ini.suggest(name, schemas),
-            )
-        )
-    read: dict[str, typing.Any] = {}
-    for name, schema in schemas.items():
-        assert schema is not None
-        value, found = _ini.structure_section(
-            schema, file, name, sections.get(name, {})
-        )
-        problems += found
-        read[name] = value
+    read, problems = _ini.structure_sections(Settings, file, text)
     if read["timing"] is not None:
         problems += _check_order(file, read["timing"])
     if problems:
