Ask the store less often: longer waits, changes of the list read together

Ruled out: one call for several tables, which the store does not offer. Change: waits of 2 s (configuration, list) and 20 s (plans); a pause of 0.25 s after a change of the list. The age proven by the store's own clock allows the longer waits.

--- a/src/jujubepass/forwarding/admission.py
+++ b/src/jujubepass/forwarding/admission.py
@@ -8,8 +8,8 @@
 from jujubepass.forwarding import board, declarations, exchange
 
 # Knowledge of the store's newest state that is younger suffices to say that a route
-# or key does not exist; a change is in force within two seconds at the latest.
-_DENIAL_AGE_SECONDS = 1.0
+# or key does not exist; a change has two seconds (configApplyMs) to be in force.
+_DENIAL_AGE_SECONDS = 1.5
 # Time in which the store is asked again, by its rate of polls.
 _STALE_RETRY_SECONDS = 0.5
 
--- a/src/jujubepass/forwarding/following.py
+++ b/src/jujubepass/forwarding/following.py
@@ -27,9 +27,11 @@
     wait_seconds: float
     """Longest wait for a change; also how often knowledge is proven."""
     apply: collections.abc.Callable[[feeds.Changes[_Item], float], None]
+    pause_seconds: float = 0.0
+    """Pause after a change, so that several are read in one call."""
     note_regained: collections.abc.Callable[[float], None] | None = None
     _version: int | None = attrs.field(default=None, init=False)
-    _pause_seconds: float = attrs.field(default=0.0, init=False)
+    _outage_pause_seconds: float = attrs.field(default=0.0, init=False)
     _reading: trio.Lock = attrs.field(factory=trio.Lock, init=False)
 
     async def run(self) -> None:
@@ -59,12 +61,14 @@
             changes = await self.feed.read()
         else:
             changes = await self.feed.follow(self._version, self.wait_seconds)
-        if self._pause_seconds:
-            self._pause_seconds = 0.0
+        if self._outage_pause_seconds:
+            self._outage_pause_seconds = 0.0
             _LOGGER.info("store regained", extra={"feed": self.name})
             if self.note_regained is not None:
                 self.note_regained(clocks.read_boot_clock())
         self._take(changes)
+        if changes.items:
+            await trio.sleep(self.pause_seconds)
 
     def _take(self, changes: feeds.Changes[_Item]) -> None:
         if self._version is not None and changes.version < self._version:
@@ -77,10 +81,10 @@
         self.apply(changes, clocks.read_boot_clock())
 
     async def _note_lost(self, error: feeds.FeedError) -> None:
-        if not self._pause_seconds:
+        if not self._outage_pause_seconds:
             _LOGGER.warning(
                 "store lost", extra={"feed": self.name, "detail": str(error)}
             )
-        pause = max(_FIRST_PAUSE_SECONDS, 2.0 * self._pause_seconds)
-        self._pause_seconds = min(pause, _LONGEST_PAUSE_SECONDS)
-        await trio.sleep(self._pause_seconds)
+        pause = max(_FIRST_PAUSE_SECONDS, 2.0 * self._outage_pause_seconds)
+        self._outage_pause_seconds = min(pause, _LONGEST_PAUSE_SECONDS)
+        await trio.sleep(self._outage_pause_seconds)
--- a/src/jujubepass/forwarding/node.py
+++ b/src/jujubepass/forwarding/node.py
@@ -34,11 +34,14 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-# Longest waits for changes. A changed configuration has two seconds to be in force,
-# silent connections included; the others only save calls to the store.
-_CONFIGURATION_WAIT_SECONDS = 1.0
-_BACKENDS_WAIT_SECONDS = 1.5
-_PLANS_WAIT_SECONDS = 5.0
+# Longest waits for changes. A connection that went silent has to be noticed within
+# three seconds (contactMs); a silent feed of plans only makes a path fail once.
+_CONFIGURATION_WAIT_SECONDS = 2.0
+_BACKENDS_WAIT_SECONDS = 2.0
+_PLANS_WAIT_SECONDS = 20.0
+# Pause after changes of the list, which come one by one while engines start; far
+# below the two seconds (drainMs) in which a leaving server may still get requests.
+_BACKENDS_PAUSE_SECONDS = 0.25
 # Share of the bound on revoked keys after which keyed requests are refused.
 _KEYED_AGE_SHARE = 0.6
 # Nodes that may share a service's retries; a node keeps to its part alone.
@@ -119,6 +122,7 @@
             feed=self.adapter.backends,
             wait_seconds=_BACKENDS_WAIT_SECONDS,
             apply=self._backend_list.apply,
+            pause_seconds=_BACKENDS_PAUSE_SECONDS,
             note_regained=self._backend_list.note_contact_regained,
         )
         self._plans = following.Follower(
