Mend a chain around its gap, and plan only around engines that answer no question

Cause: one lost engine set off a storm. Engines that were full or giving up a part answered 503 and were held for dead (15 excluded where 4 had died); each new plan moved all layers of a chain, so that its engines refused still more; streams that were only slow were started again elsewhere. A node cut off from the store planned from an old list. Ruled out: too little capacity (two chains carry the three domains' traffic), the link's trouble. Change: an engine counts as dead when it answered none of two reports for 0.7 s; plans need a list proven within 2.6 s; a gap is filled by the fewest engines around it that keep half of the chain's room, with an idle one if there is one; engines keep layers that no other holds yet, and these still serve; silence alone no longer restarts a stream.

--- a/src/jujubepass/forwarding/backend_list.py
+++ b/src/jujubepass/forwarding/backend_list.py
@@ -25,11 +25,10 @@
     _missing_until: dict[ids.BackendServerId, float] = attrs.field(
         factory=dict, init=False
     )
-    _lapsing_until: float = attrs.field(default=float("-inf"), init=False)
 
     def note_contact_regained(self, now: float) -> None:
         """Expect entries that lapsed meanwhile to come back."""
-        self._lapsing_until = now + LAPSE_SECONDS
+        self.area.lapsing_until = now + LAPSE_SECONDS
 
     def apply(self, changes: feeds.Changes[backends.Backend], now: float) -> None:
         """Take over what changed; entries that cannot be read name no server."""
@@ -45,18 +44,23 @@
         for name, backend in changes.items.items():
             if backend is not None:
                 self._missing_until.pop(ids.BackendServerId(name), None)
-                self._list(backend)
+                self._list(backend, now)
         for name in removed:
             self._note_missing(ids.BackendServerId(name), now)
         self.drop_missing(now)
         self.area.known = True
+        self.area.proven_at = max(self.area.proven_at, changes.proven_at)
 
-    def _list(self, backend: backends.Backend) -> None:
+    def _list(self, backend: backends.Backend, now: float) -> None:
         before = self.area.listed.get(backend.name)
         self.area.listed[backend.name] = backend
         self.area.revision += 1
         if before is None or before.started_at != backend.started_at:
             self.area.restarted.append(backend.name)
+        if backend.state is backends.BackendState.DRAINING:
+            self.area.draining_since.setdefault(backend.name, now)
+        else:
+            self.area.draining_since.pop(backend.name, None)
         if before is None or before.state is not backend.state:
             _LOGGER.info(
                 "backend server listed",
@@ -69,7 +73,7 @@
             )
 
     def _note_missing(self, name: ids.BackendServerId, now: float) -> None:
-        until = max(now, self._lapsing_until)
+        until = max(now, self.area.lapsing_until)
         self._missing_until.setdefault(name, until)
 
     def drop_missing(self, now: float) -> None:
@@ -78,6 +82,7 @@
             if now < until:
                 continue
             del self._missing_until[name]
+            self.area.draining_since.pop(name, None)
             if self.area.listed.pop(name, None) is not None:
                 self.area.revision += 1
                 _LOGGER.info("backend server gone", extra={"backend": name})
--- a/src/jujubepass/forwarding/board.py
+++ b/src/jujubepass/forwarding/board.py
@@ -38,7 +38,12 @@
 
     listed: dict[ids.BackendServerId, _Backend] = attrs.field(factory=dict)
     known: bool = False
+    proven_at: float = _NEVER
+    """Time at which this was surely the newest list, on the boot clock."""
+    lapsing_until: float = _NEVER
+    """Time until which entries that lapsed may still come back."""
     revision: int = 0
+    draining_since: dict[ids.BackendServerId, float] = attrs.field(factory=dict)
     restarted: list[ids.BackendServerId] = attrs.field(factory=list)
 
 
--- /dev/null
+++ b/src/jujubepass/forwarding/chains.py
@@ -0,0 +1,209 @@
+"""Spreads a span of layers over the engines of one chain, and mends a chain.
+
+spans = spread_layers(model, members)
+"""
+
+import collections.abc
+import math
+
+import attrs
+
+from jujubepass import ids
+from jujubepass.forwarding import backends, declarations, plans
+
+MOST_ENGINES = 32
+"""Most engines of one path (PROTOCOL's bound)."""
+_ROOM_STEPS = 40
+# A gap is filled by as few engines as keep this share of the room for tokens that
+# all engines of the chain together would give.
+_ENOUGH_ROOM_SHARE = 0.5
+
+
+@attrs.frozen(kw_only=True)
+class Candidate:
+    """Describe an engine that may hold layers, and where it stands now."""
+
+    name: ids.BackendServerId
+    failure_domain: ids.FailureDomainId
+    accelerator: declarations.Accelerator
+    placement: plans.Placement | None = None
+
+
+Spans = dict[ids.BackendServerId, backends.Span]
+
+
+def spread_layers(
+    model: declarations.Model,
+    members: collections.abc.Sequence[Candidate],
+    window: backends.Span | None = None,
+) -> Spans | None:
+    """Give engines, in the order of their spans, room for equally many tokens.
+
+    Returns None when they cannot hold the window, which is all layers if not given.
+    """
+    window = window or backends.Span(first=0, end=model.layers)
+    if not can_hold(model, members, len(window)):
+        return None
+    tokens = find_room(model, members, len(window))
+    counts = {each.name: count_layers(model, each, tokens) for each in members}
+    _trim(members, counts, len(window))
+    spans: Spans = {}
+    first = window.first
+    for member in sorted(members, key=_order_key):
+        if counts[member.name] > 0:
+            end = first + counts[member.name]
+            spans[member.name] = backends.Span(first=first, end=end)
+            first = end
+    return spans
+
+
+def can_hold(
+    model: declarations.Model,
+    members: collections.abc.Iterable[Candidate],
+    layers: int | None = None,
+) -> bool:
+    """Tell whether engines hold so many layers, or the whole model."""
+    most = sum(count_layers(model, each, 0.0) for each in members)
+    return most >= (model.layers if layers is None else layers)
+
+
+def find_room(
+    model: declarations.Model,
+    members: collections.abc.Sequence[Candidate],
+    layers: int,
+) -> float:
+    """Return for how many tokens every engine can have room, by bisection."""
+    memory = sum(each.accelerator.memory_megabytes for each in members)
+    low, high = 0.0, 1_000.0 * memory / model.token_kilobytes * model.layers / layers
+    for _ in range(_ROOM_STEPS):
+        middle = (low + high) / 2.0
+        if sum(count_layers(model, each, middle) for each in members) >= layers:
+            low = middle
+        else:
+            high = middle
+    return low
+
+
+def count_layers(model: declarations.Model, engine: Candidate, tokens: float) -> int:
+    """Return how many layers an engine holds beside so many tokens."""
+    kv_megabytes = tokens * model.token_kilobytes / model.layers / 1_000.0
+    fit = engine.accelerator.memory_megabytes / (model.layer_megabytes + kv_megabytes)
+    return min(model.layers, int(fit))
+
+
+def mend_chain(
+    model: declarations.Model,
+    members: collections.abc.Sequence[Candidate],
+    lost: collections.abc.Iterable[backends.Span],
+    idle: collections.abc.Iterable[Candidate],
+) -> Spans | None:
+    """Fill the lost spans by engines around them, or None if they cannot.
+
+    Each engine keeps its span unless it stands near a gap.
+    """
+    spans = {each.name: each.placement.span for each in members if each.placement}
+    present = {each.name: each for each in members}
+    domains = {each.failure_domain for each in members}
+    helpers = [each for each in idle if each.failure_domain in domains]
+    for gap in sorted(lost, key=lambda span: span.first):
+        filled = _fill_gap(model, present, spans, gap, helpers)
+        if filled is None:
+            return None
+        spans.update(filled)
+        for name in filled.keys() - present.keys():
+            present[name] = next(each for each in helpers if each.name == name)
+        helpers = [each for each in helpers if each.name not in spans]
+    return spans
+
+
+def _fill_gap(
+    model: declarations.Model,
+    present: collections.abc.Mapping[ids.BackendServerId, Candidate],
+    spans: collections.abc.Mapping[ids.BackendServerId, backends.Span],
+    gap: backends.Span,
+    helpers: collections.abc.Sequence[Candidate],
+) -> Spans | None:
+    """Return the spans that change: of the fewest engines with enough room."""
+    helper = _place_helper(model, gap, helpers)
+    enough = _ENOUGH_ROOM_SHARE * _find_chain_room(model, present, helper)
+    before = sorted(
+        (each for each in present if spans[each].end <= gap.first),
+        key=lambda each: -spans[each].first,
+    )
+    after = sorted(
+        (each for each in present if spans[each].first >= gap.end),
+        key=lambda each: spans[each].first,
+    )
+    found: Spans | None = None
+    for radius in range(max(len(before), len(after)) + 1):
+        near = [*before[:radius], *after[:radius]]
+        window = backends.Span(
+            first=min((spans[each].first for each in near), default=gap.first),
+            end=max((spans[each].end for each in near), default=gap.end),
+        )
+        window = backends.Span(
+            first=min(window.first, gap.first), end=max(window.end, gap.end)
+        )
+        group = [_stand(present[each], spans[each]) for each in near]
+        group += [helper] if helper is not None else []
+        spread = spread_layers(model, group, window) if group else None
+        if spread is None or len(spread) < len(near):
+            continue
+        found = spread
+        if find_room(model, group, len(window)) >= enough:
+            break
+    return found
+
+
+def _stand(member: Candidate, span: backends.Span) -> Candidate:
+    placement = plans.Placement(span=span, chain=0)
+    return attrs.evolve(member, placement=placement)
+
+
+def _place_helper(
+    model: declarations.Model,
+    gap: backends.Span,
+    helpers: collections.abc.Sequence[Candidate],
+) -> Candidate | None:
+    """Choose the smallest idle engine that holds the gap alone, or the largest."""
+    if not helpers:
+        return None
+    alone = [each for each in helpers if count_layers(model, each, 0.0) > len(gap)]
+    if alone:
+        chosen = min(alone, key=lambda each: each.accelerator.memory_megabytes)
+    else:
+        chosen = max(helpers, key=lambda each: each.accelerator.memory_megabytes)
+    return _stand(chosen, gap)
+
+
+def _find_chain_room(
+    model: declarations.Model,
+    present: collections.abc.Mapping[ids.BackendServerId, Candidate],
+    helper: Candidate | None,
+) -> float:
+    group = [*present.values(), *([helper] if helper is not None else [])]
+    if not can_hold(model, group):
+        return 0.0
+    return find_room(model, group, model.layers)
+
+
+def _order_key(member: Candidate) -> tuple[float, float, str]:
+    held = member.placement.span.first if member.placement else math.inf
+    return held, -member.accelerator.memory_megabytes, member.name
+
+
+def _trim(
+    members: collections.abc.Sequence[Candidate],
+    counts: dict[ids.BackendServerId, int],
+    layers: int,
+) -> None:
+    """Take what is over the layers from the slowest engines."""
+    surplus = sum(counts.values()) - layers
+    by_name = {each.name: each for each in members}
+    while surplus > 0:
+        slowest = max(
+            (name for name, count in counts.items() if count > 0),
+            key=lambda name: (by_name[name].accelerator.step_pace, counts[name], name),
+        )
+        counts[slowest] -= 1
+        surplus -= 1
--- a/src/jujubepass/forwarding/engine_choice.py
+++ b/src/jujubepass/forwarding/engine_choice.py
@@ -7,16 +7,22 @@
 
 from jujubepass import ids
 from jujubepass.forwarding import (
-    backend_list,
     backends,
     board,
     declarations,
     paths,
+    plans,
     suspicion,
 )
 
 # Nodes of a failure domain share its engines; each sees only its own requests.
 _NODES_PER_DOMAIN = 3
+# Time in which a draining engine still gets requests that would otherwise wait for
+# its successor; the bound (drainMs) is two seconds.
+_DRAINING_USE_SECONDS = 1.0
+# Layers that an engine holds and is to give up are used where no other engine has
+# them: three times as dear as the slowest kind is slower than the next.
+_UNPLANNED_FACTOR = 3.0
 
 
 @attrs.define(kw_only=True)
@@ -50,24 +56,33 @@
         plan = self.blackboard.plans.plans.get(service)
         if plan is None:
             return
-        for engine in backend_list.list_ready(self.blackboard.backends, service):
-            placement = plan.placements.get(engine.name)
+        for engine in self.blackboard.backends.listed.values():
             accelerator = model.accelerators.get(engine.accelerator)
-            if placement is None or accelerator is None or engine.held is None:
+            if engine.service != service or accelerator is None:
                 continue
-            span = _intersect(placement.span, engine.held)
-            if not len(span) or engine.name in avoided:
+            if engine.held is None or engine.name in avoided:
                 continue
             if self.suspects.is_suspect(engine.name, now):
                 continue
-            shared = self._running[engine.name] * _NODES_PER_DOMAIN
-            step = model.step_seconds + model.sequence_seconds * shared
-            yield paths.Option(
-                backend=engine,
-                span=span,
-                layer_seconds=accelerator.step_pace * step / model.layers,
+            seconds = accelerator.step_pace * self._predict_step(model, engine.name)
+            placement = plan.placements.get(engine.name)
+            yield from _make_options(
+                engine, placement, seconds / model.layers, self._is_leaving(engine, now)
             )
 
+    def _predict_step(
+        self, model: declarations.Model, engine: ids.BackendServerId
+    ) -> float:
+        shared = self._running[engine] * _NODES_PER_DOMAIN
+        return model.step_seconds + model.sequence_seconds * shared
+
+    def _is_leaving(self, engine: backends.Backend, now: float) -> bool | None:
+        """Tell whether an engine leaves; None when it takes nothing any more."""
+        if engine.state is backends.BackendState.READY:
+            return False
+        since = self.blackboard.backends.draining_since.get(engine.name, 0.0)
+        return True if now - since < _DRAINING_USE_SECONDS else None
+
     def note_started(self, path: paths.Path) -> None:
         """Count a request on its engines."""
         self._running.update(path.engines)
@@ -77,6 +92,24 @@
         self._running.subtract(path.engines)
 
 
+def _make_options(
+    engine: backends.Backend,
+    placement: plans.Placement | None,
+    layer_seconds: float,
+    is_leaving: bool | None,
+) -> collections.abc.Iterator[paths.Option]:
+    """Offer the planned span, and at a price what else the engine holds."""
+    held = engine.held
+    if held is None or is_leaving is None:
+        return
+    planned = _intersect(placement.span, held) if placement else None
+    if planned and len(planned) and not is_leaving:
+        yield paths.Option(backend=engine, span=planned, layer_seconds=layer_seconds)
+    if planned != held or is_leaving:
+        dearer = _UNPLANNED_FACTOR * layer_seconds
+        yield paths.Option(backend=engine, span=held, layer_seconds=dearer)
+
+
 def _intersect(one: backends.Span, other: backends.Span) -> backends.Span:
     first = max(one.first, other.first)
     return backends.Span(first=first, end=max(first, min(one.end, other.end)))
--- a/src/jujubepass/forwarding/node.py
+++ b/src/jujubepass/forwarding/node.py
@@ -23,6 +23,7 @@
     ordering,
     planner,
     planning,
+    probing,
     readiness,
     sending,
     service_exchange,
@@ -86,11 +87,14 @@
         self._readiness = readiness.Readiness(
             blackboard=self.blackboard, gate=self._gate
         )
-        self._stalls = stall_watch.StallWatch(
+        self._prober = probing.Prober(
             blackboard=self.blackboard,
             suspects=self.suspects,
             control=self.adapter.control,
         )
+        self._stalls = stall_watch.StallWatch(
+            blackboard=self.blackboard, suspects=self.suspects, prober=self._prober
+        )
         self._orders = ordering.OrderKeeper(
             blackboard=self.blackboard, control=self.adapter.control
         )
@@ -193,6 +197,7 @@
                     self._planning.run,
                     self._orders.run,
                     self._stalls.run,
+                    self._prober.run,
                     self._keep_house,
                 ):
                     nursery.start_soon(_supervise, task)
--- a/src/jujubepass/forwarding/ordering.py
+++ b/src/jujubepass/forwarding/ordering.py
@@ -13,13 +13,16 @@
 _LOGGER = logging.getLogger(__name__)
 
 _PERIOD_SECONDS = 0.1
-# The list shows what an engine holds within about a heartbeat (1.2 s) and its lag
-# (0.8 s); a node that is not the author steps in when that has long passed.
-_AUTHOR_PAUSE_SECONDS = 0.5
-_OTHERS_PATIENCE_SECONDS = 4.0
+# A node that is not the plan's author steps in when the author has done nothing for
+# longer than a load of a usual span takes (1.2 s) and the list lags (0.8 s).
+_OTHERS_PATIENCE_SECONDS = 3.0
 _REPORT_SECONDS = 0.5
-# Pause while an engine carries an order out, or after one that failed.
-_BUSY_PAUSE_SECONDS = 0.4
+# An order that began shows in the list when its load is done; after this time the
+# engine is asked again. A load of ten layers takes 1.8 s, six at once thrice that.
+_LOAD_PATIENCE_SECONDS = 4.0
+# Reports are some hundred ms old: an order after one that was refused waits longer.
+_REFUSED_PAUSE_SECONDS = 0.6
+_FAILED_PAUSE_SECONDS = 0.5
 
 
 class Step(enum.Enum):
@@ -39,29 +42,68 @@
     cuts_requests: bool = False
 
 
+_NOTHING = Decision(step=Step.NOTHING)
+_WAIT = Decision(step=Step.WAIT)
+
+
 def decide_order(
-    wanted: backends.Span, report: engines.EngineReport, most_layers: int
+    wanted: backends.Span,
+    held: backends.Span | None,
+    most_layers: int,
+    is_covered: collections.abc.Callable[[int], bool],
 ) -> Decision:
-    """Decide on the next order, so that old and new layers fit side by side."""
-    held = report.held
-    if report.is_busy:
-        return Decision(step=Step.WAIT)
+    """Decide on the next order of an engine.
+
+    Layers that no other engine holds yet are kept while memory allows it; old and new
+    layers have to fit side by side.
+    """
     if held == wanted:
-        return Decision(step=Step.NOTHING)
+        return _NOTHING
     if held is None or not len(held):
         return Decision(step=Step.ORDER, span=wanted)
-    first, end = max(held.first, wanted.first), min(held.end, wanted.end)
+    span = _keep_uncovered(wanted, held, is_covered)
+    if len(span) > most_layers:
+        span = wanted
+    if span == held:
+        return _WAIT
+    first, end = max(held.first, span.first), min(held.end, span.end)
     shared = max(0, end - first)
-    if len(held) + len(wanted) - shared <= most_layers:
-        return Decision(step=Step.ORDER, span=wanted)
-    if shared:
-        span = backends.Span(first=first, end=end)
+    if len(held) + len(span) - shared <= most_layers:
         return Decision(step=Step.ORDER, span=span)
+    if shared:
+        return Decision(step=Step.ORDER, span=backends.Span(first=first, end=end))
     # Nothing of the old span stays, and both do not fit: give it up at once.
     span = backends.Span(first=wanted.first, end=wanted.first + 1)
     return Decision(step=Step.ORDER, span=span, cuts_requests=True)
 
 
+def _keep_uncovered(
+    wanted: backends.Span,
+    held: backends.Span,
+    is_covered: collections.abc.Callable[[int], bool],
+) -> backends.Span:
+    """Widen the wanted span to the held layers next to it that only it holds."""
+    if held.end < wanted.first or held.first > wanted.end:
+        return wanted
+    first = next(
+        (each for each in range(held.first, wanted.first) if not is_covered(each)),
+        wanted.first,
+    )
+    end = next(
+        (each for each in range(held.end, wanted.end, -1) if not is_covered(each - 1)),
+        wanted.end,
+    )
+    return backends.Span(first=first, end=end)
+
+
+@attrs.define(kw_only=True)
+class _Ordered:
+    """Hold when an engine was last ordered, and what it held in the list then."""
+
+    held: backends.Span | None
+    until: float
+
+
 @attrs.define(kw_only=True)
 class OrderKeeper:
     """Bring engines to their placements, one order at a time for each."""
@@ -70,7 +112,10 @@
     control: engines.EngineControl
     orders_sent: int = attrs.field(default=0, init=False)
     _running: set[ids.BackendServerId] = attrs.field(factory=set, init=False)
-    _differs_since: dict[ids.BackendServerId, float] = attrs.field(
+    _ordered: dict[ids.BackendServerId, _Ordered] = attrs.field(
+        factory=dict, init=False
+    )
+    _differs_since: dict[ids.BackendServerId, tuple[int, float]] = attrs.field(
         factory=dict, init=False
     )
 
@@ -83,7 +128,7 @@
                 for plan in self.blackboard.plans.plans.values():
                     for engine in self._find_due(plan, now):
                         self._running.add(engine.name)
-                        nursery.start_soon(self._place, plan.service, engine)
+                        nursery.start_soon(self._place, plan, engine)
 
     def _find_due(
         self, plan: plans.Plan, now: float
@@ -91,46 +136,83 @@
         patience = _OTHERS_PATIENCE_SECONDS
         if plan.author == self.blackboard.node:
             patience = 0.0
-        for name, placement in plan.placements.items():
+        for name in plan.placements:
             engine = self.blackboard.backends.listed.get(name)
-            if engine is None or engine.held == placement.span:
+            if engine is None or name in self._running:
+                continue
+            decision = self._decide(plan, engine, engine.held)
+            if decision.step is not Step.ORDER:
                 self._differs_since.pop(name, None)
                 continue
-            since = self._differs_since.setdefault(name, now)
-            if now - since >= patience and name not in self._running:
+            version, since = self._differs_since.get(name, (0, now))
+            if version != plan.version:
+                since = now
+            self._differs_since[name] = plan.version, since
+            if now - since >= patience and not self._waits(engine, now):
                 yield engine
 
-    async def _place(self, service: ids.ServiceId, engine: backends.Backend) -> None:
+    def _waits(self, engine: backends.Backend, now: float) -> bool:
+        """Tell whether an order to an engine is still being carried out."""
+        ordered = self._ordered.get(engine.name)
+        return (
+            ordered is not None
+            and ordered.held == engine.held
+            and (now < ordered.until)
+        )
+
+    def _decide(
+        self,
+        plan: plans.Plan,
+        engine: backends.Backend,
+        held: backends.Span | None,
+    ) -> Decision:
+        def _is_covered(layer: int) -> bool:
+            return any(
+                other.held is not None and other.held.first <= layer < other.held.end
+                for other in others
+            )
+
+        others = [
+            other
+            for other in self.blackboard.backends.listed.values()
+            if other.name != engine.name
+            and other.service == engine.service
+            and other.failure_domain == engine.failure_domain
+            and other.state is backends.BackendState.READY
+            and other.name in plan.placements
+        ]
+        most = self._find_most_layers(plan.service, engine)
+        wanted = plan.placements[engine.name].span
+        return decide_order(wanted, held, most, _is_covered)
+
+    async def _place(self, plan: plans.Plan, engine: backends.Backend) -> None:
+        pause = _FAILED_PAUSE_SECONDS
         try:
-            await self._bring(service, engine)
+            pause = await self._order_next(plan, engine)
         except engines.EngineError as error:
             _LOGGER.info(
-                "order without an answer",
+                "engine not ordered",
                 extra={"backend": engine.name, "detail": str(error)},
             )
-            await trio.sleep(_AUTHOR_PAUSE_SECONDS)
         finally:
+            until = clocks.read_boot_clock() + pause
+            self._ordered[engine.name] = _Ordered(held=engine.held, until=until)
             self._running.discard(engine.name)
 
-    async def _bring(self, service: ids.ServiceId, engine: backends.Backend) -> None:
-        """Order what is needed until the engine holds its span or the plan changes."""
-        while True:
-            plan = self.blackboard.plans.plans.get(service)
-            placement = plan.placements.get(engine.name) if plan else None
-            current = self.blackboard.backends.listed.get(engine.name)
-            if placement is None or current != engine:
-                return
-            report = await self._read_report(engine)
-            if report.started_at != engine.started_at:
-                return
-            most = self._find_most_layers(service, engine)
-            decision = decide_order(placement.span, report, most)
-            if decision.step is Step.NOTHING:
-                await trio.sleep(_AUTHOR_PAUSE_SECONDS)
-                return
-            if decision.step is Step.ORDER and decision.span is not None:
-                await self._order(engine, decision, report)
-            await trio.sleep(_BUSY_PAUSE_SECONDS)
+    async def _order_next(self, plan: plans.Plan, engine: backends.Backend) -> float:
+        """Order what an engine needs next; return the pause after that, in seconds."""
+        report = await self._read_report(engine)
+        current = self.blackboard.plans.plans.get(plan.service)
+        if report.started_at != engine.started_at or current is not plan:
+            return 0.0
+        if report.is_busy:
+            return _REFUSED_PAUSE_SECONDS
+        decision = self._decide(plan, engine, report.held)
+        if decision.step is not Step.ORDER or decision.span is None:
+            return _FAILED_PAUSE_SECONDS
+        outcome = await self._order(engine, decision, report)
+        begun = outcome is engines.OrderOutcome.BEGUN
+        return _LOAD_PATIENCE_SECONDS if begun else _REFUSED_PAUSE_SECONDS
 
     async def _read_report(self, engine: backends.Backend) -> engines.EngineReport:
         try:
@@ -144,7 +226,7 @@
         engine: backends.Backend,
         decision: Decision,
         report: engines.EngineReport,
-    ) -> None:
+    ) -> engines.OrderOutcome:
         assert decision.span is not None
         self.orders_sent += 1
         outcome = None
@@ -156,6 +238,7 @@
                     orders_begun=report.orders_begun,
                     cuts_requests=decision.cuts_requests,
                 )
+                return outcome
         except trio.TooSlowError as error:
             raise engines.EngineError("no answer to an order in time") from error
         finally:
--- a/src/jujubepass/forwarding/planner.py
+++ b/src/jujubepass/forwarding/planner.py
@@ -14,6 +14,7 @@
 from jujubepass.forwarding import (
     backend_list,
     board,
+    chains,
     declarations,
     placement,
     plans,
@@ -25,9 +26,16 @@
 # Engines list themselves over about three seconds after a start; the first plan
 # waits until the list has not changed for as long as two of their heartbeats.
 _SETTLING_SECONDS = 2.4
-# A loss is planned around once it has lasted longer than a single failed request.
-_LOSS_SECONDS = 0.3
-_FAILURE_SECONDS = 1.0
+# Losses that come together are planned around together.
+_LOSS_SECONDS = 0.1
+# An engine that is listed and yet answers none of so many questions for so long is
+# planned around before its entry lapses, three heartbeats (3.6 s) after its last.
+_DEAD_SECONDS = 0.7
+_DEAD_QUESTIONS = 2
+# More engines than this share do not die at once: then this node's links have failed.
+_MOST_DEAD_SHARE = 0.2
+# A list that is older says nothing of what to plan now; it is proven every two seconds.
+_LIST_AGE_SECONDS = 2.6
 # New engines are taken in when no other has come for this long.
 _GROWTH_SECONDS = 1.0
 # The plan's author acts first; the others follow at random within this time.
@@ -87,6 +95,10 @@
         area = self.blackboard
         if declared is None or not area.plans.known or not area.backends.known:
             return []
+        if now - area.backends.proven_at > _LIST_AGE_SECONDS:
+            return []
+        if now < area.backends.lapsing_until:
+            return []
         commands = []
         for service in declared.find_model_services():
             command = self._check_service(service, now)
@@ -143,11 +155,19 @@
         return "", 0.0
 
     def _find_failing(self, plan: plans.Plan, now: float) -> set[ids.BackendServerId]:
-        return {
+        """Return the planned engines that are dead, unless this node is cut off."""
+        dead = {
             name
             for name in plan.placements
-            if now - self.suspects.find_suspected_since(name, now) >= _FAILURE_SECONDS
+            if self.suspects.is_dead(
+                name,
+                now,
+                least_seconds=_DEAD_SECONDS,
+                least_questions=_DEAD_QUESTIONS,
+            )
         }
+        most = max(2.0, _MOST_DEAD_SHARE * len(plan.placements))
+        return dead if len(dead) <= most else set()
 
     def _find_usable(
         self, plan: plans.Plan, listed: frozenset[ids.BackendServerId]
@@ -230,12 +250,12 @@
         service: declarations.Service,
         model: declarations.Model,
         plan: plans.Plan | None,
-    ) -> collections.abc.Iterator[placement.Candidate]:
+    ) -> collections.abc.Iterator[chains.Candidate]:
         for engine in backend_list.list_ready(self.blackboard.backends, service.name):
             accelerator = model.accelerators.get(engine.accelerator)
             if accelerator is None:
                 continue
-            yield placement.Candidate(
+            yield chains.Candidate(
                 name=engine.name,
                 failure_domain=engine.failure_domain,
                 accelerator=accelerator,
--- /dev/null
+++ b/src/jujubepass/forwarding/probing.py
@@ -0,0 +1,98 @@
+"""Asks backend engines that fell silent for their report until they answer."""
+
+import logging
+
+import attrs
+import trio
+
+from jujubepass import ids
+from jujubepass.forwarding import board, clocks, engines, suspicion
+
+_LOGGER = logging.getLogger(__name__)
+
+# Time an engine has to report; its own network answers within a few milliseconds.
+_REPORT_SECONDS = 0.25
+# Pause between two questions to one engine; reports are some hundred ms old.
+_PAUSE_SECONDS = 0.3
+# A silent engine is asked so often that two questions fall before its loss is planned
+# around, and seldom once that is done.
+_SILENT_PAUSE_SECONDS = 0.4
+_LONG_SILENT_PAUSE_SECONDS = 2.0
+_OFTEN_QUESTIONS = 6
+_PERIOD_SECONDS = 0.1
+
+
+@attrs.define(kw_only=True)
+class _Asked:
+    at: float
+    questions: int = 0
+
+
+@attrs.define(kw_only=True)
+class Prober:
+    """Read reports of suspected engines, and note who answers."""
+
+    blackboard: board.Blackboard
+    suspects: suspicion.Suspects
+    control: engines.EngineControl
+    _asked: dict[ids.BackendServerId, _Asked] = attrs.field(factory=dict, init=False)
+
+    async def run(self) -> None:
+        """Ask all silent engines again and again."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                await trio.sleep(_PERIOD_SECONDS)
+                silent = self.suspects.list_silent()
+                for name in silent:
+                    if name not in self.blackboard.backends.listed:
+                        self.suspects.clear(name)
+                    elif self._is_due(name):
+                        nursery.start_soon(self.check, name)
+                for name in self._asked.keys() - set(silent):
+                    self._asked[name].questions = 0
+
+    def _is_due(self, name: ids.BackendServerId) -> bool:
+        asked = self._asked.get(name)
+        if asked is None:
+            return True
+        often = asked.questions < _OFTEN_QUESTIONS
+        pause = _SILENT_PAUSE_SECONDS if often else _LONG_SILENT_PAUSE_SECONDS
+        return trio.current_time() - asked.at >= pause
+
+    def may_ask(self, name: ids.BackendServerId) -> bool:
+        """Tell whether an engine's last report is old enough to ask again."""
+        asked = self._asked.get(name)
+        return asked is None or trio.current_time() - asked.at >= _PAUSE_SECONDS
+
+    async def check(self, name: ids.BackendServerId) -> None:
+        """Ask an engine for its report; suspect it, or those that it waits for."""
+        backend = self.blackboard.backends.listed.get(name)
+        if backend is None:
+            return
+        asked = self._asked.setdefault(name, _Asked(at=0.0))
+        asked.at = trio.current_time()
+        asked.questions += 1
+        try:
+            with trio.fail_after(_REPORT_SECONDS):
+                report = await self.control.read_report(backend)
+        except (engines.EngineError, trio.TooSlowError) as error:
+            reason = suspicion.SuspicionReason.SILENT
+            self.suspects.suspect(name, reason, clocks.read_boot_clock())
+            _LOGGER.info(
+                "engine did not report", extra={"backend": name, "detail": str(error)}
+            )
+            return
+        self.suspects.note_answered(name)
+        await self._check_stalled(report)
+
+    async def _check_stalled(self, report: engines.EngineReport) -> None:
+        """Suspect the engines that others wait for, and ask them themselves."""
+        addresses = {address for _, address in report.stalled}
+        now = clocks.read_boot_clock()
+        for backend in list(self.blackboard.backends.listed.values()):
+            if backend.address not in addresses:
+                continue
+            reason = suspicion.SuspicionReason.NAMED_AT_FAULT
+            self.suspects.suspect(backend.name, reason, now)
+            if self.may_ask(backend.name):
+                await self.check(backend.name)
--- a/src/jujubepass/forwarding/stall_watch.py
+++ b/src/jujubepass/forwarding/stall_watch.py
@@ -9,7 +9,7 @@
 import trio
 
 from jujubepass import ids
-from jujubepass.forwarding import board, clocks, engines, paths, suspicion
+from jujubepass.forwarding import board, clocks, paths, probing, suspicion
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -17,10 +17,6 @@
 _PERIOD_SECONDS = 0.05
 # Shortest silence that counts: engines make an event about every 30 ms.
 _LEAST_SILENCE_SECONDS = 0.15
-# Time an engine has to report; its own network answers within a few milliseconds.
-_REPORT_SECONDS = 0.25
-# Pause between two reports of one engine; reports are some hundred ms old.
-_REPORT_PAUSE_SECONDS = 0.3
 
 
 class Verdict(enum.Enum):
@@ -79,11 +75,9 @@
 
     blackboard: board.Blackboard
     suspects: suspicion.Suspects
-    control: engines.EngineControl
+    prober: probing.Prober
     _watched: set[Watched] = attrs.field(factory=set, init=False)
-    _checked_at: dict[ids.BackendServerId, float] = attrs.field(
-        factory=dict, init=False
-    )
+    _questions: set[ids.BackendServerId] = attrs.field(factory=set, init=False)
 
     @contextlib.contextmanager
     def watch(
@@ -98,6 +92,10 @@
         finally:
             self._watched.discard(watched)
 
+    def ask(self, engine: ids.BackendServerId) -> None:
+        """Have an engine asked for its report soon."""
+        self._questions.add(engine)
+
     async def run(self) -> None:
         """Judge all streams again and again."""
         async with trio.open_nursery() as nursery:
@@ -105,6 +103,8 @@
                 await trio.sleep(_PERIOD_SECONDS)
                 for watched in list(self._watched):
                     self._judge(watched, nursery)
+                while self._questions:
+                    self._start_check(self._questions.pop(), nursery)
 
     def _judge(self, watched: Watched, nursery: trio.Nursery) -> None:
         boot_now = clocks.read_boot_clock()
@@ -122,32 +122,8 @@
             watched.scope.cancel()
         elif verdict is Verdict.CHECK:
             first = watched.path.parts[0].engine
-            if now - self._checked_at.get(first, -1e9) >= _REPORT_PAUSE_SECONDS:
-                self._checked_at[first] = now
-                nursery.start_soon(self._check, first)
-
-    async def _check(self, first: ids.BackendServerId) -> None:
-        """Ask the first engine of a silent path which engine it waits for."""
-        backend = self.blackboard.backends.listed.get(first)
-        if backend is None:
-            return
-        try:
-            with trio.fail_after(_REPORT_SECONDS):
-                report = await self.control.read_report(backend)
-        except (engines.EngineError, trio.TooSlowError) as error:
-            reason = suspicion.SuspicionReason.SILENT
-            self.suspects.suspect(first, reason, clocks.read_boot_clock())
-            _LOGGER.info(
-                "engine did not report", extra={"backend": first, "detail": str(error)}
-            )
-            return
-        by_address = {
-            each.address: each.name for each in self.blackboard.backends.listed.values()
-        }
-        now = clocks.read_boot_clock()
-        for address in {address for _, address in report.stalled}:
-            name = by_address.get(address)
-            if name is not None:
-                self.suspects.suspect(
-                    name, suspicion.SuspicionReason.NAMED_AT_FAULT, now
-                )
+            self._start_check(first, nursery)
+
+    def _start_check(self, engine: ids.BackendServerId, nursery: trio.Nursery) -> None:
+        if self.prober.may_ask(engine):
+            nursery.start_soon(self.prober.check, engine)
--- a/src/jujubepass/forwarding/stream_exchange.py
+++ b/src/jujubepass/forwarding/stream_exchange.py
@@ -27,15 +27,16 @@
 # A route's pause allowed between events, doubled, makes a silent stream suspicious.
 _SUSPICIOUS_GAPS = 2.0
 _LEAST_SUSPICIOUS_SECONDS = 0.3
-# Callers give up a stream after two seconds without an event; a stream that has been
-# silent for half of that goes on elsewhere whatever its engines report.
-_LONGEST_GAP_SECONDS = 1.0
 # The first event is due at the route's goal; a path silent for longer is checked.
 _FIRST_EVENT_GOALS = 1.2
-_LONGEST_FIRST_EVENT_SECONDS = 1.6
-# Time for which a request waits for a path: an engine's failure is noticed and a
-# chain placed anew within about this time on the sites' sheets.
-_PATH_WAIT_SECONDS = 3.0
+# Callers give up a stream after the longest of two seconds, four times the goal and
+# eight times the pause (PROTOCOL's figures); an answer has to move before that.
+_PATIENCE_SECONDS = 2.0
+_PATIENCE_GOALS = 4.0
+_PATIENCE_GAPS = 8.0
+_USED_PATIENCE = 0.9
+# Share of that patience for which a request waits for a path to be mended.
+_PATH_WAIT_SHARE = 0.6
 _PATH_POLL_SECONDS = 0.05
 _PATH_RETRY_SECONDS = 1.5
 _FULL_RETRY_SECONDS = 0.5
@@ -140,7 +141,8 @@
         self, admitted: exchange.Admitted, progress: _Progress
     ) -> paths.Path | None:
         """Return a path, waiting for one that is being repaired."""
-        until = clocks.read_boot_clock() + _PATH_WAIT_SECONDS
+        patience = _PATH_WAIT_SHARE * _find_patience(admitted.route)
+        until = clocks.read_boot_clock() + patience
         while True:
             now = clocks.read_boot_clock()
             service = admitted.service
@@ -254,8 +256,10 @@
         reason = suspicion.SuspicionReason.UNREACHABLE
         if error.head is not None:
             at_fault = error.head.at_fault
-            reason = suspicion.SuspicionReason.NAMED_AT_FAULT
+            reason = suspicion.SuspicionReason.FULL
             part = next((each for each in path.parts if each.address == at_fault), part)
+            # It may also be dead, which its own report tells.
+            self.stalls.ask(part.engine)
         self.suspects.suspect(part.engine, reason, now)
         progress.avoided.add(part.engine)
         self.count_retry(reasons.RetryReason.ENGINE_FULL)
@@ -279,17 +283,23 @@
         _log_attempt(ask, path, "broken", str(error), progress)
 
 
-def _make_patience(route: declarations.Route) -> stall_watch.Patience:
-    gap = min(
-        max(_LEAST_SUSPICIOUS_SECONDS, _SUSPICIOUS_GAPS * route.gap_seconds),
-        _LONGEST_GAP_SECONDS,
+def _find_patience(route: declarations.Route) -> float:
+    """Return how long a caller waits for the next event, in seconds."""
+    return max(
+        _PATIENCE_SECONDS,
+        _PATIENCE_GOALS * route.goal_seconds,
+        _PATIENCE_GAPS * route.gap_seconds,
     )
-    first = min(_FIRST_EVENT_GOALS * route.goal_seconds, _LONGEST_FIRST_EVENT_SECONDS)
+
+
+def _make_patience(route: declarations.Route) -> stall_watch.Patience:
+    longest = _USED_PATIENCE * _find_patience(route)
+    suspicious = max(_LEAST_SUSPICIOUS_SECONDS, _SUSPICIOUS_GAPS * route.gap_seconds)
     return stall_watch.Patience(
-        first_suspicious=first,
-        first_longest=_LONGEST_FIRST_EVENT_SECONDS,
-        gap_suspicious=gap,
-        gap_longest=_LONGEST_GAP_SECONDS,
+        first_suspicious=min(_FIRST_EVENT_GOALS * route.goal_seconds, longest),
+        first_longest=longest,
+        gap_suspicious=min(suspicious, longest),
+        gap_longest=longest,
     )
 
 
--- a/src/jujubepass/forwarding/suspicion.py
+++ b/src/jujubepass/forwarding/suspicion.py
@@ -13,6 +13,8 @@
 # trial with recovery); each repeated one doubles up to about a heartbeat's lapse.
 _FIRST_SECONDS = 0.7
 _LONGEST_SECONDS = 4.0
+# A server that is full, or gives up a part, takes work again within a few passes.
+_FULL_SECONDS = 0.25
 
 
 class SuspicionReason(enum.Enum):
@@ -22,53 +24,84 @@
     BROKE_OFF = "broke_off"
     NAMED_AT_FAULT = "named_at_fault"
     SILENT = "silent"
+    FULL = "full"
+
+
+_SILENCES = (SuspicionReason.UNREACHABLE, SuspicionReason.SILENT)
 
 
 @attrs.define(kw_only=True)
 class _Suspicion:
-    since: float
     until: float
     seconds: float
 
 
+@attrs.define(kw_only=True)
+class _Silence:
+    since: float
+    questions: int = 0
+
+
 @attrs.define(kw_only=True)
 class Suspects:
-    """Keep which backend servers are suspected, and since when."""
+    """Keep which backend servers are suspected, and which do not answer at all."""
 
     _suspicions: dict[ids.BackendServerId, _Suspicion] = attrs.field(
         factory=dict, init=False
     )
+    _silences: dict[ids.BackendServerId, _Silence] = attrs.field(
+        factory=dict, init=False
+    )
 
     def suspect(
         self, name: ids.BackendServerId, reason: SuspicionReason, now: float
     ) -> None:
         """Suspect a backend server, for longer each time it fails again."""
+        if reason in _SILENCES:
+            silence = self._silences.setdefault(name, _Silence(since=now))
+            silence.questions += 1
         before = self._suspicions.get(name)
         if before is not None and now < before.until:
             return
-        if before is None or now > before.until + _LONGEST_SECONDS:
-            before = _Suspicion(since=now, until=now, seconds=_FIRST_SECONDS / 2.0)
-        seconds = min(_LONGEST_SECONDS, before.seconds * 2.0)
-        self._suspicions[name] = _Suspicion(
-            since=before.since, until=now + seconds, seconds=seconds
-        )
+        seconds = _FULL_SECONDS
+        if reason is not SuspicionReason.FULL:
+            seconds = _FIRST_SECONDS
+            if before is not None and now <= before.until + _LONGEST_SECONDS:
+                seconds = min(_LONGEST_SECONDS, max(seconds, before.seconds * 2.0))
+        self._suspicions[name] = _Suspicion(until=now + seconds, seconds=seconds)
         _LOGGER.info(
             "backend server suspected",
             extra={"backend": name, "reason": reason.value, "seconds": seconds},
         )
 
+    def note_answered(self, name: ids.BackendServerId) -> None:
+        """Note that a backend server is there, whatever else it did."""
+        self._silences.pop(name, None)
+
     def clear(self, name: ids.BackendServerId) -> None:
         """Trust a backend server again, as after a restart or an answer."""
         self._suspicions.pop(name, None)
+        self._silences.pop(name, None)
 
     def is_suspect(self, name: ids.BackendServerId, now: float) -> bool:
         """Tell whether a backend server is to get no requests now."""
         suspicion = self._suspicions.get(name)
         return suspicion is not None and now < suspicion.until
 
-    def find_suspected_since(self, name: ids.BackendServerId, now: float) -> float:
-        """Return since when failures have gone on; infinity if there are none."""
-        suspicion = self._suspicions.get(name)
-        if suspicion is None or now > suspicion.until + _LONGEST_SECONDS:
-            return float("inf")
-        return suspicion.since
+    def list_silent(self) -> list[ids.BackendServerId]:
+        """Return the backend servers that did not answer when last asked."""
+        return list(self._silences)
+
+    def is_dead(
+        self,
+        name: ids.BackendServerId,
+        now: float,
+        *,
+        least_seconds: float,
+        least_questions: int,
+    ) -> bool:
+        """Tell whether a backend server has not answered for long and often enough."""
+        silence = self._silences.get(name)
+        if silence is None or silence.questions < least_questions:
+            return False
+        return now - silence.since >= least_seconds
