Refuse answers that outlast a stopping node, and close idle connections when unlisted

A node that got SIGTERM took requests from kept connections until its last moment and cut them at the end (a stream begun 7.4 s after SIGTERM, cut at 7.65 s). Ruled out: the balancer, which took the node out in time; the connections were older. Change: 3.2 s after SIGTERM the listener and idle connections close; until then a stream is refused as not run, to come back in 50 ms, if its most tokens would outlast the node.

--- a/src/jujubepass/forwarding/board.py
+++ b/src/jujubepass/forwarding/board.py
@@ -62,6 +62,8 @@
     node: ids.NodeId
     failure_domain: ids.FailureDomainId
     state: NodeState = NodeState.STARTING
+    closes_at: float = float("inf")
+    """Time at which running answers are cut, on the boot clock."""
     is_first_start: bool = False
     """Whether the whole system starts and no model request has come yet."""
     configuration: ConfigurationArea = attrs.field(factory=ConfigurationArea)
--- a/src/jujubepass/forwarding/exchange.py
+++ b/src/jujubepass/forwarding/exchange.py
@@ -25,6 +25,8 @@
     """How long the caller waits; None when it did not say."""
     resume_after: str | None
     """Id of the last event that the caller has; None for a new answer."""
+    answer_tokens: int
+    """Most tokens of the answer; 0 when the caller did not say."""
     fields: Fields
     """Header fields to pass on, without those that the node sets itself."""
     body: bytes
--- a/src/jujubepass/forwarding/node.py
+++ b/src/jujubepass/forwarding/node.py
@@ -49,8 +49,9 @@
 _SHARING_NODES = 12
 # Time before SIGKILL at which running answers are cut and the process ends.
 _EXIT_MARGIN_SECONDS = 0.4
-# The balancer takes a node out after two questions, a second apart.
-_UNLISTED_SECONDS = 3.5
+# The balancer takes a node out after two questions, a second apart; requests that
+# came up to three seconds after SIGTERM are the last that are owed an answer.
+_UNLISTED_SECONDS = 3.2
 _DRAIN_POLL_SECONDS = 0.1
 _HOUSEKEEPING_SECONDS = 0.1
 _CONNECT_TIMEOUT_SECONDS = 0.5
@@ -234,11 +235,10 @@
         self._readiness.drain()
         self._callers.drain()
         end = began + self.settings.bounds.shutdown_seconds - _EXIT_MARGIN_SECONDS
-        while clocks.read_boot_clock() < end:
-            waited = clocks.read_boot_clock() - began
-            busy = self._callers.running_requests or self._callers.connections
-            if waited >= _UNLISTED_SECONDS and not busy:
-                break
+        self.blackboard.closes_at = end
+        await trio.sleep(min(_UNLISTED_SECONDS, end - began))
+        self._callers.stop()
+        while self._callers.running_requests and clocks.read_boot_clock() < end:
             await trio.sleep(_DRAIN_POLL_SECONDS)
         _LOGGER.info(
             "node drained",
--- a/src/jujubepass/forwarding/replies.py
+++ b/src/jujubepass/forwarding/replies.py
@@ -19,6 +19,8 @@
     reasons.RefusalReason.BACKEND_UNAVAILABLE: "No backend server can take it now.",
     reasons.RefusalReason.BACKEND_REFUSED: "The backend servers took no more requests.",
     reasons.RefusalReason.NO_ROUTE: "No path of engines holds every layer now.",
+    reasons.RefusalReason.NODE_STOPPING: "This node stops. Ask another one.",
+    reasons.RefusalReason.ENGINES_FULL: "The engines are full.",
     reasons.RefusalReason.DEADLINE_UNREACHABLE: "The time left is too short.",
     reasons.RefusalReason.DEADLINE_PASSED: "No answer came in time; it may have run.",
     reasons.RefusalReason.OUTCOME_UNKNOWN: "The answer was lost; it may have run.",
--- a/src/jujubepass/forwarding/stream_exchange.py
+++ b/src/jujubepass/forwarding/stream_exchange.py
@@ -40,6 +40,10 @@
 _PATH_POLL_SECONDS = 0.05
 _PATH_RETRY_SECONDS = 1.5
 _FULL_RETRY_SECONDS = 0.5
+# Another node takes a request that this one would cut short.
+_ELSEWHERE_SECONDS = 0.05
+# Margin for the first event and for passes shared with other requests.
+_SLOWER_THAN_PREDICTED = 1.2
 # Refusals without a run that one request takes before it is refused itself.
 _MOST_REFUSALS = 4
 
@@ -114,6 +118,8 @@
                     retry_after_seconds=_PATH_RETRY_SECONDS,
                 )
                 return self._refuse(refusal, progress)
+            if self._outlasts_node(ask, path, progress, now):
+                return self._refuse(_STOPPING, progress)
             budget = self.budgets[admitted.service.name]
             if progress.runs + progress.refusals and not budget.spend(now):
                 return self._refuse(_FULL, progress)
@@ -131,6 +137,15 @@
                 if progress.runs > admitted.route.most_attempts + _SPARE_RUNS:
                     return self._refuse(_LOST, progress)
 
+    def _outlasts_node(
+        self, ask: exchange.Ask, path: paths.Path, progress: _Progress, now: float
+    ) -> bool:
+        """Tell whether an answer that has not begun would be cut at this node's end."""
+        if progress.events:
+            return False
+        seconds = ask.answer_tokens * path.step_seconds * _SLOWER_THAN_PREDICTED
+        return now + seconds > self.choice.blackboard.closes_at
+
     def _refuse(
         self, refusal: admission.Refusal, progress: _Progress
     ) -> admission.Refusal:
@@ -307,6 +322,10 @@
 # Runs beyond a route's attempts, for those that ended with their engine.
 _SPARE_RUNS = 1
 _LOST = admission.Refusal(reason=reasons.RefusalReason.OUTCOME_UNKNOWN)
+_STOPPING = admission.Refusal(
+    reason=reasons.RefusalReason.NODE_STOPPING,
+    retry_after_seconds=_ELSEWHERE_SECONDS,
+)
 _FULL = admission.Refusal(
     reason=reasons.RefusalReason.ENGINES_FULL,
     retry_after_seconds=_FULL_RETRY_SECONDS,
--- a/src/jujubepass/platform/wire.py
+++ b/src/jujubepass/platform/wire.py
@@ -46,6 +46,7 @@
             arrived_at=now,
             patience_seconds=_read_milliseconds(given.get(headers.PATIENCE)),
             resume_after=given.get(headers.RESUME_AFTER),
+            answer_tokens=_read_answer_tokens(given.get(headers.SIZE)),
             fields=_drop(request.fields, _HOP_BY_HOP | _SET_BY_NODE),
             body=request.body,
         )
@@ -132,6 +133,12 @@
     return int(text) / 1_000.0
 
 
+def _read_answer_tokens(text: str | None) -> int:
+    """Return the second of two numbers; 0 when there is none."""
+    number = (text or "").partition(",")[2].strip()
+    return int(number) if number.isdigit() else 0
+
+
 def _parse_address(text: str) -> _http_client.Address | None:
     try:
         return _http_client.parse_address(text)
