--- a/src/jujubepass/forwarding/engine_choice.py
+++ b/src/jujubepass/forwarding/engine_choice.py
@@ -40,11 +40,17 @@
         service: declarations.Service,
         now: float,
         avoided: collections.abc.Set[ids.BackendServerId] = frozenset(),
+        entries: collections.abc.Set[ids.BackendServerId] | None = None,
     ) -> paths.Path | None:
-        """Return the cheapest path of engines that are up and in place."""
+        """Return the cheapest path of engines that are up and in place.
+
+        `entries` names the engines at which it may begin, if not at all of them.
+        """
         assert service.model is not None
         options = list(self._list_options(service.name, service.model, now, avoided))
-        return paths.find_path(service.model, options, self.blackboard.failure_domain)
+        return paths.find_path(
+            service.model, options, self.blackboard.failure_domain, entries
+        )
 
     def _list_options(
         self,
@@ -83,6 +89,17 @@
         since = self.blackboard.backends.draining_since.get(engine.name, 0.0)
         return True if now - since < _DRAINING_USE_SECONDS else None
 
+    def find_running(
+        self, engines: collections.abc.Mapping[ids.BackendServerId, int]
+    ) -> set[ids.BackendServerId]:
+        """Return which runs of engines, by their start, are still listed."""
+        listed = self.blackboard.backends.listed
+        return {
+            name
+            for name, started_at in engines.items()
+            if name in listed and listed[name].started_at == started_at
+        }
+
     def note_started(self, path: paths.Path) -> None:
         """Count a request on its engines."""
         self._running.update(path.engines)
--- a/src/jujubepass/forwarding/following.py
+++ b/src/jujubepass/forwarding/following.py
@@ -60,7 +60,9 @@
         if self._version is None:
             changes = await self.feed.read()
         else:
-            changes = await self.feed.follow(self._version, self.wait_seconds)
+            # While the store is away, only an answer at once tells of its return.
+            wait = 0.0 if self._outage_pause_seconds else self.wait_seconds
+            changes = await self.feed.follow(self._version, wait)
         if self._outage_pause_seconds:
             self._outage_pause_seconds = 0.0
             _LOGGER.info("store regained", extra={"feed": self.name})
--- a/src/jujubepass/forwarding/paths.py
+++ b/src/jujubepass/forwarding/paths.py
@@ -58,8 +58,12 @@
     model: declarations.Model,
     options: collections.abc.Sequence[Option],
     entry_domain: ids.FailureDomainId,
+    entries: collections.abc.Set[ids.BackendServerId] | None = None,
 ) -> Path | None:
-    """Return the cheapest path for a caller in a failure domain, or None."""
+    """Return the cheapest path for a caller in a failure domain, or None.
+
+    `entries` names the engines at which it may begin, if not at all of them.
+    """
     bounds = {0, model.layers}
     for each in options:
         bounds |= {each.span.first, each.span.end}
@@ -67,6 +71,9 @@
     ordered = sorted(bound for bound in bounds if 0 <= bound <= model.layers)
     for layer in ordered[:-1]:
         for option in options:
+            barred = entries is not None and option.backend.name not in entries
+            if layer == 0 and barred:
+                continue
             if option.span.first <= layer < option.span.end:
                 _extend(best, option, layer, ordered, entry_domain)
     finals = [found for (end, _), found in best.items() if end == model.layers]
--- a/src/jujubepass/forwarding/stream_exchange.py
+++ b/src/jujubepass/forwarding/stream_exchange.py
@@ -63,6 +63,8 @@
     refusals: int = 0
     began_at: float = 0.0
     avoided: set[ids.BackendServerId] = attrs.field(factory=set)
+    entries: dict[ids.BackendServerId, int] = attrs.field(factory=dict)
+    """Engines at which paths of this request began, with their own starts."""
 
 
 @attrs.define(kw_only=True)
@@ -134,7 +136,7 @@
                 self._note_failure(ask, path, error, progress)
                 if not admitted.route.is_repeatable:
                     return self._refuse(_LOST, progress)
-                if progress.runs > admitted.route.most_attempts + _SPARE_RUNS:
+                if progress.runs >= _MOST_RUNS:
                     return self._refuse(_LOST, progress)
 
     def _outlasts_node(
@@ -161,13 +163,21 @@
         while True:
             now = clocks.read_boot_clock()
             service = admitted.service
-            path = self.choice.choose(service, now, progress.avoided)
+            entries = self._find_entries(admitted, progress)
+            path = self.choice.choose(service, now, progress.avoided, entries)
             if path is None and progress.avoided:
-                path = self.choice.choose(service, now)
+                path = self.choice.choose(service, now, entries=entries)
             if path is not None or now >= until:
                 return path
             await trio.sleep(_PATH_POLL_SECONDS)
 
+    def _find_entries(
+        self, admitted: exchange.Admitted, progress: _Progress
+    ) -> set[ids.BackendServerId] | None:
+        """Return where a path may begin once a route's attempts are used up."""
+        running = self.choice.find_running(progress.entries)
+        return running if len(running) >= admitted.route.most_attempts else None
+
     async def _run_on(
         self,
         ask: exchange.Ask,
@@ -289,6 +299,10 @@
     ) -> None:
         """Go on elsewhere; without a culprit the whole path is avoided."""
         progress.runs += 1
+        first = path.parts[0].engine
+        listed = self.choice.blackboard.backends.listed.get(first)
+        if listed is not None:
+            progress.entries[first] = listed.started_at
         now = clocks.read_boot_clock()
         culprits = {
             name for name in path.engines if self.suspects.is_suspect(name, now)
@@ -319,8 +333,9 @@
 
 
 _OK = 200
-# Runs beyond a route's attempts, for those that ended with their engine.
-_SPARE_RUNS = 1
+# Runs of one request, those included that ended with their engine; a request that has
+# lost as many paths uses up what others could be retried with.
+_MOST_RUNS = 4
 _LOST = admission.Refusal(reason=reasons.RefusalReason.OUTCOME_UNKNOWN)
 _STOPPING = admission.Refusal(
     reason=reasons.RefusalReason.NODE_STOPPING,
--- /dev/null
+++ b/standins/forwarding_system.py
@@ -0,0 +1,264 @@
+"""A system on the users' platform, on loopback: store, engines, services and nodes."""
+
+import collections.abc
+import json
+import time
+import typing
+
+import attrs
+
+from jujubepass import _http_client
+from standins import processes
+
+LAYERS = 8
+HOST_NAME = "desk.example"
+KEYS = {"ana-key-1": "ana", "ben-key-1": "ben"}
+MODEL_SERVICE = "drafts"
+PLAIN_SERVICE = "bookings"
+STREAM_PATH = "/drafts/new"
+BOOKING_PATH = "/visits/new"
+LOOKUP_PATH = "/history/7"
+_SETTINGS_VARIABLE = "JUJUBEPASS_SETTINGS"
+
+
+@attrs.frozen(kw_only=True)
+class Member:
+    """Describe one engine, or a plain service's server without a kind."""
+
+    name: str
+    domain: str
+    kind: str = ""
+
+
+MEMBERS = (
+    Member(name="e1", domain="a", kind="large"),
+    Member(name="e2", domain="a", kind="small"),
+    Member(name="e3", domain="a", kind="small"),
+    Member(name="f1", domain="b", kind="large"),
+    Member(name="f2", domain="b", kind="small"),
+    Member(name="s1", domain="a"),
+    Member(name="s2", domain="b"),
+)
+
+
+@attrs.frozen(kw_only=True)
+class NodePorts:
+    """Hold the ports of one node's listeners."""
+
+    callers: int
+    readiness: int
+    metrics: int
+
+
+def make_configuration(version: int, **changes: object) -> dict[str, typing.Any]:
+    """Write a configuration in the platform's words."""
+    engine = {
+        "slots": 16,
+        "kvTokenBytes": 1_000_000,
+        "models": [{"name": "m", "loadS": 0.2}],
+        "step_ms": 1.0,
+        "per_seq_ms": 0.01,
+        "read_per_s": 100_000,
+        "usual": {"prompt": 100, "answer": 40},
+        "layers": LAYERS,
+        "layerMb": 1_000.0,
+        "kinds": [
+            {"name": "large", "sizeMb": 9_000.0, "pace": 1.0, "readX": 1.0},
+            {"name": "small", "sizeMb": 6_500.0, "pace": 4.0, "readX": 4.0},
+        ],
+    }
+    common = {"host": HOST_NAME, "latencyGoalMs": 500, "priority": 1}
+    return {
+        "version": version,
+        "routes": [
+            {
+                **common,
+                "name": "drafts",
+                "prefix": "/drafts/",
+                "kind": "streaming",
+                "timeoutMs": 20_000,
+                "service": MODEL_SERVICE,
+                "maxAttempts": 2,
+                "resumable": True,
+                "gapTargetMs": 200,
+            },
+            {
+                **common,
+                "name": "visits",
+                "prefix": "/visits/",
+                "kind": "non_idempotent",
+                "timeoutMs": 1_200,
+                "service": PLAIN_SERVICE,
+            },
+            {
+                **common,
+                "name": "history",
+                "prefix": "/history/",
+                "kind": "idempotent",
+                "timeoutMs": 1_200,
+                "service": PLAIN_SERVICE,
+                "maxAttempts": 2,
+            },
+        ],
+        "services": [
+            {"name": MODEL_SERVICE, "healthPath": "/health", "engine": engine},
+            {"name": PLAIN_SERVICE, "healthPath": "/health"},
+        ],
+        "limits": {
+            "maxHeaderBytes": 8_192,
+            "maxBodyBytes": 65_536,
+            "headerTimeoutMs": 2_000,
+            "idleTimeoutMs": 10_000,
+        },
+        "tenants": [
+            {"name": name, "apiKeys": [key], "priority": 1}
+            for key, name in KEYS.items()
+        ],
+        **changes,
+    }
+
+
+class ForwardingSystem:
+    """Own the processes of one trial on the users' platform."""
+
+    def __init__(self, *, first_port: int) -> None:
+        self._ports = processes.Ports(first=first_port)
+        self.processes = processes.Processes()
+        self.store_port = self._ports.take()
+        self.ports: dict[str, int] = {}
+        self.nodes: dict[str, NodePorts] = {}
+        self._requests = 0
+
+    def start_all(self, *, nodes: int = 2, first_start: bool = True) -> None:
+        """Start everything and wait until each node is ready."""
+        self.start_store()
+        self.configure(make_configuration(2))
+        for member in MEMBERS:
+            self.start_member(member)
+        for number in range(nodes):
+            self.start_node(f"n{number + 1}", "ab"[number % 2], first_start)
+        for name in self.nodes:
+            processes.wait_for(lambda name=name: self.is_ready(name), f"{name} ready")
+        processes.wait_for(lambda: self.ask_stream("n1").status == 200, "a first path")
+
+    def start_store(self) -> None:
+        """Start the store."""
+        self.processes.start(
+            "store",
+            "standins.row_store",
+            *("--port", str(self.store_port)),
+            port=self.store_port,
+        )
+
+    def start_member(self, member: Member) -> None:
+        """Start an engine or a service's server."""
+        port = self.ports.setdefault(member.name, self._ports.take())
+        service = MODEL_SERVICE if member.kind else PLAIN_SERVICE
+        arguments = ["--name", member.name, "--service", service]
+        arguments += ["--port", str(port), "--store", str(self.store_port)]
+        arguments += ["--domain", member.domain, "--layers", str(LAYERS)]
+        if member.kind:
+            arguments += ["--kind", member.kind]
+        self.processes.start(member.name, "standins.path_engine", *arguments, port=port)
+
+    def start_node(self, name: str, domain: str, first_start: bool = False) -> None:
+        """Start a node, without waiting until it is ready."""
+        if name not in self.nodes:
+            self.nodes[name] = NodePorts(
+                callers=self._ports.take(),
+                readiness=self._ports.take(),
+                metrics=self._ports.take(),
+            )
+        path = self.processes.folder / f"{name}.ini"
+        path.write_text(self.write_settings(name, domain, first_start))
+        self.processes.start(
+            name,
+            "jujubepass.platform",
+            port=self.nodes[name].callers,
+            environment={_SETTINGS_VARIABLE: str(path)},
+        )
+
+    def write_settings(self, name: str, domain: str, first_start: bool) -> str:
+        """Write a node's settings."""
+        ports = self.nodes[name]
+        host = processes.HOST
+        return (
+            f"[node]\nname = {name}\nregion = r\nfailure_domain = {domain}\n"
+            f"first_start = {str(first_start).lower()}\n"
+            f"[listen]\ncallers = {host}:{ports.callers}\n"
+            f"readiness = {host}:{ports.readiness}\nmetrics = {host}:{ports.metrics}\n"
+            f"[store]\naddress = {host}:{self.store_port}\n"
+            "[bounds]\nrevocation_milliseconds = 5000\nshutdown_seconds = 8\n"
+        )
+
+    def configure(self, configuration: object) -> None:
+        """Let the operator write a configuration."""
+        self.write_row("op", "config", configuration)
+
+    def write_row(self, table: str, key: str, value: object) -> None:
+        """Write a row beside the store's interface; bytes go as they are."""
+        path = f"/rows/{table}/{key}"
+        processes.call("PUT", self.store_port, path, value)
+
+    def is_ready(self, name: str) -> bool:
+        """Tell whether a node says that it is ready."""
+        return processes.answers(self.nodes[name].readiness, "/v1/readiness")
+
+    def ask(
+        self,
+        node: str,
+        method: str,
+        path: str,
+        *,
+        body: bytes = b"",
+        key: str = "ana-key-1",
+        host: str = HOST_NAME,
+        patience_seconds: float = 10.0,
+        headers: collections.abc.Mapping[str, str] | None = None,
+    ) -> _http_client.Answer:
+        """Send a caller's request; its id stands in `last_request`."""
+        self._requests += 1
+        self.last_request = f"{node}-{self._requests}-{time.monotonic_ns():x}"
+        return processes.call(
+            method,
+            self.nodes[node].callers,
+            path,
+            body,
+            headers={
+                "host": host,
+                "x-request-id": self.last_request,
+                "x-key": key,
+                "x-deadline-ms": str(int(patience_seconds * 1_000)),
+                **(headers or {}),
+            },
+            timeout_seconds=patience_seconds + 2.0,
+        )
+
+    def ask_stream(self, node: str, events: int = 5) -> _http_client.Answer:
+        """Ask for a streamed answer of so many events."""
+        size = {"x-token-count": f"100,{2 * events}", "x-model": "m"}
+        return self.ask(node, "POST", STREAM_PATH, body=b"prompt", headers=size)
+
+    def read_counts(self, member: str) -> typing.Any:
+        """Return the counters of an engine or a service's server."""
+        return processes.read_counts(self.ports[member])
+
+    def count_runs(self, request: str) -> int:
+        """Count how often a request ran anywhere."""
+        return sum(
+            self.read_counts(each.name)["runs"].get(request, 0)
+            for each in MEMBERS
+            if each.name in self.ports and processes.can_connect(self.ports[each.name])
+        )
+
+    def read_log(self, node: str) -> list[dict[str, typing.Any]]:
+        """Return a node's log lines."""
+        path = self.processes.folder / f"{node}.log"
+        lines = path.read_text(errors="replace").splitlines()
+        return [json.loads(line) for line in lines if line.startswith("{")]
+
+
+def list_events(answer: _http_client.Answer) -> list[int]:
+    """Return the ids of a stream's events, in order."""
+    lines = answer.body.decode().splitlines()
+    return [int(line.removeprefix("id: ")) for line in lines if line.startswith("id: ")]
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import json
+import os
 import pathlib
 import signal
 import socket
@@ -173,6 +174,7 @@
         *arguments: str,
         port: int | None = None,
         path: str | None = None,
+        environment: collections.abc.Mapping[str, str] | None = None,
     ) -> None:
         """Run a module; wait until its port accepts, or its path answers with 200."""
         with open(self.folder / f"{name}.log", "ab") as output:
@@ -181,6 +183,7 @@
                 stdout=output,
                 stderr=subprocess.STDOUT,
                 stdin=subprocess.DEVNULL,
+                env={**os.environ, **(environment or {})},
             )
         if port is not None:
             wait_for(lambda: self._is_ready(name, port, path), f"{name} ready")
--- /dev/null
+++ b/tests/features/full_engine.feature
@@ -0,0 +1,21 @@
+Feature: Engines are full or slow, without a network
+  Scenario: A full engine is avoided for a moment, and not planned around
+    Given the engines of a site, planned and loaded
+    When an engine refuses requests for 5 seconds and answers questions
+    Then no plan is written
+    And it gets requests again a moment after the last refusal
+
+  Scenario: An engine that answers no question is planned around
+    Given the engines of a site, planned and loaded
+    When an engine of the caller's path falls silent
+    Then a plan without it is written within a second
+
+  Scenario: A node that reaches no engine does not plan around them
+    Given the engines of a site, planned and loaded
+    When 12 engines fall silent at once
+    Then no plan is written
+
+  Scenario: A stream that is only slow goes on
+    Then a stream that was silent for 1.5 seconds is checked and not given up
+    And one whose path has a suspect is given up after 0.2 seconds
+    And one that was silent for longer than its caller waits is given up
--- /dev/null
+++ b/tests/features/steps/platform_steps.py
@@ -0,0 +1,453 @@
+import pathlib
+import re
+import threading
+import time
+
+import behave
+
+from jujubepass import _http_client
+from jujubepass.forwarding import settings
+from standins import forwarding_system, processes
+
+ROOT = pathlib.Path(__file__).resolve().parents[3]
+ROUTE_PATH = "/late/1"
+# Bounds of the users' pages.
+CONFIGURATION_SECONDS = 2.0
+PROOF_SECONDS = 3.5
+RETURN_SECONDS = 2.5
+RESTART_SECONDS = 3.0
+GRACE_SECONDS = 8.0
+REPAIR_SECONDS = 10.0
+
+
+@behave.given("a system on the platform")
+def step_system(context):
+    context.system = forwarding_system.ForwardingSystem(first_port=context.first_port)
+    context.add_cleanup(context.system.processes.close)
+    context.system.start_all()
+
+
+def assert_whole(answer, events):
+    expected = list(range(1, events + 1))
+    assert answer.status == 200, answer
+    assert forwarding_system.list_events(answer) == expected, answer.body
+
+
+@behave.then("each node streams an answer with each event once and in order")
+def step_stream(context):
+    for node in context.system.nodes:
+        assert_whole(context.system.ask_stream(node, events=20), 20)
+        assert context.system.count_runs(context.system.last_request) == 1
+
+
+@behave.then("each node books once and looks up, for the account that holds the key")
+def step_plain(context):
+    for node in context.system.nodes:
+        answer = context.system.ask(
+            node, "POST", forwarding_system.BOOKING_PATH, body=b"visit", key="ben-key-1"
+        )
+        found = answer.read_json()
+        assert answer.status == 200, answer
+        assert found["account"] == "ben", found
+        assert not found["key_seen"], found
+        assert found["body"] == "visit", found
+        assert context.system.count_runs(context.system.last_request) == 1
+        answer = context.system.ask(node, "GET", forwarding_system.LOOKUP_PATH + "?a=b")
+        assert answer.read_json()["path"] == "/history/7?a=b", answer
+
+
+@behave.then("no engine saw a path that leaves out or repeats a layer")
+def step_paths(context):
+    for member in forwarding_system.MEMBERS:
+        assert context.system.read_counts(member.name)["bad_paths"] == 0, member
+
+
+@behave.then("no engine was ordered more layers than it holds")
+def step_layers(context):
+    most = {"large": 9, "small": 6}
+    for member in forwarding_system.MEMBERS:
+        if member.kind:
+            counts = context.system.read_counts(member.name)
+            assert counts["most_layers"] <= most[member.kind], (member, counts)
+
+
+@behave.then("an unknown host, path and key are refused with 404, 404 and 401")
+def step_unknown(context):
+    ask = context.system.ask
+    context.refusals = []
+    for expected, path, more in (
+        (404, forwarding_system.LOOKUP_PATH, {"host": "other.example"}),
+        (404, "/nowhere/1", {}),
+        (401, forwarding_system.LOOKUP_PATH, {"key": "not-a-key"}),
+    ):
+        answer = ask("n1", "GET", path, **more)
+        assert answer.status == expected, answer
+        context.refusals.append((context.system.last_request, answer))
+
+
+@behave.then("a body over the limit is refused with 413")
+def step_oversized(context):
+    answer = context.system.ask(
+        "n1", "POST", forwarding_system.BOOKING_PATH, body=b"x" * 70_000
+    )
+    assert answer.status == 413, answer
+
+
+@behave.then("a request with two lengths is refused with 400")
+def step_two_lengths(context):
+    answer = context.system.ask(
+        "n1",
+        "POST",
+        forwarding_system.BOOKING_PATH,
+        body=b"",
+        headers={"transfer-encoding": "chunked"},
+    )
+    assert answer.status == 400, answer
+
+
+@behave.then("each refusal carries the request's id")
+def step_refusal_ids(context):
+    for request, answer in context.refusals:
+        assert answer.headers["x-request-id"] == request, answer
+
+
+@behave.when("the operator adds a route and takes a key away")
+def step_change(context):
+    configuration = forwarding_system.make_configuration(5)
+    late = {**configuration["routes"][2], "name": "late", "prefix": "/late/"}
+    configuration["routes"].append(late)
+    configuration["tenants"].pop()
+    context.system.configure(configuration)
+    context.changed_at = time.monotonic()
+
+
+def shows_change(context, node):
+    served = context.system.ask(node, "GET", ROUTE_PATH).status
+    revoked = context.system.ask(node, "GET", ROUTE_PATH, key="ben-key-1").status
+    return (served, revoked) == (200, 401)
+
+
+@behave.then("each node serves the route and refuses the key within 2 seconds")
+def step_in_force(context):
+    for node in context.system.nodes:
+        processes.wait_for(lambda node=node: shows_change(context, node), node)
+    assert time.monotonic() - context.changed_at < CONFIGURATION_SECONDS
+
+
+@behave.when("the operator writes an older version and one that cannot be read")
+def step_older(context):
+    context.system.configure(forwarding_system.make_configuration(3))
+    time.sleep(0.5)
+    context.system.configure({"version": 9, "routes": "none"})
+    time.sleep(0.5)
+
+
+@behave.then("each node goes on with the newest one")
+def step_newest(context):
+    for node in context.system.nodes:
+        assert shows_change(context, node), node
+
+
+def ask_in_background(context, node, events):
+    context.answers = []
+    context.background = threading.Thread(
+        target=lambda: context.answers.append(context.system.ask_stream(node, events))
+    )
+    context.events = events
+    context.background.start()
+    time.sleep(0.4)
+
+
+@behave.when("an engine of its path is killed in the middle of a stream")
+def step_kill_engine(context):
+    ask_in_background(context, "n1", 60)
+    context.system.processes.kill("e2")
+
+
+@behave.when("the first engine breaks off inside an event")
+def step_break_off(context):
+    for name in ("e1", "e2", "e3"):
+        processes.change_knobs(context.system.ports[name], cut_event=0.05)
+    ask_in_background(context, "n1", 60)
+
+
+@behave.then("the answer has each event once and in order")
+def step_whole(context):
+    context.background.join()
+    assert_whole(context.answers[0], context.events)
+
+
+@behave.then("streams are served in each failure domain before long")
+def step_served(context):
+    for node in context.system.nodes:
+        processes.wait_for(
+            lambda node=node: context.system.ask_stream(node).status == 200,
+            f"{node} streams",
+            REPAIR_SECONDS,
+        )
+
+
+@behave.when("an engine is killed and started again")
+def step_restart_engine(context):
+    context.system.processes.kill("e2")
+    context.system.start_member(forwarding_system.MEMBERS[1])
+
+
+def list_first_engines(context):
+    """Return the engines at which streams of node n1 have begun."""
+    names = [each.name for each in forwarding_system.MEMBERS if each.domain == "a"]
+    counts = {name: context.system.read_counts(name)["runs"] for name in names}
+    return {
+        name for name, runs in counts.items() if context.system.last_request in runs
+    }
+
+
+@behave.then("streams begin in its failure domain again")
+def step_begins_near(context):
+    def begins_near():
+        context.system.ask_stream("n1")
+        return list_first_engines(context)
+
+    processes.wait_for(begins_near, "a path in domain a", REPAIR_SECONDS)
+
+
+def change_services(context, **changes):
+    for name in ("s1", "s2"):
+        processes.change_knobs(context.system.ports[name], **changes)
+
+
+def book(context, node="n1"):
+    return context.system.ask(
+        node, "POST", forwarding_system.BOOKING_PATH, body=b"visit"
+    )
+
+
+@behave.when("a booking's answer is lost")
+def step_lost(context):
+    change_services(context, lose_answer=1)
+    context.answer = book(context)
+    change_services(context, lose_answer=0)
+
+
+@behave.then("it is answered with 502 and ran once")
+def step_unknown_outcome(context):
+    assert context.answer.status == 502, context.answer
+    assert context.system.count_runs(context.system.last_request) == 1
+
+
+@behave.when("a booking is refused by one server")
+def step_refused(context):
+    processes.change_knobs(context.system.ports["s1"], refuse=1)
+    context.answer = book(context)
+
+
+@behave.then("it ran at most once, and not at all if it was refused")
+def step_at_most_once(context):
+    runs = context.system.count_runs(context.system.last_request)
+    assert runs == (1 if context.answer.status == 200 else 0), context.answer
+    if context.answer.status == 503:
+        assert float(context.answer.headers["retry-after"]) > 0.0, context.answer
+
+
+@behave.when("a server's address belongs to another one")
+def step_other(context):
+    processes.change_knobs(context.system.ports["s1"], pretend_other=True)
+    context.answer = book(context)
+
+
+@behave.then("a booking is served by the other server or refused as not run")
+def step_other_served(context):
+    step_at_most_once(context)
+    assert context.answer.status in (200, 503), context.answer
+
+
+@behave.when("a lookup's answer is lost, fails or has no proof")
+def step_lookup(context):
+    context.lookups = []
+    for fault in ("lose_answer", "fail", "spoil"):
+        processes.change_knobs(context.system.ports["s1"], **{fault: 1})
+        answer = context.system.ask("n1", "GET", forwarding_system.LOOKUP_PATH)
+        context.lookups.append((fault, answer))
+        processes.change_knobs(context.system.ports["s1"], **{fault: 0})
+
+
+@behave.then("each lookup was answered all the same")
+def step_lookups(context):
+    for fault, answer in context.lookups:
+        assert answer.status == 200, (fault, answer)
+
+
+FAULTS = {
+    "503": {"status": 503},
+    "429": {"status": 429},
+    "no answer": {"silent": True},
+    "reset": {"reset": True},
+}
+NO_FAULT = {"status": 0, "silent": False, "reset": False}
+
+
+@behave.when('the store fails with "{fault}" for 4 seconds')
+def step_store_fails(context, fault):
+    # Waits for changes that began before the fault end within two seconds.
+    processes.change_knobs(context.system.store_port, **FAULTS[fault])
+    context.failed_at = time.monotonic()
+
+
+@behave.then(
+    "each node says within 3.5 seconds that it may know old keys, and is not ready"
+)
+def step_stale(context):
+    def is_stale(node):
+        answer = context.system.ask(node, "GET", forwarding_system.LOOKUP_PATH)
+        return answer.status == 503 and not context.system.is_ready(node)
+
+    # A wait that began before the fault proves two seconds more.
+    bound = PROOF_SECONDS + 2.0
+    for node in context.system.nodes:
+        left = context.failed_at + bound - time.monotonic()
+        processes.wait_for(lambda node=node: is_stale(node), f"{node} stale", left)
+
+
+@behave.then("when the store is back, each node serves again within 2.5 seconds")
+def step_back(context):
+    processes.change_knobs(context.system.store_port, **NO_FAULT)
+    for node in context.system.nodes:
+        processes.wait_for(
+            lambda node=node: context.system.is_ready(node), node, RETURN_SECONDS
+        )
+        answer = context.system.ask(node, "GET", forwarding_system.LOOKUP_PATH)
+        assert answer.status == 200, answer
+
+
+@behave.then("an engine killed then is planned around")
+def step_planned_around(context):
+    context.system.processes.kill("e2")
+    step_served(context)
+
+
+@behave.when("the store forgets its history")
+def step_forget(context):
+    processes.call("POST", context.system.store_port, "/forget", {})
+
+
+@behave.when("other writers list servers that cannot be read")
+def step_unreadable(context):
+    write = context.system.write_row
+    write("servers", "x1", b"\xff not JSON")
+    write("servers", "x2", {"service": forwarding_system.MODEL_SERVICE})
+    write("servers", "x3", [1, 2])
+    write("servers", "x4", {"service": 7, "address": "1:2", "zone": "a", "state": "up"})
+    write("servers", "e1", b"{")
+    time.sleep(0.5)
+
+
+@behave.when("a node is told to stop during a stream of a second")
+def step_stop(context):
+    ask_in_background(context, "n1", 40)
+    context.system.processes.terminate("n1")
+    context.stopped_at = time.monotonic()
+
+
+@behave.then("the node exits with 0 within its time")
+def step_exits(context):
+    assert context.system.processes.wait("n1", GRACE_SECONDS) == 0
+    assert time.monotonic() - context.stopped_at < GRACE_SECONDS
+
+
+@behave.when("a node is told to stop and asked for a stream that outlasts it")
+def step_stop_long(context):
+    context.system.processes.terminate("n2")
+    time.sleep(0.3)
+    assert not context.system.is_ready("n2")
+    context.answer = context.system.ask_stream("n2", events=5_000)
+
+
+@behave.then("the stream is refused as not run, to come back at once")
+def step_elsewhere(context):
+    assert context.answer.status == 503, context.answer
+    assert float(context.answer.headers["retry-after"]) < 1.0, context.answer
+    assert context.system.count_runs(context.system.last_request) == 0
+
+
+@behave.when("a node is killed and started again")
+def step_kill_node(context):
+    context.system.processes.kill("n1")
+    context.system.start_node("n1", "a")
+    context.started_at = time.monotonic()
+
+
+@behave.then("it is ready again and serves within 3 seconds")
+def step_restarted(context):
+    processes.wait_for(
+        lambda: context.system.is_ready("n1"), "n1 ready", RESTART_SECONDS
+    )
+    assert_whole(context.system.ask_stream("n1"), 5)
+
+
+@behave.then(
+    "the node's log names the request, the server, and why its outcome is unknown"
+)
+def step_log(context):
+    lines = context.system.read_log("n1")
+    mine = [
+        line for line in lines if line.get("request") == context.system.last_request
+    ]
+    attempt, ended = mine
+    assert attempt["backend"] in ("s1", "s2"), attempt
+    assert "broke off" in attempt["detail"], attempt
+    assert (ended["status"], ended["reason"]) == (502, "outcome_unknown"), ended
+    assert {"route", "service", "account", "version", "version_age"} <= ended.keys()
+
+
+@behave.then("the node's metrics count it")
+def step_metrics(context):
+    port = context.system.nodes["n1"].metrics
+    page = processes.call("GET", port, "/metrics").body.decode()
+    assert re.search(r'jujubepass_refusals_total\{reason="outcome_unknown"\} 1', page)
+    assert "jujubepass_first_event_seconds_bucket" in page, page
+
+
+@behave.then("settings of a forwarding node with three errors show each of them")
+def step_three_errors(context):
+    text = (
+        "[node]\nname = n 1\nregion = r\nfailure_domain = a\n"
+        "[listen]\ncallers = nowhere\nreadiness = 127.0.0.1:2\nmetrics = 127.0.0.1:3\n"
+        "[store]\naddress = 127.0.0.1:4\nadress = 127.0.0.1:4\n"
+    )
+    problems = settings.parse_settings("node.ini", text).failure().problems
+    places = [(each.section, each.key) for each in problems]
+    assert places == [("node", "name"), ("listen", "callers"), ("store", "adress")]
+
+
+# What the platform gives, by its page on settings.
+FIELDS = {
+    "nodeName": "edge-uy-sur-centro-1",
+    "region": "uy-sur",
+    "zone": "uy-sur-centro",
+    "bootstrap": "true",
+    "listen.front": "10.1.0.40:8227",
+    "listen.ready": "10.1.0.40:8220",
+    "ip": "10.1.0.40",
+    "platform.address": "10.200.1.7:8223",
+    "bounds.revokeMs": "5000",
+    "bounds.graceS": "8",
+    "bounds.retryBudget": "0.2",
+    "bounds.budgetSlack": "202",
+    "bounds.budgetWindowS": "10",
+}
+
+
+@behave.then("the settings that the platform's template gives are accepted")
+def step_template(context):
+    template = (ROOT / "deploy" / "node.ini.template").read_text()
+    text = re.sub(
+        r"\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}",
+        lambda found: found[2].replace("{{.}}", FIELDS[found[1]]),
+        template,
+        flags=re.DOTALL,
+    )
+    text = re.sub(r"\{\{([\w.]+)\}\}", lambda found: FIELDS[found[1]], text)
+    read = settings.parse_settings("node.ini", text).unwrap()
+    assert read.bounds.revocation_milliseconds == 5_000, read
+    assert read.listen.callers == _http_client.parse_address("10.1.0.40:8227")
+    assert read.node.first_start, read
--- /dev/null
+++ b/tests/small_fleet.py
@@ -0,0 +1,203 @@
+"""A blackboard with a few engines, and what controllers need, without a network."""
+
+import random
+
+from jujubepass import _http_client, ids
+from jujubepass.forwarding import (
+    backend_list,
+    backends,
+    board,
+    chains,
+    declarations,
+    engine_choice,
+    feeds,
+    planner,
+    plans,
+    suspicion,
+)
+
+SERVICE = ids.ServiceId("drafts")
+# The kinds, sizes and counts of the ferreira-ruta site, a failure domain a row.
+KINDS = {
+    "h100": declarations.Accelerator(
+        memory_megabytes=72_000.0, step_pace=1.4, read_pace=1.0
+    ),
+    "a100s": declarations.Accelerator(
+        memory_megabytes=36_000.0, step_pace=3.1, read_pace=3.2
+    ),
+    "l4": declarations.Accelerator(
+        memory_megabytes=21_600.0, step_pace=16.0, read_pace=8.2
+    ),
+    "t4": declarations.Accelerator(
+        memory_megabytes=14_400.0, step_pace=15.0, read_pace=15.0
+    ),
+}
+FLEET = {
+    "centro": {"h100": 1, "a100s": 1, "l4": 5, "t4": 7},
+    "este": {"a100s": 1, "l4": 8, "t4": 3},
+    "oeste": {"a100s": 2, "l4": 4, "t4": 7},
+}
+MODEL = declarations.Model(
+    layers=80,
+    layer_megabytes=1_750.0,
+    token_kilobytes=1_180.0,
+    slots=96,
+    step_seconds=0.00085,
+    sequence_seconds=0.00000764,
+    read_tokens_per_second=196_000.0,
+    load_seconds=14.0,
+    answer_tokens=174.0,
+    prompt_tokens=772.0,
+    accelerators=KINDS,
+)
+ROUTE = declarations.Route(
+    name="drafts",
+    host="desk.example",
+    prefix="/drafts/",
+    repetition=declarations.Repetition.STREAM,
+    timeout_seconds=20.0,
+    goal_seconds=0.5,
+    priority=1,
+    destinations=(declarations.Destination(service=SERVICE, weight=1.0),),
+    most_attempts=2,
+    resumable=True,
+    gap_seconds=0.2,
+)
+
+
+def make_declarations(version=1, keys=("ana-key",)):
+    account = declarations.Account(name=ids.AccountId("ana"))
+    return declarations.Declarations(
+        version=version,
+        routes=(ROUTE,),
+        services={SERVICE: declarations.Service(name=SERVICE, model=MODEL)},
+        limits=declarations.CallerLimits(),
+        accounts=dict.fromkeys(keys, account),
+        checks_keys=True,
+    )
+
+
+def make_engines():
+    """List the fleet's engines, empty, with numbers in their names."""
+    found = []
+    for domain, kinds in FLEET.items():
+        for kind, count in kinds.items():
+            for number in range(count):
+                port = 8_000 + len(found)
+                found.append(
+                    backends.Backend(
+                        name=ids.BackendServerId(f"{domain}-{kind}-{number}"),
+                        service=SERVICE,
+                        address=_http_client.Address(host="10.0.0.1", port=port),
+                        failure_domain=ids.FailureDomainId(domain),
+                        state=backends.BackendState.READY,
+                        started_at=1,
+                        accelerator=kind,
+                    )
+                )
+    return found
+
+
+def make_candidates(engines, placements=None):
+    return [
+        chains.Candidate(
+            name=each.name,
+            failure_domain=each.failure_domain,
+            accelerator=KINDS[each.accelerator],
+            placement=(placements or {}).get(each.name),
+        )
+        for each in engines
+    ]
+
+
+class Fleet:
+    """Hold one node's blackboard and controllers, and a clock."""
+
+    def __init__(self, *, node="n1", seed=1):
+        self.now = 100.0
+        self.blackboard = board.Blackboard(
+            node=ids.NodeId(node), failure_domain=ids.FailureDomainId("centro")
+        )
+        self.suspects = suspicion.Suspects()
+        self.list = backend_list.BackendController(area=self.blackboard.backends)
+        self.planner = planner.PlanController(
+            blackboard=self.blackboard,
+            suspects=self.suspects,
+            random_source=random.Random(seed),
+        )
+        self.choice = engine_choice.EngineChoice(
+            blackboard=self.blackboard, suspects=self.suspects
+        )
+        self.blackboard.configuration.declarations = make_declarations()
+        self.blackboard.configuration.proven_at = self.now
+        self.blackboard.plans.known = True
+        self.versions = 0
+
+    @property
+    def plan(self):
+        return self.blackboard.plans.plans[SERVICE]
+
+    @property
+    def service(self):
+        return self.blackboard.configuration.declarations.services[SERVICE]
+
+    def list_engines(self, engines, gone=()):
+        items = {each.name: each for each in engines} | dict.fromkeys(gone)
+        changes = feeds.Changes(items=items, version=1, proven_at=self.now)
+        self.list.apply(changes, self.now)
+
+    def wait(self, seconds, proven=True):
+        """Let time pass; return the plans that were to be written meanwhile."""
+        written = []
+        for _ in range(round(seconds / 0.1)):
+            self.now += 0.1
+            if proven:
+                self.blackboard.backends.proven_at = self.now
+                self.blackboard.configuration.proven_at = self.now
+            for command in self.planner.check(self.now):
+                written.append(command.plan)
+                self.versions += 1
+                self.planner.note_plan(
+                    plans.Plan(
+                        service=command.plan.service,
+                        version=self.versions,
+                        revision=command.plan.revision,
+                        author=command.plan.author,
+                        placements=command.plan.placements,
+                        excluded=command.plan.excluded,
+                    )
+                )
+        return written
+
+    def load_planned(self):
+        """Let every engine hold what the plan says."""
+        listed = self.blackboard.backends.listed
+        for name, placement in self.plan.placements.items():
+            listed[name] = hold(listed[name], placement.span)
+
+    def fall_silent(self, name):
+        """Let an engine leave two questions unanswered, 0.4 s apart."""
+        for _ in range(2):
+            self.suspects.suspect(name, suspicion.SuspicionReason.SILENT, self.now)
+            self.wait(0.4)
+
+
+def hold(engine, span):
+    return backends.Backend(
+        name=engine.name,
+        service=engine.service,
+        address=engine.address,
+        failure_domain=engine.failure_domain,
+        state=engine.state,
+        started_at=engine.started_at,
+        accelerator=engine.accelerator,
+        held=span,
+    )
+
+
+def make_planned_fleet():
+    fleet = Fleet()
+    fleet.list_engines(make_engines())
+    assert fleet.wait(4.0)
+    fleet.load_planned()
+    return fleet
