Weigh engines by the room and the pace that they have left, and crossings by the pipe

Change: an engine gets dearer from six tenths of its memory on, by this node's own requests; paths whose events come slowly have their engines' paces asked, and a pace counts squared; a crossing costs more than an engine that is twelve times slower; predicted times no longer hold the weights. Engines that answer no question are planned around while lapsed entries return.

--- a/src/jujubepass/forwarding/engine_choice.py
+++ b/src/jujubepass/forwarding/engine_choice.py
@@ -10,6 +10,7 @@
     backends,
     board,
     declarations,
+    paces,
     paths,
     plans,
     suspicion,
@@ -20,6 +21,12 @@
 # Time in which a draining engine still gets requests that would otherwise wait for
 # its successor; the bound (drainMs) is two seconds.
 _DRAINING_USE_SECONDS = 1.0
+# Requests wait, or push others out, where memory runs out: up to this share an engine
+# is as good as an empty one, and full it is so many times as dear.
+_ROOMY_FILL = 0.6
+_FULL_FACTOR = 100.0
+# An engine that says it is slow delays each token of all requests on its path.
+_PACE_POWER = 2.0
 # Layers that an engine holds and is to give up are used where no other engine has
 # them: three times as dear as the slowest kind is slower than the next.
 _UNPLANNED_FACTOR = 3.0
@@ -31,6 +38,7 @@
 
     blackboard: board.Blackboard
     suspects: suspicion.Suspects
+    paces: paces.Paces
     _running: collections.Counter[ids.BackendServerId] = attrs.field(
         factory=collections.Counter, init=False
     )
@@ -71,9 +79,14 @@
             if self.suspects.is_suspect(engine.name, now):
                 continue
             seconds = accelerator.step_pace * self._predict_step(model, engine.name)
-            placement = plan.placements.get(engine.name)
+            weight = self._weigh_room(model, accelerator, engine)
+            weight *= self.paces.find_pace(engine.name, now) ** _PACE_POWER
             yield from _make_options(
-                engine, placement, seconds / model.layers, self._is_leaving(engine, now)
+                engine,
+                plan.placements.get(engine.name),
+                layer_seconds=seconds / model.layers,
+                weight=weight,
+                is_leaving=self._is_leaving(engine, now),
             )
 
     def _predict_step(
@@ -82,6 +95,21 @@
         shared = self._running[engine] * _NODES_PER_DOMAIN
         return model.step_seconds + model.sequence_seconds * shared
 
+    def _weigh_room(
+        self,
+        model: declarations.Model,
+        accelerator: declarations.Accelerator,
+        engine: backends.Backend,
+    ) -> float:
+        """Return how much dearer an engine is for the memory that requests take."""
+        assert engine.held is not None
+        free = accelerator.memory_megabytes - len(engine.held) * model.layer_megabytes
+        request_tokens = model.prompt_tokens + model.answer_tokens / 2.0
+        taken_tokens = self._running[engine.name] * _NODES_PER_DOMAIN * request_tokens
+        token_kilobytes = model.token_kilobytes * len(engine.held) / model.layers
+        fill = taken_tokens * token_kilobytes / max(1.0, free * 1_000.0)
+        return 1.0 + _FULL_FACTOR * max(0.0, fill - _ROOMY_FILL)
+
     def _is_leaving(self, engine: backends.Backend, now: float) -> bool | None:
         """Tell whether an engine leaves; None when it takes nothing any more."""
         if engine.state is backends.BackendState.READY:
@@ -112,7 +140,9 @@
 def _make_options(
     engine: backends.Backend,
     placement: plans.Placement | None,
+    *,
     layer_seconds: float,
+    weight: float,
     is_leaving: bool | None,
 ) -> collections.abc.Iterator[paths.Option]:
     """Offer the planned span, and at a price what else the engine holds."""
@@ -121,10 +151,16 @@
         return
     planned = _intersect(placement.span, held) if placement else None
     if planned and len(planned) and not is_leaving:
-        yield paths.Option(backend=engine, span=planned, layer_seconds=layer_seconds)
+        yield paths.Option(
+            backend=engine, span=planned, layer_seconds=layer_seconds, weight=weight
+        )
     if planned != held or is_leaving:
-        dearer = _UNPLANNED_FACTOR * layer_seconds
-        yield paths.Option(backend=engine, span=held, layer_seconds=dearer)
+        yield paths.Option(
+            backend=engine,
+            span=held,
+            layer_seconds=layer_seconds,
+            weight=weight * _UNPLANNED_FACTOR,
+        )
 
 
 def _intersect(one: backends.Span, other: backends.Span) -> backends.Span:
--- a/src/jujubepass/forwarding/engines.py
+++ b/src/jujubepass/forwarding/engines.py
@@ -24,6 +24,8 @@
     orders_begun: int
     running: int
     queued: int
+    pace: float = 1.0
+    """How many times slower than usual the engine works."""
     stalled: tuple[tuple[ids.RequestId, _http_client.Address], ...] = ()
     """Requests that wait for an engine of their path, and that engine."""
 
--- a/src/jujubepass/forwarding/node.py
+++ b/src/jujubepass/forwarding/node.py
@@ -21,6 +21,7 @@
     forwarder,
     measures,
     ordering,
+    paces,
     planner,
     planning,
     probing,
@@ -88,10 +89,12 @@
         self._readiness = readiness.Readiness(
             blackboard=self.blackboard, gate=self._gate
         )
+        self._paces = paces.Paces()
         self._prober = probing.Prober(
             blackboard=self.blackboard,
             suspects=self.suspects,
             control=self.adapter.control,
+            paces=self._paces,
         )
         self._stalls = stall_watch.StallWatch(
             blackboard=self.blackboard, suspects=self.suspects, prober=self._prober
@@ -160,7 +163,9 @@
                 sender=sender,
                 gate=self._gate,
                 choice=engine_choice.EngineChoice(
-                    blackboard=self.blackboard, suspects=self.suspects
+                    blackboard=self.blackboard,
+                    suspects=self.suspects,
+                    paces=self._paces,
                 ),
                 suspects=self.suspects,
                 stalls=self._stalls,
--- a/src/jujubepass/forwarding/paths.py
+++ b/src/jujubepass/forwarding/paths.py
@@ -11,9 +11,10 @@
 
 # A hop inside a failure domain, by the sites' sheets (0.2 ms one way).
 _HOP_SECONDS = 0.0002
-# A crossing moves the activations of each token: as dear as the slowest stage is
-# slow, so that a path stays inside one failure domain where one can.
-_CROSSING_SECONDS = 0.05
+# A crossing moves the activations of each token, prompts included: 56 MB a request of
+# the sites, of which a pipe carries 24 a second for all. Two crossings cost more than
+# an engine that is 12 times slower than usual; only lost layers are worth them.
+_CROSSING_SECONDS = 0.12
 # The answer of a path that begins elsewhere crosses too; more than the paths of two
 # failure domains differ while neither is loaded (8 and 14 ms a token on the sites).
 _REMOTE_ENTRY_SECONDS = 0.02
@@ -49,6 +50,9 @@
     backend: backends.Backend
     span: backends.Span
     layer_seconds: float
+    """Time of one layer for one token."""
+    weight: float = 1.0
+    """How many times dearer than its time the engine is."""
 
 
 _State = tuple[int, ids.FailureDomainId]
@@ -79,8 +83,12 @@
     finals = [found for (end, _), found in best.items() if end == model.layers]
     if not finals:
         return None
-    cost, parts = min(finals, key=lambda found: found[0])
-    return Path(parts=parts, step_seconds=cost)
+    _, parts = min(finals, key=lambda found: found[0])
+    seconds = {each.backend.name: each.layer_seconds for each in options}
+    step_seconds = sum(
+        len(part.span) * seconds[part.engine] + _HOP_SECONDS for part in parts
+    )
+    return Path(parts=parts, step_seconds=step_seconds)
 
 
 def _extend(
@@ -99,7 +107,8 @@
     for end in ordered:
         if not layer < end <= option.span.end:
             continue
-        total = cost + (end - layer) * option.layer_seconds + _HOP_SECONDS
+        seconds = (end - layer) * option.layer_seconds + _HOP_SECONDS
+        total = cost + seconds * option.weight
         state = (end, domain)
         if total < best.get(state, (math.inf, ()))[0]:
             part = Part(
--- a/src/jujubepass/forwarding/placement.py
+++ b/src/jujubepass/forwarding/placement.py
@@ -15,8 +15,9 @@
 # A request may name at most 32 engines; about 12 of them gave the calm day's best
 # trade between the time a token takes and the room each engine has.
 _ENGINES_PER_CHAIN = 12
-# Tokens for which an engine beside the chains keeps room: about 16 usual requests.
-_BESIDE_TOKENS = 15_000.0
+# Tokens for which an engine beside the chains keeps room: the 25 requests that a
+# failure domain carries at once on the sites' calm days.
+_BESIDE_TOKENS = 25_000.0
 BESIDE = -1
 """Number of the chain of engines that hold layers beside the chains."""
 
--- a/src/jujubepass/forwarding/planner.py
+++ b/src/jujubepass/forwarding/planner.py
@@ -97,8 +97,6 @@
             return []
         if now - area.backends.proven_at > _LIST_AGE_SECONDS:
             return []
-        if now < area.backends.lapsing_until:
-            return []
         commands = []
         for service in declared.find_model_services():
             command = self._check_service(service, now)
--- a/src/jujubepass/forwarding/probing.py
+++ b/src/jujubepass/forwarding/probing.py
@@ -1,12 +1,13 @@
 """Asks backend engines that fell silent for their report until they answer."""
 
+import collections.abc
 import logging
 
 import attrs
 import trio
 
 from jujubepass import ids
-from jujubepass.forwarding import board, clocks, engines, suspicion
+from jujubepass.forwarding import board, clocks, engines, paces, suspicion
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -35,6 +36,8 @@
     blackboard: board.Blackboard
     suspects: suspicion.Suspects
     control: engines.EngineControl
+    paces: paces.Paces
+    _slow_paths: set[ids.BackendServerId] = attrs.field(factory=set, init=False)
     _asked: dict[ids.BackendServerId, _Asked] = attrs.field(factory=dict, init=False)
 
     async def run(self) -> None:
@@ -50,6 +53,21 @@
                         nursery.start_soon(self.check, name)
                 for name in self._asked.keys() - set(silent):
                     self._asked[name].questions = 0
+                self._ask_paces(nursery)
+
+    def note_slow_path(
+        self, names: collections.abc.Iterable[ids.BackendServerId]
+    ) -> None:
+        """Have the engines of a path asked whether they are slow."""
+        self._slow_paths.update(names)
+
+    def _ask_paces(self, nursery: trio.Nursery) -> None:
+        now = clocks.read_boot_clock()
+        asked = self._slow_paths.union(self.paces.list_slow(now))
+        self._slow_paths.clear()
+        for name in asked:
+            if self.paces.take_question(name, now):
+                nursery.start_soon(self.check, name)
 
     def _is_due(self, name: ids.BackendServerId) -> bool:
         asked = self._asked.get(name)
@@ -83,6 +101,7 @@
             )
             return
         self.suspects.note_answered(name)
+        self.paces.note_pace(name, report.pace, clocks.read_boot_clock())
         await self._check_stalled(report)
 
     async def _check_stalled(self, report: engines.EngineReport) -> None:
--- a/src/jujubepass/forwarding/stall_watch.py
+++ b/src/jujubepass/forwarding/stall_watch.py
@@ -19,6 +19,14 @@
 _LEAST_SILENCE_SECONDS = 0.15
 
 
+# An event holds two tokens; one that takes as long as so many steps comes over a slow
+# engine. Fewer events say nothing.
+_SLOW_STEPS = 6.0
+_LEAST_CHUNKS = 5
+# A first event that takes over this share of a suspicious time is late enough to ask.
+_LATE_FIRST_SHARE = 0.5
+
+
 class Verdict(enum.Enum):
     """Say what to do about a stream."""
 
@@ -49,10 +57,26 @@
     has_begun: bool = False
     reason: str = ""
 
+    chunks: int = 0
+    began_at: float = attrs.field(factory=trio.current_time)
+    first_data_at: float = 0.0
+
     def note_data(self) -> None:
         """Note that the stream goes on."""
         self.last_data_at = trio.current_time()
+        if not self.has_begun:
+            self.first_data_at = self.last_data_at
         self.has_begun = True
+        self.chunks += 1
+
+    def is_slow(self, now: float, step_seconds: float, first_seconds: float) -> bool:
+        """Tell whether events are far slower than a path's step, or the first late."""
+        if not self.has_begun:
+            return now - self.began_at > first_seconds
+        if self.chunks < _LEAST_CHUNKS:
+            return False
+        gap = (now - self.first_data_at) / self.chunks
+        return gap > _SLOW_STEPS * step_seconds
 
     def judge(self, now: float, *, has_suspect: bool) -> Verdict:
         """Judge a silence; `has_suspect` tells that an engine of the path failed."""
@@ -115,6 +139,9 @@
         ]
         now = trio.current_time()
         verdict = watched.judge(now, has_suspect=bool(suspects))
+        late = _LATE_FIRST_SHARE * watched.patience.first_suspicious
+        if watched.is_slow(now, watched.path.step_seconds, late):
+            self.prober.note_slow_path(watched.path.engines)
         if verdict is Verdict.GIVE_UP:
             silence = now - watched.last_data_at
             culprit = ", ".join(suspects) or "unknown"
--- a/src/jujubepass/platform/engines.py
+++ b/src/jujubepass/platform/engines.py
@@ -93,6 +93,7 @@
         orders_begun=int(value["seqNo"]),
         running=int(value.get("running") or 0),
         queued=int(value.get("queued") or 0),
+        pace=float(value.get("pace") or 1.0),
         stalled=tuple(
             (ids.RequestId(each["id"]), _http_client.parse_address(each["address"]))
             for each in value.get("stalled") or ()
--- a/tests/small_fleet.py
+++ b/tests/small_fleet.py
@@ -11,6 +11,7 @@
     declarations,
     engine_choice,
     feeds,
+    paces,
     planner,
     plans,
     suspicion,
@@ -125,8 +126,9 @@
             suspects=self.suspects,
             random_source=random.Random(seed),
         )
+        self.paces = paces.Paces()
         self.choice = engine_choice.EngineChoice(
-            blackboard=self.blackboard, suspects=self.suspects
+            blackboard=self.blackboard, suspects=self.suspects, paces=self.paces
         )
         self.blackboard.configuration.declarations = make_declarations()
         self.blackboard.configuration.proven_at = self.now
