Move running requests off leaving engines, and check silent paths earlier

A gap was given to an engine that served beside the chain, though an empty one was there, so that its own streams broke too. A new request waited 0.6 s at a dead path before anyone asked, past its goal. Ruled out: moving at a crash, which would send the prompts of a whole chain over the pipe. Change: a request on a path with a leaving engine is moved to one within its failure domain that begins at the same engine; empty engines fill gaps first; a path is checked after half the goal without a first event, and after one allowed pause between events.

--- a/src/jujubepass/forwarding/chains.py
+++ b/src/jujubepass/forwarding/chains.py
@@ -165,14 +165,29 @@
     gap: backends.Span,
     helpers: collections.abc.Sequence[Candidate],
 ) -> Candidate | None:
-    """Choose the smallest idle engine that holds the gap alone, or the largest."""
+    """Choose the smallest idle engine that holds the gap alone, or the largest.
+
+    One that holds nothing goes before one that serves beside the chains.
+    """
     if not helpers:
         return None
     alone = [each for each in helpers if count_layers(model, each, 0.0) > len(gap)]
     if alone:
-        chosen = min(alone, key=lambda each: each.accelerator.memory_megabytes)
+        chosen = min(
+            alone,
+            key=lambda each: (
+                each.placement is not None,
+                each.accelerator.memory_megabytes,
+            ),
+        )
     else:
-        chosen = max(helpers, key=lambda each: each.accelerator.memory_megabytes)
+        chosen = max(
+            helpers,
+            key=lambda each: (
+                each.placement is None,
+                each.accelerator.memory_megabytes,
+            ),
+        )
     return _stand(chosen, gap)
 
 
--- a/src/jujubepass/forwarding/engines.py
+++ b/src/jujubepass/forwarding/engines.py
@@ -6,7 +6,7 @@
 import attrs
 
 from jujubepass import _http_client, ids
-from jujubepass.forwarding import backends
+from jujubepass.forwarding import backends, paths
 
 
 class EngineError(Exception):
@@ -38,6 +38,14 @@
     REFUSED = "refused"
 
 
+class MoveOutcome(enum.Enum):
+    """Say what became of a request's move to another path."""
+
+    MOVED = "moved"
+    ENDED = "ended"
+    REFUSED = "refused"
+
+
 class EngineControl(typing.Protocol):
     """Read and order engines; raises EngineError."""
 
@@ -53,3 +61,8 @@
         cuts_requests: bool,
     ) -> OrderOutcome:
         """Order an engine to hold a span, if it has begun so many orders."""
+
+    async def move_request(
+        self, engine: backends.Backend, request: ids.RequestId, path: paths.Path
+    ) -> MoveOutcome:
+        """Let a running request go on over another path from the same engine."""
--- a/src/jujubepass/forwarding/node.py
+++ b/src/jujubepass/forwarding/node.py
@@ -20,6 +20,7 @@
     following,
     forwarder,
     measures,
+    moves,
     ordering,
     paces,
     planner,
@@ -99,6 +100,15 @@
         self._stalls = stall_watch.StallWatch(
             blackboard=self.blackboard, suspects=self.suspects, prober=self._prober
         )
+        self._choice = engine_choice.EngineChoice(
+            blackboard=self.blackboard, suspects=self.suspects, paces=self._paces
+        )
+        self._mover = moves.Mover(
+            blackboard=self.blackboard,
+            choice=self._choice,
+            stalls=self._stalls,
+            control=self.adapter.control,
+        )
         self._orders = ordering.OrderKeeper(
             blackboard=self.blackboard, control=self.adapter.control
         )
@@ -162,11 +172,7 @@
             streams=stream_exchange.StreamExchange(
                 sender=sender,
                 gate=self._gate,
-                choice=engine_choice.EngineChoice(
-                    blackboard=self.blackboard,
-                    suspects=self.suspects,
-                    paces=self._paces,
-                ),
+                choice=self._choice,
                 suspects=self.suspects,
                 stalls=self._stalls,
                 budgets=budgets,
@@ -204,6 +210,7 @@
                     self._orders.run,
                     self._stalls.run,
                     self._prober.run,
+                    self._mover.run,
                     self._keep_house,
                 ):
                     nursery.start_soon(_supervise, task)
--- a/src/jujubepass/forwarding/stall_watch.py
+++ b/src/jujubepass/forwarding/stall_watch.py
@@ -23,8 +23,8 @@
 # engine. Fewer events say nothing.
 _SLOW_STEPS = 6.0
 _LEAST_CHUNKS = 5
-# A first event that takes over this share of a suspicious time is late enough to ask.
-_LATE_FIRST_SHARE = 0.5
+# A first event that takes as long as is suspicious is late enough to ask.
+_LATE_FIRST_SHARE = 1.0
 
 
 class Verdict(enum.Enum):
@@ -116,6 +116,10 @@
         finally:
             self._watched.discard(watched)
 
+    def list_watched(self) -> list[Watched]:
+        """Return the streams that run now."""
+        return list(self._watched)
+
     def ask(self, engine: ids.BackendServerId) -> None:
         """Have an engine asked for its report soon."""
         self._questions.add(engine)
--- a/src/jujubepass/forwarding/stream_exchange.py
+++ b/src/jujubepass/forwarding/stream_exchange.py
@@ -24,11 +24,12 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-# A route's pause allowed between events, doubled, makes a silent stream suspicious.
-_SUSPICIOUS_GAPS = 2.0
-_LEAST_SUSPICIOUS_SECONDS = 0.3
-# The first event is due at the route's goal; a path silent for longer is checked.
-_FIRST_EVENT_GOALS = 1.2
+# A pause that makes an answer late makes its stream suspicious.
+_SUSPICIOUS_GAPS = 1.0
+_LEAST_SUSPICIOUS_SECONDS = 0.15
+# The first event is due at the route's goal: a path that is silent for half of it is
+# checked, so that another one can still make it.
+_FIRST_EVENT_GOALS = 0.5
 # Callers give up a stream after the longest of two seconds, four times the goal and
 # eight times the pause (PROTOCOL's figures); an answer has to move before that.
 _PATIENCE_SECONDS = 2.0
@@ -61,7 +62,6 @@
     events: int = 0
     runs: int = 0
     refusals: int = 0
-    began_at: float = 0.0
     avoided: set[ids.BackendServerId] = attrs.field(factory=set)
     entries: dict[ids.BackendServerId, int] = attrs.field(factory=dict)
     """Engines at which paths of this request began, with their own starts."""
@@ -188,37 +188,37 @@
     ) -> None:
         """Run the rest of the answer on one path; raises what ended it early."""
         first = path.parts[0]
-        progress.began_at = clocks.read_boot_clock()
+        now = clocks.read_boot_clock()
         send = exchange.Send(
             backend=first.engine,
             account=admitted.account.name if admitted.account else None,
             priority=admitted.priority,
-            left_seconds=progress.deadline - progress.began_at,
+            left_seconds=progress.deadline - now,
             path=path,
             resume_after=progress.last_event,
         )
-        self.choice.note_started(path)
-        try:
-            await self._relay(ask, admitted, send, reply, progress)
-        finally:
-            self.choice.note_ended(path)
+        patience = _make_patience(admitted.route)
+        with self.stalls.watch(path, ask.request, patience) as watched:
+            self.choice.note_started(path)
+            try:
+                await self._relay(ask, send, watched, reply, progress)
+            finally:
+                # It may have been moved to another path meanwhile.
+                self.choice.note_ended(watched.path)
+        if watched.scope.cancelled_caught:
+            raise PathFailedError(watched.reason)
 
     async def _relay(
         self,
         ask: exchange.Ask,
-        admitted: exchange.Admitted,
         send: exchange.Send,
+        watched: stall_watch.Watched,
         reply: replies.Reply,
         progress: _Progress,
     ) -> None:
-        assert send.path is not None
-        first = send.path.parts[0]
-        patience = _make_patience(admitted.route)
-        with self.stalls.watch(send.path, ask.request, patience) as watched:
-            async with self.sender.open(ask, send, first.address) as (head, answer):
-                await self._take_answer(head, answer, watched, reply, progress, ask)
-        if watched.scope.cancelled_caught:
-            raise PathFailedError(watched.reason)
+        address = watched.path.parts[0].address
+        async with self.sender.open(ask, send, address) as (head, answer):
+            await self._take_answer(head, answer, watched, reply, progress, ask)
 
     async def _take_answer(
         self,
--- a/src/jujubepass/platform/engines.py
+++ b/src/jujubepass/platform/engines.py
@@ -1,18 +1,20 @@
 """Reads engines' reports and orders layers onto them."""
 
+import collections.abc
 import json
 import typing
 
 import attrs
 
 from jujubepass import _http_client, ids
-from jujubepass.forwarding import backends, engines
+from jujubepass.forwarding import backends, engines, paths
 from jujubepass.platform import backends as entries
-from jujubepass.platform import headers
+from jujubepass.platform import headers, wire
 
 _TIMEOUT_SECONDS = 0.5
 _OK = 200
 _ACCEPTED = 202
+_NO_SUCH_REQUEST = 404
 _ORDER_OUTCOMES = {
     _ACCEPTED: engines.OrderOutcome.BEGUN,
     _OK: engines.OrderOutcome.DONE,
@@ -62,6 +64,32 @@
             "mode": "cancel" if cuts_requests else "queue_wait",
             "precondition": orders_begun,
         }
+        status = await self._order(engine, order)
+        outcome = _ORDER_OUTCOMES.get(status)
+        if outcome is None:
+            raise engines.EngineError(f"order answered {status}")
+        return outcome
+
+    async def move_request(
+        self, engine: backends.Backend, request: ids.RequestId, path: paths.Path
+    ) -> engines.MoveOutcome:
+        """Let a running request go on over another path from the same engine."""
+        order = {
+            "operation": "repath",
+            "id": request,
+            "path": wire.write_path(path),
+        }
+        status = await self._order(engine, order)
+        if status in (_OK, _ACCEPTED):
+            return engines.MoveOutcome.MOVED
+        if status == _NO_SUCH_REQUEST:
+            return engines.MoveOutcome.ENDED
+        return engines.MoveOutcome.REFUSED
+
+    async def _order(
+        self, engine: backends.Backend, order: collections.abc.Mapping[str, object]
+    ) -> int:
+        """Send an order once and return the answer's status."""
         try:
             answer = await self.client.request(
                 "POST",
@@ -78,10 +106,7 @@
             )
         except _http_client.ClientError as error:
             raise engines.EngineError(f"order unclear: {error}") from error
-        outcome = _ORDER_OUTCOMES.get(answer.status)
-        if outcome is None:
-            raise engines.EngineError(f"order answered {answer.status}")
-        return outcome
+        return answer.status
 
 
 def _read_report(value: typing.Any) -> engines.EngineReport:
