Check and serve forwarding settings from the command line; split what had grown

The writer of responses, the metrics page, the node's assembly and the steps of tests by pattern have modules or functions of their own; no decision changed.

--- a/src/jujubepass/_local_commands.py
+++ b/src/jujubepass/_local_commands.py
@@ -10,26 +10,38 @@
 
 import jujubepass
 from jujubepass import _declaration_files, _logs, _report, _settings_reference, settings
+from jujubepass.forwarding import settings as forwarding_settings
 
 _LOGGER = logging.getLogger(__name__)
 
 
 def serve(path: pathlib.Path) -> _report.Report | int:
     """Run a node until it is told to stop; return its exit code."""
+    if forwarding_settings.is_forwarding(path):
+        return _serve_forwarding(path)
     read = settings.read_settings(path)
     if isinstance(read, returns.result.Failure):
         return _report_problems(read.failure().problems)
     return _run_node(read.unwrap())
 
 
+def _serve_forwarding(path: pathlib.Path) -> _report.Report | int:
+    # The node's modules are needed by this command alone.
+    from jujubepass.platform import assembly
+
+    found = forwarding_settings.read_settings(path)
+    if isinstance(found, returns.result.Failure):
+        return _report_problems(found.failure().problems)
+    return assembly.run(found.unwrap())
+
+
 def check(
     settings_path: pathlib.Path | None, declaration_paths: tuple[pathlib.Path, ...]
 ) -> _report.Report:
     """Check settings and declarations without a node."""
     problems: _declaration_files.Problems = ()
     if settings_path is not None:
-        read = settings.read_settings(settings_path)
-        problems += read.swap().map(lambda error: error.problems).value_or(())
+        problems += _check_settings(settings_path)
     if declaration_paths:
         found = _declaration_files.check_declarations(declaration_paths)
         problems += found.swap().value_or(())
@@ -43,6 +55,14 @@
     return _report.Report(value={"problems": []}, lines=("no problems",))
 
 
+def _check_settings(path: pathlib.Path) -> _declaration_files.Problems:
+    if forwarding_settings.is_forwarding(path):
+        found = forwarding_settings.read_settings(path)
+        return found.swap().map(lambda error: error.problems).value_or(())
+    read = settings.read_settings(path)
+    return read.swap().map(lambda error: error.problems).value_or(())
+
+
 def replay(trace: pathlib.Path, policy: str) -> _report.Report:
     """Replay a recorded trace and compare its outcomes."""
     # The controllers are needed by this command alone.
--- a/src/jujubepass/forwarding/metrics_page.py
+++ b/src/jujubepass/forwarding/metrics_page.py
@@ -30,6 +30,20 @@
         version=version,
         distributions=(measures.request_times, measures.first_events),
     )
+    _add_requests(registry, measures)
+    registry.add_counter(
+        "connections_opened",
+        "Connections opened to backend servers and the store.",
+        lambda: client.opened_connections,
+    )
+    registry.add_counter("orders", "Orders to engines.", lambda: orders.orders_sent)
+    _add_knowledge(registry, blackboard)
+    return Page(content_type=_metric_registry.CONTENT_TYPE, data=registry.expose())
+
+
+def _add_requests(
+    registry: _metric_registry.Registry, measures: node_measures.Measures
+) -> None:
     for name, description, label, values in (
         ("requests", "Requests that ended.", "outcome", measures.outcomes),
         ("refusals", "Requests refused or cut.", "reason", measures.refusals),
@@ -38,13 +52,12 @@
         registry.add_labelled_counter(
             name, description, label, functools.partial(dict, values)
         )
+
+
+def _add_knowledge(
+    registry: _metric_registry.Registry, blackboard: board.Blackboard
+) -> None:
     area = blackboard.configuration
-    registry.add_counter(
-        "connections_opened",
-        "Connections opened to backend servers and the store.",
-        lambda: client.opened_connections,
-    )
-    registry.add_counter("orders", "Orders to engines.", lambda: orders.orders_sent)
     registry.add_gauge(
         "configuration_version",
         "Version of the configuration in force.",
@@ -58,4 +71,3 @@
     registry.add_gauge(
         "backend_servers", "Listed.", lambda: len(blackboard.backends.listed)
     )
-    return Page(content_type=_metric_registry.CONTENT_TYPE, data=registry.expose())
--- a/src/jujubepass/forwarding/node.py
+++ b/src/jujubepass/forwarding/node.py
@@ -80,7 +80,12 @@
             failure_domain=node.failure_domain,
             is_first_start=node.first_start,
         )
-        bounds = settings.bounds
+        self._make_controllers()
+        self._make_followers()
+        self._callers = _http_server.Server(handler=self._make_forwarder())
+
+    def _make_controllers(self) -> None:
+        bounds = self.settings.bounds
         self._gate = admission.Admission(
             blackboard=self.blackboard,
             keyed_age_seconds=_KEYED_AGE_SHARE
@@ -112,8 +117,6 @@
         self._orders = ordering.OrderKeeper(
             blackboard=self.blackboard, control=self.adapter.control
         )
-        self._make_followers()
-        self._callers = _http_server.Server(handler=self._make_forwarder())
 
     def _make_followers(self) -> None:
         self._backend_list = backend_list.BackendController(
--- a/src/jujubepass/forwarding/planner.py
+++ b/src/jujubepass/forwarding/planner.py
@@ -194,14 +194,8 @@
             for candidate in self._list_candidates(service, model, plan)
             if candidate.name not in excluded
         ]
-        if plan is None or self.blackboard.is_first_start:
-            placements = placement.make_placements(model, candidates)
-        else:
-            placements = placement.mend_placements(model, candidates, plan.placements)
-        if plan is not None and (placements, excluded) == (
-            dict(plan.placements),
-            dict(plan.excluded),
-        ):
+        placements = self._place(model, candidates, plan)
+        if plan is not None and _is_same(plan, placements, excluded):
             return None
         _LOGGER.info(
             "plan to be written",
@@ -213,16 +207,25 @@
                 "excluded": sorted(excluded),
             },
         )
-        return WritePlan(
-            plan=plans.Plan(
-                service=service.name,
-                version=plan.version if plan else 0,
-                revision=plan.revision + 1 if plan else 1,
-                author=self.blackboard.node,
-                placements=placements,
-                excluded=excluded,
-            )
+        following = plans.Plan(
+            service=service.name,
+            version=plan.version if plan else 0,
+            revision=plan.revision + 1 if plan else 1,
+            author=self.blackboard.node,
+            placements=placements,
+            excluded=excluded,
         )
+        return WritePlan(plan=following)
+
+    def _place(
+        self,
+        model: declarations.Model,
+        candidates: list[chains.Candidate],
+        plan: plans.Plan | None,
+    ) -> placement.Placements:
+        if plan is None or self.blackboard.is_first_start:
+            return placement.make_placements(model, candidates)
+        return placement.mend_placements(model, candidates, plan.placements)
 
     def _exclude(
         self,
@@ -259,3 +262,11 @@
                 accelerator=accelerator,
                 placement=plan.placements.get(engine.name) if plan else None,
             )
+
+
+def _is_same(
+    plan: plans.Plan,
+    placements: placement.Placements,
+    excluded: collections.abc.Mapping[ids.BackendServerId, int],
+) -> bool:
+    return (placements, excluded) == (dict(plan.placements), dict(plan.excluded))
--- a/src/jujubepass/forwarding/service_exchange.py
+++ b/src/jujubepass/forwarding/service_exchange.py
@@ -135,12 +135,7 @@
             except sending.NotRunError as error:
                 self._note_not_run(backend, error, progress, now)
             except sending.UnclearError as error:
-                progress.may_have_run = True
-                progress.runs += 1
-                if not isinstance(error, sending.FailureAnsweredError):
-                    reason = suspicion.SuspicionReason.BROKE_OFF
-                    self.suspects.suspect(backend.name, reason, now)
-                _log_attempt(ask, backend, "unclear", str(error))
+                self._note_unclear(ask, backend, error, progress)
                 if reply.started:
                     reply.cut(reasons.RefusalReason.OUTCOME_UNKNOWN)
                     return None
@@ -148,6 +143,20 @@
                     return _refuse_none_left(progress)
                 self.count_retry(reasons.RetryReason.LOOKUP_FAILED)
 
+    def _note_unclear(
+        self,
+        ask: exchange.Ask,
+        backend: backends.Backend,
+        error: sending.UnclearError,
+        progress: _Progress,
+    ) -> None:
+        progress.may_have_run = True
+        progress.runs += 1
+        if not isinstance(error, sending.FailureAnsweredError):
+            reason = suspicion.SuspicionReason.BROKE_OFF
+            self.suspects.suspect(backend.name, reason, clocks.read_boot_clock())
+        _log_attempt(ask, backend, "unclear", str(error))
+
     def _note_not_run(
         self,
         backend: backends.Backend,
--- a/src/jujubepass/forwarding/settings.py
+++ b/src/jujubepass/forwarding/settings.py
@@ -81,9 +81,14 @@
     log: node_settings.Log = attrs.field(factory=node_settings.Log)
 
 
-def is_forwarding(text: str) -> bool:
-    """Tell whether settings are a forwarding node's: they name its store."""
-    return "store" in _ini.read_sections("", text)[0]
+def is_forwarding(path: str | os.PathLike[str]) -> bool:
+    """Tell whether a file holds a forwarding node's settings: they name its store."""
+    try:
+        text = pathlib.Path(path).read_bytes().decode("utf-8-sig")
+    except (OSError, ValueError):
+        # The reader of settings says what is wrong with the file.
+        return False
+    return "store" in _ini.read_sections(str(path), text)[0]
 
 
 def read_settings(
--- a/src/jujubepass/platform/__main__.py
+++ b/src/jujubepass/platform/__main__.py
@@ -8,9 +8,7 @@
 _startup.avoid_child_processes()
 
 import returns.result  # noqa: E402
-import trio  # noqa: E402
 
-from jujubepass import _logs  # noqa: E402
 from jujubepass.forwarding import settings  # noqa: E402
 from jujubepass.platform import assembly  # noqa: E402
 
@@ -28,10 +26,7 @@
     if isinstance(read, returns.result.Failure):
         print(read.failure(), file=sys.stderr)
         return _BAD_INPUT
-    node_settings = read.unwrap()
-    _logs.set_up(node_settings.log, stream=sys.stdout)
-    trio.run(assembly.make_node(node_settings).run)
-    return 0
+    return assembly.run(read.unwrap())
 
 
 if __name__ == "__main__":
--- a/src/jujubepass/platform/assembly.py
+++ b/src/jujubepass/platform/assembly.py
@@ -1,14 +1,24 @@
 """Builds a forwarding node that runs on the platform."""
 
+import sys
 import typing
 
-from jujubepass import _http_client
+import trio
+
+from jujubepass import _http_client, _logs
 from jujubepass.forwarding import adapters, node, plan_rows, plans, settings
 from jujubepass.platform import backends, configuration, engines, store, wire
 
 _CONNECT_TIMEOUT_SECONDS = 0.5
 
 
+def run(node_settings: settings.Settings) -> int:
+    """Run a node until SIGTERM; return the exit code."""
+    _logs.set_up(node_settings.log, stream=sys.stdout)
+    trio.run(make_node(node_settings).run)
+    return 0
+
+
 def make_node(node_settings: settings.Settings) -> node.Node:
     """Build a node; it does nothing until it runs."""
     client = _http_client.Client(connect_timeout_seconds=_CONNECT_TIMEOUT_SECONDS)
--- a/standins/forwarding_system.py
+++ b/standins/forwarding_system.py
@@ -41,6 +41,23 @@
 )
 
 
+ENGINE = {
+    "slots": 16,
+    "kvTokenBytes": 1_000_000,
+    "models": [{"name": "m", "loadS": 0.2}],
+    "step_ms": 1.0,
+    "per_seq_ms": 0.01,
+    "read_per_s": 100_000,
+    "usual": {"prompt": 100, "answer": 40},
+    "layers": LAYERS,
+    "layerMb": 1_000.0,
+    "kinds": [
+        {"name": "large", "sizeMb": 9_000.0, "pace": 1.0, "readX": 1.0},
+        {"name": "small", "sizeMb": 6_500.0, "pace": 4.0, "readX": 4.0},
+    ],
+}
+
+
 @attrs.frozen(kw_only=True)
 class NodePorts:
     """Hold the ports of one node's listeners."""
@@ -50,58 +67,48 @@
     metrics: int
 
 
+def make_routes() -> list[dict[str, typing.Any]]:
+    """Write a route of each kind."""
+    common = {"host": HOST_NAME, "latencyGoalMs": 500, "priority": 1}
+    return [
+        {
+            **common,
+            "name": "drafts",
+            "prefix": "/drafts/",
+            "kind": "streaming",
+            "timeoutMs": 20_000,
+            "service": MODEL_SERVICE,
+            "maxAttempts": 2,
+            "resumable": True,
+            "gapTargetMs": 200,
+        },
+        {
+            **common,
+            "name": "visits",
+            "prefix": "/visits/",
+            "kind": "non_idempotent",
+            "timeoutMs": 1_200,
+            "service": PLAIN_SERVICE,
+        },
+        {
+            **common,
+            "name": "history",
+            "prefix": "/history/",
+            "kind": "idempotent",
+            "timeoutMs": 1_200,
+            "service": PLAIN_SERVICE,
+            "maxAttempts": 2,
+        },
+    ]
+
+
 def make_configuration(version: int, **changes: object) -> dict[str, typing.Any]:
     """Write a configuration in the platform's words."""
-    engine = {
-        "slots": 16,
-        "kvTokenBytes": 1_000_000,
-        "models": [{"name": "m", "loadS": 0.2}],
-        "step_ms": 1.0,
-        "per_seq_ms": 0.01,
-        "read_per_s": 100_000,
-        "usual": {"prompt": 100, "answer": 40},
-        "layers": LAYERS,
-        "layerMb": 1_000.0,
-        "kinds": [
-            {"name": "large", "sizeMb": 9_000.0, "pace": 1.0, "readX": 1.0},
-            {"name": "small", "sizeMb": 6_500.0, "pace": 4.0, "readX": 4.0},
-        ],
-    }
-    common = {"host": HOST_NAME, "latencyGoalMs": 500, "priority": 1}
     return {
         "version": version,
-        "routes": [
-            {
-                **common,
-                "name": "drafts",
-                "prefix": "/drafts/",
-                "kind": "streaming",
-                "timeoutMs": 20_000,
-                "service": MODEL_SERVICE,
-                "maxAttempts": 2,
-                "resumable": True,
-                "gapTargetMs": 200,
-            },
-            {
-                **common,
-                "name": "visits",
-                "prefix": "/visits/",
-                "kind": "non_idempotent",
-                "timeoutMs": 1_200,
-                "service": PLAIN_SERVICE,
-            },
-            {
-                **common,
-                "name": "history",
-                "prefix": "/history/",
-                "kind": "idempotent",
-                "timeoutMs": 1_200,
-                "service": PLAIN_SERVICE,
-                "maxAttempts": 2,
-            },
-        ],
+        "routes": make_routes(),
         "services": [
-            {"name": MODEL_SERVICE, "healthPath": "/health", "engine": engine},
+            {"name": MODEL_SERVICE, "healthPath": "/health", "engine": ENGINE},
             {"name": PLAIN_SERVICE, "healthPath": "/health"},
         ],
         "limits": {
--- a/tests/small_fleet.py
+++ b/tests/small_fleet.py
@@ -203,3 +203,20 @@
     assert fleet.wait(4.0)
     fleet.load_planned()
     return fleet
+
+
+def assert_path(path):
+    layer = 0
+    for part in path.parts:
+        assert part.span.first == layer, path
+        layer = part.span.end
+    assert layer == MODEL.layers, path
+    assert len(path.engines) == len(path.parts), path
+
+
+def choose(fleet, avoided=frozenset(), entries=None):
+    """Choose a path, which has to run every layer once and in order."""
+    path = fleet.choice.choose(fleet.service, fleet.now, avoided, entries)
+    assert path is not None
+    assert_path(path)
+    return path
