Leave no idle connections behind fresh ones, and let started streams wait for their retry

Each call opened a connection of its own and left it in the pool, never to be used; nine nodes' idle ones reached the service's 52. Change: a connection that was asked for alone is closed after its answer, and only requests that may not be repeated ask for one; three quarters of a node's part of the slack may go at once; a started stream waits for its retry or a path until its caller or its time ends.

--- a/src/jujubepass/_http_client.py
+++ b/src/jujubepass/_http_client.py
@@ -206,7 +206,12 @@
         try:
             yield StreamedAnswer(connection=connection, stream=stream, head=head)
         finally:
-            self._release(address, stream, connection, head)
+            # A request that asked for its own connection leaves none behind: servers
+            # count idle ones too.
+            if fresh:
+                stream.socket.close()
+            else:
+                self._release(address, stream, connection, head)
 
     async def _exchange(
         self,
--- a/src/jujubepass/forwarding/exchange.py
+++ b/src/jujubepass/forwarding/exchange.py
@@ -42,6 +42,8 @@
     left_seconds: float
     path: paths.Path | None = None
     resume_after: str | None = None
+    fresh: bool = False
+    """Whether it needs a connection of its own, so that a failed one tells more."""
 
 
 class AnswerKind(enum.Enum):
--- a/src/jujubepass/forwarding/node.py
+++ b/src/jujubepass/forwarding/node.py
@@ -49,6 +49,9 @@
 _KEYED_AGE_SHARE = 0.6
 # Nodes that may share a service's retries; a node keeps to its part alone.
 _SHARING_NODES = 12
+# Share of a node's slack that may go at once, as when an engine's streams all break;
+# the rest comes back over the window, so that no window sees more than the slack.
+_SAVED_SLACK_SHARE = 0.75
 # Time before SIGKILL at which running answers are cut and the process ends.
 _EXIT_MARGIN_SECONDS = 0.4
 # The balancer takes a node out after two questions, a second apart; requests that
@@ -188,12 +191,13 @@
 
     def _make_budget(self) -> _retry_budget.RetryBudget:
         bounds = self.settings.bounds
-        slack = bounds.retry_slack / _SHARING_NODES / 2.0
+        slack = bounds.retry_slack / _SHARING_NODES
+        saved = _SAVED_SLACK_SHARE * slack
         return _retry_budget.RetryBudget(
             bounds=_retry_budget.RetryBudgetBounds(
                 retries_per_attempt=bounds.retry_share,
-                idle_retries_per_second=slack / bounds.retry_window_seconds,
-                maximum_saved=max(1.0, slack),
+                idle_retries_per_second=(slack - saved) / bounds.retry_window_seconds,
+                maximum_saved=max(1.0, saved),
             )
         )
 
--- a/src/jujubepass/forwarding/sending.py
+++ b/src/jujubepass/forwarding/sending.py
@@ -56,7 +56,7 @@
                 ask.target,
                 body=ask.body,
                 headers=self.wire.write_request(ask, send),
-                fresh=send.path is None,
+                fresh=send.fresh,
                 once=True,
             ) as answer:
                 head = self.wire.read_answer(ask, answer.status, answer.fields)
--- a/src/jujubepass/forwarding/service_exchange.py
+++ b/src/jujubepass/forwarding/service_exchange.py
@@ -193,6 +193,7 @@
             account=account.name if account else None,
             priority=admitted.priority,
             left_seconds=admitted.ends_at - now,
+            fresh=not admitted.route.is_repeatable,
         )
         hurry = _PATIENCE_SECONDS if hurried and admitted.route.is_repeatable else None
         self.choice.running[backend.name] += 1
--- a/src/jujubepass/forwarding/stream_exchange.py
+++ b/src/jujubepass/forwarding/stream_exchange.py
@@ -114,6 +114,9 @@
             checked = self.gate.admit(ask, now)
             if isinstance(checked, admission.Refusal):
                 return self._refuse(checked, progress)
+            if path is None and reply.started:
+                # Its caller still waits; silence is no reason to end its answer.
+                continue
             if path is None:
                 refusal = admission.Refusal(
                     reason=reasons.RefusalReason.NO_ROUTE,
@@ -124,13 +127,16 @@
                 return self._refuse(_STOPPING, progress)
             budget = self.budgets[admitted.service.name]
             if progress.runs + progress.refusals and not budget.spend(now):
-                return self._refuse(_FULL, progress)
+                if not reply.started:
+                    return self._refuse(_FULL, progress)
+                await trio.sleep(_PATH_POLL_SECONDS)
+                continue
             try:
                 await self._run_on(ask, admitted, path, reply, progress)
                 return None
             except sending.NotRunError as error:
                 self._note_refusal(ask, path, error, progress)
-                if progress.refusals >= _MOST_REFUSALS:
+                if progress.refusals >= _MOST_REFUSALS and not reply.started:
                     return self._refuse(_FULL, progress)
             except (sending.UnclearError, PathFailedError) as error:
                 self._note_failure(ask, path, error, progress)
