Say in one place what speaks against a send; count a service's connections in a test

Its checks right before a send have a function of their own; those that time alone changes are named. The new scenario makes 30 bookings and counts the service's open connections, idle ones included.

--- a/src/jujubepass/forwarding/stream_exchange.py
+++ b/src/jujubepass/forwarding/stream_exchange.py
@@ -110,27 +110,13 @@
         """Return why the answer was not finished, or None when it was."""
         while True:
             path = await self._find_path(admitted, progress)
-            now = clocks.read_boot_clock()
-            checked = self.gate.admit(ask, now)
-            if isinstance(checked, admission.Refusal):
-                return self._refuse(checked, progress)
-            if path is None and reply.started:
+            refusal = self._check(ask, admitted, path, progress)
+            if refusal in _PASSING and reply.started:
                 # Its caller still waits; silence is no reason to end its answer.
-                continue
-            if path is None:
-                refusal = admission.Refusal(
-                    reason=reasons.RefusalReason.NO_ROUTE,
-                    retry_after_seconds=_PATH_RETRY_SECONDS,
-                )
-                return self._refuse(refusal, progress)
-            if self._outlasts_node(ask, path, progress, now):
-                return self._refuse(_STOPPING, progress)
-            budget = self.budgets[admitted.service.name]
-            if progress.runs + progress.refusals and not budget.spend(now):
-                if not reply.started:
-                    return self._refuse(_FULL, progress)
                 await trio.sleep(_PATH_POLL_SECONDS)
                 continue
+            if refusal is not None or path is None:
+                return self._refuse(refusal or _NO_PATH, progress)
             try:
                 await self._run_on(ask, admitted, path, reply, progress)
                 return None
@@ -140,11 +126,30 @@
                     return self._refuse(_FULL, progress)
             except (sending.UnclearError, PathFailedError) as error:
                 self._note_failure(ask, path, error, progress)
-                if not admitted.route.is_repeatable:
-                    return self._refuse(_LOST, progress)
-                if progress.runs >= _MOST_RUNS:
+                if not admitted.route.is_repeatable or progress.runs >= _MOST_RUNS:
                     return self._refuse(_LOST, progress)
 
+    def _check(
+        self,
+        ask: exchange.Ask,
+        admitted: exchange.Admitted,
+        path: paths.Path | None,
+        progress: _Progress,
+    ) -> admission.Refusal | None:
+        """Return what speaks against a send right before it, or None."""
+        now = clocks.read_boot_clock()
+        checked = self.gate.admit(ask, now)
+        if isinstance(checked, admission.Refusal):
+            return checked
+        if path is None:
+            return _NO_PATH
+        if self._outlasts_node(ask, path, progress, now):
+            return _STOPPING
+        is_retry = progress.runs + progress.refusals > 0
+        if is_retry and not self.budgets[admitted.service.name].spend(now):
+            return _FULL
+        return None
+
     def _outlasts_node(
         self, ask: exchange.Ask, path: paths.Path, progress: _Progress, now: float
     ) -> bool:
@@ -351,6 +356,11 @@
     reason=reasons.RefusalReason.ENGINES_FULL,
     retry_after_seconds=_FULL_RETRY_SECONDS,
 )
+_NO_PATH = admission.Refusal(
+    reason=reasons.RefusalReason.NO_ROUTE, retry_after_seconds=_PATH_RETRY_SECONDS
+)
+# What a little time changes; an answer that has begun waits for it.
+_PASSING = (_FULL, _NO_PATH)
 
 
 def _log_attempt(
--- a/standins/path_engine.py
+++ b/standins/path_engine.py
@@ -66,6 +66,7 @@
         self._runs: collections.Counter[str] = collections.Counter()
         self._bad_paths = 0
         self._stalled: dict[str, str] = {}
+        self.server = _http_server.Server(handler=self.handle)
 
     async def handle(self, request: _http_server.Request, responder: Responder) -> None:
         """Serve one request."""
@@ -77,6 +78,7 @@
                 "bad_paths": self._bad_paths,
                 "most_layers": self._most_layers,
                 "orders": self._orders,
+                "connections": self.server.connections,
             }
             await responder.send_json(200, counts)
         elif request.path == "/v1/report":
@@ -266,9 +268,8 @@
 async def run(arguments: Arguments) -> None:
     """Serve until the process is ended."""
     engine = Engine(arguments=arguments)
-    server = _http_server.Server(handler=engine.handle)
     async with trio.open_nursery() as nursery:
-        await nursery.start(server.serve, arguments.host, arguments.port)
+        await nursery.start(engine.server.serve, arguments.host, arguments.port)
         nursery.start_soon(engine.beat)
 
 
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -45,6 +45,11 @@
     When a server's address belongs to another one
     Then a booking is served by the other server or refused as not run
 
+  Scenario: Bookings leave no idle connections at a service
+    Given a system on the platform
+    When 30 bookings are made
+    Then the service has fewer than 5 connections
+
   Scenario: A lookup is asked of another server
     Given a system on the platform
     When a lookup's answer is lost, fails or has no proof
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -257,6 +257,18 @@
     assert context.answer.status in (200, 503), context.answer
 
 
+@behave.when("{count:d} bookings are made")
+def step_bookings(context, count):
+    for _ in range(count):
+        assert book(context).status == 200
+
+
+@behave.then("the service has fewer than {most:d} connections")
+def step_connections(context, most):
+    for name in ("s1", "s2"):
+        assert context.system.read_counts(name)["connections"] < most, name
+
+
 @behave.when("a lookup's answer is lost, fails or has no proof")
 def step_lookup(context):
     context.lookups = []
