--- a/src/jujubepass/_logs.py
+++ b/src/jujubepass/_logs.py
@@ -58,10 +58,10 @@
 def set_up(
     log: settings.Log,
     secrets: collections.abc.Iterable[str] = (),
-    stream: typing.TextIO | None = None,
+    handler: logging.Handler | None = None,
 ) -> None:
-    """Send all logs to standard error or a stream; `secrets` never appear in them."""
-    handler = logging.StreamHandler(stream or sys.stderr)
+    """Send all logs to a handler, or standard error; `secrets` never appear in them."""
+    handler = handler or logging.StreamHandler(sys.stderr)
     handler.addFilter(_ContextFilter())
     formatter: logging.Formatter
     if log.format is settings.LogFormat.JSON:
--- a/src/jujubepass/platform/assembly.py
+++ b/src/jujubepass/platform/assembly.py
@@ -5,7 +5,7 @@
 
 import trio
 
-from jujubepass import _http_client, _logs
+from jujubepass import _http_client, _log_output, _logs
 from jujubepass.forwarding import adapters, node, plan_rows, plans, settings
 from jujubepass.platform import backends, configuration, engines, store, wire
 
@@ -14,7 +14,8 @@
 
 def run(node_settings: settings.Settings) -> int:
     """Run a node until SIGTERM; return the exit code."""
-    _logs.set_up(node_settings.log, stream=sys.stdout)
+    handler = _log_output.BoundedHandler(descriptor=sys.stdout.fileno())
+    _logs.set_up(node_settings.log, handler=handler)
     trio.run(make_node(node_settings).run)
     return 0
 
