Let the stand-in's engines serve what stays while they load, and what passes while they give up

Ruled out: a second send by the node; the broken stream was resumed at its next event. Change: the stand-in alone; the check is as strict as before. What the planner does about a damaged entry of a living engine stands in docs/proved.md.

--- a/standins/path_engine.py
+++ b/standins/path_engine.py
@@ -60,6 +60,8 @@
         self._client = _http_client.Client(connect_timeout_seconds=_PART_SECONDS)
         self._born = time.time_ns() // 1_000_000
         self._held: Layers | None = None
+        self._kept: Layers | None = None
+        self._passing: set[tuple[str, str]] = set()
         self._loading_until = 0.0
         self._orders = 0
         self._most_layers = 0
@@ -86,8 +88,9 @@
         elif request.path == "/v1/order":
             await self._order(json.loads(request.body), responder)
         elif request.path.startswith("/part/"):
-            first, end = map(int, request.path.removeprefix("/part/").split("-"))
-            await responder.send_json(200 if self._holds(first, end) else 503, {})
+            part = request.path.removeprefix("/part/")
+            passes = self._lets_pass(part, request.headers["x-request-id"])
+            await responder.send_json(200 if passes else 503, {})
         else:
             await self._serve(request, responder)
 
@@ -107,14 +110,25 @@
         }
 
     def _describe_layers(self) -> dict[str, int] | None:
-        if self._held is None or time.monotonic() < self._loading_until:
+        held = self._held
+        if time.monotonic() < self._loading_until:
+            # What was held before and stays serves on while the rest loads.
+            held = self._kept
+        if held is None:
             return None
-        return {"from": self._held[0], "to": self._held[1], "version": 1}
+        return {"from": held[0], "to": held[1], "version": 1}
 
     def _holds(self, first: int, end: int) -> bool:
         held = self._describe_layers()
         return held is not None and held["from"] <= first and end <= held["to"]
 
+    def _lets_pass(self, part: str, request_id: str) -> bool:
+        """Tell whether a part is here; one that is given up waits for what it runs."""
+        first, end = map(int, part.split("-"))
+        if self._holds(first, end):
+            self._passing.add((request_id, part))
+        return (request_id, part) in self._passing
+
     async def _order(self, order: dict[str, typing.Any], responder: Responder) -> None:
         if order.get("precondition", self._orders) != self._orders:
             await responder.send_json(409, {})
@@ -124,6 +138,7 @@
             await responder.send_json(200, {})
             return
         self._orders += 1
+        self._kept = _intersect(self._describe_layers(), layers)
         self._held = layers
         self._most_layers = max(self._most_layers, layers[1] - layers[0])
         seconds = self.settings.layer_seconds * (layers[1] - layers[0])
@@ -180,7 +195,7 @@
         parts = [_read_part(text) for text in path.split(",")]
         if not self._is_whole(parts):
             self._bad_paths += 1
-        missing = await self._find_missing(parts)
+        missing = await self._find_missing(parts, request_id)
         if missing is not None:
             refusal = [*echo, ("x-not-executed", "1"), ("at-server", missing)]
             await responder.send_fields(503, refusal, b"")
@@ -192,7 +207,7 @@
         tokens = int(request.headers["x-token-count"].partition(",")[2])
         last = int(request.headers.get("last-event-id", 0))
         for number in range(last + 1, tokens // 2 + 1):
-            missing = await self._find_missing(parts)
+            missing = await self._find_missing(parts, request_id)
             if missing is not None:
                 self._stalled[request_id] = missing
                 await trio.sleep(_STALL_SECONDS)
@@ -216,7 +231,9 @@
         own = f"{self._arguments.host}:{self._arguments.port}"
         return layer == self._arguments.layers and parts[0][0] == own
 
-    async def _find_missing(self, parts: list[tuple[str, int, int]]) -> str | None:
+    async def _find_missing(
+        self, parts: list[tuple[str, int, int]], request_id: str
+    ) -> str | None:
         """Return the address of an engine that is not there with its part."""
         for address, first, end in parts:
             try:
@@ -224,6 +241,7 @@
                     "GET",
                     _http_client.parse_address(address),
                     f"/part/{first}-{end}",
+                    headers={"x-request-id": request_id},
                     timeout_seconds=_PART_SECONDS,
                 )
             except _http_client.ClientError:
@@ -259,6 +277,13 @@
         )
 
 
+def _intersect(held: dict[str, int] | None, layers: Layers) -> Layers | None:
+    if held is None:
+        return None
+    first, end = max(held["from"], layers[0]), min(held["to"], layers[1])
+    return (first, end) if first < end else None
+
+
 def _read_part(text: str) -> tuple[str, int, int]:
     address, _, layers = text.partition("=")
     first, _, end = layers.partition("-")
