--- a/src/jujubepass/_object_client.py
+++ b/src/jujubepass/_object_client.py
@@ -30,6 +30,15 @@
         """Delete an object."""
 
 
+@attrs.frozen(kw_only=True)
+class ObjectPaths:
+    """Hold what stands before an object's name in the path of each call."""
+
+    put: str = "/objects/"
+    get: str = "/objects/"
+    delete: str = "/objects/"
+
+
 @attrs.frozen(kw_only=True)
 class HttpObjects:
     """Reach the object store over HTTP."""
@@ -37,12 +46,13 @@
     client: _http_client.Client
     address: _http_client.Address
     timeout_seconds: float = _TIMEOUT_SECONDS
+    paths: ObjectPaths = attrs.field(factory=ObjectPaths)
 
     async def put(
         self, command: _object_messages.PutObject
     ) -> _object_messages.ObjectWritten | _object_messages.ObjectFailed:
         """Write a whole object."""
-        answer = await self._request("PUT", command, command.data)
+        answer = await self._request("PUT", self.paths.put, command, command.data)
         if isinstance(answer, _object_messages.ObjectFailed):
             return answer
         return _object_messages.ObjectWritten(operation=command.operation)
@@ -51,7 +61,7 @@
         self, command: _object_messages.GetObject
     ) -> _object_messages.ObjectRead | _object_messages.ObjectFailed:
         """Read a whole object."""
-        answer = await self._request("GET", command)
+        answer = await self._request("GET", self.paths.get, command)
         if isinstance(answer, _object_messages.ObjectFailed):
             return answer
         return _object_messages.ObjectRead(
@@ -62,7 +72,7 @@
         self, command: _object_messages.DeleteObject
     ) -> _object_messages.ObjectDeleted | _object_messages.ObjectFailed:
         """Delete an object."""
-        answer = await self._request("DELETE", command)
+        answer = await self._request("DELETE", self.paths.delete, command)
         if isinstance(answer, _object_messages.ObjectFailed):
             return answer
         return _object_messages.ObjectDeleted(operation=command.operation)
@@ -70,12 +80,13 @@
     async def _request(
         self,
         method: str,
+        before_name: str,
         command: _object_messages.PutObject
         | _object_messages.GetObject
         | _object_messages.DeleteObject,
         body: bytes = b"",
     ) -> _http_client.Answer | _object_messages.ObjectFailed:
-        path = f"/objects/{urllib.parse.quote(command.name, safe='')}"
+        path = before_name + urllib.parse.quote(command.name, safe="")
         try:
             answer = await self.client.request(
                 method,
--- a/src/jujubepass/platform/store.py
+++ b/src/jujubepass/platform/store.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from jujubepass import _http_client, _store_messages
+from jujubepass import _http_client, _object_client, _store_messages
 from jujubepass.forwarding import clocks, feeds
 
 _LOGGER = logging.getLogger(__name__)
@@ -300,6 +300,19 @@
         return _store_messages.ReadFailed(operation=operation, detail=detail)
 
 
+def make_objects(
+    client: _http_client.Client, address: _http_client.Address
+) -> _object_client.Objects:
+    """Build the product's client of objects for the store."""
+    return _object_client.HttpObjects(
+        client=client,
+        address=address,
+        paths=_object_client.ObjectPaths(
+            put="/v1/blob-put/", get="/v1/blob-get/", delete="/v1/blob-drop/"
+        ),
+    )
+
+
 def _write_transaction(command: _store_messages.Transact) -> dict[str, typing.Any]:
     place = {"table": OWN_TABLE, "part": ""}
     return {
--- a/standins/row_store.py
+++ b/standins/row_store.py
@@ -44,6 +44,7 @@
         self._forgotten = 0
         self._changed = trio.Event()
         self._beats: dict[str, float] = {}
+        self._objects: dict[str, bytes] = {}
         self._counts = {"reads": 0, "writes": 0, "feeds": 0}
 
     async def handle(self, request: _http_server.Request, responder: Responder) -> None:
@@ -120,9 +121,24 @@
             await self._read(query, responder)
         elif path == "/v1/rows-feed":
             await self._follow(query, responder)
+        elif path.startswith("/v1/blob-"):
+            await self._serve_object(path, body, responder)
         else:
             await responder.send_json(404, {})
 
+    async def _serve_object(self, path: str, body: bytes, responder: Responder) -> None:
+        call, _, name = path.removeprefix("/v1/blob-").partition("/")
+        if call == "put":
+            self._objects[name] = body
+            await responder.send(200, b"")
+        elif name not in self._objects:
+            await responder.send_json(404, {})
+        elif call == "drop":
+            del self._objects[name]
+            await responder.send(200, b"")
+        else:
+            await responder.send(200, self._objects[name])
+
     async def _transact(self, call: Row, responder: Responder) -> None:
         self._counts["writes"] += 1
         writes = [*call.get("puts", ()), *call.get("remove", ())]
