--- a/src/jujubepass/_answer_writers.py
+++ b/src/jujubepass/_answer_writers.py
@@ -62,7 +62,7 @@
             refusal.reason.status,
             refusal.reason.code,
             refusal.detail,
-            retry_after_seconds=max(1, math.ceil(refusal.retry_after_seconds)),
+            retry_after_seconds=_find_retry_after(refusal),
             extra={"request": self.request, "run": run},
         )
         if unknown:
@@ -185,14 +185,23 @@
 
     def _format_refusal(self, refusal: _answer_messages.Refuse) -> bytes:
         self.metrics.count_refusal(refusal.reason)
-        error = {
+        error: dict[str, object] = {
             "code": refusal.reason.code,
             "message": refusal.detail,
-            "retry_after_seconds": max(1, math.ceil(refusal.retry_after_seconds)),
         }
+        retry_after_seconds = _find_retry_after(refusal)
+        if retry_after_seconds is not None:
+            error["retry_after_seconds"] = retry_after_seconds
         return _format_event({"id": self.request, "error": error})
 
 
+def _find_retry_after(refusal: _answer_messages.Refuse) -> int | None:
+    """Return when to come back, or None if the request will never be served."""
+    if not refusal.reason.is_passing:
+        return None
+    return max(1, math.ceil(refusal.retry_after_seconds))
+
+
 def _format_event(value: object) -> bytes:
     return b"data: " + json.dumps(value).encode() + b"\n\n"
 
--- a/src/jujubepass/_caller_input.py
+++ b/src/jujubepass/_caller_input.py
@@ -23,6 +23,7 @@
 _DEFAULT_TIMEOUT_SECONDS = 60.0
 _MAX_TIMEOUT_SECONDS = 600.0
 _MAX_KEY_CHARACTERS = 200
+_ALLOWED_KEY = f"1 to {_MAX_KEY_CHARACTERS} printable characters, new for each call"
 _MAX_PROMPT_WORDS = 100_000
 _BEARER = "Bearer "
 _OUTCOMES = "outcomes"
@@ -109,12 +110,17 @@
     """Check a call that may not be repeated."""
     service, path = _read_service(request, account, declared)
     key = request.headers.get("idempotency-key", "")
-    if not key or len(key) > _MAX_KEY_CHARACTERS or not key.isprintable():
+    if not key:
         raise CallerInputError(
             reason=reasons.RefusalReason.MISSING_IDEMPOTENCY_KEY,
+            detail=f"Send an Idempotency-Key of {_ALLOWED_KEY}.",
+        )
+    if len(key) > _MAX_KEY_CHARACTERS or not key.isprintable():
+        raise CallerInputError(
+            reason=reasons.RefusalReason.INVALID_IDEMPOTENCY_KEY,
             detail=(
-                "Send an Idempotency-Key of 1 to"
-                f" {_MAX_KEY_CHARACTERS} printable characters, new for each call."
+                f"The Idempotency-Key has {len(key)} characters."
+                f" Send one of {_ALLOWED_KEY}."
             ),
         )
     try:
--- a/src/jujubepass/_http_server.py
+++ b/src/jujubepass/_http_server.py
@@ -3,6 +3,7 @@
 import collections.abc
 import functools
 import logging
+import re
 import typing
 
 import attrs
@@ -16,6 +17,8 @@
 _RECEIVE_BYTES = 65_536
 _CLOSE_TIMEOUT_SECONDS = 0.2
 _MAX_REFUSING = 64
+# The end of the chunk before, and a size of as many digits as h11 takes.
+_CHUNK_SIZE = re.compile(rb"[\r\n]{0,2}([0-9A-Fa-f]{1,20})[;\r\n]")
 
 Responder = _http_responder.Responder
 
@@ -204,9 +207,11 @@
             go_ahead = h11.InformationalResponse(status_code=100, headers=[])
             await _socket_io.send(stream, connection.send(go_ahead) or b"")
         body = bytearray()
+        is_boundary = "transfer-encoding" in headers
         with trio.move_on_after(self.limits.receive_timeout_seconds):
             while True:
-                event = await _next_event(connection, stream)
+                most = self.limits.body_bytes - len(body) if is_boundary else None
+                event = await _next_event(connection, stream, most)
                 if isinstance(event, h11.EndOfMessage):
                     return Request(
                         method=head.method.decode(),
@@ -221,6 +226,7 @@
                 body += event.data
                 if len(body) > self.limits.body_bytes:
                     raise _rejections.make_oversized(self.limits.body_bytes)
+                is_boundary = event.chunk_end
         raise _rejections.make_slow_sender(self.limits.receive_timeout_seconds)
 
     async def _receive_head(
@@ -248,8 +254,15 @@
         raise _rejections.make_slow_sender(self.limits.receive_timeout_seconds)
 
 
-async def _next_event(connection: h11.Connection, stream: trio.abc.Stream) -> object:
+async def _next_event(
+    connection: h11.Connection,
+    stream: trio.abc.Stream,
+    most_chunk_bytes: int | None = None,
+) -> object:
+    """Return the next event; a bound tells that a chunk's size comes next."""
     while True:
+        if most_chunk_bytes is not None:
+            _check_chunk(connection, most_chunk_bytes)
         try:
             event = connection.next_event()
         except h11.RemoteProtocolError as error:
@@ -263,6 +276,13 @@
         connection.receive_data(bytes(await stream.receive_some(_RECEIVE_BYTES)))
 
 
+def _check_chunk(connection: h11.Connection, most_bytes: int) -> None:
+    """Reject a chunk by its stated size, before its bytes are waited for."""
+    stated = _CHUNK_SIZE.match(connection.trailing_data[0])
+    if stated is not None and int(stated[1], 16) > most_bytes:
+        raise _rejections.make_oversized_chunk(most_bytes)
+
+
 async def _watch_peer(
     connection: h11.Connection,
     stream: trio.SocketStream,
--- a/src/jujubepass/_rejections.py
+++ b/src/jujubepass/_rejections.py
@@ -39,6 +39,12 @@
     return RejectedInputError(status=413, code="body_too_large", detail=detail)
 
 
+def make_oversized_chunk(limit: int) -> RejectedInputError:
+    """Reject a chunk that is longer than what a body may still hold, in bytes."""
+    detail = f"A chunk is over the {limit} bytes left. Send a smaller body."
+    return RejectedInputError(status=413, code="body_too_large", detail=detail)
+
+
 def make_slow_sender(seconds: float) -> RejectedInputError:
     """Reject a request that did not arrive in time."""
     detail = f"The request did not arrive within {seconds:g} s. Send it again faster."
--- a/src/jujubepass/reasons.py
+++ b/src/jujubepass/reasons.py
@@ -2,6 +2,8 @@
 
 import enum
 
+_PASSING_STATUSES = frozenset({429, 502, 503, 504})
+
 
 class RefusalReason(enum.Enum):
     """Say why a caller's request was refused."""
@@ -20,6 +22,11 @@
         """Return the stable code that problem+json and metrics carry."""
         return str(self.value)
 
+    @property
+    def is_passing(self) -> bool:
+        """Tell whether the same request may be served later."""
+        return self.status in _PASSING_STATUSES
+
     UNKNOWN_ACCOUNT = "unknown_account", 401
     MALFORMED_REQUEST = "malformed_request", 400
     BODY_TOO_LARGE = "body_too_large", 413
@@ -27,6 +34,7 @@
     UNKNOWN_MODEL = "unknown_model", 404
     UNKNOWN_SERVICE = "unknown_service", 404
     MISSING_IDEMPOTENCY_KEY = "missing_idempotency_key", 400
+    INVALID_IDEMPOTENCY_KEY = "invalid_idempotency_key", 400
     IDEMPOTENCY_KEY_REUSED = "idempotency_key_reused", 422
     DEADLINE_UNREACHABLE = "deadline_unreachable", 503
     DEADLINE_PASSED = "deadline_passed", 504
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -53,9 +53,14 @@
     for name, port in rows.items():
         print(f"{name:<20} {processes.HOST}:{port}")
     print(f"\nCaller key {system.CALLER_KEY}, operators' key {system.OPERATOR_KEY}")
-    print(
-        f"JUJUBEPASS_OPERATOR_KEY={system.OPERATOR_KEY} dist/jujubepass status"
-        f" --node {processes.HOST}:{next(iter(demo.nodes.values())).operators}"
+    print(make_status_command(next(iter(demo.nodes.values())).operators))
+
+
+def make_status_command(operators: int) -> str:
+    """Return the shell command that asks an operators' port for the status."""
+    return (
+        f"JUJUBEPASS_OPERATOR_KEY={system.OPERATOR_KEY} PYTHONPATH=src"
+        f" .venv/bin/python -m jujubepass status --node {processes.HOST}:{operators}"
     )
 
 
--- a/tests/features/bad_input.feature
+++ b/tests/features/bad_input.feature
@@ -18,7 +18,11 @@
       | a prompt in an unknown method          | 404    | unknown_path            |
       | a tunnel                               | 405    | method_not_allowed      |
       | bytes that are not HTTP                | 400    | malformed_http          |
+      | a prompt whose chunk is 2^63 bytes     | 413    | body_too_large          |
+      | a prompt whose later chunk is too long | 413    | body_too_large          |
       | a booking without an idempotency key   | 400    | missing_idempotency_key |
+      | a booking whose key is 10000 long      | 400    | invalid_idempotency_key |
+      | a booking whose key has a tab          | 400    | invalid_idempotency_key |
       | another booking with the key "visit-1" | 422    | idempotency_key_reused  |
       | a booking at an unknown service        | 404    | unknown_service         |
       | a lookup of "outcomes/visit-1"         | 400    | malformed_request       |
@@ -28,5 +32,6 @@
       | a prompt that stops half-way           | 408    | slow_sender             |
       | headers that stop half-way             | 408    | slow_sender             |
       | one connection too many                | 503    | too_many_connections    |
+    And none that cannot be served later was told when to come back
     And refusals for bad input were counted by reason
     And the service ran 1 booking for each good one
--- a/tests/features/path.feature
+++ b/tests/features/path.feature
@@ -9,3 +9,8 @@
     Then it is answered by "records-1"
     When each node is told to stop
     Then each exits with 0
+
+  Scenario: The command that the demo prints works before anything is built
+    Given a system of three nodes
+    When the command that the demo prints for "node-1" runs
+    Then it ends with 0 and names "node-1"
--- a/tests/features/steps/bad_input_steps.py
+++ b/tests/features/steps/bad_input_steps.py
@@ -70,6 +70,13 @@
     return write_request("GET", f"/services/records/{path}")
 
 
+def write_chunked(*chunks):
+    """Write a prompt's head and chunks, each a stated size and what comes of it."""
+    head = write_request("POST", "/v1/completions", transfer_encoding="chunked")
+    head = head.replace(b"content-length: 0\r\n", b"")
+    return head + b"".join(b"%x\r\n%s" % (size, data) for size, data in chunks)
+
+
 CUT_PROMPT = write_prompt()[:-5]
 REQUESTS = {
     "a prompt without an account key": write_prompt(key=""),
@@ -90,7 +97,13 @@
     "a prompt in an unknown method": write_request("PATCH", "/v1/completions"),
     "a tunnel": write_request("CONNECT", "example:443"),
     "bytes that are not HTTP": b"\x16\x03\x01\x00\r\n\r\n",
+    "a prompt whose chunk is 2^63 bytes": write_chunked((2**63, b"{")),
+    "a prompt whose later chunk is too long": write_chunked(
+        (9, b'{"model":\r\n'), (4_090, b'"')
+    ),
     "a booking without an idempotency key": write_booking(),
+    "a booking whose key is 10000 long": write_booking(idempotency_key="k" * 10_000),
+    "a booking whose key has a tab": write_booking(idempotency_key="a\tb"),
     'another booking with the key "visit-1"': write_booking(idempotency_key="visit-1"),
     "a booking at an unknown service": write_booking(
         "/services/other/visits", idempotency_key="visit-2"
@@ -120,7 +133,8 @@
     assert b"application/problem+json" in head, received
     problem = json.loads(body)
     assert problem["detail"] and problem["status"] == status, problem
-    return status, problem["code"]
+    returns = b"retry-after:" in head.lower()
+    return status, problem["code"], returns
 
 
 def exchange_beyond_bound(port):
@@ -142,15 +156,18 @@
     port = context.system.nodes["node-1"].callers
     wrong = []
     context.codes = {row["code"] for row in context.table}
+    context.told_to_return = set()
     for row in context.table:
         try:
             if row["request"] in REQUESTS:
-                got = exchange(port, REQUESTS[row["request"]])
+                *got, returns = exchange(port, REQUESTS[row["request"]])
             else:
-                got = exchange_beyond_bound(port)
+                *got, returns = exchange_beyond_bound(port)
+            if returns:
+                context.told_to_return.add(row["code"])
         except (OSError, AssertionError) as error:
             got = repr(error)
-        if got != (int(row["status"]), row["code"]):
+        if got != [int(row["status"]), row["code"]]:
             wrong.append((row["request"], got))
         processes.wait_for(
             lambda: processes.answers(port, "/healthz"), "a free connection"
@@ -160,6 +177,11 @@
     assert not wrong, wrong
 
 
+@behave.then("none that cannot be served later was told when to come back")
+def step_not_told(context):
+    assert context.told_to_return == {"too_many_connections"}, context.told_to_return
+
+
 @behave.then("refusals for bad input were counted by reason")
 def step_counted(context):
     port = context.system.nodes["node-1"].operators
--- a/tests/features/steps/path_steps.py
+++ b/tests/features/steps/path_steps.py
@@ -1,8 +1,13 @@
 import json
+import pathlib
+import subprocess
 
 import behave
 
-from standins import model, system
+from standins import demo, model, system
+
+ROOT = pathlib.Path(__file__).resolve().parents[3]
+COMMAND_SECONDS = 20.0
 
 PROMPT = "my stairlift stops halfway with a red light"
 TOKENS = 12
@@ -72,3 +77,24 @@
 @behave.then("each exits with 0")
 def step_codes(context):
     assert context.codes == [0, 0, 0], context.codes
+
+
+@behave.when('the command that the demo prints for "{node}" runs')
+def step_demo_command(context, node):
+    command = demo.make_status_command(context.system.nodes[node].operators)
+    context.ended = subprocess.run(
+        command,
+        shell=True,
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=COMMAND_SECONDS,
+        check=False,
+    )
+
+
+@behave.then('it ends with {code:d} and names "{node}"')
+def step_ended(context, code, node):
+    ended = context.ended
+    assert ended.returncode == code, (ended.returncode, ended.stderr)
+    assert node in ended.stdout, ended.stdout
