--- a/src/jujubepass/_local_commands.py
+++ b/src/jujubepass/_local_commands.py
@@ -29,10 +29,11 @@
     # The node's modules are needed by this command alone.
     from jujubepass.platform import assembly
 
-    found = forwarding_settings.read_settings(path)
+    source = forwarding_settings.SettingsFile(path=path)
+    found = source.read()
     if isinstance(found, returns.result.Failure):
         return _report_problems(found.failure().problems)
-    return assembly.run(found.unwrap())
+    return assembly.run(found.unwrap(), source)
 
 
 def check(
--- a/src/jujubepass/_logs.py
+++ b/src/jujubepass/_logs.py
@@ -76,7 +76,12 @@
     handler.setFormatter(_RedactingFormatter(formatter=formatter, secrets=secrets))
     root = logging.getLogger()
     root.handlers[:] = [handler]
-    root.setLevel(log.level.value.upper())
+    set_level(log.level)
+
+
+def set_level(level: settings.LogLevel) -> None:
+    """Choose the least severe level that is logged from now on."""
+    logging.getLogger().setLevel(level.value.upper())
 
 
 class _ContextFilter(logging.Filter):
--- a/src/jujubepass/forwarding/admission.py
+++ b/src/jujubepass/forwarding/admission.py
@@ -12,6 +12,8 @@
 _DENIAL_AGE_SECONDS = 1.5
 # Time in which the store is asked again, by its rate of polls.
 _STALE_RETRY_SECONDS = 0.5
+# Share of the bound on revoked keys after which keyed requests are refused.
+_KEYED_AGE_SHARE = 0.6
 
 
 @attrs.frozen(kw_only=True)
@@ -24,11 +26,9 @@
 
 @attrs.define(kw_only=True)
 class Admission:
-    """Decide on requests; the bounds are ages of the declarations, in seconds."""
+    """Decide on requests by the declarations and their age."""
 
     blackboard: board.Blackboard
-    keyed_age_seconds: float
-    """Age from which a key may have been revoked unseen."""
     random_source: random.Random = attrs.field(factory=random.Random)
 
     def needs_proof(self, ask: exchange.Ask, now: float) -> bool:
@@ -59,7 +59,9 @@
 
     def is_stale(self, now: float) -> bool:
         """Tell whether a key may have been revoked without this node's knowledge."""
-        return now - self.blackboard.configuration.proven_at > self.keyed_age_seconds
+        bound_seconds = self.blackboard.bounds.revocation_milliseconds / 1_000.0
+        age = now - self.blackboard.configuration.proven_at
+        return age > _KEYED_AGE_SHARE * bound_seconds
 
     def _decide(
         self, ask: exchange.Ask, declared: declarations.Declarations, now: float
--- a/src/jujubepass/forwarding/board.py
+++ b/src/jujubepass/forwarding/board.py
@@ -5,13 +5,14 @@
 import attrs
 
 from jujubepass import ids
-from jujubepass.forwarding import backends, declarations, plans
+from jujubepass.forwarding import backends, declarations, plans, settings
 
 _NEVER = float("-inf")
 # Named here, as the areas have fields of the modules' names.
 _Declarations = declarations.Declarations
 _Backend = backends.Backend
 _Plan = plans.Plan
+_Bounds = settings.Bounds
 
 
 class NodeState(enum.Enum):
@@ -64,6 +65,8 @@
     state: NodeState = NodeState.STARTING
     closes_at: float = float("inf")
     """Time at which running answers are cut, on the boot clock."""
+    bounds: _Bounds = attrs.field(factory=_Bounds)
+    """The platform's bounds in force; written by the settings controller."""
     is_first_start: bool = False
     """Whether the whole system starts and no model request has come yet."""
     configuration: ConfigurationArea = attrs.field(factory=ConfigurationArea)
--- a/src/jujubepass/forwarding/node.py
+++ b/src/jujubepass/forwarding/node.py
@@ -27,6 +27,7 @@
     planning,
     probing,
     readiness,
+    reloading,
     sending,
     service_exchange,
     settings,
@@ -45,8 +46,6 @@
 # Pause after changes of the list, which come one by one while engines start; far
 # below the two seconds (drainMs) in which a leaving server may still get requests.
 _BACKENDS_PAUSE_SECONDS = 0.25
-# Share of the bound on revoked keys after which keyed requests are refused.
-_KEYED_AGE_SHARE = 0.6
 # Nodes that may share a service's retries; a node keeps to its part alone.
 _SHARING_NODES = 12
 # Share of a node's slack that may go at once, as when an engine's streams all break;
@@ -69,6 +68,7 @@
         self,
         *,
         settings: settings.Settings,
+        source: settings.Source,
         adapter: adapters.Adapter,
         client: _http_client.Client,
     ) -> None:
@@ -81,20 +81,21 @@
         self.blackboard = board.Blackboard(
             node=node.name,
             failure_domain=node.failure_domain,
+            bounds=settings.bounds,
             is_first_start=node.first_start,
         )
+        self._reloader = reloading.SettingsController(
+            blackboard=self.blackboard, source=source, in_force=settings
+        )
         self._make_controllers()
         self._make_followers()
+        self._budgets: collections.defaultdict[
+            ids.ServiceId, _retry_budget.RetryBudget
+        ] = collections.defaultdict(self._make_budget)
         self._callers = _http_server.Server(handler=self._make_forwarder())
 
     def _make_controllers(self) -> None:
-        bounds = self.settings.bounds
-        self._gate = admission.Admission(
-            blackboard=self.blackboard,
-            keyed_age_seconds=_KEYED_AGE_SHARE
-            * bounds.revocation_milliseconds
-            / 1_000.0,
-        )
+        self._gate = admission.Admission(blackboard=self.blackboard)
         self._readiness = readiness.Readiness(
             blackboard=self.blackboard, gate=self._gate
         )
@@ -158,9 +159,6 @@
 
     def _make_forwarder(self) -> forwarder.Forwarder:
         sender = sending.Sender(client=self.client, wire=self.adapter.wire)
-        budgets: collections.defaultdict[ids.ServiceId, _retry_budget.RetryBudget] = (
-            collections.defaultdict(self._make_budget)
-        )
         return forwarder.Forwarder(
             blackboard=self.blackboard,
             wire=self.adapter.wire,
@@ -172,7 +170,7 @@
                     blackboard=self.blackboard, suspects=self.suspects
                 ),
                 suspects=self.suspects,
-                budgets=budgets,
+                budgets=self._budgets,
                 count_retry=self.measures.count_retry,
             ),
             streams=stream_exchange.StreamExchange(
@@ -181,7 +179,7 @@
                 choice=self._choice,
                 suspects=self.suspects,
                 stalls=self._stalls,
-                budgets=budgets,
+                budgets=self._budgets,
                 count_retry=self.measures.count_retry,
                 observe_first=self.measures.observe_first_event,
             ),
@@ -190,17 +188,24 @@
         )
 
     def _make_budget(self) -> _retry_budget.RetryBudget:
-        bounds = self.settings.bounds
+        return _retry_budget.RetryBudget(bounds=self._find_budget_bounds())
+
+    def _find_budget_bounds(self) -> _retry_budget.RetryBudgetBounds:
+        """Return this node's part of the retries that all nodes share."""
+        bounds = self.blackboard.bounds
         slack = bounds.retry_slack / _SHARING_NODES
         saved = _SAVED_SLACK_SHARE * slack
-        return _retry_budget.RetryBudget(
-            bounds=_retry_budget.RetryBudgetBounds(
-                retries_per_attempt=bounds.retry_share,
-                idle_retries_per_second=(slack - saved) / bounds.retry_window_seconds,
-                maximum_saved=max(1.0, saved),
-            )
+        return _retry_budget.RetryBudgetBounds(
+            retries_per_attempt=bounds.retry_share,
+            idle_retries_per_second=(slack - saved) / bounds.retry_window_seconds,
+            maximum_saved=max(1.0, saved),
         )
 
+    def _share_out(self) -> None:
+        """Hand changed bounds to those that keep them."""
+        for budget in self._budgets.values():
+            budget.bounds = self._find_budget_bounds()
+
     async def _prove(self, timeout_seconds: float) -> None:
         with trio.move_on_after(timeout_seconds):
             await self._configuration.read_now()
@@ -246,14 +251,15 @@
         async for received in signals:
             if received == signal.SIGTERM:
                 return
-            _LOGGER.info("settings reloaded; nothing of them changes while running")
+            if self._reloader.reload():
+                self._share_out()
 
     async def _shut_down(self) -> None:
         """Let callers go elsewhere and finish what they still ask."""
         began = clocks.read_boot_clock()
         self._readiness.drain()
         self._callers.drain()
-        end = began + self.settings.bounds.shutdown_seconds - _EXIT_MARGIN_SECONDS
+        end = began + self.blackboard.bounds.shutdown_seconds - _EXIT_MARGIN_SECONDS
         self.blackboard.closes_at = end
         await trio.sleep(min(_UNLISTED_SECONDS, end - began))
         self._callers.stop()
@@ -276,6 +282,8 @@
             while area.restarted:
                 self.suspects.clear(area.restarted.pop())
             self._readiness.check()
+            if self._reloader.check(clocks.read_boot_clock()):
+                self._share_out()
             self._apply_limits()
 
     def _apply_limits(self) -> None:
--- /dev/null
+++ b/src/jujubepass/forwarding/reloading.py
@@ -0,0 +1,92 @@
+"""Controller that puts changed settings in force while the node runs."""
+
+import collections.abc
+import logging
+
+import attrs
+import returns.result
+
+from jujubepass import _logs
+from jujubepass.forwarding import board, settings
+
+_LOGGER = logging.getLogger(__name__)
+
+# The platform may change the file without a signal; within configApplyMs (2 s).
+_LOOK_SECONDS = 1.0
+# What the node reads again at each use; all else is read at its start.
+_CHANGEABLE = frozenset(("bounds", "log"))
+_LOG_FORMAT = "log.format"
+
+
+@attrs.define(kw_only=True)
+class SettingsController:
+    """Write the board's bounds; settings with an error change nothing."""
+
+    blackboard: board.Blackboard
+    source: settings.Source
+    in_force: settings.Settings
+    _stamp: object = attrs.field(init=False)
+    _looked_at: float = attrs.field(default=float("-inf"), init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._stamp = self.source.read_stamp()
+
+    def check(self, now: float) -> bool:
+        """Take over what changed since the last look; tell whether anything did."""
+        if now - self._looked_at < _LOOK_SECONDS:
+            return False
+        self._looked_at = now
+        stamp = self.source.read_stamp()
+        return stamp != self._stamp and self.reload()
+
+    def reload(self) -> bool:
+        """Read the settings anew; tell whether anything changed."""
+        self._stamp = self.source.read_stamp()
+        read = self.source.read()
+        if isinstance(read, returns.result.Failure):
+            for problem in read.failure().problems:
+                _LOGGER.error(
+                    "settings not taken over",
+                    extra={
+                        "section": problem.section,
+                        "key": problem.key,
+                        "problem": problem.what,
+                        "allowed": problem.allowed,
+                    },
+                )
+            return False
+        return self._take_over(read.unwrap())
+
+    def _take_over(self, found: settings.Settings) -> bool:
+        different = list(_list_differences(self.in_force, found))
+        changed = [each for each in different if _is_changeable(each)]
+        _LOGGER.info(
+            "settings in force",
+            extra={
+                "changed": changed,
+                "needs_restart": [each for each in different if each not in changed],
+            },
+        )
+        self.in_force = attrs.evolve(
+            self.in_force,
+            bounds=found.bounds,
+            log=attrs.evolve(self.in_force.log, level=found.log.level),
+        )
+        self.blackboard.bounds = found.bounds
+        _logs.set_level(found.log.level)
+        return bool(changed)
+
+
+def _is_changeable(name: str) -> bool:
+    return name.partition(".")[0] in _CHANGEABLE and name != _LOG_FORMAT
+
+
+def _list_differences(
+    before: settings.Settings, after: settings.Settings
+) -> collections.abc.Iterator[str]:
+    """Name each key that differs, with its section."""
+    for section in attrs.fields(settings.Settings):
+        old, new = getattr(before, section.name), getattr(after, section.name)
+        for key in attrs.fields(type(old)):
+            if getattr(old, key.name) != getattr(new, key.name):
+                yield f"{section.name}.{key.name}"
--- a/src/jujubepass/forwarding/settings.py
+++ b/src/jujubepass/forwarding/settings.py
@@ -1,7 +1,9 @@
 """Settings of a forwarding node, read from an INI file."""
 
+import logging
 import os
 import pathlib
+import typing
 
 import attrs
 import returns.result
@@ -9,6 +11,8 @@
 from jujubepass import _http_client, _ini, ids
 from jujubepass import settings as node_settings
 
+_LOGGER = logging.getLogger(__name__)
+
 
 @attrs.frozen(kw_only=True)
 class Node:
@@ -81,6 +85,40 @@
     log: node_settings.Log = attrs.field(factory=node_settings.Log)
 
 
+class Source(typing.Protocol):
+    """Tell where settings come from, and whether they may have changed."""
+
+    def read_stamp(self) -> object:
+        """Return what differs after each change; None while it cannot be read."""
+
+    def read(
+        self,
+    ) -> returns.result.Result[Settings, node_settings.SettingsError]:
+        """Read the settings; a failure holds every problem found."""
+
+
+@attrs.frozen(kw_only=True)
+class SettingsFile:
+    """Read settings from a file."""
+
+    path: str | os.PathLike[str]
+
+    def read_stamp(self) -> object:
+        """Return the file's identity, size and time of change."""
+        try:
+            found = os.stat(self.path)
+        except OSError as error:
+            _LOGGER.debug("settings file: %s", error)
+            return None
+        return found.st_ino, found.st_size, found.st_mtime_ns
+
+    def read(
+        self,
+    ) -> returns.result.Result[Settings, node_settings.SettingsError]:
+        """Read the file; a failure holds every problem found."""
+        return read_settings(self.path)
+
+
 def is_forwarding(path: str | os.PathLike[str]) -> bool:
     """Tell whether a file holds a forwarding node's settings: they name its store."""
     try:
--- a/src/jujubepass/platform/__main__.py
+++ b/src/jujubepass/platform/__main__.py
@@ -22,11 +22,12 @@
     if path is None:
         print(f"{_SETTINGS_VARIABLE} names no settings file", file=sys.stderr)
         return _BAD_INPUT
-    read = settings.read_settings(path)
+    source = settings.SettingsFile(path=path)
+    read = source.read()
     if isinstance(read, returns.result.Failure):
         print(read.failure(), file=sys.stderr)
         return _BAD_INPUT
-    return assembly.run(read.unwrap())
+    return assembly.run(read.unwrap(), source)
 
 
 if __name__ == "__main__":
--- a/src/jujubepass/platform/assembly.py
+++ b/src/jujubepass/platform/assembly.py
@@ -12,19 +12,20 @@
 _CONNECT_TIMEOUT_SECONDS = 0.5
 
 
-def run(node_settings: settings.Settings) -> int:
+def run(node_settings: settings.Settings, source: settings.Source) -> int:
     """Run a node until SIGTERM; return the exit code."""
     handler = _log_output.BoundedHandler(descriptor=sys.stdout.fileno())
     _logs.set_up(node_settings.log, handler=handler)
-    trio.run(make_node(node_settings).run)
+    trio.run(make_node(node_settings, source).run)
     return 0
 
 
-def make_node(node_settings: settings.Settings) -> node.Node:
+def make_node(node_settings: settings.Settings, source: settings.Source) -> node.Node:
     """Build a node; it does nothing until it runs."""
     client = _http_client.Client(connect_timeout_seconds=_CONNECT_TIMEOUT_SECONDS)
     return node.Node(
         settings=node_settings,
+        source=source,
         adapter=make_adapter(client, node_settings.store.address),
         client=client,
     )
--- a/standins/path_engine.py
+++ b/standins/path_engine.py
@@ -253,7 +253,10 @@
     async def beat(self) -> None:
         """List this engine again and again."""
         while True:
-            await self._list()
+            try:
+                await self._list()
+            except _http_client.ClientError as error:
+                print(f"store away: {error}", flush=True)
             await trio.sleep(_HEARTBEAT_SECONDS)
 
     async def _list(self) -> None:
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -216,6 +216,10 @@
         process.kill()
         process.wait()
 
+    def send_signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a process."""
+        self._running[name].send_signal(number)
+
     def terminate(self, name: str) -> None:
         """Ask a process to shut down and go on."""
         self._running[name].terminate()
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -102,3 +102,21 @@
   Scenario: Settings with three errors name them all
     Then settings of a forwarding node with three errors show each of them
     And the settings that the platform's template gives are accepted
+
+  Scenario Outline: Changed settings are in force <how>
+    Given a system on the platform
+    When a node's settings change <how>, while it streams an answer
+    Then the answer has each event once and in order
+    And within 2 seconds the node says what it took over, and what needs a restart
+    And 1.2 seconds after it lost the store it refuses requests with keys
+
+    Examples:
+      | how              |
+      | with SIGHUP      |
+      | without a signal |
+
+  Scenario: Changed settings with errors change nothing
+    Given a system on the platform
+    When a node's settings get three errors
+    Then its log names each of them once
+    And each node streams an answer with each event once and in order
--- a/tests/features/steps/store_away_steps.py
+++ b/tests/features/steps/store_away_steps.py
@@ -67,7 +67,7 @@
 
 def admit(context, age, **changes):
     fleet = context.fleet
-    gate = admission.Admission(blackboard=fleet.blackboard, keyed_age_seconds=3.0)
+    gate = admission.Admission(blackboard=fleet.blackboard)
     return gate.admit(ask(**changes), fleet.blackboard.configuration.proven_at + age)
 
 
