--- a/src/jujubepass/forwarding/engine_choice.py
+++ b/src/jujubepass/forwarding/engine_choice.py
@@ -27,6 +27,9 @@
 _FULL_FACTOR = 100.0
 # An engine that says it is slow delays each token of all requests on its path.
 _PACE_POWER = 2.0
+# A prompt ahead delays a first event by its slowest stage, about a twelfth of its
+# reading on paths of a dozen engines; that counts like as much over 16 tokens.
+_QUEUE_TOKENS = 200.0
 # Layers that an engine holds and is to give up are used where no other engine has
 # them: three times as dear as the slowest kind is slower than the next.
 _UNPLANNED_FACTOR = 3.0
@@ -42,6 +45,9 @@
     _running: collections.Counter[ids.BackendServerId] = attrs.field(
         factory=collections.Counter, init=False
     )
+    _reading: collections.Counter[ids.BackendServerId] = attrs.field(
+        factory=collections.Counter, init=False
+    )
 
     def choose(
         self,
@@ -79,6 +85,7 @@
             if self.suspects.is_suspect(engine.name, now):
                 continue
             seconds = accelerator.step_pace * self._predict_step(model, engine.name)
+            seconds += accelerator.read_pace * self._predict_queue(model, engine.name)
             weight = self._weigh_room(model, accelerator, engine)
             weight *= self.paces.find_pace(engine.name, now) ** _PACE_POWER
             yield from _make_options(
@@ -95,6 +102,15 @@
         shared = self._running[engine] * _NODES_PER_DOMAIN
         return model.step_seconds + model.sequence_seconds * shared
 
+    def _predict_queue(
+        self, model: declarations.Model, engine: ids.BackendServerId
+    ) -> float:
+        """Return what the prompts ahead cost each token, in seconds."""
+        ahead = self._reading[engine] * _NODES_PER_DOMAIN
+        return (
+            ahead * model.prompt_tokens / model.read_tokens_per_second / _QUEUE_TOKENS
+        )
+
     def _weigh_room(
         self,
         model: declarations.Model,
@@ -129,12 +145,19 @@
         }
 
     def note_started(self, path: paths.Path) -> None:
-        """Count a request on its engines."""
+        """Count a request on its engines, which read its prompt first."""
         self._running.update(path.engines)
+        self._reading.update(path.engines)
+
+    def note_read(self, path: paths.Path) -> None:
+        """Note that the engines have read a request's prompt."""
+        self._reading.subtract(path.engines)
 
-    def note_ended(self, path: paths.Path) -> None:
+    def note_ended(self, path: paths.Path, *, was_read: bool) -> None:
         """Take a request off its engines."""
         self._running.subtract(path.engines)
+        if not was_read:
+            self._reading.subtract(path.engines)
 
 
 def _make_options(
--- /dev/null
+++ b/src/jujubepass/forwarding/evacuation.py
@@ -0,0 +1,47 @@
+"""Moves running requests off engines that leave."""
+
+import attrs
+import trio
+
+from jujubepass import ids
+from jujubepass.forwarding import board, moves, stall_watch, watched
+
+_PERIOD_SECONDS = 0.1
+# Pause before a request that could not be moved is tried again.
+_AGAIN_SECONDS = 0.5
+
+
+@attrs.define(kw_only=True)
+class Evacuation:
+    """Move requests off draining engines, as long as those still serve."""
+
+    blackboard: board.Blackboard
+    stalls: stall_watch.StallWatch
+    mover: moves.Mover
+    _tried_at: dict[ids.RequestId, float] = attrs.field(factory=dict, init=False)
+
+    async def run(self) -> None:
+        """Look for requests to move again and again."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                await trio.sleep(_PERIOD_SECONDS)
+                leaving = frozenset(self.blackboard.backends.draining_since)
+                now = trio.current_time()
+                self._forget_old(now)
+                for stream in self.stalls.list_watched():
+                    if self._is_due(stream, leaving):
+                        self._tried_at[stream.request] = now
+                        nursery.start_soon(self.mover.move, stream, leaving)
+
+    def _is_due(
+        self, stream: watched.Watched, leaving: frozenset[ids.BackendServerId]
+    ) -> bool:
+        is_touched = bool(stream.path.engines & leaving)
+        return (
+            is_touched and not stream.is_moving and stream.request not in self._tried_at
+        )
+
+    def _forget_old(self, now: float) -> None:
+        for request, tried_at in list(self._tried_at.items()):
+            if now - tried_at > _AGAIN_SECONDS:
+                del self._tried_at[request]
--- a/src/jujubepass/forwarding/node.py
+++ b/src/jujubepass/forwarding/node.py
@@ -17,6 +17,7 @@
     clocks,
     configuration,
     engine_choice,
+    evacuation,
     following,
     forwarder,
     measures,
@@ -106,18 +107,23 @@
             control=self.adapter.control,
             paces=self._paces,
         )
-        self._stalls = stall_watch.StallWatch(
-            blackboard=self.blackboard, suspects=self.suspects, prober=self._prober
-        )
         self._choice = engine_choice.EngineChoice(
             blackboard=self.blackboard, suspects=self.suspects, paces=self._paces
         )
-        self._mover = moves.Mover(
+        mover = moves.Mover(
             blackboard=self.blackboard,
             choice=self._choice,
-            stalls=self._stalls,
             control=self.adapter.control,
         )
+        self._stalls = stall_watch.StallWatch(
+            blackboard=self.blackboard,
+            suspects=self.suspects,
+            prober=self._prober,
+            mover=mover,
+        )
+        self._evacuation = evacuation.Evacuation(
+            blackboard=self.blackboard, stalls=self._stalls, mover=mover
+        )
         self._orders = ordering.OrderKeeper(
             blackboard=self.blackboard, control=self.adapter.control
         )
@@ -222,7 +228,7 @@
                     self._orders.run,
                     self._stalls.run,
                     self._prober.run,
-                    self._mover.run,
+                    self._evacuation.run,
                     self._keep_house,
                 ):
                     nursery.start_soon(_supervise, task)
--- a/src/jujubepass/forwarding/probing.py
+++ b/src/jujubepass/forwarding/probing.py
@@ -21,6 +21,11 @@
 _LONG_SILENT_PAUSE_SECONDS = 2.0
 _OFTEN_QUESTIONS = 6
 _PERIOD_SECONDS = 0.1
+# An engine that is there answers within a few milliseconds (1 ms to connect, 0.25 ms a
+# way on the sites); the pause that callers notice is 200 ms.
+_PRESENCE_SECONDS = 0.05
+# When more engines of a path do not answer, it is rather this node's links that fail.
+_MOST_LOST = 2
 
 
 @attrs.define(kw_only=True)
@@ -84,25 +89,58 @@
 
     async def check(self, name: ids.BackendServerId) -> None:
         """Ask an engine for its report; suspect it, or those that it waits for."""
+        report = await self._read_report(name, _REPORT_SECONDS)
+        if report is None:
+            self._suspect_silent(name)
+        else:
+            await self._check_stalled(report)
+
+    async def check_path(
+        self, names: collections.abc.Iterable[ids.BackendServerId]
+    ) -> None:
+        """Ask engines whether they are there; suspect the few that are not."""
+        reports: dict[ids.BackendServerId, engines.EngineReport | None] = {}
+
+        async def ask(name: ids.BackendServerId) -> None:
+            reports[name] = await self._read_report(name, _PRESENCE_SECONDS)
+
+        async with trio.open_nursery() as nursery:
+            for name in names:
+                if self.may_ask(name):
+                    nursery.start_soon(ask, name)
+        lost = [name for name, report in reports.items() if report is None]
+        if len(lost) > _MOST_LOST:
+            _LOGGER.info("engines of a path unreachable", extra={"backends": lost})
+            return
+        for name in lost:
+            self._suspect_silent(name)
+
+    async def _read_report(
+        self, name: ids.BackendServerId, timeout_seconds: float
+    ) -> engines.EngineReport | None:
+        """Return an engine's report; None if it gives none or is not listed."""
         backend = self.blackboard.backends.listed.get(name)
         if backend is None:
-            return
+            return None
         asked = self._asked.setdefault(name, _Asked(at=0.0))
         asked.at = trio.current_time()
         asked.questions += 1
         try:
-            with trio.fail_after(_REPORT_SECONDS):
+            with trio.fail_after(timeout_seconds):
                 report = await self.control.read_report(backend)
         except (engines.EngineError, trio.TooSlowError) as error:
-            reason = suspicion.SuspicionReason.SILENT
-            self.suspects.suspect(name, reason, clocks.read_boot_clock())
             _LOGGER.info(
                 "engine did not report", extra={"backend": name, "detail": str(error)}
             )
-            return
+            return None
         self.suspects.note_answered(name)
         self.paces.note_pace(name, report.pace, clocks.read_boot_clock())
-        await self._check_stalled(report)
+        return report
+
+    def _suspect_silent(self, name: ids.BackendServerId) -> None:
+        if name in self.blackboard.backends.listed:
+            reason = suspicion.SuspicionReason.SILENT
+            self.suspects.suspect(name, reason, clocks.read_boot_clock())
 
     async def _check_stalled(self, report: engines.EngineReport) -> None:
         """Suspect the engines that others wait for, and ask them themselves."""
--- a/src/jujubepass/forwarding/stream_exchange.py
+++ b/src/jujubepass/forwarding/stream_exchange.py
@@ -20,6 +20,7 @@
     sending,
     stall_watch,
     suspicion,
+    watched,
 )
 
 _LOGGER = logging.getLogger(__name__)
@@ -30,6 +31,9 @@
 # The first event is due at the route's goal: a path that is silent for half of it is
 # checked, so that another one can still make it.
 _FIRST_EVENT_GOALS = 0.5
+# A quarter of the goal is over twice the time that first events take (58 ms at p50,
+# 90 at p99 of calm days): whether the engines are there is asked then.
+_OVERDUE_GOALS = 0.25
 # Callers give up a stream after the longest of two seconds, four times the goal and
 # eight times the pause (PROTOCOL's figures); an answer has to move before that.
 _PATIENCE_SECONDS = 2.0
@@ -209,33 +213,33 @@
             resume_after=progress.last_event,
         )
         patience = _make_patience(admitted.route)
-        with self.stalls.watch(path, ask.request, patience) as watched:
+        with self.stalls.watch(path, ask.request, patience) as stream:
             self.choice.note_started(path)
             try:
-                await self._relay(ask, send, watched, reply, progress)
+                await self._relay(ask, send, stream, reply, progress)
             finally:
                 # It may have been moved to another path meanwhile.
-                self.choice.note_ended(watched.path)
-        if watched.scope.cancelled_caught:
-            raise PathFailedError(watched.reason)
+                self.choice.note_ended(stream.path, was_read=stream.has_begun)
+        if stream.scope.cancelled_caught:
+            raise PathFailedError(stream.reason)
 
     async def _relay(
         self,
         ask: exchange.Ask,
         send: exchange.Send,
-        watched: stall_watch.Watched,
+        stream: watched.Watched,
         reply: replies.Reply,
         progress: _Progress,
     ) -> None:
-        address = watched.path.parts[0].address
+        address = stream.path.parts[0].address
         async with self.sender.open(ask, send, address) as (head, answer):
-            await self._take_answer(head, answer, watched, reply, progress, ask)
+            await self._take_answer(head, answer, stream, reply, progress, ask)
 
     async def _take_answer(
         self,
         head: exchange.AnswerHead,
         answer: _http_client.StreamedAnswer,
-        watched: stall_watch.Watched,
+        stream: watched.Watched,
         reply: replies.Reply,
         progress: _Progress,
         ask: exchange.Ask,
@@ -248,7 +252,9 @@
             return
         splitter = events.EventSplitter()
         while data := await answer.receive():
-            watched.note_data()
+            if not stream.has_begun:
+                self.choice.note_read(stream.path)
+            stream.note_data()
             await self._forward(splitter.feed(data), head, reply, progress, ask)
         if splitter.has_partial:
             raise PathFailedError("stream ended inside an event")
@@ -332,10 +338,11 @@
     )
 
 
-def _make_patience(route: declarations.Route) -> stall_watch.Patience:
+def _make_patience(route: declarations.Route) -> watched.Patience:
     longest = _USED_PATIENCE * _find_patience(route)
     suspicious = max(_LEAST_SUSPICIOUS_SECONDS, _SUSPICIOUS_GAPS * route.gap_seconds)
-    return stall_watch.Patience(
+    return watched.Patience(
+        first_overdue=min(_OVERDUE_GOALS * route.goal_seconds, longest),
         first_suspicious=min(_FIRST_EVENT_GOALS * route.goal_seconds, longest),
         first_longest=longest,
         gap_suspicious=min(suspicious, longest),
--- a/src/jujubepass/forwarding/suspicion.py
+++ b/src/jujubepass/forwarding/suspicion.py
@@ -34,6 +34,7 @@
 class _Suspicion:
     until: float
     seconds: float
+    reason: SuspicionReason
 
 
 @attrs.define(kw_only=True)
@@ -61,14 +62,17 @@
             silence = self._silences.setdefault(name, _Silence(since=now))
             silence.questions += 1
         before = self._suspicions.get(name)
-        if before is not None and now < before.until:
+        is_worse = reason is not SuspicionReason.FULL and not self.is_lost(name, now)
+        if before is not None and now < before.until and not is_worse:
             return
         seconds = _FULL_SECONDS
         if reason is not SuspicionReason.FULL:
             seconds = _FIRST_SECONDS
             if before is not None and now <= before.until + _LONGEST_SECONDS:
                 seconds = min(_LONGEST_SECONDS, max(seconds, before.seconds * 2.0))
-        self._suspicions[name] = _Suspicion(until=now + seconds, seconds=seconds)
+        self._suspicions[name] = _Suspicion(
+            until=now + seconds, seconds=seconds, reason=reason
+        )
         _LOGGER.info(
             "backend server suspected",
             extra={"backend": name, "reason": reason.value, "seconds": seconds},
@@ -88,6 +92,13 @@
         suspicion = self._suspicions.get(name)
         return suspicion is not None and now < suspicion.until
 
+    def is_lost(self, name: ids.BackendServerId, now: float) -> bool:
+        """Tell whether a backend server is suspected of more than being full."""
+        suspicion = self._suspicions.get(name)
+        if suspicion is None or suspicion.reason is SuspicionReason.FULL:
+            return False
+        return now < suspicion.until
+
     def list_silent(self) -> list[ids.BackendServerId]:
         """Return the backend servers that did not answer when last asked."""
         return list(self._silences)
--- /dev/null
+++ b/src/jujubepass/forwarding/watched.py
@@ -0,0 +1,106 @@
+"""What is known of a running stream, and how a silence of it is judged."""
+
+import enum
+
+import attrs
+import trio
+
+from jujubepass import ids
+from jujubepass.forwarding import paths
+
+# A stream whose events are overdue by this factor is silent, if for so long at least:
+# passes that read prompts take up to 45 ms on the sites' engines.
+_SILENT_GAPS = 2.5
+_LEAST_SILENCE_SECONDS = 0.06
+# An event holds two tokens; one that takes as long as so many steps comes over a slow
+# engine. Fewer events say nothing.
+_SLOW_STEPS = 6.0
+_LEAST_CHUNKS = 5
+
+
+class Verdict(enum.Enum):
+    """Say what to do about a stream."""
+
+    GOES_ON = "goes_on"
+    ASK_ALL = "ask_all"
+    """Ask each engine of the path whether it is there."""
+    CHECK = "check"
+    """Ask the first engine, too, for whom it waits."""
+    MOVE = "move"
+    """Replace the engines that are lost, or give up."""
+    GIVE_UP = "give_up"
+
+
+@attrs.frozen(kw_only=True)
+class Patience:
+    """Hold how long a stream may be silent, in seconds."""
+
+    first_overdue: float
+    first_suspicious: float
+    first_longest: float
+    gap_suspicious: float
+    gap_longest: float
+
+
+@attrs.define(kw_only=True, eq=False)
+class Watched:
+    """Hold one running stream and when it last got data, on trio's clock."""
+
+    path: paths.Path
+    request: ids.RequestId
+    patience: Patience
+    scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
+    last_data_at: float = attrs.field(factory=trio.current_time)
+    has_begun: bool = False
+    reason: str = ""
+
+    is_moving: bool = False
+    chunks: int = 0
+    began_at: float = attrs.field(factory=trio.current_time)
+    first_data_at: float = 0.0
+
+    def note_data(self) -> None:
+        """Note that the stream goes on."""
+        self.last_data_at = trio.current_time()
+        if not self.has_begun:
+            self.first_data_at = self.last_data_at
+        self.has_begun = True
+        self.chunks += 1
+
+    def note_moved(self, path: paths.Path) -> None:
+        """Note that other engines go on with the stream, and have time to begin."""
+        self.path = path
+        self.last_data_at = trio.current_time()
+
+    def is_slow(self, now: float, step_seconds: float, first_seconds: float) -> bool:
+        """Tell whether events are far slower than a path's step, or the first late."""
+        if not self.has_begun:
+            return now - self.began_at > first_seconds
+        if self.chunks < _LEAST_CHUNKS:
+            return False
+        gap = (now - self.first_data_at) / self.chunks
+        return gap > _SLOW_STEPS * step_seconds
+
+    def judge(self, now: float, *, has_lost: bool) -> Verdict:
+        """Judge a silence; `has_lost` tells that an engine of the path is lost."""
+        silence = now - self.last_data_at
+        patience = self.patience
+        longest = patience.gap_longest if self.has_begun else patience.first_longest
+        suspicious = (
+            patience.gap_suspicious if self.has_begun else patience.first_suspicious
+        )
+        if silence >= longest:
+            return Verdict.GIVE_UP
+        if silence < self._find_overdue():
+            return Verdict.GOES_ON
+        if has_lost:
+            return Verdict.MOVE
+        return Verdict.CHECK if silence >= suspicious else Verdict.ASK_ALL
+
+    def _find_overdue(self) -> float:
+        """Return the silence from which something may be wrong, in seconds."""
+        if not self.has_begun:
+            return self.patience.first_overdue
+        gap = (self.last_data_at - self.first_data_at) / max(1, self.chunks - 1)
+        overdue = max(_LEAST_SILENCE_SECONDS, _SILENT_GAPS * gap)
+        return min(overdue, self.patience.gap_suspicious)
--- a/standins/path_engine.py
+++ b/standins/path_engine.py
@@ -19,6 +19,7 @@
 
 Responder = _http_server.Responder
 Layers = tuple[int, int]
+Part = tuple[str, int, int]
 
 
 @attrs.define(kw_only=True)
@@ -29,6 +30,7 @@
     layer_seconds: float = 0.02
     work_seconds: float = 0.01
     refuse: float = 0
+    refuse_move: float = 0
     lose_answer: float = 0
     cut_event: float = 0
     fail: float = 0
@@ -68,6 +70,8 @@
         self._runs: collections.Counter[str] = collections.Counter()
         self._bad_paths = 0
         self._stalled: dict[str, str] = {}
+        self._paths: dict[str, list[Part]] = {}
+        self._moves = 0
         self.server = _http_server.Server(handler=self.handle)
 
     async def handle(self, request: _http_server.Request, responder: Responder) -> None:
@@ -80,6 +84,8 @@
                 "bad_paths": self._bad_paths,
                 "most_layers": self._most_layers,
                 "orders": self._orders,
+                "moves": self._moves,
+                "passed": sorted({request for request, _ in self._passing}),
                 "connections": self.server.connections,
             }
             await responder.send_json(200, counts)
@@ -130,6 +136,9 @@
         return (request_id, part) in self._passing
 
     async def _order(self, order: dict[str, typing.Any], responder: Responder) -> None:
+        if order["operation"] == "repath":
+            await self._move(order, responder)
+            return
         if order.get("precondition", self._orders) != self._orders:
             await responder.send_json(409, {})
             return
@@ -145,6 +154,27 @@
         self._loading_until = time.monotonic() + seconds
         await responder.send_json(202, {})
 
+    async def _move(self, order: dict[str, typing.Any], responder: Responder) -> None:
+        """Let a running request go on over another path from here."""
+        request_id = order["id"]
+        parts = [_read_part(text) for text in order["path"].split(",")]
+        before = self._paths.get(request_id)
+        if before is None:
+            await responder.send_json(404, {})
+            return
+        if self._should("refuse_move"):
+            await responder.send_json(409, {})
+            return
+        if not self._is_whole(parts) or parts[0] != before[0]:
+            self._bad_paths += 1
+        missing = await self._find_missing(parts, request_id)
+        if missing is not None:
+            await responder.send_json(409, {"address": missing})
+            return
+        self._moves += 1
+        self._paths[request_id] = parts
+        await responder.send_json(200, {})
+
     def _should(self, knob: str) -> bool:
         happens, left = knobs.should_happen(getattr(self.settings, knob), 1.0)
         setattr(self.settings, knob, left)
@@ -206,22 +236,40 @@
         await responder.start_fields(200, sealed)
         tokens = int(request.headers["x-token-count"].partition(",")[2])
         last = int(request.headers.get("last-event-id", 0))
-        for number in range(last + 1, tokens // 2 + 1):
-            missing = await self._find_missing(parts, request_id)
-            if missing is not None:
-                self._stalled[request_id] = missing
-                await trio.sleep(_STALL_SECONDS)
-                del self._stalled[request_id]
-                raise trio.BrokenResourceError
+        self._paths[request_id] = parts
+        try:
+            await self._write_events(request_id, responder, last, tokens // 2)
+        finally:
+            del self._paths[request_id]
+        await responder.finish()
+
+    async def _write_events(
+        self, request_id: str, responder: Responder, last: int, events: int
+    ) -> None:
+        for number in range(last + 1, events + 1):
+            await self._wait_for_path(request_id)
             event = f"id: {number}\ndata: {request_id} {number}\n\n".encode()
             if self._should("cut_event"):
                 await responder.write(event[: len(event) // 2])
                 raise trio.BrokenResourceError
             await responder.write(event)
             await trio.sleep(_EVENT_SECONDS)
-        await responder.finish()
 
-    def _is_whole(self, parts: list[tuple[str, int, int]]) -> bool:
+    async def _wait_for_path(self, request_id: str) -> None:
+        """Stall while a part is missing; break off after so long."""
+        try:
+            with trio.fail_after(_STALL_SECONDS):
+                while missing := await self._find_missing(
+                    self._paths[request_id], request_id
+                ):
+                    self._stalled[request_id] = missing
+                    await trio.sleep(_EVENT_SECONDS)
+        except trio.TooSlowError as error:
+            raise trio.BrokenResourceError from error
+        finally:
+            self._stalled.pop(request_id, None)
+
+    def _is_whole(self, parts: list[Part]) -> bool:
         """Tell whether parts run every layer once and in order, beginning here."""
         layer = 0
         for _, first, end in parts:
@@ -231,9 +279,7 @@
         own = f"{self._arguments.host}:{self._arguments.port}"
         return layer == self._arguments.layers and parts[0][0] == own
 
-    async def _find_missing(
-        self, parts: list[tuple[str, int, int]], request_id: str
-    ) -> str | None:
+    async def _find_missing(self, parts: list[Part], request_id: str) -> str | None:
         """Return the address of an engine that is not there with its part."""
         for address, first, end in parts:
             try:
@@ -287,7 +333,7 @@
     return (first, end) if first < end else None
 
 
-def _read_part(text: str) -> tuple[str, int, int]:
+def _read_part(text: str) -> Part:
     address, _, layers = text.partition("=")
     first, _, end = layers.partition("-")
     return address, int(first), int(end)
--- a/tests/features/full_engine.feature
+++ b/tests/features/full_engine.feature
@@ -17,5 +17,8 @@
 
   Scenario: A stream that is only slow goes on
     Then a stream that was silent for 1.5 seconds is checked and not given up
-    And one whose path has a suspect is given up after 0.2 seconds
+    And one whose path has lost an engine is moved after 0.1 seconds
+    And one whose engines are only full goes on
+    And one whose events are overdue by 60 milliseconds has its engines asked
+    And one that reads a long prompt has them asked after 0.13 seconds
     And one that was silent for longer than its caller waits is given up
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -26,6 +26,20 @@
     Then the answer has each event once and in order
     And streams are served in each failure domain before long
 
+  Scenario: A stream goes on in the same run where another engine holds what was lost
+    Given a system on the platform
+    And a spare engine that holds layers of its failure domain's path
+    When the engine that has a spare is killed in the middle of a stream
+    Then the answer has each event once and in order
+    And it ran once, and one order moved it
+
+  Scenario: A stream whose move is refused goes on in another run
+    Given a system on the platform
+    And a spare engine that holds layers of its failure domain's path
+    And engines that refuse to move requests
+    When the engine that has a spare is killed in the middle of a stream
+    Then the answer has each event once and in order
+
   Scenario: An event that broke off is never passed on
     Given a system on the platform
     When the first engine breaks off inside an event
