--- a/src/jujubepass/forwarding/chains.py
+++ b/src/jujubepass/forwarding/chains.py
@@ -57,6 +57,35 @@
     return spans
 
 
+def keep_needed(
+    model: declarations.Model, members: collections.abc.Sequence[Candidate]
+) -> list[Candidate]:
+    """Return the engines that give room for as many requests as one may run.
+
+    The others, slowest first, would only lengthen the path.
+    """
+    wanted = count_wanted_tokens(model)
+    needed = sorted(members, key=lambda each: _predict_layer(model, each))
+    while len(needed) > 1 and find_room(model, needed[:-1], model.layers) >= wanted:
+        needed.pop()
+    return needed
+
+
+def count_wanted_tokens(model: declarations.Model) -> float:
+    """Return the tokens of as many usual requests as one engine runs."""
+    return model.slots * (model.prompt_tokens + model.answer_tokens / 2.0)
+
+
+def _predict_layer(
+    model: declarations.Model, member: Candidate
+) -> tuple[float, float, str]:
+    """Order engines by the time in which a layer serves a usual request."""
+    steps = model.answer_tokens * model.step_seconds * member.accelerator.step_pace
+    reading = model.prompt_tokens / model.read_tokens_per_second
+    seconds = steps + reading * member.accelerator.read_pace
+    return seconds, -member.accelerator.memory_megabytes, member.name
+
+
 def can_hold(
     model: declarations.Model,
     members: collections.abc.Iterable[Candidate],
@@ -123,9 +152,35 @@
     gap: backends.Span,
     helpers: collections.abc.Sequence[Candidate],
 ) -> Spans | None:
-    """Return the spans that change: of the fewest engines with enough room."""
+    """Return the spans that change: of the fewest engines with enough room.
+
+    One that holds the gap loads nothing, and an empty one disturbs nobody. Before
+    others are emptied for it, engines around it load a few layers each.
+    """
+    for each in helpers:
+        if each.placement is not None and _covers(each.placement.span, gap):
+            return {each.name: gap}
     helper = _place_helper(model, gap, helpers)
+    is_empty = any(each.placement is None for each in helpers)
     enough = _ENOUGH_ROOM_SHARE * _find_chain_room(model, present, helper)
+    found: Spans | None = None
+    for helping in (helper,) if is_empty else (None, helper):
+        spread, room = _spread_around(model, present, spans, gap, helping, enough)
+        found = spread or found
+        if room >= enough:
+            break
+    return found
+
+
+def _spread_around(
+    model: declarations.Model,
+    present: collections.abc.Mapping[ids.BackendServerId, Candidate],
+    spans: collections.abc.Mapping[ids.BackendServerId, backends.Span],
+    gap: backends.Span,
+    helper: Candidate | None,
+    enough: float,
+) -> tuple[Spans | None, float]:
+    """Return the spans of the fewest engines around a gap, and their room."""
     before = sorted(
         (each for each in present if spans[each].end <= gap.first),
         key=lambda each: -spans[each].first,
@@ -135,6 +190,7 @@
         key=lambda each: spans[each].first,
     )
     found: Spans | None = None
+    room = 0.0
     for radius in range(max(len(before), len(after)) + 1):
         near = [*before[:radius], *after[:radius]]
         window = backends.Span(
@@ -149,10 +205,14 @@
         spread = spread_layers(model, group, window) if group else None
         if spread is None or len(spread) < len(near):
             continue
-        found = spread
-        if find_room(model, group, len(window)) >= enough:
+        found, room = spread, find_room(model, group, len(window))
+        if room >= enough:
             break
-    return found
+    return found, room
+
+
+def _covers(span: backends.Span, gap: backends.Span) -> bool:
+    return span.first <= gap.first and gap.end <= span.end
 
 
 def _stand(member: Candidate, span: backends.Span) -> Candidate:
--- a/src/jujubepass/forwarding/placement.py
+++ b/src/jujubepass/forwarding/placement.py
@@ -15,9 +15,9 @@
 # A request may name at most 32 engines; about 12 of them gave the calm day's best
 # trade between the time a token takes and the room each engine has.
 _ENGINES_PER_CHAIN = 12
-# Tokens for which an engine beside the chains keeps room: the 25 requests that a
-# failure domain carries at once on the sites' calm days.
-_BESIDE_TOKENS = 25_000.0
+# Share of a chain's wanted room that an engine beside the chains keeps: it takes what
+# one failure domain carries on calm days, 25 requests of the sites' 96.
+_BESIDE_SHARE = 0.37
 BESIDE = -1
 """Number of the chain of engines that hold layers beside the chains."""
 
@@ -35,7 +35,8 @@
     chain = 0
     for group in _group_by_domain(model, candidates):
         for members in _split_chains(model, group):
-            spans = chains.spread_layers(model, members)
+            needed = chains.keep_needed(model, members)
+            spans = chains.spread_layers(model, needed)
             if spans is None:
                 continue
             for name, span in spans.items():
@@ -111,7 +112,8 @@
     taken: collections.abc.Container[backends.Span],
 ) -> backends.Span | None:
     """Return the window over whole stages that takes the others longest."""
-    most = chains.count_layers(model, engine, _BESIDE_TOKENS)
+    tokens = _BESIDE_SHARE * chains.count_wanted_tokens(model)
+    most = chains.count_layers(model, engine, tokens)
     best, best_seconds = None, 0.0
     for start, _ in stages:
         end, seconds = start.first, 0.0
--- a/tests/features/lost_stage.feature
+++ b/tests/features/lost_stage.feature
@@ -21,6 +21,20 @@
     When an engine of a kind is replaced by another one of that kind
     Then only the new one loads layers
 
+  Scenario: An engine that holds the lost layers a second time takes them over
+    Given the engines of a site, planned and loaded
+    And engines beside the paths that hold layers a second time
+    When an engine whose layers are held a second time is lost
+    Then no engine loads layers
+    And each failure domain holds every layer
+
+  Scenario: Engines around a gap fill it sooner than one beside the paths
+    Given the engines of a site, planned and loaded
+    And engines beside the paths that hold layers a second time
+    When an engine whose layers are held once is lost
+    Then the engines beside the paths go on as they were
+    And each failure domain holds every layer
+
   Scenario: Requests go round a lost stage before the plan is mended
     Given the engines of a site, planned and loaded
     When an engine of the caller's path falls silent
--- a/tests/features/steps/lost_stage_steps.py
+++ b/tests/features/steps/lost_stage_steps.py
@@ -209,3 +209,64 @@
             new = set(range(decision.span.first, decision.span.end))
             assert len(old | new) <= most or decision.cuts_requests, decision
             assert len(new) <= most, decision
+
+
+def list_beside(placements):
+    return {
+        name: placed
+        for name, placed in placements.items()
+        if placed.chain == placement.BESIDE
+    }
+
+
+def holds(placed, other):
+    return placed.span.first <= other.span.first and other.span.end <= placed.span.end
+
+
+@behave.given("engines beside the paths that hold layers a second time")
+def step_beside(context):
+    context.fleet.wait(3.0)
+    context.fleet.load_planned()
+    context.before = dict(context.fleet.plan.placements)
+    context.beside = list_beside(context.before)
+    assert context.beside
+
+
+def lose_engine(context, *, is_held_twice):
+    """Lose an engine of the first failure domain, where the spare engines stand."""
+    domain = next(iter(context.beside)).split("-")[0]
+    lost = next(
+        name
+        for name, placed in sorted(context.before.items())
+        if name.startswith(domain)
+        and name not in context.beside
+        and any(holds(each, placed) for each in context.beside.values())
+        is is_held_twice
+        and "h100" not in name
+    )
+    context.fleet.list_engines([], gone=[lost])
+    assert context.fleet.wait(2.0)
+
+
+@behave.when("an engine whose layers are held a second time is lost")
+def step_lose_twice(context):
+    lose_engine(context, is_held_twice=True)
+
+
+@behave.when("an engine whose layers are held once is lost")
+def step_lose_once(context):
+    lose_engine(context, is_held_twice=False)
+
+
+@behave.then("no engine loads layers")
+def step_no_load(context):
+    after = context.fleet.plan.placements
+    moved = {
+        name for name, now in after.items() if not holds(context.before[name], now)
+    }
+    assert not moved, moved
+
+
+@behave.then("the engines beside the paths go on as they were")
+def step_beside_stay(context):
+    assert list_beside(context.fleet.plan.placements) == context.beside
