--- a/bench/changes.py
+++ b/bench/changes.py
@@ -5,12 +5,8 @@
 import typing
 
 from bench import experiments, results, trials, usage
-from jujubepass import (
-    _configuration_codec,
-    _configuration_messages,
-    _http_client,
-    _peer_codec,
-)
+from jujubepass.configuration import _configuration_codec, _configuration_messages
+from jujubepass.transport import _http_client, _peer_codec
 from standins import processes, system
 
 _POLL_SECONDS = 2.0
--- a/bench/control_changes.py
+++ b/bench/control_changes.py
@@ -3,7 +3,7 @@
 import time
 
 from bench import control, experiments, results, trials, usage
-from jujubepass import _http_client
+from jujubepass.transport import _http_client
 from standins import processes, system
 
 _SECONDS_PER_DAY = 86_400
--- a/bench/control_size.py
+++ b/bench/control_size.py
@@ -22,14 +22,9 @@
     simulated_nodes,
     simulation,
 )
-from jujubepass import (
-    _dispatch,
-    _membership_messages,
-    _node_messages,
-    _vm_client,
-    declarations,
-    ids,
-)
+from jujubepass import declarations, ids
+from jujubepass.membership import _membership_messages, _vm_client
+from jujubepass.nodes import _dispatch, _node_messages
 
 _SETTLE_SECONDS = 10.0
 _LAYERS = 32
--- a/bench/data_path.py
+++ b/bench/data_path.py
@@ -5,7 +5,7 @@
 import trio
 
 from bench import experiments, load, results, trials, usage
-from jujubepass import _http_client
+from jujubepass.transport import _http_client
 from standins import system
 
 _REQUESTS_PER_SECOND = 24.0
--- a/bench/first_policy.py
+++ b/bench/first_policy.py
@@ -5,7 +5,9 @@
 
 import attrs
 
-from jujubepass import _answer_messages, _blackboard, _engine_costs, _routes
+from jujubepass.answers import _answer_messages
+from jujubepass.nodes import _blackboard
+from jujubepass.routing import _engine_costs, _routes
 
 _DEFAULT_LINK_SECONDS = 0.005
 
--- a/bench/load.py
+++ b/bench/load.py
@@ -9,7 +9,7 @@
 import numpy
 import trio
 
-from jujubepass import _http_client
+from jujubepass.transport import _http_client
 
 HOST = "127.0.0.1"
 
--- a/bench/member_cost.py
+++ b/bench/member_cost.py
@@ -7,7 +7,7 @@
 import sys
 import time
 
-from jujubepass import _membership_area
+from jujubepass.membership import _membership_area
 from tests import member_network
 
 _WARM_SECONDS = 3.0
--- a/bench/month_end.py
+++ b/bench/month_end.py
@@ -8,7 +8,7 @@
 import trio
 
 from bench import experiments, load, results, trials
-from jujubepass import _http_client
+from jujubepass.transport import _http_client
 from standins import processes, system
 
 _LEDGERS = 3
--- a/bench/naive_node.py
+++ b/bench/naive_node.py
@@ -6,16 +6,11 @@
 
 _startup.avoid_child_processes()
 
-from jujubepass import (  # noqa: E402
-    _answers,
-    _attempts,
-    _blackboard,
-    _metrics,
-    _naive,
-    _node_answers,
-    cli,
-    settings,
-)
+from jujubepass import cli, settings  # noqa: E402
+from jujubepass.answers import _answers, _attempts  # noqa: E402
+from jujubepass.nodes import _blackboard, _node_answers  # noqa: E402
+from jujubepass.routing import _naive  # noqa: E402
+from jujubepass.telemetry import _metrics  # noqa: E402
 
 
 def make_answers(
--- a/bench/overload.py
+++ b/bench/overload.py
@@ -14,24 +14,13 @@
 
 import attrs
 
-from jujubepass import (
-    _admission,
-    _answer_area,
-    _answer_messages,
-    _backend_area,
-    _backend_messages,
-    _blackboard,
-    _dispatch,
-    _fairness,
-    _http_client,
-    _limit_messages,
-    _limits,
-    _membership_area,
-    _node_messages,
-    declarations,
-    ids,
-    reasons,
-)
+from jujubepass import declarations, ids, reasons
+from jujubepass.answers import _answer_area, _answer_messages
+from jujubepass.backends import _backend_area, _backend_messages
+from jujubepass.limits import _admission, _fairness, _limit_messages, _limits
+from jujubepass.membership import _membership_area
+from jujubepass.nodes import _blackboard, _dispatch, _node_messages
+from jujubepass.transport import _http_client
 
 MODEL = ids.ModelId("m")
 LARGE = ids.AccountId("large")
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -6,15 +6,11 @@
 import attrs
 
 from bench import first_policy
-from jujubepass import (
-    _admission,
-    _answers,
-    _dispatch,
-    _limits,
-    _naive,
-    _routes,
-    ids,
-)
+from jujubepass import ids
+from jujubepass.answers import _answers
+from jujubepass.limits import _admission, _limits
+from jujubepass.nodes import _dispatch
+from jujubepass.routing import _naive, _routes
 
 OURS = "ours"
 NAIVE = "naive"
--- a/bench/postings.py
+++ b/bench/postings.py
@@ -14,25 +14,21 @@
 import cappa
 import trio
 
-from jujubepass import (
-    _answer_messages,
-    _backend_area,
-    _blackboard,
+from jujubepass import ids
+from jujubepass.answers import _answer_messages
+from jujubepass.backends import _backend_area
+from jujubepass.calls import (
     _call_area,
     _call_control,
     _call_journal,
     _call_messages,
     _call_steps,
-    _dispatch,
-    _http_client,
-    _node_messages,
     _service_client,
-    _shell,
-    _store_messages,
-    _table_client,
-    _vm_client,
-    ids,
 )
+from jujubepass.membership import _vm_client
+from jujubepass.nodes import _blackboard, _dispatch, _node_messages, _shell
+from jujubepass.storage import _store_messages, _table_client
+from jujubepass.transport import _http_client
 from standins import processes, system
 
 _ACCOUNT = ids.AccountId("munafa-counter")
--- a/bench/queue_engines.py
+++ b/bench/queue_engines.py
@@ -9,7 +9,9 @@
 import attrs
 
 from bench import simulation
-from jujubepass import _backend_messages, _http_client, ids
+from jujubepass import ids
+from jujubepass.backends import _backend_messages
+from jujubepass.transport import _http_client
 
 _PREFILL_WORDS_PER_STEP = 512
 _WORDS_PER_BLOCK = 16
--- a/bench/shares.py
+++ b/bench/shares.py
@@ -14,23 +14,19 @@
 
 import attrs
 
-from jujubepass import (
-    _answer_messages,
-    _blackboard,
-    _call_messages,
-    _dispatch,
-    _http_client,
+from jujubepass import declarations, ids
+from jujubepass.answers import _answer_messages
+from jujubepass.calls import _call_messages
+from jujubepass.limits import (
     _limit_messages,
     _limits,
-    _membership_area,
-    _node_messages,
-    _peer_codec,
     _share_codec,
     _share_messages,
     _shares,
-    declarations,
-    ids,
 )
+from jujubepass.membership import _membership_area
+from jujubepass.nodes import _blackboard, _dispatch, _node_messages
+from jujubepass.transport import _http_client, _peer_codec
 
 TICK_SECONDS = 0.1
 LATENCY_SECONDS = 0.002
--- a/bench/simulated_nodes.py
+++ b/bench/simulated_nodes.py
@@ -8,25 +8,16 @@
 import attrs
 
 from bench import load, policies, queue_engines, simulation
-from jujubepass import (
-    _answer_messages,
-    _backend_messages,
-    _dispatch,
-    _http_client,
-    _limit_messages,
-    _membership_messages,
-    _metrics,
-    _node_controllers,
-    _node_messages,
-    _peer_codec,
-    _prefixes,
-    _share_codec,
-    _share_messages,
-    _store_messages,
-    declarations,
-    ids,
-    settings,
-)
+from jujubepass import declarations, ids, settings
+from jujubepass.answers import _answer_messages
+from jujubepass.backends import _backend_messages
+from jujubepass.limits import _limit_messages, _share_codec, _share_messages
+from jujubepass.membership import _membership_messages
+from jujubepass.nodes import _dispatch, _node_controllers, _node_messages
+from jujubepass.routing import _prefixes
+from jujubepass.storage import _store_messages
+from jujubepass.telemetry import _metrics
+from jujubepass.transport import _http_client, _peer_codec
 
 NETWORK_SECONDS = 0.0005
 
--- a/bench/throughput.py
+++ b/bench/throughput.py
@@ -13,7 +13,8 @@
     simulation,
     usage,
 )
-from jujubepass import _backend_messages, declarations, ids
+from jujubepass import declarations, ids
+from jujubepass.backends import _backend_messages
 
 _WARM_SECONDS = 4.0
 _DRAIN_SECONDS = 3.0
--- a/bench/trials.py
+++ b/bench/trials.py
@@ -8,7 +8,7 @@
 import attrs
 
 from bench import usage
-from jujubepass import _http_client
+from jujubepass.transport import _http_client
 from standins import fleet, processes, system
 
 _PORTS_OF_SYSTEM = 200
--- a/src/jujubepass/_ini.py
+++ b/src/jujubepass/_ini.py
@@ -13,7 +13,7 @@
 import cattrs.errors
 import cattrs.gen
 
-from jujubepass import _http_client
+from jujubepass.transport import _http_client
 
 Sections = dict[str, dict[str, str]]
 
--- /dev/null
+++ b/src/jujubepass/answers/__init__.py
@@ -0,0 +1,1 @@
+"""Model requests, from their first attempt to the last token."""
--- a/src/jujubepass/_answer_area.py
+++ b/src/jujubepass/answers/_answer_area.py
@@ -4,7 +4,9 @@
 
 import attrs
 
-from jujubepass import _answer_messages, _breakers, ids
+from jujubepass import ids
+from jujubepass.answers import _answer_messages
+from jujubepass.calls import _breakers
 
 NO_EPOCH = ids.Epoch(0)
 
--- a/src/jujubepass/_answer_messages.py
+++ b/src/jujubepass/answers/_answer_messages.py
@@ -4,7 +4,8 @@
 
 import attrs
 
-from jujubepass import _http_client, ids, reasons
+from jujubepass import ids, reasons
+from jujubepass.transport import _http_client
 
 
 @attrs.frozen(kw_only=True)
--- a/src/jujubepass/_answers.py
+++ b/src/jujubepass/answers/_answers.py
@@ -4,19 +4,17 @@
 
 import attrs
 
-from jujubepass import (
+from jujubepass import ids, reasons
+from jujubepass.answers import (
     _answer_area,
     _answer_messages,
     _attempts,
-    _dispatch,
-    _limit_messages,
-    _node_messages,
-    _prefixes,
     _receipts,
     _stall_watch,
-    ids,
-    reasons,
 )
+from jujubepass.limits import _limit_messages
+from jujubepass.nodes import _dispatch, _node_messages
+from jujubepass.routing import _prefixes
 
 _Fault = _answer_messages.AttemptFault
 
--- a/src/jujubepass/_attempts.py
+++ b/src/jujubepass/answers/_attempts.py
@@ -4,20 +4,11 @@
 
 import attrs
 
-from jujubepass import (
-    _answer_area,
-    _answer_budget,
-    _answer_messages,
-    _blackboard,
-    _breakers,
-    _dispatch,
-    _engine_costs,
-    _recovery,
-    _routes,
-    counters,
-    ids,
-    reasons,
-)
+from jujubepass import counters, ids, reasons
+from jujubepass.answers import _answer_area, _answer_budget, _answer_messages, _recovery
+from jujubepass.calls import _breakers
+from jujubepass.nodes import _blackboard, _dispatch
+from jujubepass.routing import _engine_costs, _routes
 
 _NO_ROUTE_RETRY_SECONDS = 1.0
 _MOST_ATTEMPTS = 64
--- a/src/jujubepass/_engine_client.py
+++ b/src/jujubepass/answers/_engine_client.py
@@ -7,7 +7,10 @@
 import attrs
 import trio
 
-from jujubepass import _answer_messages, _backend_messages, _http_client, ids
+from jujubepass import ids
+from jujubepass.answers import _answer_messages
+from jujubepass.backends import _backend_messages
+from jujubepass.transport import _http_client
 
 _OK = 200
 _CONFLICT = 409
--- a/src/jujubepass/_receipts.py
+++ b/src/jujubepass/answers/_receipts.py
@@ -1,6 +1,7 @@
 """Checks that a token is the answer's next one and ran every layer once."""
 
-from jujubepass import _answer_area, _answer_messages, reasons
+from jujubepass import reasons
+from jujubepass.answers import _answer_area, _answer_messages
 
 GAPS = frozenset({reasons.DropReason.POSITION_GAP, reasons.DropReason.LAYER_GAP})
 """Reasons after which an attempt cannot give the next token any more."""
--- a/src/jujubepass/_recovery.py
+++ b/src/jujubepass/answers/_recovery.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from jujubepass import _answer_area
+from jujubepass.answers import _answer_area
 
 _TARGET_TOKEN_SECONDS = 0.030
 _TOKENS_TO_PROBE = 2.5
--- a/src/jujubepass/_stall_watch.py
+++ b/src/jujubepass/answers/_stall_watch.py
@@ -6,15 +6,10 @@
 
 import attrs
 
-from jujubepass import (
-    _answer_area,
-    _answer_messages,
-    _attempts,
-    _dispatch,
-    _routes,
-    ids,
-    reasons,
-)
+from jujubepass import ids, reasons
+from jujubepass.answers import _answer_area, _answer_messages, _attempts
+from jujubepass.nodes import _dispatch
+from jujubepass.routing import _routes
 
 _SHORTEST_PROBE_SECONDS = 0.1
 _LONGEST_PROBE_SECONDS = 0.5
--- /dev/null
+++ b/src/jujubepass/backends/__init__.py
@@ -0,0 +1,1 @@
+"""Backend servers: listed, loaded, leaving."""
--- a/src/jujubepass/_backend_area.py
+++ b/src/jujubepass/backends/_backend_area.py
@@ -4,7 +4,8 @@
 
 import attrs
 
-from jujubepass import _backend_messages, ids
+from jujubepass import ids
+from jujubepass.backends import _backend_messages
 
 _NEVER = float("-inf")
 
--- a/src/jujubepass/_backend_messages.py
+++ b/src/jujubepass/backends/_backend_messages.py
@@ -5,7 +5,8 @@
 
 import attrs
 
-from jujubepass import _http_client, ids
+from jujubepass import ids
+from jujubepass.transport import _http_client
 
 
 class VmRole(enum.Enum):
--- a/src/jujubepass/_backends.py
+++ b/src/jujubepass/backends/_backends.py
@@ -5,16 +5,11 @@
 
 import attrs
 
-from jujubepass import (
-    _backend_area,
-    _backend_messages,
-    _blackboard,
-    _configuration_messages,
-    _dispatch,
-    _node_messages,
-    _subsets,
-    ids,
-)
+from jujubepass import ids
+from jujubepass.backends import _backend_area, _backend_messages
+from jujubepass.configuration import _configuration_messages
+from jujubepass.nodes import _blackboard, _dispatch, _node_messages
+from jujubepass.routing import _subsets
 
 _GONE_AFTER_POLLS = 3
 _MOST_CACHED_PREFIXES = 1_024
--- a/src/jujubepass/_departures.py
+++ b/src/jujubepass/backends/_departures.py
@@ -4,18 +4,12 @@
 
 import attrs
 
-from jujubepass import (
-    _answer_messages,
-    _backend_area,
-    _backend_messages,
-    _blackboard,
-    _configuration_messages,
-    _departure_area,
-    _dispatch,
-    _membership_messages,
-    _node_messages,
-    ids,
-)
+from jujubepass import ids
+from jujubepass.answers import _answer_messages
+from jujubepass.backends import _backend_area, _backend_messages, _departure_area
+from jujubepass.configuration import _configuration_messages
+from jujubepass.membership import _membership_messages
+from jujubepass.nodes import _blackboard, _dispatch, _node_messages
 
 _Source = _departure_area.DepartureSource
 _UNCONFIRMED_WORD_SECONDS = 300.0
--- /dev/null
+++ b/src/jujubepass/callers/__init__.py
@@ -0,0 +1,1 @@
+"""The interface of callers."""
--- a/src/jujubepass/_answer_writers.py
+++ b/src/jujubepass/callers/_answer_writers.py
@@ -7,15 +7,12 @@
 
 import attrs
 
-from jujubepass import (
-    _answer_messages,
-    _call_messages,
-    _http_server,
-    _mailboxes,
-    _metrics,
-    ids,
-    reasons,
-)
+from jujubepass import ids, reasons
+from jujubepass.answers import _answer_messages
+from jujubepass.callers import _mailboxes
+from jujubepass.calls import _call_messages
+from jujubepass.telemetry import _metrics
+from jujubepass.transport import _http_server
 
 _RUN_BY_REASON = {
     reasons.RefusalReason.OUTCOME_UNKNOWN: "unknown",
--- a/src/jujubepass/_caller_input.py
+++ b/src/jujubepass/callers/_caller_input.py
@@ -10,14 +10,10 @@
 
 import attrs
 
-from jujubepass import (
-    _answer_messages,
-    _call_messages,
-    _http_server,
-    declarations,
-    ids,
-    reasons,
-)
+from jujubepass import declarations, ids, reasons
+from jujubepass.answers import _answer_messages
+from jujubepass.calls import _call_messages
+from jujubepass.transport import _http_server
 
 _DEFAULT_MAX_TOKENS = 128
 _DEFAULT_TIMEOUT_SECONDS = 60.0
--- a/src/jujubepass/_callers.py
+++ b/src/jujubepass/callers/_callers.py
@@ -8,21 +8,14 @@
 import attrs
 import trio
 
-from jujubepass import (
-    _answer_messages,
-    _answer_writers,
-    _blackboard,
-    _call_messages,
-    _caller_input,
-    _http_server,
-    _limit_messages,
-    _logs,
-    _mailboxes,
-    _metrics,
-    _node_messages,
-    declarations,
-    ids,
-)
+from jujubepass import declarations, ids
+from jujubepass.answers import _answer_messages
+from jujubepass.callers import _answer_writers, _caller_input, _mailboxes
+from jujubepass.calls import _call_messages
+from jujubepass.limits import _limit_messages
+from jujubepass.nodes import _blackboard, _node_messages
+from jujubepass.telemetry import _logs, _metrics
+from jujubepass.transport import _http_server
 
 _LOGGER = logging.getLogger(__name__)
 
--- a/src/jujubepass/_mailboxes.py
+++ b/src/jujubepass/callers/_mailboxes.py
@@ -6,7 +6,9 @@
 import attrs
 import trio
 
-from jujubepass import _answer_messages, _call_messages, ids
+from jujubepass import ids
+from jujubepass.answers import _answer_messages
+from jujubepass.calls import _call_messages
 
 Reply = (
     _answer_messages.DeliverTokens
--- /dev/null
+++ b/src/jujubepass/calls/__init__.py
@@ -0,0 +1,1 @@
+"""Calls to plain services: journal, outcomes, lookups, hedges."""
--- a/src/jujubepass/_call_answers.py
+++ b/src/jujubepass/calls/_call_answers.py
@@ -3,7 +3,7 @@
 import enum
 import json
 
-from jujubepass import _call_messages
+from jujubepass.calls import _call_messages
 
 _CONFLICT = 409
 _REFUSED_STATUSES = (429, 503)
--- a/src/jujubepass/_call_area.py
+++ b/src/jujubepass/calls/_call_area.py
@@ -4,7 +4,8 @@
 
 import attrs
 
-from jujubepass import _call_messages, ids, reasons
+from jujubepass import ids, reasons
+from jujubepass.calls import _call_messages
 
 _NO_ATTEMPT = ids.AttemptId("")
 _NO_BACKEND = ids.BackendServerId("")
--- a/src/jujubepass/_call_control.py
+++ b/src/jujubepass/calls/_call_control.py
@@ -2,19 +2,17 @@
 
 import random
 
-from jujubepass import (
-    _blackboard,
+from jujubepass import counters
+from jujubepass.calls import (
     _call_journal,
     _call_steps,
     _call_sweep,
     _calls,
-    _dispatch,
     _lookups,
     _service_balance,
-    _store_health,
-    _store_writer,
-    counters,
 )
+from jujubepass.nodes import _blackboard, _dispatch
+from jujubepass.storage import _store_health, _store_writer
 
 
 def make_controllers(
--- a/src/jujubepass/_call_journal.py
+++ b/src/jujubepass/calls/_call_journal.py
@@ -4,15 +4,10 @@
 
 import attrs
 
-from jujubepass import (
-    _blackboard,
-    _call_area,
-    _call_messages,
-    _call_rows,
-    _membership_area,
-    _store_messages,
-    _store_writer,
-)
+from jujubepass.calls import _call_area, _call_messages, _call_rows
+from jujubepass.membership import _membership_area
+from jujubepass.nodes import _blackboard
+from jujubepass.storage import _store_messages, _store_writer
 
 _State = _call_area.CallState
 _OPENING_STEPS = (_call_area.CallStep.OPENING, _call_area.CallStep.TAKING_OVER)
--- a/src/jujubepass/_call_rows.py
+++ b/src/jujubepass/calls/_call_rows.py
@@ -6,7 +6,9 @@
 
 import attrs
 
-from jujubepass import _call_area, _store_messages, ids
+from jujubepass import ids
+from jujubepass.calls import _call_area
+from jujubepass.storage import _store_messages
 
 PREFIX = "call/"
 SHARDS = 256
--- a/src/jujubepass/_call_steps.py
+++ b/src/jujubepass/calls/_call_steps.py
@@ -7,19 +7,16 @@
 
 import attrs
 
-from jujubepass import (
-    _answer_messages,
-    _blackboard,
+from jujubepass import counters, ids, reasons
+from jujubepass.answers import _answer_messages
+from jujubepass.calls import (
     _call_area,
     _call_journal,
     _call_messages,
     _call_rows,
-    _dispatch,
     _service_balance,
-    counters,
-    ids,
-    reasons,
 )
+from jujubepass.nodes import _blackboard, _dispatch
 
 _MAX_ATTEMPTS = 4
 _RETRY_AFTER_SECONDS = 1.0
--- a/src/jujubepass/_call_sweep.py
+++ b/src/jujubepass/calls/_call_sweep.py
@@ -5,17 +5,10 @@
 
 import attrs
 
-from jujubepass import (
-    _blackboard,
-    _call_area,
-    _call_rows,
-    _call_steps,
-    _dispatch,
-    _membership_area,
-    _node_messages,
-    _store_messages,
-    _store_writer,
-)
+from jujubepass.calls import _call_area, _call_rows, _call_steps
+from jujubepass.membership import _membership_area
+from jujubepass.nodes import _blackboard, _dispatch, _node_messages
+from jujubepass.storage import _store_messages, _store_writer
 
 _PREFIX = "calls/sweep/"
 _PAGE_ROWS = 100
--- a/src/jujubepass/_calls.py
+++ b/src/jujubepass/calls/_calls.py
@@ -5,22 +5,16 @@
 
 import attrs
 
-from jujubepass import (
-    _blackboard,
+from jujubepass import counters, ids, reasons
+from jujubepass.calls import (
     _call_answers,
     _call_area,
     _call_messages,
     _call_rows,
     _call_steps,
-    _dispatch,
-    _node_messages,
-    _store_health,
-    _store_messages,
-    _store_writer,
-    counters,
-    ids,
-    reasons,
 )
+from jujubepass.nodes import _blackboard, _dispatch, _node_messages
+from jujubepass.storage import _store_health, _store_messages, _store_writer
 
 _READ_PREFIX = "calls/read/"
 _ASK_PREFIX = "calls/ask/"
--- a/src/jujubepass/_lookups.py
+++ b/src/jujubepass/calls/_lookups.py
@@ -7,20 +7,16 @@
 
 import attrs
 
-from jujubepass import (
-    _answer_messages,
-    _blackboard,
+from jujubepass import counters, ids, reasons
+from jujubepass.answers import _answer_messages
+from jujubepass.calls import (
     _call_area,
     _call_messages,
-    _dispatch,
     _latency_window,
-    _node_messages,
-    _retry_budget,
     _service_balance,
-    counters,
-    ids,
-    reasons,
 )
+from jujubepass.limits import _retry_budget
+from jujubepass.nodes import _blackboard, _dispatch, _node_messages
 
 _SERVER_ERROR = 500
 _MAX_ATTEMPTS = 3
--- a/src/jujubepass/_service_balance.py
+++ b/src/jujubepass/calls/_service_balance.py
@@ -6,7 +6,9 @@
 
 import attrs
 
-from jujubepass import _backend_area, _breakers, ids
+from jujubepass import ids
+from jujubepass.backends import _backend_area
+from jujubepass.calls import _breakers
 
 _NO_BACKEND_PAUSE_SECONDS = 1.0
 
--- a/src/jujubepass/_service_client.py
+++ b/src/jujubepass/calls/_service_client.py
@@ -8,7 +8,10 @@
 import attrs
 import trio
 
-from jujubepass import _backend_messages, _call_messages, _http_client, ids
+from jujubepass import ids
+from jujubepass.backends import _backend_messages
+from jujubepass.calls import _call_messages
+from jujubepass.transport import _http_client
 
 _ASK_TIMEOUT_SECONDS = 2.0
 _UNAVAILABLE = 503
--- a/src/jujubepass/cli.py
+++ b/src/jujubepass/cli.py
@@ -8,7 +8,7 @@
 import cappa
 
 import jujubepass
-from jujubepass import _local_commands, _operator_commands, _report
+from jujubepass.operators import _local_commands, _operator_commands, _report
 
 _NODE_EXAMPLE = "--node 10.0.0.5:8081"
 _CHANGE_EXAMPLE = f"{_NODE_EXAMPLE} --base 41 --author ana"
--- /dev/null
+++ b/src/jujubepass/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Declarations: from files and operators to every node."""
--- a/src/jujubepass/_configuration.py
+++ b/src/jujubepass/configuration/_configuration.py
@@ -5,16 +5,13 @@
 
 import attrs
 
-from jujubepass import (
-    _blackboard,
+from jujubepass.configuration import (
     _configuration_installer,
     _configuration_messages,
     _configuration_rows,
-    _dispatch,
-    _node_messages,
-    _object_messages,
-    _store_messages,
 )
+from jujubepass.nodes import _blackboard, _dispatch, _node_messages
+from jujubepass.storage import _object_messages, _store_messages
 
 POLL_PREFIX = "configuration/poll/"
 PROPOSAL_PREFIX = "configuration/proposal/"
--- a/src/jujubepass/_configuration_area.py
+++ b/src/jujubepass/configuration/_configuration_area.py
@@ -5,7 +5,8 @@
 
 import attrs
 
-from jujubepass import _configuration_digest, _configuration_messages, declarations, ids
+from jujubepass import declarations, ids
+from jujubepass.configuration import _configuration_digest, _configuration_messages
 
 NO_CHANGE = ids.ChangeNumber(0)
 KEPT_CHANGES = 512
--- a/src/jujubepass/_configuration_codec.py
+++ b/src/jujubepass/configuration/_configuration_codec.py
@@ -3,8 +3,10 @@
 import json
 import typing
 
-from jujubepass import _configuration_messages, _http_client, ids
+from jujubepass import ids
+from jujubepass.configuration import _configuration_messages
 from jujubepass.generated.peer import ttypes
+from jujubepass.transport import _http_client
 
 _PLACE_PARTS = 3
 
--- a/src/jujubepass/_configuration_confirmations.py
+++ b/src/jujubepass/configuration/_configuration_confirmations.py
@@ -6,14 +6,14 @@
 
 import attrs
 
-from jujubepass import (
+from jujubepass import ids
+from jujubepass.configuration import (
     _configuration_area,
     _configuration_installer,
     _configuration_messages,
     _configuration_push,
-    _http_client,
-    ids,
 )
+from jujubepass.transport import _http_client
 
 ANSWER_SECONDS = 1.0
 SILENT_SECONDS = 2.0
--- a/src/jujubepass/_configuration_installer.py
+++ b/src/jujubepass/configuration/_configuration_installer.py
@@ -5,13 +5,12 @@
 
 import attrs
 
-from jujubepass import (
+from jujubepass import declarations, ids
+from jujubepass.configuration import (
     _configuration_area,
     _configuration_digest,
     _configuration_messages,
     _declaration_changes,
-    declarations,
-    ids,
 )
 
 _LOGGER = logging.getLogger(__name__)
--- a/src/jujubepass/_configuration_messages.py
+++ b/src/jujubepass/configuration/_configuration_messages.py
@@ -4,7 +4,8 @@
 
 import attrs
 
-from jujubepass import _http_client, _ini, ids
+from jujubepass import _ini, ids
+from jujubepass.transport import _http_client
 
 Section = collections.abc.Mapping[str, str]
 Sections = collections.abc.Mapping[str, Section]
--- a/src/jujubepass/_configuration_peers.py
+++ b/src/jujubepass/configuration/_configuration_peers.py
@@ -4,20 +4,17 @@
 
 import attrs
 
-from jujubepass import (
-    _backend_messages,
-    _blackboard,
+from jujubepass import ids
+from jujubepass.backends import _backend_messages
+from jujubepass.configuration import (
     _configuration_confirmations,
     _configuration_installer,
     _configuration_messages,
     _configuration_push,
-    _dispatch,
-    _http_client,
-    _membership_area,
-    _membership_messages,
-    _node_messages,
-    ids,
 )
+from jujubepass.membership import _membership_area, _membership_messages
+from jujubepass.nodes import _blackboard, _dispatch, _node_messages
+from jujubepass.transport import _http_client
 
 PAGE_SECTIONS = 1_000
 
--- a/src/jujubepass/_configuration_proposals.py
+++ b/src/jujubepass/configuration/_configuration_proposals.py
@@ -5,21 +5,17 @@
 
 import attrs
 
-from jujubepass import (
-    _blackboard,
+from jujubepass import _ini, ids
+from jujubepass.configuration import (
     _configuration,
     _configuration_digest,
     _configuration_installer,
     _configuration_messages,
     _configuration_rows,
     _declaration_changes,
-    _dispatch,
-    _ini,
-    _node_messages,
-    _object_messages,
-    _store_messages,
-    ids,
 )
+from jujubepass.nodes import _blackboard, _dispatch, _node_messages
+from jujubepass.storage import _object_messages, _store_messages
 
 _CONFLICT = 409
 _GONE = 410
--- a/src/jujubepass/_configuration_push.py
+++ b/src/jujubepass/configuration/_configuration_push.py
@@ -6,7 +6,9 @@
 
 import attrs
 
-from jujubepass import _configuration_messages, _http_client, ids
+from jujubepass import ids
+from jujubepass.configuration import _configuration_messages
+from jujubepass.transport import _http_client
 
 FAN_OUT = 8
 
--- a/src/jujubepass/_configuration_rows.py
+++ b/src/jujubepass/configuration/_configuration_rows.py
@@ -4,7 +4,9 @@
 import json
 import typing
 
-from jujubepass import _configuration_messages, _store_messages, ids
+from jujubepass import ids
+from jujubepass.configuration import _configuration_messages
+from jujubepass.storage import _store_messages
 
 HEAD_KEY = "configuration/head"
 SNAPSHOT_KEY = "configuration/snapshot"
--- a/src/jujubepass/_configuration_snapshots.py
+++ b/src/jujubepass/configuration/_configuration_snapshots.py
@@ -5,16 +5,14 @@
 
 import attrs
 
-from jujubepass import (
-    _blackboard,
+from jujubepass import ids
+from jujubepass.configuration import (
     _configuration_area,
     _configuration_messages,
     _configuration_rows,
-    _dispatch,
-    _object_messages,
-    _store_messages,
-    ids,
 )
+from jujubepass.nodes import _blackboard, _dispatch
+from jujubepass.storage import _object_messages, _store_messages
 
 _PREFIX = "configuration/keep/"
 _SCANNED_ROWS = 40
--- a/src/jujubepass/_declaration_changes.py
+++ b/src/jujubepass/configuration/_declaration_changes.py
@@ -6,15 +6,9 @@
 
 import attrs
 
-from jujubepass import (
-    _account_map,
-    _backend_messages,
-    _declaration_schema,
-    _ini,
-    _templates,
-    declarations,
-    ids,
-)
+from jujubepass import _ini, declarations, ids
+from jujubepass.backends import _backend_messages
+from jujubepass.configuration import _account_map, _declaration_schema, _templates
 
 Section = collections.abc.Mapping[str, str]
 Sections = collections.abc.Mapping[str, Section]
--- a/src/jujubepass/_declaration_files.py
+++ b/src/jujubepass/configuration/_declaration_files.py
@@ -6,7 +6,8 @@
 import attrs
 import returns.result
 
-from jujubepass import _declaration_changes, _ini, declarations
+from jujubepass import _ini, declarations
+from jujubepass.configuration import _declaration_changes
 
 _SUFFIX = ".ini"
 
--- a/src/jujubepass/_declaration_schema.py
+++ b/src/jujubepass/configuration/_declaration_schema.py
@@ -5,7 +5,8 @@
 
 import attrs
 
-from jujubepass import _http_client, _ini, declarations, ids
+from jujubepass import _ini, declarations, ids
+from jujubepass.transport import _http_client
 
 NAMES_SEPARATOR = ","
 
--- a/src/jujubepass/_plans.py
+++ b/src/jujubepass/configuration/_plans.py
@@ -5,12 +5,11 @@
 
 import attrs
 
-from jujubepass import (
+from jujubepass import _ini, declarations
+from jujubepass.configuration import (
     _configuration_digest,
     _declaration_changes,
     _declaration_files,
-    _ini,
-    declarations,
 )
 
 _SHOWN_ACCOUNTS = 20
--- a/src/jujubepass/_templates.py
+++ b/src/jujubepass/configuration/_templates.py
@@ -7,7 +7,8 @@
 
 import attrs
 
-from jujubepass import _declaration_schema, _ini, declarations, ids
+from jujubepass import _ini, declarations, ids
+from jujubepass.configuration import _declaration_schema
 
 TEMPLATE_KEY = "template"
 
--- a/src/jujubepass/declarations.py
+++ b/src/jujubepass/declarations.py
@@ -5,7 +5,8 @@
 
 import attrs
 
-from jujubepass import _backend_messages, ids
+from jujubepass import ids
+from jujubepass.backends import _backend_messages
 
 
 class ParameterKind(enum.Enum):
--- a/src/jujubepass/forwarding/adapters.py
+++ b/src/jujubepass/forwarding/adapters.py
@@ -2,7 +2,6 @@
 
 import attrs
 
-from jujubepass import _table_client
 from jujubepass.forwarding import (
     backends,
     declarations,
@@ -11,6 +10,7 @@
     feeds,
     plans,
 )
+from jujubepass.storage import _table_client
 
 
 @attrs.frozen(kw_only=True)
--- a/src/jujubepass/forwarding/engines.py
+++ b/src/jujubepass/forwarding/engines.py
@@ -5,8 +5,9 @@
 
 import attrs
 
-from jujubepass import _http_client, ids
+from jujubepass import ids
 from jujubepass.forwarding import backends, paths
+from jujubepass.transport import _http_client
 
 
 class EngineError(Exception):
--- a/src/jujubepass/forwarding/exchange.py
+++ b/src/jujubepass/forwarding/exchange.py
@@ -5,8 +5,9 @@
 
 import attrs
 
-from jujubepass import _http_client, _http_server, ids
+from jujubepass import ids
 from jujubepass.forwarding import declarations, paths
+from jujubepass.transport import _http_client, _http_server
 
 Fields = _http_client.Fields
 
--- a/src/jujubepass/forwarding/forwarder.py
+++ b/src/jujubepass/forwarding/forwarder.py
@@ -5,7 +5,6 @@
 
 import attrs
 
-from jujubepass import _http_server
 from jujubepass.forwarding import (
     admission,
     board,
@@ -16,6 +15,7 @@
     service_exchange,
     stream_exchange,
 )
+from jujubepass.transport import _http_server
 
 _LOGGER = logging.getLogger(__name__)
 
--- a/src/jujubepass/forwarding/measures.py
+++ b/src/jujubepass/forwarding/measures.py
@@ -4,7 +4,8 @@
 
 import attrs
 
-from jujubepass import _distribution, reasons
+from jujubepass import reasons
+from jujubepass.telemetry import _distribution
 
 # fmt: off
 _REQUEST_BOUNDS_SECONDS = (
--- a/src/jujubepass/forwarding/metrics_page.py
+++ b/src/jujubepass/forwarding/metrics_page.py
@@ -4,9 +4,10 @@
 
 import attrs
 
-from jujubepass import _http_client, _metric_registry
 from jujubepass.forwarding import board, clocks, ordering
 from jujubepass.forwarding import measures as node_measures
+from jujubepass.telemetry import _metric_registry
+from jujubepass.transport import _http_client
 
 
 @attrs.frozen(kw_only=True)
--- a/src/jujubepass/forwarding/node.py
+++ b/src/jujubepass/forwarding/node.py
@@ -8,7 +8,7 @@
 
 import trio
 
-from jujubepass import __version__, _http_client, _http_server, _retry_budget, ids
+from jujubepass import __version__, ids
 from jujubepass.forwarding import (
     adapters,
     admission,
@@ -36,6 +36,8 @@
     stream_exchange,
     suspicion,
 )
+from jujubepass.limits import _retry_budget
+from jujubepass.transport import _http_client, _http_server
 
 _LOGGER = logging.getLogger(__name__)
 
--- a/src/jujubepass/forwarding/paths.py
+++ b/src/jujubepass/forwarding/paths.py
@@ -6,8 +6,9 @@
 
 import attrs
 
-from jujubepass import _http_client, ids
+from jujubepass import ids
 from jujubepass.forwarding import backends, declarations
+from jujubepass.transport import _http_client
 
 # A hop inside a failure domain, by the sites' sheets (0.2 ms one way).
 _HOP_SECONDS = 0.0002
--- a/src/jujubepass/forwarding/plan_rows.py
+++ b/src/jujubepass/forwarding/plan_rows.py
@@ -5,8 +5,9 @@
 
 import attrs
 
-from jujubepass import _store_messages, ids
+from jujubepass import ids
 from jujubepass.forwarding import backends, plans
+from jujubepass.storage import _store_messages
 
 _PREFIX = "plan/"
 
--- a/src/jujubepass/forwarding/planning.py
+++ b/src/jujubepass/forwarding/planning.py
@@ -6,8 +6,8 @@
 import attrs
 import trio
 
-from jujubepass import _store_messages, _table_client
 from jujubepass.forwarding import board, clocks, feeds, plan_rows, planner, plans
+from jujubepass.storage import _store_messages, _table_client
 
 _LOGGER = logging.getLogger(__name__)
 
--- a/src/jujubepass/forwarding/readiness.py
+++ b/src/jujubepass/forwarding/readiness.py
@@ -4,8 +4,8 @@
 
 import attrs
 
-from jujubepass import _http_server
 from jujubepass.forwarding import admission, board, clocks
+from jujubepass.transport import _http_server
 
 _LOGGER = logging.getLogger(__name__)
 
--- a/src/jujubepass/forwarding/reloading.py
+++ b/src/jujubepass/forwarding/reloading.py
@@ -6,8 +6,8 @@
 import attrs
 import returns.result
 
-from jujubepass import _logs
 from jujubepass.forwarding import board, settings
+from jujubepass.telemetry import _logs
 
 _LOGGER = logging.getLogger(__name__)
 
--- a/src/jujubepass/forwarding/replies.py
+++ b/src/jujubepass/forwarding/replies.py
@@ -4,8 +4,9 @@
 
 import attrs
 
-from jujubepass import _http_server, reasons
+from jujubepass import reasons
 from jujubepass.forwarding import admission, exchange
+from jujubepass.transport import _http_server
 
 _LOGGER = logging.getLogger(__name__)
 
--- a/src/jujubepass/forwarding/sending.py
+++ b/src/jujubepass/forwarding/sending.py
@@ -6,8 +6,8 @@
 
 import attrs
 
-from jujubepass import _http_client
 from jujubepass.forwarding import exchange
+from jujubepass.transport import _http_client
 
 _LOGGER = logging.getLogger(__name__)
 
--- a/src/jujubepass/forwarding/service_exchange.py
+++ b/src/jujubepass/forwarding/service_exchange.py
@@ -6,7 +6,7 @@
 import attrs
 import trio
 
-from jujubepass import _retry_budget, ids, reasons
+from jujubepass import ids, reasons
 from jujubepass.forwarding import (
     admission,
     backend_list,
@@ -18,6 +18,7 @@
     sending,
     suspicion,
 )
+from jujubepass.limits import _retry_budget
 
 _LOGGER = logging.getLogger(__name__)
 
--- a/src/jujubepass/forwarding/settings.py
+++ b/src/jujubepass/forwarding/settings.py
@@ -8,8 +8,9 @@
 import attrs
 import returns.result
 
-from jujubepass import _http_client, _ini, ids
+from jujubepass import _ini, ids
 from jujubepass import settings as node_settings
+from jujubepass.transport import _http_client
 
 _LOGGER = logging.getLogger(__name__)
 
--- a/src/jujubepass/forwarding/stream_exchange.py
+++ b/src/jujubepass/forwarding/stream_exchange.py
@@ -7,7 +7,7 @@
 import attrs
 import trio
 
-from jujubepass import _http_client, _retry_budget, ids, reasons
+from jujubepass import ids, reasons
 from jujubepass.forwarding import (
     admission,
     clocks,
@@ -22,6 +22,8 @@
     suspicion,
     watched,
 )
+from jujubepass.limits import _retry_budget
+from jujubepass.transport import _http_client
 
 _LOGGER = logging.getLogger(__name__)
 
--- /dev/null
+++ b/src/jujubepass/leases/__init__.py
@@ -0,0 +1,1 @@
+"""Leases with fencing numbers in the platform's table."""
--- a/src/jujubepass/_lease_rows.py
+++ b/src/jujubepass/leases/_lease_rows.py
@@ -2,7 +2,9 @@
 
 import attrs
 
-from jujubepass import _blackboard, _store_messages, ids
+from jujubepass import ids
+from jujubepass.nodes import _blackboard
+from jujubepass.storage import _store_messages
 
 _PREFIX = "lease/"
 _NOBODY = ""
--- a/src/jujubepass/_leases.py
+++ b/src/jujubepass/leases/_leases.py
@@ -4,15 +4,10 @@
 
 import attrs
 
-from jujubepass import (
-    _blackboard,
-    _dispatch,
-    _lease_area,
-    _lease_rows,
-    _node_messages,
-    _store_messages,
-    ids,
-)
+from jujubepass import ids
+from jujubepass.leases import _lease_area, _lease_rows
+from jujubepass.nodes import _blackboard, _dispatch, _node_messages
+from jujubepass.storage import _store_messages
 
 _OPERATIONS = "leases/"
 _RENEWALS_PER_LEASE = 4.0
--- /dev/null
+++ b/src/jujubepass/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Admission, fairness, retries and shares of client accounts."""
--- a/src/jujubepass/_admission.py
+++ b/src/jujubepass/limits/_admission.py
@@ -5,17 +5,10 @@
 
 import attrs
 
-from jujubepass import (
-    _answer_messages,
-    _blackboard,
-    _capacity,
-    _dispatch,
-    _fairness,
-    _limit_messages,
-    declarations,
-    ids,
-    reasons,
-)
+from jujubepass import declarations, ids, reasons
+from jujubepass.answers import _answer_messages
+from jujubepass.limits import _capacity, _fairness, _limit_messages
+from jujubepass.nodes import _blackboard, _dispatch
 
 _PROMPT_WORDS_PER_COST = 16.0
 _LEAST_WEIGHT = 0.01
--- a/src/jujubepass/_capacity.py
+++ b/src/jujubepass/limits/_capacity.py
@@ -5,7 +5,9 @@
 
 import attrs
 
-from jujubepass import _backend_messages, _blackboard, ids
+from jujubepass import ids
+from jujubepass.backends import _backend_messages
+from jujubepass.nodes import _blackboard
 
 # A token that comes from another stage meets a step that runs: one batch gathers while
 # another runs, so that an engine never waits for work.
--- a/src/jujubepass/_fairness.py
+++ b/src/jujubepass/limits/_fairness.py
@@ -6,7 +6,8 @@
 
 import attrs
 
-from jujubepass import _answer_messages, ids
+from jujubepass import ids
+from jujubepass.answers import _answer_messages
 
 
 @attrs.frozen(kw_only=True)
--- a/src/jujubepass/_limit_control.py
+++ b/src/jujubepass/limits/_limit_control.py
@@ -1,6 +1,8 @@
 """Assembly of the controller that admits requests."""
 
-from jujubepass import _admission, _blackboard, _limits, settings
+from jujubepass import settings
+from jujubepass.limits import _admission, _limits
+from jujubepass.nodes import _blackboard
 
 
 def make_controller(
--- a/src/jujubepass/_limit_messages.py
+++ b/src/jujubepass/limits/_limit_messages.py
@@ -2,7 +2,9 @@
 
 import attrs
 
-from jujubepass import _answer_messages, _call_messages, ids
+from jujubepass import ids
+from jujubepass.answers import _answer_messages
+from jujubepass.calls import _call_messages
 
 Arrival = (
     _answer_messages.PromptArrived
--- a/src/jujubepass/_limits.py
+++ b/src/jujubepass/limits/_limits.py
@@ -4,19 +4,11 @@
 
 import attrs
 
-from jujubepass import (
-    _admission,
-    _answer_messages,
-    _blackboard,
-    _call_messages,
-    _dispatch,
-    _limit_area,
-    _limit_messages,
-    _node_messages,
-    declarations,
-    ids,
-    reasons,
-)
+from jujubepass import declarations, ids, reasons
+from jujubepass.answers import _answer_messages
+from jujubepass.calls import _call_messages
+from jujubepass.limits import _admission, _limit_area, _limit_messages
+from jujubepass.nodes import _blackboard, _dispatch, _node_messages
 
 _LEAST_BURST = 4.0
 _RETRY_SECONDS = 1.0
--- a/src/jujubepass/_share_codec.py
+++ b/src/jujubepass/limits/_share_codec.py
@@ -3,8 +3,9 @@
 import math
 import typing
 
-from jujubepass import _share_messages, ids
+from jujubepass import ids
 from jujubepass.generated.peer import ttypes
+from jujubepass.limits import _share_messages
 
 _PER_UNIT = 1_000
 _MAX_ROWS = 10_000
--- a/src/jujubepass/_share_home.py
+++ b/src/jujubepass/limits/_share_home.py
@@ -5,7 +5,9 @@
 
 import attrs
 
-from jujubepass import _rendezvous, _share_messages, declarations, ids
+from jujubepass import declarations, ids
+from jujubepass.limits import _share_messages
+from jujubepass.membership import _rendezvous
 
 _NODES_PER_RESERVE = 200
 _LEAST_RESERVED_FRACTION = 0.01
--- a/src/jujubepass/_share_messages.py
+++ b/src/jujubepass/limits/_share_messages.py
@@ -2,7 +2,8 @@
 
 import attrs
 
-from jujubepass import _http_client, ids
+from jujubepass import ids
+from jujubepass.transport import _http_client
 
 
 @attrs.frozen(kw_only=True)
--- a/src/jujubepass/_shares.py
+++ b/src/jujubepass/limits/_shares.py
@@ -6,16 +6,10 @@
 
 import attrs
 
-from jujubepass import (
-    _blackboard,
-    _dispatch,
-    _node_messages,
-    _rendezvous,
-    _share_area,
-    _share_home,
-    _share_messages,
-    ids,
-)
+from jujubepass import ids
+from jujubepass.limits import _share_area, _share_home, _share_messages
+from jujubepass.membership import _rendezvous
+from jujubepass.nodes import _blackboard, _dispatch, _node_messages
 
 _RATE_SMOOTHING_SECONDS = 2.0
 _MAX_WINDOW_SECONDS = 120.0
--- /dev/null
+++ b/src/jujubepass/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Who is there: nodes, their heartbeats and VMs."""
--- a/src/jujubepass/_member_table.py
+++ b/src/jujubepass/membership/_member_table.py
@@ -4,17 +4,16 @@
 
 import attrs
 
-from jujubepass import (
-    _backend_messages,
-    _blackboard,
-    _http_client,
+from jujubepass import ids
+from jujubepass.backends import _backend_messages
+from jujubepass.membership import (
     _membership_area,
     _membership_messages,
     _neighbours,
-    _node_messages,
     _rumours,
-    ids,
 )
+from jujubepass.nodes import _blackboard, _node_messages
+from jujubepass.transport import _http_client
 
 _State = _membership_area.PeerState
 _ACCUSERS_NEEDED = 2
--- a/src/jujubepass/_membership.py
+++ b/src/jujubepass/membership/_membership.py
@@ -4,16 +4,10 @@
 
 import attrs
 
-from jujubepass import (
-    _backend_messages,
-    _blackboard,
-    _dispatch,
-    _member_table,
-    _membership_messages,
-    _neighbours,
-    _node_messages,
-    ids,
-)
+from jujubepass import ids
+from jujubepass.backends import _backend_messages
+from jujubepass.membership import _member_table, _membership_messages, _neighbours
+from jujubepass.nodes import _blackboard, _dispatch, _node_messages
 
 _HEARTBEATS_PER_SECOND = 8.0
 _JUDGEMENTS_PER_HEARTBEAT = 4.0
--- a/src/jujubepass/_membership_area.py
+++ b/src/jujubepass/membership/_membership_area.py
@@ -5,7 +5,9 @@
 
 import attrs
 
-from jujubepass import _http_client, _membership_messages, ids
+from jujubepass import ids
+from jujubepass.membership import _membership_messages
+from jujubepass.transport import _http_client
 
 _NEVER = float("-inf")
 _UNTOLD_REGION = ids.RegionId("")
--- a/src/jujubepass/_membership_codec.py
+++ b/src/jujubepass/membership/_membership_codec.py
@@ -2,8 +2,11 @@
 
 import typing
 
-from jujubepass import _http_client, _membership_messages, _node_messages, ids
+from jujubepass import ids
 from jujubepass.generated.peer import ttypes
+from jujubepass.membership import _membership_messages
+from jujubepass.nodes import _node_messages
+from jujubepass.transport import _http_client
 
 
 def write_heartbeat(heartbeat: _membership_messages.Heartbeat) -> typing.Any:
--- a/src/jujubepass/_membership_messages.py
+++ b/src/jujubepass/membership/_membership_messages.py
@@ -2,7 +2,9 @@
 
 import attrs
 
-from jujubepass import _http_client, _node_messages, ids
+from jujubepass import ids
+from jujubepass.nodes import _node_messages
+from jujubepass.transport import _http_client
 
 
 @attrs.frozen(kw_only=True)
--- a/src/jujubepass/_vm_client.py
+++ b/src/jujubepass/membership/_vm_client.py
@@ -6,7 +6,9 @@
 
 import attrs
 
-from jujubepass import _backend_messages, _http_client, ids
+from jujubepass import ids
+from jujubepass.backends import _backend_messages
+from jujubepass.transport import _http_client
 
 _LOGGER = logging.getLogger(__name__)
 
--- /dev/null
+++ b/src/jujubepass/nodes/__init__.py
@@ -0,0 +1,1 @@
+"""Assembly and life of one node."""
--- a/src/jujubepass/_blackboard.py
+++ b/src/jujubepass/nodes/_blackboard.py
@@ -2,21 +2,17 @@
 
 import attrs
 
-from jujubepass import (
-    _answer_area,
-    _backend_area,
-    _call_area,
-    _configuration_area,
-    _departure_area,
-    _http_client,
-    _lease_area,
-    _limit_area,
-    _membership_area,
-    _node_messages,
-    _order_area,
-    _share_area,
-    ids,
-)
+from jujubepass import ids
+from jujubepass.answers import _answer_area
+from jujubepass.backends import _backend_area, _departure_area
+from jujubepass.calls import _call_area
+from jujubepass.configuration import _configuration_area
+from jujubepass.leases import _lease_area
+from jujubepass.limits import _limit_area, _share_area
+from jujubepass.membership import _membership_area
+from jujubepass.nodes import _node_messages
+from jujubepass.orders import _order_area
+from jujubepass.transport import _http_client
 
 
 @attrs.frozen(kw_only=True)
--- a/src/jujubepass/_dispatch.py
+++ b/src/jujubepass/nodes/_dispatch.py
@@ -5,7 +5,7 @@
 import math
 import typing
 
-from jujubepass import _node_messages
+from jujubepass.nodes import _node_messages
 
 Event = typing.Any
 Command = typing.Any
--- a/src/jujubepass/_node.py
+++ b/src/jujubepass/nodes/_node.py
@@ -6,27 +6,22 @@
 
 import trio
 
-from jujubepass import (
-    __version__,
+from jujubepass import __version__, ids, settings
+from jujubepass.callers import _callers, _mailboxes
+from jujubepass.calls import _call_messages
+from jujubepass.nodes import (
     _blackboard,
-    _call_messages,
-    _callers,
     _dispatch,
-    _http_client,
-    _http_server,
-    _mailboxes,
-    _metrics,
     _node_answers,
     _node_connections,
     _node_controllers,
     _node_messages,
-    _node_metrics,
-    _operators,
     _shell,
     _shutdown,
-    ids,
-    settings,
 )
+from jujubepass.operators import _operators
+from jujubepass.telemetry import _metrics, _node_metrics
+from jujubepass.transport import _http_client, _http_server
 
 _LOGGER = logging.getLogger(__name__)
 
--- a/src/jujubepass/_node_answers.py
+++ b/src/jujubepass/nodes/_node_answers.py
@@ -2,16 +2,11 @@
 
 import random
 
-from jujubepass import (
-    _answers,
-    _attempts,
-    _blackboard,
-    _metrics,
-    _recovery,
-    _routes,
-    settings,
-    traces,
-)
+from jujubepass import settings, traces
+from jujubepass.answers import _answers, _attempts, _recovery
+from jujubepass.nodes import _blackboard
+from jujubepass.routing import _routes
+from jujubepass.telemetry import _metrics
 
 
 def make_answers(
--- a/src/jujubepass/_node_connections.py
+++ b/src/jujubepass/nodes/_node_connections.py
@@ -6,35 +6,25 @@
 
 import trio
 
-from jujubepass import (
-    _answer_messages,
-    _backend_messages,
-    _call_messages,
-    _configuration_codec,
-    _configuration_messages,
-    _engine_client,
-    _http_client,
-    _limit_messages,
-    _mailboxes,
-    _membership_messages,
-    _metrics,
-    _node_metrics,
+from jujubepass import settings
+from jujubepass.answers import _answer_messages, _engine_client
+from jujubepass.backends import _backend_messages
+from jujubepass.callers import _mailboxes
+from jujubepass.calls import _call_messages, _service_client
+from jujubepass.configuration import _configuration_codec, _configuration_messages
+from jujubepass.limits import _limit_messages, _share_codec, _share_messages
+from jujubepass.membership import _membership_messages, _vm_client
+from jujubepass.nodes import _shell
+from jujubepass.operators import _operators
+from jujubepass.orders import _order_client, _order_messages
+from jujubepass.storage import (
     _object_client,
     _object_messages,
-    _operators,
-    _order_client,
-    _order_messages,
-    _peer_codec,
-    _peers,
-    _service_client,
-    _share_codec,
-    _share_messages,
-    _shell,
     _store_messages,
     _table_client,
-    _vm_client,
-    settings,
 )
+from jujubepass.telemetry import _metrics, _node_metrics
+from jujubepass.transport import _http_client, _peer_codec, _peers
 
 
 async def connect(
--- a/src/jujubepass/_node_controllers.py
+++ b/src/jujubepass/nodes/_node_controllers.py
@@ -4,27 +4,21 @@
 import time
 import uuid
 
-from jujubepass import (
-    _backends,
-    _blackboard,
-    _call_control,
-    _call_journal,
+from jujubepass import settings
+from jujubepass.backends import _backends, _departures
+from jujubepass.calls import _call_control, _call_journal
+from jujubepass.configuration import (
     _configuration,
     _configuration_installer,
     _configuration_peers,
     _configuration_proposals,
     _configuration_snapshots,
-    _departures,
-    _dispatch,
-    _limit_control,
-    _membership,
-    _metrics,
-    _node_answers,
-    _node_life,
-    _order_control,
-    _shares,
-    settings,
 )
+from jujubepass.limits import _limit_control, _shares
+from jujubepass.membership import _membership
+from jujubepass.nodes import _blackboard, _dispatch, _node_answers, _node_life
+from jujubepass.orders import _order_control
+from jujubepass.telemetry import _metrics
 
 
 def _make_incarnation() -> str:
--- a/src/jujubepass/_node_life.py
+++ b/src/jujubepass/nodes/_node_life.py
@@ -4,15 +4,11 @@
 
 import attrs
 
-from jujubepass import (
-    _backend_messages,
-    _blackboard,
-    _configuration_messages,
-    _dispatch,
-    _membership_messages,
-    _node_messages,
-    _store_messages,
-)
+from jujubepass.backends import _backend_messages
+from jujubepass.configuration import _configuration_messages
+from jujubepass.membership import _membership_messages
+from jujubepass.nodes import _blackboard, _dispatch, _node_messages
+from jujubepass.storage import _store_messages
 
 _State = _node_messages.NodeState
 
--- a/src/jujubepass/_shell.py
+++ b/src/jujubepass/nodes/_shell.py
@@ -8,7 +8,7 @@
 import attrs
 import trio
 
-from jujubepass import _dispatch
+from jujubepass.nodes import _dispatch
 
 _LOGGER = logging.getLogger(__name__)
 
--- a/src/jujubepass/_shutdown.py
+++ b/src/jujubepass/nodes/_shutdown.py
@@ -5,14 +5,11 @@
 
 import trio
 
-from jujubepass import (
-    _call_messages,
-    _http_server,
-    _node_messages,
-    _shell,
-    _store_messages,
-    settings,
-)
+from jujubepass import settings
+from jujubepass.calls import _call_messages
+from jujubepass.nodes import _node_messages, _shell
+from jujubepass.storage import _store_messages
+from jujubepass.transport import _http_server
 
 _LOGGER = logging.getLogger(__name__)
 
--- /dev/null
+++ b/src/jujubepass/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Commands and the interface of operators."""
--- a/src/jujubepass/_local_commands.py
+++ b/src/jujubepass/operators/_local_commands.py
@@ -9,8 +9,11 @@
 import trio
 
 import jujubepass
-from jujubepass import _declaration_files, _logs, _report, _settings_reference, settings
+from jujubepass import settings
+from jujubepass.configuration import _declaration_files
 from jujubepass.forwarding import settings as forwarding_settings
+from jujubepass.operators import _report, _settings_reference
+from jujubepass.telemetry import _logs
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -101,7 +104,7 @@
 
 def _run_node(node_settings: settings.Settings) -> int:
     # The node's modules are needed by this command alone.
-    from jujubepass import _node
+    from jujubepass.nodes import _node
 
     security = node_settings.security
     _logs.set_up(
--- a/src/jujubepass/_operator_client.py
+++ b/src/jujubepass/operators/_operator_client.py
@@ -7,7 +7,8 @@
 import attrs
 import trio
 
-from jujubepass import _http_client, ids
+from jujubepass import ids
+from jujubepass.transport import _http_client
 
 _TIMEOUT_SECONDS = 10.0
 _SUCCESS = range(200, 300)
--- a/src/jujubepass/_operator_commands.py
+++ b/src/jujubepass/operators/_operator_commands.py
@@ -10,15 +10,10 @@
 import returns.result
 import trio
 
-from jujubepass import (
-    _declaration_files,
-    _http_client,
-    _ini,
-    _operator_client,
-    _plans,
-    _report,
-    ids,
-)
+from jujubepass import _ini, ids
+from jujubepass.configuration import _declaration_files, _plans
+from jujubepass.operators import _operator_client, _report
+from jujubepass.transport import _http_client
 
 KEY_VARIABLE = "JUJUBEPASS_OPERATOR_KEY"
 
--- a/src/jujubepass/_operators.py
+++ b/src/jujubepass/operators/_operators.py
@@ -10,16 +10,11 @@
 import attrs
 import trio
 
-from jujubepass import (
-    _blackboard,
-    _configuration_codec,
-    _configuration_messages,
-    _http_server,
-    _metrics,
-    _node_messages,
-    ids,
-    traces,
-)
+from jujubepass import ids, traces
+from jujubepass.configuration import _configuration_codec, _configuration_messages
+from jujubepass.nodes import _blackboard, _node_messages
+from jujubepass.telemetry import _metrics
+from jujubepass.transport import _http_server
 
 _PROPOSAL_TIMEOUT_SECONDS = 10.0
 _SHOWN_CHANGES = 20
--- /dev/null
+++ b/src/jujubepass/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Orders that bring engines to what is declared."""
--- a/src/jujubepass/_order_client.py
+++ b/src/jujubepass/orders/_order_client.py
@@ -7,7 +7,9 @@
 import attrs
 import trio
 
-from jujubepass import _http_client, _order_area, _order_messages, ids
+from jujubepass import ids
+from jujubepass.orders import _order_area, _order_messages
+from jujubepass.transport import _http_client
 
 _TIMEOUT_SECONDS = 2.0
 _OK = 200
--- a/src/jujubepass/_order_control.py
+++ b/src/jujubepass/orders/_order_control.py
@@ -1,6 +1,9 @@
 """Assembly of the controllers that order engines under leases."""
 
-from jujubepass import _blackboard, _dispatch, _leases, _orders, settings
+from jujubepass import settings
+from jujubepass.leases import _leases
+from jujubepass.nodes import _blackboard, _dispatch
+from jujubepass.orders import _orders
 
 
 def make_controllers(
--- a/src/jujubepass/_order_messages.py
+++ b/src/jujubepass/orders/_order_messages.py
@@ -2,7 +2,9 @@
 
 import attrs
 
-from jujubepass import _http_client, _order_area, ids
+from jujubepass import ids
+from jujubepass.orders import _order_area
+from jujubepass.transport import _http_client
 
 
 @attrs.frozen(kw_only=True)
--- a/src/jujubepass/_orders.py
+++ b/src/jujubepass/orders/_orders.py
@@ -6,16 +6,11 @@
 
 import attrs
 
-from jujubepass import (
-    _backend_area,
-    _blackboard,
-    _dispatch,
-    _lease_area,
-    _node_messages,
-    _order_area,
-    _order_messages,
-    ids,
-)
+from jujubepass import ids
+from jujubepass.backends import _backend_area
+from jujubepass.leases import _lease_area
+from jujubepass.nodes import _blackboard, _dispatch, _node_messages
+from jujubepass.orders import _order_area, _order_messages
 
 _GROUPING_SECONDS = 1.0
 _READ_SECONDS = 2.0
--- a/src/jujubepass/platform/assembly.py
+++ b/src/jujubepass/platform/assembly.py
@@ -5,9 +5,10 @@
 
 import trio
 
-from jujubepass import _http_client, _log_output, _logs
 from jujubepass.forwarding import adapters, node, plan_rows, plans, settings
 from jujubepass.platform import backends, configuration, engines, store, wire
+from jujubepass.telemetry import _log_output, _logs
+from jujubepass.transport import _http_client
 
 _CONNECT_TIMEOUT_SECONDS = 0.5
 
--- a/src/jujubepass/platform/backends.py
+++ b/src/jujubepass/platform/backends.py
@@ -2,9 +2,10 @@
 
 import typing
 
-from jujubepass import _http_client, ids
+from jujubepass import ids
 from jujubepass.forwarding import backends
 from jujubepass.platform import store
+from jujubepass.transport import _http_client
 
 _STATES = {
     "ready": backends.BackendState.READY,
--- a/src/jujubepass/platform/engines.py
+++ b/src/jujubepass/platform/engines.py
@@ -6,10 +6,11 @@
 
 import attrs
 
-from jujubepass import _http_client, ids
+from jujubepass import ids
 from jujubepass.forwarding import backends, engines, paths
 from jujubepass.platform import backends as entries
 from jujubepass.platform import headers, wire
+from jujubepass.transport import _http_client
 
 _TIMEOUT_SECONDS = 0.5
 _OK = 200
--- a/src/jujubepass/platform/store.py
+++ b/src/jujubepass/platform/store.py
@@ -9,8 +9,9 @@
 
 import attrs
 
-from jujubepass import _http_client, _object_client, _store_messages
 from jujubepass.forwarding import clocks, feeds
+from jujubepass.storage import _object_client, _store_messages
+from jujubepass.transport import _http_client
 
 _LOGGER = logging.getLogger(__name__)
 
--- a/src/jujubepass/platform/wire.py
+++ b/src/jujubepass/platform/wire.py
@@ -4,9 +4,10 @@
 
 import attrs
 
-from jujubepass import _http_client, _http_server, ids
+from jujubepass import ids
 from jujubepass.forwarding import exchange, paths
 from jujubepass.platform import headers
+from jujubepass.transport import _http_client, _http_server
 
 _HOP_BY_HOP = frozenset(
     (
--- /dev/null
+++ b/src/jujubepass/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Routes over engines that hold ranges of layers."""
--- a/src/jujubepass/_engine_costs.py
+++ b/src/jujubepass/routing/_engine_costs.py
@@ -4,14 +4,12 @@
 
 import attrs
 
-from jujubepass import (
-    _answer_messages,
-    _backend_area,
-    _blackboard,
-    _http_client,
-    _prefixes,
-    ids,
-)
+from jujubepass import ids
+from jujubepass.answers import _answer_messages
+from jujubepass.backends import _backend_area
+from jujubepass.nodes import _blackboard
+from jujubepass.routing import _prefixes
+from jujubepass.transport import _http_client
 
 _DEFAULT_LINK_SECONDS = 0.005
 _KV_TOKENS_PER_LINK_DELAY = 256
--- a/src/jujubepass/_naive.py
+++ b/src/jujubepass/routing/_naive.py
@@ -4,14 +4,9 @@
 
 import attrs
 
-from jujubepass import (
-    _answer_area,
-    _answer_messages,
-    _blackboard,
-    _engine_costs,
-    _recovery,
-    _routes,
-)
+from jujubepass.answers import _answer_area, _answer_messages, _recovery
+from jujubepass.nodes import _blackboard
+from jujubepass.routing import _engine_costs, _routes
 
 _TOKEN_SECONDS = 0.030
 _FIRST_TOKEN_SECONDS = 0.1
--- a/src/jujubepass/_prefixes.py
+++ b/src/jujubepass/routing/_prefixes.py
@@ -3,7 +3,8 @@
 import collections.abc
 import hashlib
 
-from jujubepass import _backend_area, ids
+from jujubepass import ids
+from jujubepass.backends import _backend_area
 
 BLOCK_WORDS = 16
 """Words in one prefix block."""
--- a/src/jujubepass/_route_search.py
+++ b/src/jujubepass/routing/_route_search.py
@@ -5,7 +5,8 @@
 
 import attrs
 
-from jujubepass import _answer_messages, _engine_costs
+from jujubepass.answers import _answer_messages
+from jujubepass.routing import _engine_costs
 
 
 @attrs.frozen(kw_only=True)
--- a/src/jujubepass/_routes.py
+++ b/src/jujubepass/routing/_routes.py
@@ -5,13 +5,10 @@
 
 import attrs
 
-from jujubepass import (
-    _answer_messages,
-    _blackboard,
-    _engine_costs,
-    _route_search,
-    ids,
-)
+from jujubepass import ids
+from jujubepass.answers import _answer_messages
+from jujubepass.nodes import _blackboard
+from jujubepass.routing import _engine_costs, _route_search
 
 _BEST_PER_RANGE = 8
 _JITTER_SHARE = 0.02
--- a/src/jujubepass/_subsets.py
+++ b/src/jujubepass/routing/_subsets.py
@@ -5,7 +5,8 @@
 import hashlib
 import heapq
 
-from jujubepass import _backend_area, declarations, ids
+from jujubepass import declarations, ids
+from jujubepass.backends import _backend_area
 
 _ENGINES_PER_RANGE = 12
 _FIRST_ENGINES = 48
--- a/src/jujubepass/settings.py
+++ b/src/jujubepass/settings.py
@@ -8,7 +8,8 @@
 import attrs
 import returns.result
 
-from jujubepass import _http_client, _ini, ids
+from jujubepass import _ini, ids
+from jujubepass.transport import _http_client
 
 _PEER_KEY = re.compile(r"\S{16,256}")
 _SHA256 = re.compile(r"[0-9a-f]{64}")
--- /dev/null
+++ b/src/jujubepass/storage/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's table and object store."""
--- a/src/jujubepass/_object_client.py
+++ b/src/jujubepass/storage/_object_client.py
@@ -5,7 +5,8 @@
 
 import attrs
 
-from jujubepass import _http_client, _object_messages
+from jujubepass.storage import _object_messages
+from jujubepass.transport import _http_client
 
 _OK = 200
 _TIMEOUT_SECONDS = 10.0
--- a/src/jujubepass/_object_messages.py
+++ b/src/jujubepass/storage/_object_messages.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from jujubepass import _store_messages
+from jujubepass.storage import _store_messages
 
 
 @attrs.frozen(kw_only=True)
--- a/src/jujubepass/_store_health.py
+++ b/src/jujubepass/storage/_store_health.py
@@ -2,7 +2,8 @@
 
 import attrs
 
-from jujubepass import _call_area, _store_messages
+from jujubepass.calls import _call_area
+from jujubepass.storage import _store_messages
 
 _PROBE_PREFIX = "calls/probe/"
 _SILENCES_TO_BE_DOWN = 2
--- a/src/jujubepass/_store_writer.py
+++ b/src/jujubepass/storage/_store_writer.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from jujubepass import _store_messages
+from jujubepass.storage import _store_messages
 
 LARGEST_GROUP = 100
 _LARGEST_GROUP_CHARACTERS = 500_000
--- a/src/jujubepass/_table_client.py
+++ b/src/jujubepass/storage/_table_client.py
@@ -6,7 +6,8 @@
 
 import attrs
 
-from jujubepass import _http_client, _store_messages
+from jujubepass.storage import _store_messages
+from jujubepass.transport import _http_client
 
 _OK = 200
 _CONFLICT = 409
--- /dev/null
+++ b/src/jujubepass/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, counters and histograms."""
--- a/src/jujubepass/_distribution_export.py
+++ b/src/jujubepass/telemetry/_distribution_export.py
@@ -5,7 +5,7 @@
 
 import opentelemetry.sdk.metrics.export
 
-from jujubepass import _distribution
+from jujubepass.telemetry import _distribution
 
 
 def append_distributions(
--- a/src/jujubepass/_metric_registry.py
+++ b/src/jujubepass/telemetry/_metric_registry.py
@@ -11,7 +11,7 @@
 import opentelemetry.sdk.resources
 import prometheus_client
 
-from jujubepass import _distribution, _distribution_export
+from jujubepass.telemetry import _distribution, _distribution_export
 
 CONTENT_TYPE = prometheus_client.CONTENT_TYPE_LATEST
 
--- a/src/jujubepass/_metrics.py
+++ b/src/jujubepass/telemetry/_metrics.py
@@ -7,7 +7,8 @@
 
 import opentelemetry.metrics
 
-from jujubepass import _distribution, _metric_registry, reasons
+from jujubepass import reasons
+from jujubepass.telemetry import _distribution, _metric_registry
 
 CONTENT_TYPE = _metric_registry.CONTENT_TYPE
 
--- a/src/jujubepass/_node_metrics.py
+++ b/src/jujubepass/telemetry/_node_metrics.py
@@ -2,7 +2,9 @@
 
 import trio
 
-from jujubepass import _blackboard, _http_server, _metrics, _peers, _shell
+from jujubepass.nodes import _blackboard, _shell
+from jujubepass.telemetry import _metrics
+from jujubepass.transport import _http_server, _peers
 
 
 def add_shell_metrics(metrics: _metrics.Metrics, shell: _shell.Shell) -> None:
--- a/src/jujubepass/traces.py
+++ b/src/jujubepass/traces.py
@@ -9,25 +9,14 @@
 import attrs
 import cattrs
 
-from jujubepass import (
-    _answer_messages,
-    _answers,
-    _attempts,
-    _backend_messages,
-    _backends,
-    _blackboard,
-    _dispatch,
-    _http_client,
-    _limit_messages,
-    _membership_area,
-    _naive,
-    _node_messages,
-    _recovery,
-    _routes,
-    declarations,
-    ids,
-    reasons,
-)
+from jujubepass import declarations, ids, reasons
+from jujubepass.answers import _answer_messages, _answers, _attempts, _recovery
+from jujubepass.backends import _backend_messages, _backends
+from jujubepass.limits import _limit_messages
+from jujubepass.membership import _membership_area
+from jujubepass.nodes import _blackboard, _dispatch, _node_messages
+from jujubepass.routing import _naive, _routes
+from jujubepass.transport import _http_client
 
 _FORMAT = 1
 _EVENTS: tuple[type, ...] = (
--- /dev/null
+++ b/src/jujubepass/transport/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP between processes, and frames between nodes."""
--- a/src/jujubepass/_http_client.py
+++ b/src/jujubepass/transport/_http_client.py
@@ -11,7 +11,7 @@
 import h11
 import trio
 
-from jujubepass import _socket_io
+from jujubepass.transport import _socket_io
 
 _IDLE_CONNECTIONS_PER_ADDRESS = 64
 # A server that counts whole seconds may close up to this much early.
--- a/src/jujubepass/_http_responder.py
+++ b/src/jujubepass/transport/_http_responder.py
@@ -6,7 +6,7 @@
 import h11
 import trio
 
-from jujubepass import _socket_io
+from jujubepass.transport import _socket_io
 
 _JSON = "application/json"
 
--- a/src/jujubepass/_http_server.py
+++ b/src/jujubepass/transport/_http_server.py
@@ -10,7 +10,7 @@
 import h11
 import trio
 
-from jujubepass import _http_responder, _rejections, _socket_io
+from jujubepass.transport import _http_responder, _rejections, _socket_io
 
 _LOGGER = logging.getLogger(__name__)
 
--- a/src/jujubepass/_peer_codec.py
+++ b/src/jujubepass/transport/_peer_codec.py
@@ -5,15 +5,10 @@
 import thrift.protocol.TCompactProtocol
 import thrift.transport.TTransport
 
-from jujubepass import (
-    _configuration_codec,
-    _configuration_messages,
-    _membership_codec,
-    _membership_messages,
-    _share_codec,
-    _share_messages,
-)
+from jujubepass.configuration import _configuration_codec, _configuration_messages
 from jujubepass.generated.peer import ttypes
+from jujubepass.limits import _share_codec, _share_messages
+from jujubepass.membership import _membership_codec, _membership_messages
 
 
 class PeerCodecError(Exception):
--- a/src/jujubepass/_peers.py
+++ b/src/jujubepass/transport/_peers.py
@@ -11,8 +11,9 @@
 
 import trio
 
-from jujubepass import _http_client, _peer_codec, ids
+from jujubepass import ids
 from jujubepass.generated.peer import ttypes
+from jujubepass.transport import _http_client, _peer_codec
 
 _LOGGER = logging.getLogger(__name__)
 
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -8,7 +8,7 @@
 import attrs
 import trio
 
-from jujubepass import _http_client
+from jujubepass.transport import _http_client
 from standins import processes, system
 
 _OK = 200
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -9,7 +9,7 @@
 import cappa
 import trio
 
-from jujubepass import _http_client, _http_server, _rejections
+from jujubepass.transport import _http_client, _http_server, _rejections
 from standins import (
     accelerators,
     engine_state,
--- a/standins/forwarding_system.py
+++ b/standins/forwarding_system.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from jujubepass import _http_client
+from jujubepass.transport import _http_client
 from standins import processes
 
 LAYERS = 8
--- a/standins/generation.py
+++ b/standins/generation.py
@@ -8,7 +8,7 @@
 import cattrs
 import trio
 
-from jujubepass import _http_client, _http_server
+from jujubepass.transport import _http_client, _http_server
 from standins import engine_state, knobs, model, stages
 
 _NDJSON = {"content-type": "application/x-ndjson"}
--- a/standins/knobs.py
+++ b/standins/knobs.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from jujubepass import _http_server, _rejections
+from jujubepass.transport import _http_server, _rejections
 
 
 async def serve_knobs(
--- a/standins/orders.py
+++ b/standins/orders.py
@@ -6,7 +6,7 @@
 import cattrs
 import trio
 
-from jujubepass import _http_client
+from jujubepass.transport import _http_client
 from standins import engine_state
 
 _KEPT_ORDERS = 50
--- a/standins/path_engine.py
+++ b/standins/path_engine.py
@@ -9,7 +9,7 @@
 import cappa
 import trio
 
-from jujubepass import _http_client, _http_server
+from jujubepass.transport import _http_client, _http_server
 from standins import knobs
 
 _HEARTBEAT_SECONDS = 0.2
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -13,7 +13,7 @@
 import cappa
 import trio
 
-from jujubepass import _http_server, _rejections
+from jujubepass.transport import _http_server, _rejections
 from standins import knobs, rates, table
 
 _LONGEST_WAIT_SECONDS = 1.0
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -15,7 +15,7 @@
 
 import trio
 
-from jujubepass import _http_client
+from jujubepass.transport import _http_client
 
 HOST = "127.0.0.1"
 
--- a/standins/row_store.py
+++ b/standins/row_store.py
@@ -10,7 +10,7 @@
 import cappa
 import trio
 
-from jujubepass import _http_server
+from jujubepass.transport import _http_server
 from standins import knobs
 
 _MOST_ROWS = 500
--- a/standins/service.py
+++ b/standins/service.py
@@ -11,7 +11,7 @@
 import cappa
 import trio
 
-from jujubepass import _http_server
+from jujubepass.transport import _http_server
 from standins import knobs, rates
 
 _LONGEST_WAIT_SECONDS = 1.0
--- a/standins/stages.py
+++ b/standins/stages.py
@@ -5,7 +5,7 @@
 import attrs
 import trio
 
-from jujubepass import _http_client
+from jujubepass.transport import _http_client
 from standins import caches, engine_state, model
 
 _KV_TOKENS_PER_LINK_DELAY = 256
--- a/standins/table.py
+++ b/standins/table.py
@@ -4,7 +4,7 @@
 import collections.abc
 import typing
 
-from jujubepass import _rejections
+from jujubepass.transport import _rejections
 
 LARGEST_TRANSACTION = 100
 """Conditions, writes or keys in one call."""
--- a/tests/call_model.py
+++ b/tests/call_model.py
@@ -8,11 +8,9 @@
 
 import attrs
 
-from jujubepass import (
-    _call_messages,
-    _http_client,
-    _store_messages,
-)
+from jujubepass.calls import _call_messages
+from jujubepass.storage import _store_messages
+from jujubepass.transport import _http_client
 
 ACCOUNT = "desk"
 SERVICE = "bookings"
--- a/tests/call_system.py
+++ b/tests/call_system.py
@@ -5,17 +5,12 @@
 
 import attrs
 
-from jujubepass import (
-    _answer_messages,
-    _backend_area,
-    _backend_messages,
-    _blackboard,
-    _call_messages,
-    _dispatch,
-    _membership_area,
-    _node_messages,
-    _store_messages,
-)
+from jujubepass.answers import _answer_messages
+from jujubepass.backends import _backend_area, _backend_messages
+from jujubepass.calls import _call_messages
+from jujubepass.membership import _membership_area
+from jujubepass.nodes import _blackboard, _dispatch, _node_messages
+from jujubepass.storage import _store_messages
 from tests import call_model
 
 PAUSE_SECONDS = 0.25
--- a/tests/configuration_fleet.py
+++ b/tests/configuration_fleet.py
@@ -5,23 +5,19 @@
 import itertools
 import random
 
-from jujubepass import (
-    _backend_messages,
-    _blackboard,
+from jujubepass.backends import _backend_messages
+from jujubepass.configuration import (
     _configuration,
     _configuration_installer,
     _configuration_messages,
     _configuration_peers,
     _configuration_proposals,
     _configuration_snapshots,
-    _dispatch,
-    _http_client,
-    _membership_area,
-    _membership_messages,
-    _node_messages,
-    _object_messages,
-    _store_messages,
 )
+from jujubepass.membership import _membership_area, _membership_messages
+from jujubepass.nodes import _blackboard, _dispatch, _node_messages
+from jujubepass.storage import _object_messages, _store_messages
+from jujubepass.transport import _http_client
 from standins import table
 from tests import configuration_links, configuration_store
 
--- a/tests/configuration_links.py
+++ b/tests/configuration_links.py
@@ -1,6 +1,6 @@
 """What peers see of the commands that a node sends them."""
 
-from jujubepass import _configuration_messages
+from jujubepass.configuration import _configuration_messages
 
 
 def make_event(node, command):
--- a/tests/configuration_store.py
+++ b/tests/configuration_store.py
@@ -2,13 +2,13 @@
 
 import json
 
-from jujubepass import (
+from jujubepass.configuration import (
     _configuration_installer,
     _configuration_proposals,
     _configuration_rows,
     _declaration_changes,
-    _store_messages,
 )
+from jujubepass.storage import _store_messages
 from standins import table
 
 
--- a/tests/configuration_trials.py
+++ b/tests/configuration_trials.py
@@ -2,7 +2,7 @@
 
 import threading
 
-from jujubepass import _http_client
+from jujubepass.transport import _http_client
 from standins import processes, system
 
 SAMPLE_SECONDS = 0.05
--- a/tests/features/steps/answers_steps.py
+++ b/tests/features/steps/answers_steps.py
@@ -2,12 +2,9 @@
 import hypothesis
 import hypothesis.strategies as st
 
-from jujubepass import (
-    _recovery,
-    _routes,
-    ids,
-    reasons,
-)
+from jujubepass import ids, reasons
+from jujubepass.answers import _recovery
+from jujubepass.routing import _routes
 from tests import small_engines, small_parts, small_traces
 
 ENGINES_PER_HALF = 3
--- a/tests/features/steps/calls_parts_steps.py
+++ b/tests/features/steps/calls_parts_steps.py
@@ -5,18 +5,11 @@
 import hypothesis
 from hypothesis import strategies
 
-from jujubepass import (
-    _backend_area,
-    _backend_messages,
-    _blackboard,
-    _call_messages,
-    _lookups,
-    _node_messages,
-    _service_balance,
-    _store_messages,
-    _store_writer,
-    reasons,
-)
+from jujubepass import reasons
+from jujubepass.backends import _backend_area, _backend_messages
+from jujubepass.calls import _call_messages, _lookups, _service_balance
+from jujubepass.nodes import _blackboard, _node_messages
+from jujubepass.storage import _store_messages, _store_writer
 from tests import call_model, call_system
 
 EXAMPLES = 150
--- a/tests/features/steps/calls_steps.py
+++ b/tests/features/steps/calls_steps.py
@@ -2,7 +2,7 @@
 
 import behave
 
-from jujubepass import _call_control, _call_journal, _call_messages
+from jujubepass.calls import _call_control, _call_journal, _call_messages
 from tests import call_findings, call_model, call_system, naive_calls
 
 TIMING = _call_journal.CallTiming(
--- a/tests/features/steps/command_line_steps.py
+++ b/tests/features/steps/command_line_steps.py
@@ -13,7 +13,10 @@
 import cappa
 import trio
 
-from jujubepass import _configuration_digest, _http_server, _report, cli
+from jujubepass import cli
+from jujubepass.configuration import _configuration_digest
+from jujubepass.operators import _report
+from jujubepass.transport import _http_server
 from standins import processes
 
 KEY = "operators-key"
--- a/tests/features/steps/configuration_property_steps.py
+++ b/tests/features/steps/configuration_property_steps.py
@@ -4,16 +4,14 @@
 import hypothesis
 import hypothesis.strategies as st
 
-from jujubepass import (
+from jujubepass import _ini, declarations
+from jujubepass.configuration import (
     _configuration_codec,
     _configuration_messages,
     _configuration_push,
     _declaration_changes,
-    _http_client,
-    _ini,
-    _peer_codec,
-    declarations,
 )
+from jujubepass.transport import _http_client, _peer_codec
 from tests import configuration_history
 
 EXAMPLES = 150
--- a/tests/features/steps/configuration_race_steps.py
+++ b/tests/features/steps/configuration_race_steps.py
@@ -4,7 +4,7 @@
 
 import behave
 
-from jujubepass import _http_client
+from jujubepass.transport import _http_client
 from standins import processes, system
 from tests import configuration_trials
 
--- a/tests/features/steps/configuration_steps.py
+++ b/tests/features/steps/configuration_steps.py
@@ -3,10 +3,7 @@
 import behave
 import hypothesis
 
-from jujubepass import (
-    _configuration_messages,
-    _configuration_rows,
-)
+from jujubepass.configuration import _configuration_messages, _configuration_rows
 from tests import configuration_fleet, configuration_history, configuration_store
 
 EXAMPLES = 150
--- a/tests/features/steps/declarations_steps.py
+++ b/tests/features/steps/declarations_steps.py
@@ -3,7 +3,8 @@
 import behave
 import returns.result
 
-from jujubepass import _declaration_changes, _declaration_files, _ini, declarations
+from jujubepass import _ini, declarations
+from jujubepass.configuration import _declaration_changes, _declaration_files
 
 ROOT = pathlib.Path(__file__).resolve().parents[3]
 FIRST_KEY, SECOND_KEY, FIELD_KEY = "a" * 64, "b" * 64, "c" * 64
--- a/tests/features/steps/differential_steps.py
+++ b/tests/features/steps/differential_steps.py
@@ -3,7 +3,9 @@
 
 import behave
 
-from jujubepass import _naive, _recovery, _routes, cli, traces
+from jujubepass import cli, traces
+from jujubepass.answers import _recovery
+from jujubepass.routing import _naive, _routes
 from standins import caller, faults, processes, system
 from tests import small_traces
 
--- a/tests/features/steps/lease_steps.py
+++ b/tests/features/steps/lease_steps.py
@@ -1,6 +1,8 @@
 import behave
 
-from jujubepass import _membership_area, _node_messages, _order_messages
+from jujubepass.membership import _membership_area
+from jujubepass.nodes import _node_messages
+from jujubepass.orders import _order_messages
 from standins import processes, system
 from tests import lease_network
 
--- a/tests/features/steps/leaving_steps.py
+++ b/tests/features/steps/leaving_steps.py
@@ -2,18 +2,11 @@
 
 import behave
 
-from jujubepass import (
-    _backend_messages,
-    _backends,
-    _blackboard,
-    _departures,
-    _dispatch,
-    _http_client,
-    _membership_messages,
-    _node_messages,
-    declarations,
-    ids,
-)
+from jujubepass import declarations, ids
+from jujubepass.backends import _backend_messages, _backends, _departures
+from jujubepass.membership import _membership_messages
+from jujubepass.nodes import _blackboard, _dispatch, _node_messages
+from jujubepass.transport import _http_client
 from standins import processes, system
 from tests import traffic
 
--- a/tests/features/steps/limits_steps.py
+++ b/tests/features/steps/limits_steps.py
@@ -8,22 +8,13 @@
 import hypothesis.strategies as st
 
 from bench import shares
-from jujubepass import (
-    _answer_messages,
-    _call_control,
-    _call_journal,
-    _call_messages,
-    _dispatch,
-    _limit_messages,
-    _limits,
-    _rendezvous,
-    _share_home,
-    _share_messages,
-    _store_messages,
-    declarations,
-    ids,
-    reasons,
-)
+from jujubepass import declarations, ids, reasons
+from jujubepass.answers import _answer_messages
+from jujubepass.calls import _call_control, _call_journal, _call_messages
+from jujubepass.limits import _limit_messages, _limits, _share_home, _share_messages
+from jujubepass.membership import _rendezvous
+from jujubepass.nodes import _dispatch
+from jujubepass.storage import _store_messages
 from standins import processes, system
 from tests import call_system
 
--- a/tests/features/steps/log_output_steps.py
+++ b/tests/features/steps/log_output_steps.py
@@ -6,7 +6,7 @@
 
 import behave
 
-from jujubepass import _log_output
+from jujubepass.telemetry import _log_output
 
 
 class Formatter(logging.Formatter):
--- a/tests/features/steps/membership_steps.py
+++ b/tests/features/steps/membership_steps.py
@@ -2,7 +2,8 @@
 import hypothesis
 import hypothesis.strategies as st
 
-from jujubepass import _membership_area, _membership_messages, _node_messages
+from jujubepass.membership import _membership_area, _membership_messages
+from jujubepass.nodes import _node_messages
 from standins import processes, system
 from tests import member_network
 
--- a/tests/features/steps/observability_steps.py
+++ b/tests/features/steps/observability_steps.py
@@ -8,7 +8,8 @@
 import prometheus_client.parser
 from hypothesis import strategies
 
-from jujubepass import _logs, _metrics, ids, reasons, settings
+from jujubepass import ids, reasons, settings
+from jujubepass.telemetry import _logs, _metrics
 
 PEER_KEY = 'peer-"key"-nobody-may-see'
 TOKEN = "token-nobody-may-see"
--- a/tests/features/steps/overload_places_steps.py
+++ b/tests/features/steps/overload_places_steps.py
@@ -1,17 +1,10 @@
 import behave
 
-from jujubepass import (
-    _admission,
-    _answer_messages,
-    _dispatch,
-    _limit_messages,
-    _limits,
-    _node_messages,
-    _recovery,
-    _routes,
-    declarations,
-    ids,
-)
+from jujubepass import declarations, ids
+from jujubepass.answers import _answer_messages, _recovery
+from jujubepass.limits import _admission, _limit_messages, _limits
+from jujubepass.nodes import _dispatch, _node_messages
+from jujubepass.routing import _routes
 from standins import processes, system
 from tests import small_engines, small_parts
 
--- a/tests/features/steps/overload_steps.py
+++ b/tests/features/steps/overload_steps.py
@@ -8,17 +8,11 @@
 import trio
 
 from bench import overload
-from jujubepass import (
-    _answer_messages,
-    _dispatch,
-    _fairness,
-    _http_client,
-    _limit_messages,
-    _limits,
-    _node_messages,
-    ids,
-    reasons,
-)
+from jujubepass import ids, reasons
+from jujubepass.answers import _answer_messages
+from jujubepass.limits import _fairness, _limit_messages, _limits
+from jujubepass.nodes import _dispatch, _node_messages
+from jujubepass.transport import _http_client
 from standins import processes, system
 
 FAIR = overload.POLICIES[-1]
--- a/tests/features/steps/platform_settings_steps.py
+++ b/tests/features/steps/platform_settings_steps.py
@@ -4,8 +4,9 @@
 
 import behave
 
-from jujubepass import _http_client, _local_commands, _report
 from jujubepass.forwarding import settings
+from jujubepass.operators import _local_commands, _report
+from jujubepass.transport import _http_client
 
 ROOT = pathlib.Path(__file__).resolve().parents[3]
 
--- a/tests/features/steps/retries_steps.py
+++ b/tests/features/steps/retries_steps.py
@@ -4,7 +4,8 @@
 import hypothesis
 import hypothesis.strategies as st
 
-from jujubepass import _breakers, _retry_budget
+from jujubepass.calls import _breakers
+from jujubepass.limits import _retry_budget
 
 BOUNDS = _retry_budget.RetryBudgetBounds()
 
--- a/tests/features/steps/routing_steps.py
+++ b/tests/features/steps/routing_steps.py
@@ -2,18 +2,12 @@
 
 import behave
 
-from jujubepass import (
-    _backend_area,
-    _backend_messages,
-    _backends,
-    _blackboard,
-    _breakers,
-    _http_client,
-    _prefixes,
-    _subsets,
-    declarations,
-    ids,
-)
+from jujubepass import declarations, ids
+from jujubepass.backends import _backend_area, _backend_messages, _backends
+from jujubepass.calls import _breakers
+from jujubepass.nodes import _blackboard
+from jujubepass.routing import _prefixes, _subsets
+from jujubepass.transport import _http_client
 from tests import small_engines
 
 PROMPT = tuple(f"word{number}" for number in range(20))
--- a/tests/features/steps/security_peers_steps.py
+++ b/tests/features/steps/security_peers_steps.py
@@ -6,15 +6,10 @@
 import hypothesis.strategies as st
 import trio
 
-from jujubepass import (
-    _http_client,
-    _peer_codec,
-    _peers,
-    _share_codec,
-    _share_messages,
-    ids,
-)
+from jujubepass import ids
 from jujubepass.generated.peer import ttypes
+from jujubepass.limits import _share_codec, _share_messages
+from jujubepass.transport import _http_client, _peer_codec, _peers
 from standins import processes
 
 HOST = processes.HOST
--- a/tests/features/steps/security_steps.py
+++ b/tests/features/steps/security_steps.py
@@ -9,11 +9,9 @@
 import returns.result
 import trio
 
-from jujubepass import (
-    _declaration_files,
-    _http_server,
-    settings,
-)
+from jujubepass import settings
+from jujubepass.configuration import _declaration_files
+from jujubepass.transport import _http_server
 from standins import processes, system
 
 HOST = processes.HOST
--- a/tests/features/steps/shell_steps.py
+++ b/tests/features/steps/shell_steps.py
@@ -2,7 +2,7 @@
 import behave
 import trio
 
-from jujubepass import _dispatch, _node_messages, _shell
+from jujubepass.nodes import _dispatch, _node_messages, _shell
 
 
 @attrs.frozen
--- a/tests/features/steps/shutdown_steps.py
+++ b/tests/features/steps/shutdown_steps.py
@@ -3,7 +3,7 @@
 
 import behave
 
-from jujubepass import _http_client
+from jujubepass.transport import _http_client
 from standins import model, processes, system
 from tests import traffic
 
--- a/tests/features/steps/standins_steps.py
+++ b/tests/features/steps/standins_steps.py
@@ -4,7 +4,7 @@
 
 import behave
 
-from jujubepass import _http_client
+from jujubepass.transport import _http_client
 from standins import model, processes
 
 MODEL = "stairs-32"
--- a/tests/features/steps/store_client_steps.py
+++ b/tests/features/steps/store_client_steps.py
@@ -1,14 +1,10 @@
 import behave
 import trio
 
-from jujubepass import (
-    _http_client,
-    _object_client,
-    _object_messages,
-    _store_messages,
-)
 from jujubepass.forwarding import feeds
 from jujubepass.platform import store
+from jujubepass.storage import _object_client, _object_messages, _store_messages
+from jujubepass.transport import _http_client
 from standins import processes
 
 KEY = "plan/a"
--- a/tests/features/steps/vm_list_steps.py
+++ b/tests/features/steps/vm_list_steps.py
@@ -1,7 +1,9 @@
 import behave
 import trio
 
-from jujubepass import _backend_messages, _http_client, _vm_client
+from jujubepass.backends import _backend_messages
+from jujubepass.membership import _vm_client
+from jujubepass.transport import _http_client
 from standins import processes, system
 
 
--- a/tests/lease_network.py
+++ b/tests/lease_network.py
@@ -2,24 +2,14 @@
 
 import random
 
-from jujubepass import (
-    _backend_area,
-    _backend_messages,
-    _blackboard,
-    _dispatch,
-    _http_client,
-    _lease_rows,
-    _leases,
-    _membership_area,
-    _node_life,
-    _node_messages,
-    _order_area,
-    _order_messages,
-    _orders,
-    _store_messages,
-    declarations,
-    ids,
-)
+from jujubepass import declarations, ids
+from jujubepass.backends import _backend_area, _backend_messages
+from jujubepass.leases import _lease_rows, _leases
+from jujubepass.membership import _membership_area
+from jujubepass.nodes import _blackboard, _dispatch, _node_life, _node_messages
+from jujubepass.orders import _order_area, _order_messages, _orders
+from jujubepass.storage import _store_messages
+from jujubepass.transport import _http_client
 
 TICK_SECONDS = 0.1
 TIMING = _leases.LeaseTiming(lease_seconds=10.0, margin_seconds=2.0)
--- a/tests/member_network.py
+++ b/tests/member_network.py
@@ -2,19 +2,11 @@
 
 import random
 
-from jujubepass import (
-    _backend_messages,
-    _blackboard,
-    _dispatch,
-    _http_client,
-    _membership,
-    _membership_area,
-    _membership_messages,
-    _node_life,
-    _node_messages,
-    _peer_codec,
-    ids,
-)
+from jujubepass import ids
+from jujubepass.backends import _backend_messages
+from jujubepass.membership import _membership, _membership_area, _membership_messages
+from jujubepass.nodes import _blackboard, _dispatch, _node_life, _node_messages
+from jujubepass.transport import _http_client, _peer_codec
 
 TICK_SECONDS = 0.125
 PAUSE_SECONDS = 1.0
--- a/tests/naive_calls.py
+++ b/tests/naive_calls.py
@@ -4,18 +4,10 @@
 
 import attrs
 
-from jujubepass import (
-    _blackboard,
-    _call_area,
-    _call_messages,
-    _call_steps,
-    _calls,
-    _dispatch,
-    _store_writer,
-    counters,
-    ids,
-    reasons,
-)
+from jujubepass import counters, ids, reasons
+from jujubepass.calls import _call_area, _call_messages, _call_steps, _calls
+from jujubepass.nodes import _blackboard, _dispatch
+from jujubepass.storage import _store_writer
 
 TRIES = 3
 TRY_SECONDS = 0.8
--- a/tests/small_engines.py
+++ b/tests/small_engines.py
@@ -6,22 +6,13 @@
 
 import attrs
 
-from jujubepass import (
-    _answer_messages,
-    _answers,
-    _attempts,
-    _backend_messages,
-    _backends,
-    _blackboard,
-    _dispatch,
-    _http_client,
-    _limit_messages,
-    _membership_area,
-    _node_messages,
-    declarations,
-    ids,
-    reasons,
-)
+from jujubepass import declarations, ids, reasons
+from jujubepass.answers import _answer_messages, _answers, _attempts
+from jujubepass.backends import _backend_messages, _backends
+from jujubepass.limits import _limit_messages
+from jujubepass.membership import _membership_area
+from jujubepass.nodes import _blackboard, _dispatch, _node_messages
+from jujubepass.transport import _http_client
 from standins import model
 from tests import small_parts
 
--- a/tests/small_fleet.py
+++ b/tests/small_fleet.py
@@ -2,7 +2,7 @@
 
 import random
 
-from jujubepass import _http_client, ids
+from jujubepass import ids
 from jujubepass.forwarding import (
     backend_list,
     backends,
@@ -16,6 +16,7 @@
     plans,
     suspicion,
 )
+from jujubepass.transport import _http_client
 
 SERVICE = ids.ServiceId("drafts")
 # The kinds, sizes and counts of the ferreira-ruta site, a failure domain a row.
--- a/tests/small_parts.py
+++ b/tests/small_parts.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from jujubepass import _http_client
+from jujubepass.transport import _http_client
 
 
 @attrs.define(kw_only=True)
--- a/tests/traffic.py
+++ b/tests/traffic.py
@@ -4,7 +4,7 @@
 import threading
 import time
 
-from jujubepass import _http_client
+from jujubepass.transport import _http_client
 from standins import model, processes, system
 
 PROMPT = "the lift hums and stops between floors"
