--- a/src/jujubepass/forwarding/probing.py
+++ b/src/jujubepass/forwarding/probing.py
@@ -24,6 +24,9 @@
 # An engine that is there answers within a few milliseconds (1 ms to connect, 0.25 ms a
 # way on the sites); the pause that callers notice is 200 ms.
 _PRESENCE_SECONDS = 0.05
+# An engine that reported so lately is not asked again whether it is there: each
+# question of a silent path's engines is counted.
+_PRESENT_SECONDS = 1.0
 # When more engines of a path do not answer, it is rather this node's links that fail.
 _MOST_LOST = 2
 
@@ -84,8 +87,11 @@
 
     def may_ask(self, name: ids.BackendServerId) -> bool:
         """Tell whether an engine's last report is old enough to ask again."""
+        return self._may_ask(name, _PAUSE_SECONDS)
+
+    def _may_ask(self, name: ids.BackendServerId, pause_seconds: float) -> bool:
         asked = self._asked.get(name)
-        return asked is None or trio.current_time() - asked.at >= _PAUSE_SECONDS
+        return asked is None or trio.current_time() - asked.at >= pause_seconds
 
     async def check(self, name: ids.BackendServerId) -> None:
         """Ask an engine for its report; suspect it, or those that it waits for."""
@@ -106,7 +112,11 @@
 
         async with trio.open_nursery() as nursery:
             for name in names:
-                if self.may_ask(name):
+                if self._may_ask(name, _PRESENT_SECONDS):
+                    # Noted here, as other streams of the path ask in the same pass.
+                    self._asked.setdefault(
+                        name, _Asked(at=0.0)
+                    ).at = trio.current_time()
                     nursery.start_soon(ask, name)
         lost = [name for name, report in reports.items() if report is None]
         if len(lost) > _MOST_LOST:
--- a/src/jujubepass/forwarding/stall_watch.py
+++ b/src/jujubepass/forwarding/stall_watch.py
@@ -36,10 +36,20 @@
 
     @contextlib.contextmanager
     def watch(
-        self, path: paths.Path, request: ids.RequestId, patience: watched.Patience
+        self,
+        path: paths.Path,
+        request: ids.RequestId,
+        patience: watched.Patience,
+        *,
+        is_repeatable: bool,
     ) -> collections.abc.Iterator[watched.Watched]:
         """Watch a stream while the block runs; cancel the block if it fails."""
-        stream = watched.Watched(path=path, request=request, patience=patience)
+        stream = watched.Watched(
+            path=path,
+            request=request,
+            patience=patience,
+            is_repeatable=is_repeatable,
+        )
         self._watched.add(stream)
         try:
             with stream.scope:
@@ -70,7 +80,9 @@
             return
         now = trio.current_time()
         lost = self._list_lost(stream)
-        verdict = stream.judge(now, has_lost=bool(lost))
+        verdict = stream.judge(
+            now, has_lost=bool(lost), is_overtaken=self._is_overtaken(stream)
+        )
         late = _LATE_FIRST_SHARE * stream.patience.first_suspicious
         if stream.is_slow(now, stream.path.step_seconds, late):
             self.prober.note_slow_path(stream.path.engines)
@@ -85,6 +97,11 @@
             first = stream.path.parts[0].engine
             self._start_check(first, nursery)
 
+    def _is_overtaken(self, stream: watched.Watched) -> bool:
+        if stream.has_begun or not stream.is_repeatable:
+            return False
+        return any(stream.is_overtaken_by(other) for other in self._watched)
+
     def _list_lost(self, stream: watched.Watched) -> frozenset[ids.BackendServerId]:
         now = clocks.read_boot_clock()
         return frozenset(
--- a/src/jujubepass/forwarding/stream_exchange.py
+++ b/src/jujubepass/forwarding/stream_exchange.py
@@ -215,7 +215,13 @@
             resume_after=progress.last_event,
         )
         patience = _make_patience(admitted.route)
-        with self.stalls.watch(path, ask.request, patience) as stream:
+        watching = self.stalls.watch(
+            path,
+            ask.request,
+            patience,
+            is_repeatable=admitted.route.is_repeatable,
+        )
+        with watching as stream:
             self.choice.note_started(path)
             try:
                 await self._relay(ask, send, stream, reply, progress)
--- a/src/jujubepass/forwarding/watched.py
+++ b/src/jujubepass/forwarding/watched.py
@@ -55,6 +55,7 @@
     reason: str = ""
 
     is_moving: bool = False
+    is_repeatable: bool = True
     chunks: int = 0
     began_at: float = attrs.field(factory=trio.current_time)
     first_data_at: float = 0.0
@@ -81,8 +82,22 @@
         gap = (now - self.first_data_at) / self.chunks
         return gap > _SLOW_STEPS * step_seconds
 
-    def judge(self, now: float, *, has_lost: bool) -> Verdict:
-        """Judge a silence; `has_lost` tells that an engine of the path is lost."""
+    def is_overtaken_by(self, other: "Watched") -> bool:
+        """Tell whether a later stream from the same engine has begun before."""
+        return (
+            other.has_begun
+            and other.began_at > self.began_at
+            and other.path.parts[0].engine == self.path.parts[0].engine
+        )
+
+    def judge(
+        self, now: float, *, has_lost: bool, is_overtaken: bool = False
+    ) -> Verdict:
+        """Judge a silence by whether an engine of the path is lost.
+
+        Engines read prompts in turn: the answer of a stream that later ones overtook
+        before its first event is lost.
+        """
         silence = now - self.last_data_at
         patience = self.patience
         longest = patience.gap_longest if self.has_begun else patience.first_longest
@@ -91,6 +106,8 @@
         )
         if silence >= longest:
             return Verdict.GIVE_UP
+        if is_overtaken and not self.has_begun and silence >= suspicious:
+            return Verdict.GIVE_UP
         if silence < self._find_overdue():
             return Verdict.GOES_ON
         if has_lost:
--- a/tests/features/full_engine.feature
+++ b/tests/features/full_engine.feature
@@ -21,4 +21,6 @@
     And one whose engines are only full goes on
     And one whose events are overdue by 60 milliseconds has its engines asked
     And one that reads a long prompt has them asked after 0.13 seconds
+    And one whose first event is late goes on while no later one was served
+    And one that later ones from the same engine overtook is given up
     And one that was silent for longer than its caller waits is given up
--- a/tests/features/steps/full_engine_steps.py
+++ b/tests/features/steps/full_engine_steps.py
@@ -1,6 +1,7 @@
 import behave
 
-from jujubepass.forwarding import paths, suspicion, watched
+from jujubepass.forwarding import backends, paths, suspicion, watched
+from jujubepass.transport import _http_client
 from tests import small_fleet
 
 
@@ -38,7 +39,14 @@
         context.written += context.fleet.wait(0.4)
 
 
-def make_stream(*, has_begun=True):
+ENTRY = paths.Part(
+    engine="e1",
+    address=_http_client.Address(host="10.0.0.1", port=8_000),
+    span=backends.Span(first=0, end=80),
+)
+
+
+def make_stream(*, has_begun=True, began_at=0.0):
     patience = watched.Patience(
         first_overdue=0.125,
         first_suspicious=0.6,
@@ -47,11 +55,11 @@
         gap_longest=1.8,
     )
     return watched.Watched(
-        path=paths.Path(parts=(), step_seconds=0.01),
+        path=paths.Path(parts=(ENTRY,), step_seconds=0.01),
         request="r",
         patience=patience,
-        last_data_at=0.0,
-        began_at=0.0,
+        last_data_at=began_at,
+        began_at=began_at,
         has_begun=has_begun,
     )
 
@@ -95,6 +103,28 @@
     assert stream.judge(0.13, has_lost=False) is watched.Verdict.ASK_ALL
 
 
+@behave.then("one whose first event is late goes on while no later one was served")
+def step_late_first(context):
+    stream = make_stream(has_begun=False)
+    earlier = make_stream(began_at=-0.1)
+    reading = make_stream(began_at=0.3, has_begun=False)
+    assert not stream.is_overtaken_by(earlier)
+    assert not stream.is_overtaken_by(reading)
+    assert stream.judge(0.7, has_lost=False) is watched.Verdict.CHECK
+
+
+@behave.then("one that later ones from the same engine overtook is given up")
+def step_overtaken(context):
+    stream = make_stream(has_begun=False)
+    assert stream.is_overtaken_by(make_stream(began_at=0.3))
+    early = stream.judge(0.5, has_lost=False, is_overtaken=True)
+    assert early is watched.Verdict.ASK_ALL, early
+    late = stream.judge(0.7, has_lost=False, is_overtaken=True)
+    assert late is watched.Verdict.GIVE_UP, late
+    begun = make_stream().judge(0.7, has_lost=False, is_overtaken=True)
+    assert begun is watched.Verdict.CHECK, begun
+
+
 @behave.then("one that was silent for longer than its caller waits is given up")
 def step_long_stream(context):
     verdict = make_stream().judge(1.9, has_lost=False)
