--- a/src/jujubepass/forwarding/probing.py
+++ b/src/jujubepass/forwarding/probing.py
@@ -108,6 +108,7 @@
         reports: dict[ids.BackendServerId, engines.EngineReport | None] = {}
 
         async def ask(name: ids.BackendServerId) -> None:
+            """Keep one engine's report."""
             reports[name] = await self._read_report(name, _PRESENCE_SECONDS)
 
         async with trio.open_nursery() as nursery:
--- a/src/jujubepass/forwarding/watched.py
+++ b/src/jujubepass/forwarding/watched.py
@@ -9,7 +9,7 @@
 from jujubepass.forwarding import paths
 
 # A stream whose events are overdue by this factor is silent, if for so long at least:
-# passes that read prompts take up to 45 ms on the sites' engines.
+# twice the time of an event on the sites' calm days (about 30 ms).
 _SILENT_GAPS = 2.5
 _LEAST_SILENCE_SECONDS = 0.06
 # An event holds two tokens; one that takes as long as so many steps comes over a slow
