--- a/src/jujubepass/forwarding/admission.py
+++ b/src/jujubepass/forwarding/admission.py
@@ -10,11 +10,6 @@
 # Knowledge of the store's newest state that is younger suffices to say that a route
 # or key does not exist; a change has two seconds (configApplyMs) to be in force.
 _DENIAL_AGE_SECONDS = 1.5
-# Another node takes a request that this one cannot admit.
-_ELSEWHERE_SECONDS = 0.05
-# A balancer that asks each second takes a node out after two answers; a stale node
-# that gets requests after that is not the only one.
-_BALANCED_SECONDS = 2.5
 # Time in which the store is asked again, by its rate of polls.
 _STALE_RETRY_SECONDS = 0.5
 # Share of the bound on revoked keys after which keyed requests are refused.
@@ -59,18 +54,14 @@
         found = self._decide(ask, area.declarations, now)
         proven = now - area.proven_at <= _DENIAL_AGE_SECONDS
         if isinstance(found, Refusal) and not proven:
-            return self._refuse_stale(now)
+            return self._refuse_stale()
         return found
 
     def is_stale(self, now: float) -> bool:
         """Tell whether a key may have been revoked without this node's knowledge."""
-        return self._find_overage(now) > 0.0
-
-    def _find_overage(self, now: float) -> float:
-        """Return for how long keys may have been revoked unseen, in seconds."""
         bound_seconds = self.blackboard.bounds.revocation_milliseconds / 1_000.0
         age = now - self.blackboard.configuration.proven_at
-        return age - _KEYED_AGE_SHARE * bound_seconds
+        return age > _KEYED_AGE_SHARE * bound_seconds
 
     def _decide(
         self, ask: exchange.Ask, declared: declarations.Declarations, now: float
@@ -84,7 +75,7 @@
             if account is None:
                 return Refusal(reason=reasons.RefusalReason.UNKNOWN_ACCOUNT)
             if self.is_stale(now):
-                return self._refuse_stale(now)
+                return self._refuse_stale()
         service = self._choose_service(declared, route)
         if service is None:
             return Refusal(reason=reasons.RefusalReason.BACKEND_UNAVAILABLE)
@@ -99,14 +90,10 @@
             ends_at=ask.arrived_at + patience,
         )
 
-    def _refuse_stale(self, now: float) -> Refusal:
-        """Send the caller to another node, unless all seem to have lost the store."""
-        is_alone = self._find_overage(now) < _BALANCED_SECONDS
+    def _refuse_stale(self) -> Refusal:
         return Refusal(
             reason=reasons.RefusalReason.CONFIGURATION_STALE,
-            retry_after_seconds=(
-                _ELSEWHERE_SECONDS if is_alone else _STALE_RETRY_SECONDS
-            ),
+            retry_after_seconds=_STALE_RETRY_SECONDS,
         )
 
     def _choose_service(
