--- a/src/jujubepass/forwarding/probing.py
+++ b/src/jujubepass/forwarding/probing.py
@@ -96,14 +96,13 @@
     async def check(self, name: ids.BackendServerId) -> None:
         """Ask an engine for its report; suspect it, or those that it waits for."""
         report = await self._read_report(name, _REPORT_SECONDS)
-        if report is None:
-            self._suspect_silent(name)
-        else:
+        if report is not None:
             await self._check_stalled(report)
+        elif name in self.blackboard.backends.listed:
+            reason = suspicion.SuspicionReason.SILENT
+            self.suspects.suspect(name, reason, clocks.read_boot_clock())
 
-    async def check_path(
-        self, names: collections.abc.Iterable[ids.BackendServerId]
-    ) -> None:
+    async def check_path(self, names: collections.abc.Set[ids.BackendServerId]) -> None:
         """Ask engines whether they are there; suspect the few that are not."""
         reports: dict[ids.BackendServerId, engines.EngineReport | None] = {}
 
@@ -112,19 +111,22 @@
             reports[name] = await self._read_report(name, _PRESENCE_SECONDS)
 
         async with trio.open_nursery() as nursery:
-            for name in names:
+            for name in self.blackboard.backends.listed.keys() & names:
                 if self._may_ask(name, _PRESENT_SECONDS):
                     # Noted here, as other streams of the path ask in the same pass.
-                    self._asked.setdefault(
-                        name, _Asked(at=0.0)
-                    ).at = trio.current_time()
+                    asked = self._asked.setdefault(name, _Asked(at=0.0))
+                    asked.at = trio.current_time()
                     nursery.start_soon(ask, name)
         lost = [name for name, report in reports.items() if report is None]
         if len(lost) > _MOST_LOST:
             _LOGGER.info("engines of a path unreachable", extra={"backends": lost})
             return
-        for name in lost:
-            self._suspect_silent(name)
+        now = clocks.read_boot_clock()
+        async with trio.open_nursery() as nursery:
+            for name in lost:
+                # Streams leave it at once; whether it is dead takes a full question.
+                self.suspects.suspect(name, suspicion.SuspicionReason.LATE, now)
+                nursery.start_soon(self.check, name)
 
     async def _read_report(
         self, name: ids.BackendServerId, timeout_seconds: float
@@ -148,11 +150,6 @@
         self.paces.note_pace(name, report.pace, clocks.read_boot_clock())
         return report
 
-    def _suspect_silent(self, name: ids.BackendServerId) -> None:
-        if name in self.blackboard.backends.listed:
-            reason = suspicion.SuspicionReason.SILENT
-            self.suspects.suspect(name, reason, clocks.read_boot_clock())
-
     async def _check_stalled(self, report: engines.EngineReport) -> None:
         """Suspect the engines that others wait for, and ask them themselves."""
         addresses = {address for _, address in report.stalled}
--- a/src/jujubepass/forwarding/suspicion.py
+++ b/src/jujubepass/forwarding/suspicion.py
@@ -24,6 +24,7 @@
     BROKE_OFF = "broke_off"
     NAMED_AT_FAULT = "named_at_fault"
     SILENT = "silent"
+    LATE = "late"
     FULL = "full"
 
 
--- a/tests/features/full_engine.feature
+++ b/tests/features/full_engine.feature
@@ -24,3 +24,15 @@
     And one whose first event is late goes on while no later one was served
     And one that later ones from the same engine overtook is given up
     And one that was silent for longer than its caller waits is given up
+
+  Scenario: An engine that answers late is left, and not planned around
+    Given the engines of a site, planned and loaded
+    When the first engine of a silent path answers each question after 0.1 seconds
+    Then streams leave it
+    And it is not held for dead
+
+  Scenario: An engine that answers no question of a silent path is held for dead
+    Given the engines of a site, planned and loaded
+    When the first engine of a silent path answers no question
+    Then streams leave it
+    And it is held for dead
--- a/tests/features/steps/full_engine_steps.py
+++ b/tests/features/steps/full_engine_steps.py
@@ -1,6 +1,16 @@
 import behave
-
-from jujubepass.forwarding import backends, paths, suspicion, watched
+import trio
+import trio.testing
+
+from jujubepass.forwarding import (
+    backends,
+    clocks,
+    engines,
+    paths,
+    probing,
+    suspicion,
+    watched,
+)
 from jujubepass.transport import _http_client
 from tests import small_fleet
 
@@ -129,3 +139,82 @@
 def step_long_stream(context):
     verdict = make_stream().judge(1.9, has_lost=False)
     assert verdict is watched.Verdict.GIVE_UP, verdict
+
+
+class LateControl:
+    """Answer questions about one engine late, and those about others at once."""
+
+    def __init__(self, late, seconds):
+        self.late = late
+        self.seconds = seconds
+
+    async def read_report(self, engine):
+        if engine.name == self.late:
+            await trio.sleep(self.seconds)
+        return engines.EngineReport(
+            started_at=1,
+            held=engine.held,
+            is_busy=False,
+            orders_begun=1,
+            running=0,
+            queued=0,
+        )
+
+
+def question_path(context, seconds):
+    """Let streams of a path be silent three times, a second and more apart."""
+    fleet = context.fleet
+    path = small_fleet.choose(fleet)
+    context.late = path.parts[0].engine
+    prober = probing.Prober(
+        blackboard=fleet.blackboard,
+        suspects=fleet.suspects,
+        control=LateControl(context.late, seconds),
+        paces=fleet.paces,
+    )
+
+    async def ask_thrice():
+        context.lost = []
+        for _ in range(3):
+            await prober.check_path(path.engines)
+            now = clocks.read_boot_clock()
+            context.lost.append(fleet.suspects.is_lost(context.late, now))
+            await trio.sleep(1.5)
+
+    clock = trio.testing.MockClock(autojump_threshold=0.0)
+    began = clocks.read_boot_clock()
+    trio.run(ask_thrice, clock=clock)
+    context.dead_at = began + 10.0
+
+
+@behave.when(
+    "the first engine of a silent path answers each question after 0.1 seconds"
+)
+def step_answers_late(context):
+    question_path(context, 0.1)
+
+
+@behave.when("the first engine of a silent path answers no question")
+def step_answers_nothing(context):
+    question_path(context, 60.0)
+
+
+@behave.then("streams leave it")
+def step_left(context):
+    assert context.lost[0], context.lost
+
+
+def is_dead(context):
+    return context.fleet.suspects.is_dead(
+        context.late, context.dead_at, least_seconds=0.7, least_questions=2
+    )
+
+
+@behave.then("it is not held for dead")
+def step_not_dead(context):
+    assert not is_dead(context)
+
+
+@behave.then("it is held for dead")
+def step_dead(context):
+    assert is_dead(context)
