--- a/src/jujubepass/platform/store.py
+++ b/src/jujubepass/platform/store.py
@@ -10,7 +10,7 @@
 import attrs
 
 from jujubepass.forwarding import clocks, feeds
-from jujubepass.storage import _object_client, _store_messages
+from jujubepass.storage import _object_client, _store_messages, _unfinished
 from jujubepass.transport import _http_client
 
 _LOGGER = logging.getLogger(__name__)
@@ -241,18 +241,13 @@
                 return _store_messages.TransactionConflicted(
                     operation=operation, rows=rows
                 )
-        except _http_client.NotSentError as error:
-            return _store_messages.TransactionUnsent(
-                operation=operation, detail=str(error)
-            )
         except (_http_client.ClientError, KeyError, TypeError, ValueError) as error:
-            return _store_messages.TransactionUnclear(
-                operation=operation, detail=str(error)
-            )
-        detail = f"the store answered {reply.status}"
-        if reply.status in _NO_EFFECT_STATUSES:
-            return _store_messages.TransactionUnsent(operation=operation, detail=detail)
-        return _store_messages.TransactionUnclear(operation=operation, detail=detail)
+            return _unfinished.describe_error(operation, error)
+        return _unfinished.describe_status(
+            operation,
+            f"the store answered {reply.status}",
+            had_no_effect=reply.status in _NO_EFFECT_STATUSES,
+        )
 
     async def read(
         self, command: _store_messages.ReadRows
--- a/src/jujubepass/storage/_table_client.py
+++ b/src/jujubepass/storage/_table_client.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from jujubepass.storage import _store_messages
+from jujubepass.storage import _store_messages, _unfinished
 from jujubepass.transport import _http_client
 
 _OK = 200
@@ -70,18 +70,13 @@
                 return _store_messages.TransactionConflicted(
                     operation=operation, rows=rows
                 )
-        except _http_client.NotSentError as error:
-            return _store_messages.TransactionUnsent(
-                operation=operation, detail=str(error)
-            )
         except (_http_client.ClientError, KeyError, TypeError) as error:
-            return _store_messages.TransactionUnclear(
-                operation=operation, detail=str(error)
-            )
-        detail = f"table service answered {answer.status}"
-        if answer.status in _NO_EFFECT_STATUSES:
-            return _store_messages.TransactionUnsent(operation=operation, detail=detail)
-        return _store_messages.TransactionUnclear(operation=operation, detail=detail)
+            return _unfinished.describe_error(operation, error)
+        return _unfinished.describe_status(
+            operation,
+            f"table service answered {answer.status}",
+            had_no_effect=answer.status in _NO_EFFECT_STATUSES,
+        )
 
     async def read(
         self, command: _store_messages.ReadRows
--- /dev/null
+++ b/src/jujubepass/storage/_unfinished.py
@@ -0,0 +1,25 @@
+"""What a transaction without a usable answer means."""
+
+from jujubepass.storage import _store_messages
+from jujubepass.transport import _http_client
+
+Unfinished = _store_messages.TransactionUnsent | _store_messages.TransactionUnclear
+
+
+def describe_error(
+    operation: _store_messages.OperationId, error: Exception
+) -> Unfinished:
+    """Tell a transaction that never left this process from one that may have run."""
+    detail = str(error)
+    if isinstance(error, _http_client.NotSentError):
+        return _store_messages.TransactionUnsent(operation=operation, detail=detail)
+    return _store_messages.TransactionUnclear(operation=operation, detail=detail)
+
+
+def describe_status(
+    operation: _store_messages.OperationId, detail: str, *, had_no_effect: bool
+) -> Unfinished:
+    """Tell a transaction that was surely refused from one that may have run."""
+    if had_no_effect:
+        return _store_messages.TransactionUnsent(operation=operation, detail=detail)
+    return _store_messages.TransactionUnclear(operation=operation, detail=detail)
