Tell a spent retry budget from full engines, and show the spread of requests

Callers whose request got no retry were answered engines_full, the same as when every engine had refused, so that logs could not tell whether the budget held retries back. Nor did anything show which pipelines requests took unless they failed.

A denied retry is refused as retry_budget_spent, with the same status and Retry-After. The log names a request's attempts and its last backend server. Metrics count retries that budgets allowed and denied, attempts by first engine, and reads of each feed of the store.

Stall time-outs of streams move to a module of their own, unchanged.

--- a/src/jujubepass/forwarding/engine_choice.py
+++ b/src/jujubepass/forwarding/engine_choice.py
@@ -46,6 +46,10 @@
     blackboard: board.Blackboard
     suspects: suspicion.Suspects
     slowdowns: slowdowns.SlowdownTracker
+    attempts: collections.Counter[ids.BackendServerId] = attrs.field(
+        factory=collections.Counter, init=False
+    )
+    """Attempts by the first engine of their pipeline."""
     _running: collections.Counter[ids.BackendServerId] = attrs.field(
         factory=collections.Counter, init=False
     )
@@ -163,6 +167,7 @@
 
     def record_start(self, pipeline: pipelines.Pipeline) -> None:
         """Count a request on its engines, in the prefill phase."""
+        self.attempts[pipeline.stages[0].engine] += 1
         self._running.update(pipeline.engines)
         self._prefilling.update(pipeline.engines)
 
--- a/src/jujubepass/forwarding/forwarder.py
+++ b/src/jujubepass/forwarding/forwarder.py
@@ -90,6 +90,8 @@
                 "status": reply.status,
                 "reason": reply.reason,
                 "seconds": round(now - request.arrived_at, 3),
+                "attempts": reply.attempts,
+                "backend": reply.backend,
                 **inputs,
             },
         )
--- a/src/jujubepass/forwarding/metrics_page.py
+++ b/src/jujubepass/forwarding/metrics_page.py
@@ -1,11 +1,15 @@
 """Metrics page of a forwarding node."""
 
+import collections.abc
 import functools
+import typing
 
 import attrs
 
-from jujubepass.forwarding import board, clocks, ordering
+from jujubepass import ids
+from jujubepass.forwarding import board, clocks, engine_choice, following, ordering
 from jujubepass.forwarding import measures as node_measures
+from jujubepass.limits import _retry_budget
 from jujubepass.telemetry import _metric_registry
 from jujubepass.transport import _http_client
 
@@ -25,6 +29,9 @@
     blackboard: board.Blackboard,
     client: _http_client.Client,
     orders: ordering.OrderSender,
+    choice: engine_choice.EngineChoice,
+    budgets: collections.abc.Mapping[ids.ServiceId, _retry_budget.RetryBudget],
+    followers: collections.abc.Iterable[following.Follower[typing.Any]],
 ) -> MetricsPage:
     """Return all metrics in the Prometheus text format."""
     registry = _metric_registry.Registry(
@@ -38,6 +45,19 @@
         lambda: client.opened_connections,
     )
     registry.add_counter("orders", "Orders to engines.", lambda: orders.orders_sent)
+    registry.add_labelled_counter(
+        "pipeline_attempts",
+        "Attempts of model requests by the first engine.",
+        "backend",
+        lambda: {str(name): count for name, count in choice.attempts.items()},
+    )
+    _add_budgets(registry, budgets)
+    registry.add_labelled_counter(
+        "store_reads",
+        "Reads of the store's feeds.",
+        "feed",
+        lambda: {each.name: each.reads for each in followers},
+    )
     _add_configuration(registry, blackboard)
     return MetricsPage(
         content_type=_metric_registry.CONTENT_TYPE, data=registry.expose()
@@ -57,6 +77,24 @@
         )
 
 
+def _add_budgets(
+    registry: _metric_registry.Registry,
+    budgets: collections.abc.Mapping[ids.ServiceId, _retry_budget.RetryBudget],
+) -> None:
+    registry.add_labelled_counter(
+        "retries_spent",
+        "Retries that the budget of a service allowed.",
+        "service",
+        lambda: {name: each.spent for name, each in budgets.items()},
+    )
+    registry.add_labelled_counter(
+        "retries_denied",
+        "Retries that the budget of a service denied.",
+        "service",
+        lambda: {name: each.denied for name, each in budgets.items()},
+    )
+
+
 def _add_configuration(
     registry: _metric_registry.Registry, blackboard: board.Blackboard
 ) -> None:
--- a/src/jujubepass/forwarding/node.py
+++ b/src/jujubepass/forwarding/node.py
@@ -324,6 +324,9 @@
             blackboard=self.blackboard,
             client=self.client,
             orders=self._orders,
+            choice=self._choice,
+            budgets=self._budgets,
+            followers=(self._configuration, self._backends, self._plans),
         )
         await responder.send(200, page.data, content_type=page.content_type)
 
--- a/src/jujubepass/forwarding/replies.py
+++ b/src/jujubepass/forwarding/replies.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from jujubepass import reasons
+from jujubepass import ids, reasons
 from jujubepass.forwarding import admission, exchange
 from jujubepass.transport import _http_server
 
@@ -21,6 +21,9 @@
     reasons.RefusalReason.BACKEND_REFUSED: "The backend servers took no more requests.",
     reasons.RefusalReason.NO_ROUTE: "No path of engines holds every layer now.",
     reasons.RefusalReason.NODE_STOPPING: "This node stops. Ask another one.",
+    reasons.RefusalReason.RETRY_BUDGET_SPENT: (
+        "It was not run, and no retry is left for it now."
+    ),
     reasons.RefusalReason.ENGINES_FULL: "The engines are full.",
     reasons.RefusalReason.DEADLINE_UNREACHABLE: "The time left is too short.",
     reasons.RefusalReason.DEADLINE_PASSED: "No answer came in time; it may have run.",
@@ -38,12 +41,20 @@
     outcome: str = "open"
     reason: str = ""
     status: int = 0
+    attempts: int = 0
+    backend: str = ""
+    """Backend server of the last attempt; empty without one."""
 
     @property
     def started(self) -> bool:
         """Return whether the start of an answer has been sent."""
         return self.responder.started
 
+    def record_attempt(self, backend: ids.BackendServerId) -> None:
+        """Record that the request is being sent to a backend server."""
+        self.attempts += 1
+        self.backend = backend
+
     async def refuse(self, refusal: admission.Refusal) -> None:
         """Send a refusal as the final answer."""
         reason = refusal.reason
--- a/src/jujubepass/forwarding/service_exchange.py
+++ b/src/jujubepass/forwarding/service_exchange.py
@@ -133,6 +133,7 @@
             if progress.tried and not self.budgets[admitted.service.name].spend(now):
                 return _refuse_none_left(progress)
             progress.tried.add(backend.name)
+            reply.record_attempt(backend.name)
             last = progress.runs + 1 >= route.max_attempts
             try:
                 await self._send(request, admitted, backend, reply, has_retry=not last)
--- a/src/jujubepass/forwarding/stream_exchange.py
+++ b/src/jujubepass/forwarding/stream_exchange.py
@@ -11,7 +11,6 @@
 from jujubepass.forwarding import (
     admission,
     clocks,
-    declarations,
     engine_choice,
     events,
     exchange,
@@ -19,6 +18,7 @@
     replies,
     sending,
     stall_watch,
+    stream_timeouts,
     suspicion,
     watched_streams,
 )
@@ -27,18 +27,6 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-# A stream is suspicious after a gap of the route's goal for gaps.
-_SUSPICIOUS_GAPS = 1.0
-_MIN_SUSPICIOUS_SECONDS = 0.15
-# The first event is due at the goal; half of it leaves time for another pipeline.
-_SUSPICIOUS_GOALS = 0.5
-# Engines are probed then: over twice a usual first event (p50 58 ms, p99 90 ms).
-_OVERDUE_GOALS = 0.25
-# Callers abort a stream after the longest of these; the answer has to move before.
-_CALLER_STALL_SECONDS = 2.0
-_CALLER_STALL_GOALS = 4.0
-_CALLER_STALL_GAPS = 8.0
-_USED_STALL_SHARE = 0.9
 # Share of the stall time-out that a request waits for the repair of a pipeline.
 _PIPELINE_WAIT_SHARE = 0.6
 _PIPELINE_POLL_INTERVAL_SECONDS = 0.05
@@ -153,7 +141,7 @@
             return _STOPPING
         is_retry = progress.runs + progress.refusals > 0
         if is_retry and not self.budgets[admitted.service.name].spend(now):
-            return _FULL
+            return _BUDGET_SPENT
         return None
 
     def _outlasts_node(
@@ -179,7 +167,9 @@
         self, admitted: exchange.Admitted, progress: _Progress
     ) -> pipelines.Pipeline | None:
         """Return a pipeline, or wait for the repair of one."""
-        wait_seconds = _PIPELINE_WAIT_SHARE * _compute_caller_timeout(admitted.route)
+        wait_seconds = _PIPELINE_WAIT_SHARE * stream_timeouts.compute_caller_timeout(
+            admitted.route
+        )
         until = clocks.read_boot_clock() + wait_seconds
         while True:
             now = clocks.read_boot_clock()
@@ -218,13 +208,14 @@
             pipeline=pipeline,
             resume_after=progress.last_id,
         )
-        timeouts = _make_stall_timeouts(admitted.route)
+        timeouts = stream_timeouts.make_stall_timeouts(admitted.route)
         watching = self.stalls.watch(
             pipeline,
             request.request_id,
             timeouts,
             is_repeatable=admitted.route.is_repeatable,
         )
+        reply.record_attempt(first.engine)
         with watching as stream:
             self.choice.record_start(pipeline)
             try:
@@ -341,27 +332,6 @@
         _log_attempt(request, pipeline, "broken", str(error), progress)
 
 
-def _compute_caller_timeout(route: declarations.Route) -> float:
-    """Return the stall after which callers abort a stream, in seconds."""
-    return max(
-        _CALLER_STALL_SECONDS,
-        _CALLER_STALL_GOALS * route.goal_seconds,
-        _CALLER_STALL_GAPS * route.gap_seconds,
-    )
-
-
-def _make_stall_timeouts(route: declarations.Route) -> watched_streams.StallTimeouts:
-    timeout = _USED_STALL_SHARE * _compute_caller_timeout(route)
-    suspicious = max(_MIN_SUSPICIOUS_SECONDS, _SUSPICIOUS_GAPS * route.gap_seconds)
-    return watched_streams.StallTimeouts(
-        first_overdue_seconds=min(_OVERDUE_GOALS * route.goal_seconds, timeout),
-        first_suspicious_seconds=min(_SUSPICIOUS_GOALS * route.goal_seconds, timeout),
-        first_timeout_seconds=timeout,
-        gap_suspicious_seconds=min(suspicious, timeout),
-        gap_timeout_seconds=timeout,
-    )
-
-
 _OK = 200
 # Maximum runs of one request, including those whose engine has ended. After this many
 # lost pipelines, further runs would use up the retry budget of other requests.
@@ -373,11 +343,15 @@
 _FULL = admission.Refusal(
     reason=reasons.RefusalReason.ENGINES_FULL, retry_after_seconds=_FULL_RETRY_SECONDS
 )
+_BUDGET_SPENT = admission.Refusal(
+    reason=reasons.RefusalReason.RETRY_BUDGET_SPENT,
+    retry_after_seconds=_FULL_RETRY_SECONDS,
+)
 _NO_PIPELINE = admission.Refusal(
     reason=reasons.RefusalReason.NO_ROUTE, retry_after_seconds=_PIPELINE_RETRY_SECONDS
 )
 # Temporary reasons; an answer that has begun waits until they have passed.
-_TEMPORARY = (_FULL, _NO_PIPELINE)
+_TEMPORARY = (_BUDGET_SPENT, _NO_PIPELINE)
 
 
 def _log_attempt(
--- a/src/jujubepass/limits/_retry_budget.py
+++ b/src/jujubepass/limits/_retry_budget.py
@@ -20,6 +20,8 @@
     """
 
     bounds: RetryBudgetBounds = attrs.field(factory=RetryBudgetBounds)
+    spent: int = attrs.field(default=0, init=False)
+    denied: int = attrs.field(default=0, init=False)
     _available: float = attrs.field(init=False)
     _refilled_at: float | None = attrs.field(default=None, init=False)
 
@@ -35,8 +37,10 @@
         """Spend one retry; return False when the budget is exhausted."""
         self._refill(now)
         if self._available < 1.0:
+            self.denied += 1
             return False
         self._available -= 1.0
+        self.spent += 1
         return True
 
     def predict_wait_seconds(self, now: float) -> float:
