Divide the retry slack by the number of nodes

Engines of two deployments of 75 and 84 nodes got 811 and 644 retries in ten seconds where 612 and 599 are allowed.

Cause: each node took a twelfth of the slack, whatever their number, and a bucket of one retry at least. Nine nodes took 0.75 of the slack, 75 took 6.25 times the slack.

Nodes now announce themselves in a table of the store, each with a row that it renews every 20 seconds (every 70 at 700 nodes), and read the others' every 10 seconds. A node's share is the slack divided by the number of rows. It takes the share only while it has read them within 12.5 seconds and while all others certainly count it, so that the shares never add up to more than the slack.

Nodes that know each other still use over 0.8 of the allowance.

--- a/src/jujubepass/forwarding/adapters.py
+++ b/src/jujubepass/forwarding/adapters.py
@@ -8,6 +8,7 @@
     engines,
     exchange,
     feeds,
+    members,
     plans,
 )
 from jujubepass.storage import _table_client
@@ -23,3 +24,5 @@
     configuration: feeds.Feed[declarations.Declarations]
     backends: feeds.Feed[backends.Backend]
     plans: feeds.Feed[plans.Plan]
+    member_table: _table_client.Table
+    members: feeds.Feed[members.Member]
--- a/src/jujubepass/forwarding/board.py
+++ b/src/jujubepass/forwarding/board.py
@@ -1,5 +1,6 @@
 """Blackboard of a forwarding node; each area has a single writer."""
 
+import collections
 import enum
 
 import attrs
@@ -56,6 +57,22 @@
     is_initialized: bool = False
 
 
+@attrs.define(kw_only=True)
+class MemberArea:
+    """Store the number of nodes; written by the member controller."""
+
+    nodes: collections.Counter[ids.FailureDomainId] = attrs.field(
+        factory=collections.Counter
+    )
+    """Number of nodes by failure domain, including this one."""
+    confirmed_at: float = _NEVER
+    """Boot-clock time at which the rows were last confirmed up to date."""
+    announced_at: float = float("inf")
+    """Boot-clock time since which other nodes can read this node's row."""
+    counted_until: float = _NEVER
+    """Boot-clock time until which nodes that have read the row count this node."""
+
+
 @attrs.define(kw_only=True)
 class Blackboard:
     """Combine all areas; docs/architecture.md lists their writers and readers."""
@@ -69,6 +86,9 @@
     """The platform's bounds in force; written by the settings controller."""
     is_cold_start: bool = False
     """Whether this is a cold start without any model request so far."""
+    is_first_start: bool = False
+    """Whether all nodes of the system are starting for the first time."""
     configuration: ConfigurationArea = attrs.field(factory=ConfigurationArea)
     backends: BackendArea = attrs.field(factory=BackendArea)
     plans: PlanArea = attrs.field(factory=PlanArea)
+    members: MemberArea = attrs.field(factory=MemberArea)
--- /dev/null
+++ b/src/jujubepass/forwarding/members.py
@@ -0,0 +1,133 @@
+"""Nodes of one deployment that know each other from rows in the store.
+
+Each node renews its own row and reads the others'. What nodes share is divided by their
+number, and a node takes part only while all others certainly count it.
+"""
+
+import collections
+import collections.abc
+import logging
+
+import attrs
+
+from jujubepass import ids
+from jujubepass.forwarding import board, feeds
+
+_LOGGER = logging.getLogger(__name__)
+
+READ_INTERVAL_SECONDS = 10.0
+# Rows read longer ago may lack a node that already takes its share.
+_MAX_READ_AGE_SECONDS = 12.5
+_MIN_RENEWAL_SECONDS = 20.0
+# Keeps the renewals of all nodes at ten a second in large deployments.
+_RENEWAL_SECONDS_PER_NODE = 0.1
+# A row that was not renewed for this many of its intervals no longer counts; after
+# twice that time it is removed.
+_EXPIRY_RENEWALS = 3.0
+
+
+@attrs.frozen(kw_only=True)
+class Member:
+    """Describe a node's row."""
+
+    node: ids.NodeId
+    version: int
+    failure_domain: ids.FailureDomainId
+    renewal_seconds: float
+    """Longest time until the node renews its row."""
+
+
+@attrs.frozen(kw_only=True)
+class _Observation:
+    member: Member
+    changed_at: float
+    """Boot-clock time at which this node first read the row's version."""
+
+
+@attrs.define(kw_only=True)
+class MemberController:
+    """Update the member area from rows and from renewals of the own row."""
+
+    blackboard: board.Blackboard
+    _observations: dict[ids.NodeId, _Observation] = attrs.field(
+        factory=dict, init=False
+    )
+
+    @property
+    def renewal_seconds(self) -> float:
+        """Return the interval in which this node renews its row."""
+        count = len(self._observations)
+        return max(_MIN_RENEWAL_SECONDS, _RENEWAL_SECONDS_PER_NODE * count)
+
+    def apply(self, changes: feeds.Changes[Member], now: float) -> None:
+        """Apply rows that were read; an unreadable row counts as removed."""
+        if changes.is_complete:
+            for node in self._observations.keys() - changes.items.keys():
+                del self._observations[node]
+        for key, member in changes.items.items():
+            node = ids.NodeId(key)
+            known = self._observations.get(node)
+            if member is None:
+                self._observations.pop(node, None)
+            elif known is None or known.member.version != member.version:
+                self._observations[node] = _Observation(member=member, changed_at=now)
+        self.blackboard.members.confirmed_at = changes.confirmed_at
+        self.count(now)
+
+    def count(self, now: float) -> None:
+        """Count the nodes whose rows have not expired."""
+        area = self.blackboard.members
+        live = collections.Counter(
+            each.member.failure_domain
+            for each in self._observations.values()
+            if not _is_expired(each, now, 1.0)
+        )
+        if live != area.nodes:
+            _LOGGER.info(
+                "number of nodes changed",
+                extra={"nodes": live.total(), "domains": dict(live)},
+            )
+        area.nodes = live
+
+    def find_abandoned(self, now: float) -> Member | None:
+        """Return a row to remove, as its node has not renewed it for long."""
+        return next(
+            (
+                each.member
+                for each in self._observations.values()
+                if _is_expired(each, now, 2.0)
+            ),
+            None,
+        )
+
+    def record_renewal(
+        self, *, sent_at: float, committed_at: float, seconds: float
+    ) -> None:
+        """Record that the own row was written, to be renewed within some seconds."""
+        area = self.blackboard.members
+        if sent_at > area.counted_until:
+            # The others may have dropped the row in the meantime.
+            area.announced_at = committed_at
+        area.counted_until = sent_at + _EXPIRY_RENEWALS * seconds
+
+
+def find_share(blackboard: board.Blackboard, now: float) -> float:
+    """Return this node's share of what all nodes divide, or 0.0 if that is unsafe.
+
+    The shares of all nodes never add up to more than 1, also over any window of
+    `retry_window_seconds`: others have read this node's row before it takes a share,
+    and what they took when they did not know it lies a window back.
+    """
+    area = blackboard.members
+    wait_seconds = _MAX_READ_AGE_SECONDS
+    if not blackboard.is_first_start:
+        wait_seconds += blackboard.bounds.retry_window_seconds
+    is_known = area.announced_at + wait_seconds <= now <= area.counted_until
+    if not is_known or now - area.confirmed_at > _MAX_READ_AGE_SECONDS:
+        return 0.0
+    return 1.0 / max(1, area.nodes.total())
+
+
+def _is_expired(observation: _Observation, now: float, factor: float) -> bool:
+    limit = factor * _EXPIRY_RENEWALS * observation.member.renewal_seconds
+    return now - observation.changed_at > limit
--- a/src/jujubepass/forwarding/node.py
+++ b/src/jujubepass/forwarding/node.py
@@ -12,6 +12,7 @@
 from jujubepass.forwarding import (
     adapters,
     admission,
+    announcing,
     backend_list,
     board,
     clocks,
@@ -21,6 +22,7 @@
     following,
     forwarder,
     measures,
+    members,
     moves,
     ordering,
     planner,
@@ -83,6 +85,7 @@
             failure_domain=node.failure_domain,
             bounds=settings.bounds,
             is_cold_start=node.first_start,
+            is_first_start=node.first_start,
         )
         self._reloader = reloading.SettingsController(
             blackboard=self.blackboard, source=source, in_force=settings
@@ -144,6 +147,12 @@
             ),
             table=self.adapter.table,
         )
+        self._announcer = announcing.Announcer(
+            blackboard=self.blackboard,
+            controller=members.MemberController(blackboard=self.blackboard),
+            table=self.adapter.member_table,
+            feed=self.adapter.members,
+        )
         self._configuration = following.Follower(
             name="configuration",
             feed=self.adapter.configuration,
@@ -200,7 +209,7 @@
         return _retry_budget.RetryBudget(bounds=bounds)
 
     def _update_budgets(self) -> None:
-        """Apply changed bounds to the retry budgets."""
+        """Apply changed bounds and numbers of nodes to the retry budgets."""
         bounds = self._allowance.find_bounds(clocks.read_boot_clock())
         for budget in self._budgets.values():
             budget.bounds = bounds
@@ -217,6 +226,7 @@
                 for follower in (self._configuration, self._backends, self._plans):
                     nursery.start_soon(_run_with_restarts, follower.run)
                 for task in (
+                    self._announcer.run,
                     self._planning.run,
                     self._orders.run,
                     self._stalls.run,
@@ -250,8 +260,7 @@
         async for received in signals:
             if received == signal.SIGTERM:
                 return
-            if self._reloader.reload():
-                self._update_budgets()
+            self._reloader.reload()
 
     async def _shut_down(self) -> None:
         """Wait until callers use other nodes and running requests have ended."""
@@ -281,8 +290,8 @@
             while area.restarted:
                 self.suspects.clear(area.restarted.pop())
             self._readiness.check()
-            if self._reloader.check(clocks.read_boot_clock()):
-                self._update_budgets()
+            self._reloader.check(clocks.read_boot_clock())
+            self._update_budgets()
             self._apply_limits()
 
     def _apply_limits(self) -> None:
--- a/src/jujubepass/limits/_retry_budget.py
+++ b/src/jujubepass/limits/_retry_budget.py
@@ -1,5 +1,7 @@
 """Budget that limits retries to a fraction of first attempts."""
 
+import collections
+
 import attrs
 
 
@@ -10,6 +12,8 @@
     retries_per_attempt: float = 0.2
     retries_per_second: float = 0.5
     capacity: float = 10.0
+    attempt_memory_seconds: float = 0.0
+    """Time for which attempts add their retries to the capacity."""
 
 
 @attrs.define(kw_only=True)
@@ -24,12 +28,17 @@
     denied: int = attrs.field(default=0, init=False)
     _available: float = attrs.field(init=False)
     _refilled_at: float | None = attrs.field(default=None, init=False)
+    _recent_attempts: collections.deque[float] = attrs.field(
+        factory=collections.deque, init=False
+    )
 
     def __attrs_post_init__(self) -> None:
         self._available = self.bounds.capacity
 
     def count_attempt(self, now: float) -> None:
         """Refill the budget for one first attempt."""
+        if self.bounds.attempt_memory_seconds:
+            self._recent_attempts.append(now)
         self._refill(now)
         self._refill_by(self.bounds.retries_per_attempt)
 
@@ -53,10 +62,16 @@
         return (1.0 - self._available) / self.bounds.retries_per_second
 
     def _refill(self, now: float) -> None:
+        oldest = now - self.bounds.attempt_memory_seconds
+        while self._recent_attempts and self._recent_attempts[0] <= oldest:
+            self._recent_attempts.popleft()
+        elapsed_seconds = 0.0
         if self._refilled_at is not None:
             elapsed_seconds = max(0.0, now - self._refilled_at)
-            self._refill_by(elapsed_seconds * self.bounds.retries_per_second)
+        self._refill_by(elapsed_seconds * self.bounds.retries_per_second)
         self._refilled_at = now
 
     def _refill_by(self, retries: float) -> None:
-        self._available = min(self.bounds.capacity, self._available + retries)
+        remembered = len(self._recent_attempts) * self.bounds.retries_per_attempt
+        capacity = self.bounds.capacity + remembered
+        self._available = min(capacity, self._available + retries)
--- a/src/jujubepass/platform/assembly.py
+++ b/src/jujubepass/platform/assembly.py
@@ -5,7 +5,15 @@
 
 import trio
 
-from jujubepass.forwarding import adapters, node, plan_rows, plans, settings
+from jujubepass.forwarding import (
+    adapters,
+    member_rows,
+    members,
+    node,
+    plan_rows,
+    plans,
+    settings,
+)
 from jujubepass.platform import backends, configuration, engines, store, wire
 from jujubepass.telemetry import _log_output, _logs
 from jujubepass.transport import _http_client
@@ -51,7 +59,11 @@
             store=store_client, table="servers", decode=backends.read_backend
         ),
         plans=store.TableFeed(
-            store=store_client, table=store.OWN_TABLE, decode=_decode_plan
+            store=store_client, table=store.PLAN_TABLE, decode=_decode_plan
+        ),
+        member_table=store.StoreTable(store=store_client, name=store.MEMBER_TABLE),
+        members=store.TableFeed(
+            store=store_client, table=store.MEMBER_TABLE, decode=_decode_member
         ),
     )
 
@@ -61,3 +73,10 @@
         return plan_rows.read_plan(key, version, value)
     except plan_rows.PlanRowError as error:
         raise store.UnreadableRowError(str(error)) from error
+
+
+def _decode_member(key: str, version: int, value: typing.Any) -> members.Member:
+    try:
+        return member_rows.read_member(key, version, value)
+    except member_rows.MemberRowError as error:
+        raise store.UnreadableRowError(str(error)) from error
--- a/src/jujubepass/platform/store.py
+++ b/src/jujubepass/platform/store.py
@@ -22,8 +22,10 @@
 _GONE = 410
 # The store did not apply the transaction: rate limit, unavailable or invalid request.
 _NO_EFFECT_STATUSES = frozenset((400, 403, 404, 413, 429, 503, 507))
-OWN_TABLE = "jujubepass"
-"""Table that only the product writes."""
+PLAN_TABLE = "jujubepass"
+"""Table of the plans; only the product writes it."""
+MEMBER_TABLE = "jujubepass-nodes"
+"""Table of the nodes; only the product writes it."""
 # The store normally answers within 4 ms. On its slowest day it took 67 times as long;
 # the time-out is more than twice that.
 _ANSWER_TIMEOUT_SECONDS = 0.6
@@ -224,9 +226,10 @@
 
 @attrs.frozen(kw_only=True)
 class StoreTable:
-    """Run the product's table commands on its own table."""
+    """Run the product's table commands on one of its own tables."""
 
     store: StoreClient
+    name: str = PLAN_TABLE
 
     async def transact(
         self, command: _store_messages.Transact
@@ -238,7 +241,7 @@
     ):
         """Run a conditional transaction."""
         operation = command.operation
-        body = json.dumps(_format_transaction(command)).encode()
+        body = json.dumps(_format_transaction(command, self.name)).encode()
         try:
             reply = await self.store.call("POST", "/v1/rows-tx", body=body)
             if reply.status == _OK:
@@ -269,7 +272,7 @@
         """Read rows by key."""
         found: dict[str, _store_messages.VersionedRow] = {}
         for key in command.keys:
-            query = {"table": OWN_TABLE, "part": "", "from": key, "limit": 1}
+            query = {"table": self.name, "part": "", "from": key, "limit": 1}
             read = await self._read_rows(command.operation, query)
             if isinstance(read, _store_messages.ReadFailed):
                 return read
@@ -282,7 +285,7 @@
         """Read rows by key prefix."""
         start = command.after + "\0" if command.after else command.prefix
         query = {
-            "table": OWN_TABLE,
+            "table": self.name,
             "part": "",
             "from": start,
             "to": command.prefix + "\U0010ffff",
@@ -323,8 +326,10 @@
     )
 
 
-def _format_transaction(command: _store_messages.Transact) -> dict[str, typing.Any]:
-    table = {"table": OWN_TABLE, "part": ""}
+def _format_transaction(
+    command: _store_messages.Transact, table_name: str
+) -> dict[str, typing.Any]:
+    table = {"table": table_name, "part": ""}
     return {
         "precondition": [
             {**table, "key": each.key, "ver": each.version}
--- a/tests/features/fleet_size.feature
+++ b/tests/features/fleet_size.feature
@@ -12,6 +12,49 @@
       | 700   | 140   |
       | 700   | 17000 |
 
+  Scenario Outline: Retries of <nodes> nodes stay within the allowance when, after <before>, <change>
+    Given <nodes> nodes that share a retry allowance
+    When after <before>, <change>
+    And all requests fail for 40 seconds
+    Then no window has more retries than the allowance of all nodes
+
+    Examples:
+      | nodes | before              | change                              |
+      | 9     | a burst of failures | as many nodes join                  |
+      | 84    | a burst of failures | as many nodes join                  |
+      | 84    | a burst of failures | half of the nodes leave             |
+      | 84    | a burst of failures | half of the nodes restart           |
+      | 84    | a burst of failures | all nodes restart without the store |
+      | 700   | a burst of failures | half of the nodes leave             |
+
+  Scenario Outline: Retries of <nodes> nodes stay within the allowance <seconds> seconds after <first>, when <second>
+    Given <nodes> nodes that share a retry allowance
+    When after a calm time, <first>
+    And all requests are served for <seconds> seconds
+    And after no time, <second>
+    And all requests fail for 40 seconds
+    Then no window has more retries than the allowance of all nodes
+
+    Examples:
+      | nodes | seconds | first                                    | second                    |
+      | 9     | 4       | as many nodes join                       | nothing changes           |
+      | 84    | 70      | half of the nodes leave                  | all nodes run again       |
+      | 84    | 80      | half of the nodes cannot write the store | half of the nodes restart |
+      | 84    | 80      | half of the nodes cannot write the store | nothing changes           |
+
+  Scenario: Nodes that cannot read the store do not divide by an outdated number
+    Given 9 nodes that share a retry allowance
+    When after a calm time, half of the nodes cannot read the store
+    And after a calm time, as many nodes join
+    And all requests are served for 40 seconds
+    And all requests fail for 40 seconds
+    Then no window has more retries than the allowance of all nodes
+
+  Scenario: Nodes that know each other use most of the allowance
+    Given 84 nodes that share a retry allowance
+    When 140 requests a second are served for 20 seconds and then all fail for 40 seconds
+    Then some window has at least 0.8 of the allowance of all nodes
+
   Scenario Outline: Requests of <nodes> nodes use no engine beyond its cache memory
     Given <nodes> nodes in one failure domain with three chains of engines
     When <running> requests run at once
