Estimate the load of engines from the number of nodes

With faults, whole chains refused requests while others idled.

Cause: a node sees only its own requests and assumed that three nodes share the engines of its failure domain. With 25 to 30 of them its engines look idle and all choose the same fastest chain. Besides, the penalty for used cache memory was a factor on an engine's own time, so that a fast engine was filled beyond its memory before a slow one.

The number of nodes of the failure domain now comes from the members' rows, the request to be sent counts too, and used memory costs a stage the same on a fast engine as on a slow one.

--- a/src/jujubepass/forwarding/engine_choice.py
+++ b/src/jujubepass/forwarding/engine_choice.py
@@ -16,17 +16,15 @@
     suspicion,
 )
 
-# The nodes of a failure domain share its engines, but each counts only its own
-# requests.
-_NODES_PER_DOMAIN = 3
 # A draining engine is used for this long, so that requests need not wait for its
 # successor; the platform allows two seconds.
 _MAX_DRAINING_USE_SECONDS = 1.0
-# Once cache memory runs out, requests are queued or evict others. Up to this share of
-# used memory an engine costs the same as an empty one; beyond it the cost factor grows
-# with the share, by the factor below.
+# Once an engine's cache memory runs out, it refuses requests or evicts others, however
+# fast it is. Beyond this share of used memory each stage costs more, by so many seconds
+# for the whole memory; in a pipeline of a dozen stages that are all full, this exceeds
+# the cost of crossing to another failure domain.
 _UNCONTENDED_MEMORY_SHARE = 0.6
-_CONTENTION_COST_FACTOR = 100.0
+_CONTENTION_SECONDS = 0.1
 # An engine that reports a slowdown delays every token of all requests in its pipeline.
 _SLOWDOWN_EXPONENT = 2.0
 # A queued prompt delays the first event by its time on the slowest stage, about 1/12 of
@@ -98,29 +96,37 @@
             seconds += accelerator.prefill_slowdown * self._predict_queue_delay(
                 model, engine.name
             )
-            cost_factor = self._compute_memory_cost_factor(model, accelerator, engine)
-            cost_factor *= (
+            cost_factor = (
                 self.slowdowns.get_slowdown(engine.name, now) ** _SLOWDOWN_EXPONENT
             )
+            contention = self._compute_contention(model, accelerator, engine)
             yield from _make_options(
                 engine,
                 plan.placements.get(engine.name),
                 layer_seconds=seconds / model.layers,
                 cost_factor=cost_factor,
+                stage_seconds=contention,
                 is_leaving=self._is_leaving(engine, now),
             )
 
+    def _count_nodes(self) -> int:
+        """Return how many nodes share the engines of this failure domain.
+
+        Each counts only its own requests.
+        """
+        return max(1, self.blackboard.members.nodes[self.blackboard.failure_domain])
+
     def _predict_step_seconds(
         self, model: declarations.Model, engine: ids.BackendServerId
     ) -> float:
-        shared = self._running[engine] * _NODES_PER_DOMAIN
+        shared = self._running[engine] * self._count_nodes()
         return model.step_seconds + model.step_seconds_per_sequence * shared
 
     def _predict_queue_delay(
         self, model: declarations.Model, engine: ids.BackendServerId
     ) -> float:
         """Return the delay per token caused by queued prompts, in seconds."""
-        queued_prompts = self._prefilling[engine] * _NODES_PER_DOMAIN
+        queued_prompts = self._prefilling[engine] * self._count_nodes()
         return (
             queued_prompts
             * model.prompt_tokens
@@ -128,24 +134,24 @@
             / _QUEUE_DELAY_TOKENS
         )
 
-    def _compute_memory_cost_factor(
+    def _compute_contention(
         self,
         model: declarations.Model,
         accelerator: declarations.Accelerator,
         engine: backends.Backend,
     ) -> float:
-        """Return the cost factor for the cache memory used by requests."""
+        """Return the cost in seconds of the cache memory that requests use."""
         assert engine.held is not None
         free_megabytes = (
             accelerator.memory_megabytes - len(engine.held) * model.layer_megabytes
         )
         request_tokens = model.prompt_tokens + model.answer_tokens / 2.0
-        used_tokens = self._running[engine.name] * _NODES_PER_DOMAIN * request_tokens
+        # Counts the request to be sent, since other nodes add theirs at the same time.
+        requests = (self._running[engine.name] + 1) * self._count_nodes()
+        used_tokens = requests * request_tokens
         token_kilobytes = model.token_kilobytes * len(engine.held) / model.layers
         used_share = used_tokens * token_kilobytes / max(1.0, free_megabytes * 1_000.0)
-        return 1.0 + _CONTENTION_COST_FACTOR * max(
-            0.0, used_share - _UNCONTENDED_MEMORY_SHARE
-        )
+        return _CONTENTION_SECONDS * max(0.0, used_share - _UNCONTENDED_MEMORY_SHARE)
 
     def _is_leaving(self, engine: backends.Backend, now: float) -> bool | None:
         """Return whether an engine is leaving; None if it accepts no more requests."""
@@ -188,6 +194,7 @@
     *,
     layer_seconds: float,
     cost_factor: float,
+    stage_seconds: float,
     is_leaving: bool | None,
 ) -> collections.abc.Iterator[pipelines.StageOption]:
     """Yield the planned span, and at a higher cost all layers that are held."""
@@ -201,6 +208,7 @@
             span=planned,
             layer_seconds=layer_seconds,
             cost_factor=cost_factor,
+            stage_seconds=stage_seconds,
         )
     if planned != held or is_leaving:
         yield pipelines.StageOption(
@@ -208,6 +216,7 @@
             span=held,
             layer_seconds=layer_seconds,
             cost_factor=cost_factor * _UNPLANNED_COST_FACTOR,
+            stage_seconds=stage_seconds,
         )
 
 
--- a/src/jujubepass/forwarding/pipelines.py
+++ b/src/jujubepass/forwarding/pipelines.py
@@ -56,6 +56,8 @@
     """Time per layer and token."""
     cost_factor: float = 1.0
     """Factor on the predicted time."""
+    stage_seconds: float = 0.0
+    """Cost of a stage beside its predicted time."""
 
 
 _State = tuple[int, ids.FailureDomainId]
@@ -111,7 +113,7 @@
         if not layer < end <= option.span.end:
             continue
         seconds = (end - layer) * option.layer_seconds + _HOP_SECONDS
-        total = cost + seconds * option.cost_factor
+        total = cost + seconds * option.cost_factor + option.stage_seconds
         state = (end, domain)
         if total < best.get(state, (math.inf, ()))[0]:
             stage = Stage(
--- a/tests/small_fleet.py
+++ b/tests/small_fleet.py
@@ -1,5 +1,6 @@
 """A blackboard with a few engines and its controllers, without a network."""
 
+import collections
 import random
 
 from jujubepass import ids
@@ -207,6 +208,8 @@
     copied.list_engines(fleet.blackboard.backends.listed.values())
     copied.blackboard.plans = fleet.blackboard.plans
     copied.now = fleet.now
+    domain = copied.blackboard.failure_domain
+    copied.blackboard.members.nodes = collections.Counter({domain: nodes})
     return copied
 
 
