Delay attempts after refusals, also of streams that have begun

One request reached the same refusing engine six times, 12 to 20 ms apart, and callers' retries were used up by it.

Cause: a request is refused after four refused attempts, but a stream that has begun has no such limit, and nothing delayed its next attempt.

Attempts now wait 25 to 50 ms after a refusal, twice as long after each further one, up to 0.8 s. A request that has not begun tries one other pipeline at once.

--- a/src/jujubepass/forwarding/stream_exchange.py
+++ b/src/jujubepass/forwarding/stream_exchange.py
@@ -3,6 +3,7 @@
 import collections
 import collections.abc
 import logging
+import random
 
 import attrs
 import trio
@@ -38,6 +39,10 @@
 _PREDICTION_MARGIN = 1.2
 # Maximum number of refused attempts before the request itself is refused.
 _MAX_REFUSALS = 4
+# Delay after a refused attempt; it doubles with each refusal in a row. A request that
+# has not begun tries one other pipeline at once, as its first event is due soon.
+_MIN_REFUSED_DELAY_SECONDS = 0.05
+_MAX_REFUSED_DELAY_SECONDS = 0.8
 
 
 class PipelineFailedError(Exception):
@@ -53,6 +58,7 @@
     events: int = 0
     runs: int = 0
     refusals: int = 0
+    refusals_in_row: int = 0
     avoided: set[ids.BackendServerId] = attrs.field(factory=set)
     entries: dict[ids.BackendServerId, int] = attrs.field(factory=dict)
     """First engines of this request's pipelines, with the engines' start times."""
@@ -70,6 +76,7 @@
     budgets: collections.defaultdict[ids.ServiceId, _retry_budget.RetryBudget]
     count_retry: collections.abc.Callable[[reasons.RetryReason], None]
     observe_first_event: collections.abc.Callable[[float], None]
+    random_source: random.Random = attrs.field(factory=random.Random)
 
     async def serve(
         self,
@@ -118,11 +125,21 @@
                 self._record_refusal(request, pipeline, error, progress)
                 if progress.refusals >= _MAX_REFUSALS and not reply.started:
                     return self._make_refusal(_FULL, progress)
+                await trio.sleep(self._draw_delay(progress))
             except (sending.OutcomeUnknownError, PipelineFailedError) as error:
                 self._record_failure(request, pipeline, error, progress)
                 if not admitted.route.is_repeatable or progress.runs >= _MAX_RUNS:
                     return self._make_refusal(_OUTCOME_UNKNOWN, progress)
 
+    def _draw_delay(self, progress: _Progress) -> float:
+        """Return the delay after a refused attempt, in seconds."""
+        doublings = progress.refusals_in_row - (1 if progress.events else 2)
+        if doublings < 0:
+            return 0.0
+        seconds = _MIN_REFUSED_DELAY_SECONDS * 2.0**doublings
+        seconds = min(seconds, _MAX_REFUSED_DELAY_SECONDS)
+        return seconds * self.random_source.uniform(0.5, 1.0)
+
     def _check_attempt(
         self,
         request: exchange.CallerRequest,
@@ -294,6 +311,7 @@
     ) -> None:
         """Avoid the engine that could not run its stage."""
         progress.refusals += 1
+        progress.refusals_in_row += 1
         now = clocks.read_boot_clock()
         stage = pipeline.stages[0]
         reason = suspicion.SuspicionReason.UNREACHABLE
@@ -319,6 +337,7 @@
     ) -> None:
         """Avoid the suspected engines, or the whole pipeline if there are none."""
         progress.runs += 1
+        progress.refusals_in_row = 0
         first = pipeline.stages[0].engine
         listed = self.choice.blackboard.backends.listed.get(first)
         if listed is not None:
