Keep probes, reads and repairs at a rate for all nodes together

After the loss of a plan's author all other nodes read and ordered each engine in the same moment.

Each node kept its interval whatever their number, so that the sum grew with them.

All nodes of a failure domain now probe an engine together at the rate that three nodes had, and all nodes read changes of the list at most 150 times a second, each within a second. One node does the work of a lost author; with each further turn as many join as act already, so that few work twice and the loss of some stops nothing. An engine's run that the plan excludes as failed is neither used nor probed any more.

The scenarios count the probes of 3, 28 and 84 nodes, and the nodes that act at each turn among 1 to 700.

--- a/src/jujubepass/forwarding/board.py
+++ b/src/jujubepass/forwarding/board.py
@@ -61,10 +61,12 @@
 class MemberArea:
     """Store the number of nodes; written by the member controller."""
 
-    nodes: collections.Counter[ids.FailureDomainId] = attrs.field(
+    nodes: frozenset[ids.NodeId] = frozenset()
+    """All nodes, including this one."""
+    sizes: collections.Counter[ids.FailureDomainId] = attrs.field(
         factory=collections.Counter
     )
-    """Number of nodes by failure domain, including this one."""
+    """Number of nodes by failure domain."""
     confirmed_at: float = _NEVER
     """Boot-clock time at which the rows were last confirmed up to date."""
     announced_at: float = float("inf")
--- a/src/jujubepass/forwarding/engine_choice.py
+++ b/src/jujubepass/forwarding/engine_choice.py
@@ -10,6 +10,7 @@
     backends,
     board,
     declarations,
+    members,
     pipelines,
     plans,
     slowdowns,
@@ -88,6 +89,8 @@
                 continue
             if engine.held is None or engine.name in avoided:
                 continue
+            if plan.excludes(engine):
+                continue
             if self.suspects.is_suspected(engine.name, now):
                 continue
             seconds = accelerator.step_slowdown * self._predict_step_seconds(
@@ -109,24 +112,19 @@
                 is_leaving=self._is_leaving(engine, now),
             )
 
-    def _count_nodes(self) -> int:
-        """Return how many nodes share the engines of this failure domain.
-
-        Each counts only its own requests.
-        """
-        return max(1, self.blackboard.members.nodes[self.blackboard.failure_domain])
-
     def _predict_step_seconds(
         self, model: declarations.Model, engine: ids.BackendServerId
     ) -> float:
-        shared = self._running[engine] * self._count_nodes()
+        shared = self._running[engine] * members.count_neighbors(self.blackboard)
         return model.step_seconds + model.step_seconds_per_sequence * shared
 
     def _predict_queue_delay(
         self, model: declarations.Model, engine: ids.BackendServerId
     ) -> float:
         """Return the delay per token caused by queued prompts, in seconds."""
-        queued_prompts = self._prefilling[engine] * self._count_nodes()
+        queued_prompts = self._prefilling[engine] * members.count_neighbors(
+            self.blackboard
+        )
         return (
             queued_prompts
             * model.prompt_tokens
@@ -147,7 +145,8 @@
         )
         request_tokens = model.prompt_tokens + model.answer_tokens / 2.0
         # Counts the request to be sent, since other nodes add theirs at the same time.
-        requests = (self._running[engine.name] + 1) * self._count_nodes()
+        requests = self._running[engine.name] + 1
+        requests *= members.count_neighbors(self.blackboard)
         used_tokens = requests * request_tokens
         token_kilobytes = model.token_kilobytes * len(engine.held) / model.layers
         used_share = used_tokens * token_kilobytes / max(1.0, free_megabytes * 1_000.0)
--- a/src/jujubepass/forwarding/following.py
+++ b/src/jujubepass/forwarding/following.py
@@ -27,8 +27,11 @@
     wait_seconds: float
     """Maximum wait for a change; also the interval of confirmations."""
     apply: collections.abc.Callable[[feeds.Changes[_Item], float], None]
-    batch_interval_seconds: float = 0.0
-    """Interval after a change, so that several changes are read in one request."""
+    find_batch_interval: collections.abc.Callable[[], float] = lambda: 0.0
+    """Return the interval in seconds after a change.
+
+    Several changes are then read in one request.
+    """
     on_recovery: collections.abc.Callable[[float], None] | None = None
     reads: int = attrs.field(default=0, init=False)
     _version: int | None = attrs.field(default=None, init=False)
@@ -74,7 +77,7 @@
                 self.on_recovery(clocks.read_boot_clock())
         self._apply_changes(changes)
         if changes.items:
-            await trio.sleep(self.batch_interval_seconds)
+            await trio.sleep(self.find_batch_interval())
 
     def _apply_changes(self, changes: feeds.Changes[_Item]) -> None:
         if self._version is not None and changes.version < self._version:
--- a/src/jujubepass/forwarding/members.py
+++ b/src/jujubepass/forwarding/members.py
@@ -6,6 +6,7 @@
 
 import collections
 import collections.abc
+import hashlib
 import logging
 
 import attrs
@@ -77,17 +78,19 @@
     def count(self, now: float) -> None:
         """Count the nodes whose rows have not expired."""
         area = self.blackboard.members
-        live = collections.Counter(
-            each.member.failure_domain
+        live = [
+            each.member
             for each in self._observations.values()
             if not _is_expired(each, now, 1.0)
-        )
-        if live != area.nodes:
+        ]
+        sizes = collections.Counter(each.failure_domain for each in live)
+        if sizes != area.sizes:
             _LOGGER.info(
                 "number of nodes changed",
-                extra={"nodes": live.total(), "domains": dict(live)},
+                extra={"nodes": len(live), "domains": dict(sizes)},
             )
-        area.nodes = live
+        area.nodes = frozenset(each.node for each in live)
+        area.sizes = sizes
 
     def find_abandoned(self, now: float) -> Member | None:
         """Return a row to remove, as its node has not renewed it for long."""
@@ -112,20 +115,48 @@
 
 
 def find_share(blackboard: board.Blackboard, now: float) -> float:
-    """Return this node's share of what all nodes divide, or 0.0 if that is unsafe.
+    """Return this node's share of what all divide; 0.0 if others may not count it.
 
-    The shares of all nodes never add up to more than 1, also over any window of
-    `retry_window_seconds`: others have read this node's row before it takes a share,
-    and what they took when they did not know it lies a window back.
+    The shares of all nodes never add up to more than 1.
     """
     area = blackboard.members
+    # All others have read this node's row by then. What they took before they knew it
+    # must lie outside the window, except at the first start, when there was nothing.
     wait_seconds = _MAX_READ_AGE_SECONDS
     if not blackboard.is_first_start:
         wait_seconds += blackboard.bounds.retry_window_seconds
     is_known = area.announced_at + wait_seconds <= now <= area.counted_until
     if not is_known or now - area.confirmed_at > _MAX_READ_AGE_SECONDS:
         return 0.0
-    return 1.0 / max(1, area.nodes.total())
+    return 1.0 / max(1, len(area.nodes))
+
+
+def count_neighbors(blackboard: board.Blackboard) -> int:
+    """Return how many nodes, including this one, use the engines of its domain."""
+    return max(1, blackboard.members.sizes[blackboard.failure_domain])
+
+
+def share_interval(
+    nodes: int, *, per_second: float, least: float, most: float = float("inf")
+) -> float:
+    """Return the interval of one node's actions if all nodes together keep a rate."""
+    return min(most, max(least, nodes / per_second))
+
+
+def find_turn(blackboard: board.Blackboard, task: str) -> int | None:
+    """Return the turn at which this node does a task; None before its row is read.
+
+    One node acts at turn 0, and at each further turn as many join as act already.
+    """
+    area = blackboard.members
+    if blackboard.node not in area.nodes:
+        return None
+    ordered = sorted(area.nodes, key=lambda node: _hash_turn(task, node))
+    return ordered.index(blackboard.node).bit_length()
+
+
+def _hash_turn(task: str, node: ids.NodeId) -> bytes:
+    return hashlib.blake2b(f"{task}/{node}".encode(), digest_size=8).digest()
 
 
 def _is_expired(observation: _Observation, now: float, factor: float) -> bool:
--- a/src/jujubepass/forwarding/node.py
+++ b/src/jujubepass/forwarding/node.py
@@ -50,9 +50,12 @@
 _MAX_CONFIGURATION_WAIT_SECONDS = 2.0
 _MAX_BACKENDS_WAIT_SECONDS = 2.0
 _MAX_PLANS_WAIT_SECONDS = 20.0
-# Interval after changes of the list, as engines register one by one during a start. It
-# is far below the two seconds in which a leaving server may still receive requests.
-_BACKENDS_INTERVAL_SECONDS = 0.25
+# Interval after changes of the list, as engines register one by one during a start. All
+# nodes together read it at most at this rate, but each before the two seconds have
+# passed in which a leaving server may still receive requests.
+_MIN_BACKENDS_INTERVAL_SECONDS = 0.25
+_MAX_BACKENDS_INTERVAL_SECONDS = 1.0
+_BACKENDS_READS_PER_SECOND = 150.0
 # Time before SIGKILL at which running answers are aborted and the process ends.
 _EXIT_MARGIN_SECONDS = 0.4
 # The load balancer removes a node after two failed health checks, one second apart.
@@ -164,7 +167,7 @@
             feed=self.adapter.backends,
             wait_seconds=_MAX_BACKENDS_WAIT_SECONDS,
             apply=self._backend_list.apply,
-            batch_interval_seconds=_BACKENDS_INTERVAL_SECONDS,
+            find_batch_interval=self._find_backends_interval,
             on_recovery=self._backend_list.record_store_recovery,
         )
         self._plans = following.Follower(
@@ -174,6 +177,14 @@
             apply=self._planning.apply,
         )
 
+    def _find_backends_interval(self) -> float:
+        return members.share_interval(
+            len(self.blackboard.members.nodes),
+            per_second=_BACKENDS_READS_PER_SECOND,
+            least=_MIN_BACKENDS_INTERVAL_SECONDS,
+            most=_MAX_BACKENDS_INTERVAL_SECONDS,
+        )
+
     def _make_forwarder(self) -> forwarder.Forwarder:
         sender = sending.Sender(client=self.client, wire=self.adapter.wire)
         return forwarder.Forwarder(
--- a/src/jujubepass/forwarding/ordering.py
+++ b/src/jujubepass/forwarding/ordering.py
@@ -8,15 +8,23 @@
 import trio
 
 from jujubepass import ids
-from jujubepass.forwarding import backends, board, clocks, engines, plans
+from jujubepass.forwarding import (
+    backends,
+    board,
+    clocks,
+    engines,
+    members,
+    plans,
+)
 
 _LOGGER = logging.getLogger(__name__)
 
 _CHECK_INTERVAL_SECONDS = 0.1
 # A node that did not write the plan sends orders only if the author has not done so for
 # this time. It exceeds the load of a typical span (1.2 s) plus the delay of the list
-# (0.8 s).
+# (0.8 s). The nodes then act turn by turn.
 _NON_AUTHOR_DELAY_SECONDS = 3.0
+_TURN_SECONDS = 1.0
 _REQUEST_TIMEOUT_SECONDS = 0.5
 # A started order shows in the list once its span is loaded; after this time the engine
 # is read again. Loading ten layers takes 1.8 s, and three times that if six engines
@@ -136,9 +144,6 @@
     def _find_due(
         self, plan: plans.Plan, now: float
     ) -> collections.abc.Iterator[backends.Backend]:
-        delay = _NON_AUTHOR_DELAY_SECONDS
-        if plan.author == self.blackboard.node:
-            delay = 0.0
         for name in plan.placements:
             engine = self.blackboard.backends.listed.get(name)
             if engine is None or name in self._running:
@@ -151,9 +156,16 @@
             if version != plan.version:
                 since = now
             self._differs_since[name] = plan.version, since
-            if now - since >= delay and not self._is_in_progress(engine, now):
+            is_due = now - since >= self._find_delay(plan)
+            if is_due and not self._is_in_progress(engine, now):
                 yield engine
 
+    def _find_delay(self, plan: plans.Plan) -> float:
+        if plan.author == self.blackboard.node:
+            return 0.0
+        turn = members.find_turn(self.blackboard, f"orders/{plan.version}")
+        return _NON_AUTHOR_DELAY_SECONDS + _TURN_SECONDS * (turn or 0)
+
     def _is_in_progress(self, engine: backends.Backend, now: float) -> bool:
         """Return whether the last order to an engine may still be in progress."""
         last_order = self._last_orders.get(engine.name)
--- a/src/jujubepass/forwarding/plans.py
+++ b/src/jujubepass/forwarding/plans.py
@@ -29,3 +29,7 @@
     placements: collections.abc.Mapping[ids.BackendServerId, Placement]
     excluded: collections.abc.Mapping[ids.BackendServerId, int]
     """Failed runs of engines, by their start in Unix milliseconds."""
+
+    def excludes(self, engine: backends.Backend) -> bool:
+        """Return whether an engine's present run has failed."""
+        return self.excluded.get(engine.name) == engine.started_at
--- a/src/jujubepass/forwarding/probing.py
+++ b/src/jujubepass/forwarding/probing.py
@@ -7,7 +7,14 @@
 import trio
 
 from jujubepass import ids
-from jujubepass.forwarding import board, clocks, engines, slowdowns, suspicion
+from jujubepass.forwarding import (
+    board,
+    clocks,
+    engines,
+    members,
+    slowdowns,
+    suspicion,
+)
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -18,15 +25,16 @@
 # An unresponsive engine is probed often enough for two probes before its loss is
 # planned around, and less often afterwards.
 _UNRESPONSIVE_INTERVAL_SECONDS = 0.4
-_LONG_UNRESPONSIVE_INTERVAL_SECONDS = 2.0
 _MAX_FREQUENT_PROBES = 6
+# All nodes of a failure domain together probe an engine this often.
+_UNRESPONSIVE_PROBES_PER_SECOND = 1.5
+_SLOW_PROBES_PER_SECOND = 1.5
+_REACHABILITY_PROBES_PER_SECOND = 3.0
+_MIN_SHARED_INTERVAL_SECONDS = 1.0
 _CHECK_INTERVAL_SECONDS = 0.1
 # A reachable engine responds within a few milliseconds (1 ms to connect, 0.25 ms one
 # way); callers notice a gap of 200 ms.
 _REACHABILITY_TIMEOUT_SECONDS = 0.05
-# An engine that was probed within this time is not probed for reachability again: every
-# probe of a stalled pipeline's engines is counted.
-_REACHABILITY_INTERVAL_SECONDS = 1.0
 # If more engines of a pipeline are unreachable, this node's network is the likely
 # cause.
 _MAX_UNREACHABLE = 2
@@ -60,7 +68,7 @@
                 await trio.sleep(_CHECK_INTERVAL_SECONDS)
                 unresponsive = self.suspects.list_unresponsive()
                 for name in unresponsive:
-                    if name not in self.blackboard.backends.listed:
+                    if not self._is_usable(name):
                         self.suspects.clear(name)
                     elif self._is_due(name):
                         nursery.start_soon(self.probe, name)
@@ -79,9 +87,19 @@
         names = self._slowdown_candidates.union(self.slowdowns.list_slow(now))
         self._slowdown_candidates.clear()
         for name in names:
-            if self.slowdowns.start_probe(name, now):
+            if self.slowdowns.start_probe(
+                name, now, self._share_interval(_SLOW_PROBES_PER_SECOND)
+            ):
                 nursery.start_soon(self.probe, name)
 
+    def _is_usable(self, name: ids.BackendServerId) -> bool:
+        """Return whether an engine is listed and no plan excludes it as failed."""
+        listed = self.blackboard.backends.listed.get(name)
+        if listed is None:
+            return False
+        plans = self.blackboard.plans.plans
+        return listed.service not in plans or not plans[listed.service].excludes(listed)
+
     def _is_due(self, name: ids.BackendServerId) -> bool:
         record = self._probe_records.get(name)
         if record is None:
@@ -90,10 +108,18 @@
         interval = (
             _UNRESPONSIVE_INTERVAL_SECONDS
             if is_frequent
-            else _LONG_UNRESPONSIVE_INTERVAL_SECONDS
+            else self._share_interval(_UNRESPONSIVE_PROBES_PER_SECOND)
         )
         return trio.current_time() - record.at >= interval
 
+    def _share_interval(self, probes_per_second: float) -> float:
+        """Return the interval of probes if the domain's nodes keep a rate."""
+        return members.share_interval(
+            members.count_neighbors(self.blackboard),
+            per_second=probes_per_second,
+            least=_MIN_SHARED_INTERVAL_SECONDS,
+        )
+
     def may_probe(self, name: ids.BackendServerId) -> bool:
         """Return whether an engine may be probed again."""
         return self._has_interval_passed(name, _PROBE_INTERVAL_SECONDS)
@@ -123,9 +149,10 @@
             """Store one engine's report."""
             reports[name] = await self._read_report(name, _REACHABILITY_TIMEOUT_SECONDS)
 
+        interval = self._share_interval(_REACHABILITY_PROBES_PER_SECOND)
         async with trio.open_nursery() as nursery:
             for name in self.blackboard.backends.listed.keys() & names:
-                if self._has_interval_passed(name, _REACHABILITY_INTERVAL_SECONDS):
+                if self._has_interval_passed(name, interval):
                     # Set before the probe, as other streams of the pipeline are checked
                     # in the same pass.
                     record = self._probe_records.setdefault(name, _ProbeRecord(at=0.0))
--- a/src/jujubepass/forwarding/slowdowns.py
+++ b/src/jujubepass/forwarding/slowdowns.py
@@ -10,8 +10,6 @@
 
 # A reported slowdown expires after this time, in which the engine may recover.
 _EXPIRY_SECONDS = 6.0
-# Interval between two probes of an engine for its slowdown.
-_PROBE_INTERVAL_SECONDS = 2.0
 _NORMAL = 1.0
 # Smaller slowdowns are noise between batch steps.
 _MIN_SLOWDOWN = 1.5
@@ -44,9 +42,11 @@
             return _NORMAL
         return slowdown
 
-    def start_probe(self, name: ids.BackendServerId, now: float) -> bool:
+    def start_probe(
+        self, name: ids.BackendServerId, now: float, interval_seconds: float
+    ) -> bool:
         """Return whether to probe an engine now; if so, record the probe."""
-        if now - self._probed_at.get(name, float("-inf")) < _PROBE_INTERVAL_SECONDS:
+        if now - self._probed_at.get(name, float("-inf")) < interval_seconds:
             return False
         self._probed_at[name] = now
         return True
--- a/tests/features/fleet_size.feature
+++ b/tests/features/fleet_size.feature
@@ -67,6 +67,30 @@
       | 28    | 150     |
       | 84    | 150     |
 
+  Scenario Outline: <nodes> nodes probe a slow engine together at most 1.5 times a second
+    Given an engine that <nodes> nodes of its failure domain know to be slow
+    When they probe it for 120 seconds
+    Then it receives at most 1.5 probes a second after each node's first one
+
+    Examples:
+      | nodes |
+      | 3     |
+      | 28    |
+      | 84    |
+
+  Scenario Outline: Few of <nodes> nodes do the work of a lost one
+    Given <nodes> nodes that know each other by their rows
+    When each determines its turn for 20 tasks
+    Then the acting nodes at most double with each turn
+    And with half of the nodes lost some node acts within 4 turns
+
+    Examples:
+      | nodes |
+      | 1     |
+      | 9     |
+      | 84    |
+      | 700   |
+
   Scenario: A refused stream that has begun is not retried without a delay
     Given an engine that refuses to resume a stream that has begun
     When a caller waits for the stream for 2 seconds
--- a/tests/small_fleet.py
+++ b/tests/small_fleet.py
@@ -209,7 +209,7 @@
     copied.blackboard.plans = fleet.blackboard.plans
     copied.now = fleet.now
     domain = copied.blackboard.failure_domain
-    copied.blackboard.members.nodes = collections.Counter({domain: nodes})
+    copied.blackboard.members.sizes = collections.Counter({domain: nodes})
     return copied
 
 
