Show a stream's engines and the plans when a test of moves fails

The step checks the same and prints which engines the stream passed, their layers and the node's log.

--- a/tests/features/steps/platform_moves_steps.py
+++ b/tests/features/steps/platform_moves_steps.py
@@ -64,17 +64,34 @@
     ]
 
 
+def find_engine_in_use(context):
+    used = list_engines_in_use(context)
+    request = context.system.last_request
+    lines = [
+        line
+        for line in context.system.read_log("n1")
+        if line.get("request") == request or line["name"].endswith("suspicion")
+    ]
+    passed = {
+        each: request in context.system.read_counts(each)["passed"]
+        for each in ("e1", "e2", "e3", "f1", "f2")
+    }
+    layers = {each: read_layers(context, each) for each in passed}
+    assert len(used) == 1, (passed, layers, lines, list_planning_log(context))
+    return used[0]
+
+
 @behave.when("the engine that has a spare is killed during a stream")
 def step_kill(context):
     start_stream(context)
-    (used,) = list_engines_in_use(context)
+    used = find_engine_in_use(context)
     context.system.processes.kill(used)
 
 
 @behave.when("the engine that has a spare reports draining during a stream and stops")
 def step_drain(context):
     start_stream(context)
-    (used,) = list_engines_in_use(context)
+    used = find_engine_in_use(context)
     processes.change_knobs(context.system.ports[used], state="draining")
     processes.wait_for(
         lambda: context.system.read_counts("e1")["moves"],
