Count the nodes' reads and show their number and retry share

The metrics page leaves out what decides a node's retries: how many nodes it knows, its share of the slack, and its reads of the members' rows. It shows them now.

The first plan waits for a random time again, as before the nodes' turns, and changes of the list are read within 0.75 s: with the second for which a draining engine is used, a whole second left no margin to the two allowed.

--- a/src/jujubepass/forwarding/metrics_page.py
+++ b/src/jujubepass/forwarding/metrics_page.py
@@ -2,12 +2,11 @@
 
 import collections.abc
 import functools
-import typing
 
 import attrs
 
 from jujubepass import ids
-from jujubepass.forwarding import board, clocks, engine_choice, following, ordering
+from jujubepass.forwarding import board, clocks, engine_choice, members, ordering
 from jujubepass.forwarding import measures as node_measures
 from jujubepass.limits import _retry_budget
 from jujubepass.telemetry import _metric_registry
@@ -31,7 +30,7 @@
     orders: ordering.OrderSender,
     choice: engine_choice.EngineChoice,
     budgets: collections.abc.Mapping[ids.ServiceId, _retry_budget.RetryBudget],
-    followers: collections.abc.Iterable[following.Follower[typing.Any]],
+    count_reads: collections.abc.Callable[[], collections.abc.Mapping[str, int]],
 ) -> MetricsPage:
     """Return all metrics in the Prometheus text format."""
     registry = _metric_registry.Registry(
@@ -56,7 +55,15 @@
         "store_reads",
         "Reads of the store's feeds.",
         "feed",
-        lambda: {each.name: each.reads for each in followers},
+        count_reads,
+    )
+    registry.add_gauge(
+        "nodes", "Nodes known by their rows.", lambda: len(blackboard.members.nodes)
+    )
+    registry.add_gauge(
+        "retry_slack_share",
+        "This node's share of the retry slack.",
+        lambda: members.find_share(blackboard, clocks.read_boot_clock()),
     )
     _add_configuration(registry, blackboard)
     return MetricsPage(
--- a/src/jujubepass/forwarding/node.py
+++ b/src/jujubepass/forwarding/node.py
@@ -51,10 +51,10 @@
 _MAX_BACKENDS_WAIT_SECONDS = 2.0
 _MAX_PLANS_WAIT_SECONDS = 20.0
 # Interval after changes of the list, as engines register one by one during a start. All
-# nodes together read it at most at this rate, but each before the two seconds have
-# passed in which a leaving server may still receive requests.
+# nodes together read it at this rate, but each soon enough to use a draining engine for
+# another second and keep to the two in which it may receive requests.
 _MIN_BACKENDS_INTERVAL_SECONDS = 0.25
-_MAX_BACKENDS_INTERVAL_SECONDS = 1.0
+_MAX_BACKENDS_INTERVAL_SECONDS = 0.75
 _BACKENDS_READS_PER_SECOND = 150.0
 # Time before SIGKILL at which running answers are aborted and the process ends.
 _EXIT_MARGIN_SECONDS = 0.4
@@ -177,6 +177,12 @@
             apply=self._planning.apply,
         )
 
+    def _count_reads(self) -> dict[str, int]:
+        """Return the number of reads of each feed of the store."""
+        followers = (self._configuration, self._backends, self._plans)
+        reads = {each.name: each.reads for each in followers}
+        return {**reads, "members": self._announcer.reads}
+
     def _find_backends_interval(self) -> float:
         return members.share_interval(
             len(self.blackboard.members.nodes),
@@ -332,7 +338,7 @@
             orders=self._orders,
             choice=self._choice,
             budgets=self._budgets,
-            followers=(self._configuration, self._backends, self._plans),
+            count_reads=self._count_reads,
         )
         await responder.send(200, page.data, content_type=page.content_type)
 
--- a/src/jujubepass/forwarding/planner.py
+++ b/src/jujubepass/forwarding/planner.py
@@ -41,8 +41,8 @@
 _MAX_LIST_AGE_SECONDS = 2.6
 # New engines are added to the plan once no other has registered for this time.
 _GROWTH_DELAY_SECONDS = 1.0
-# The plan's author acts first, then the other nodes turn by turn. A node that does not
-# know its turn waits for a random time in this range.
+# The plan's author acts first, then the other nodes turn by turn. Without a plan or a
+# turn, a node waits for a random time in this range.
 _NON_AUTHOR_DELAY_SECONDS = (0.3, 1.0)
 _TURN_SECONDS = 0.1
 
@@ -143,7 +143,9 @@
         if plan is not None and plan.author == self.blackboard.node:
             return 0.0
         least, most = _NON_AUTHOR_DELAY_SECONDS
-        turn = members.find_turn(self.blackboard, f"plan/{plan.version if plan else 0}")
+        turn = None
+        if plan is not None:
+            turn = members.find_turn(self.blackboard, f"plan/{plan.version}")
         if turn is None:
             return self.random_source.uniform(least, most)
         return least + _TURN_SECONDS * self.random_source.uniform(turn, turn + 0.5)
