--- a/standins/forwarding_system.py
+++ b/standins/forwarding_system.py
@@ -18,6 +18,7 @@
 STREAM_PATH = "/drafts/new"
 BOOKING_PATH = "/visits/new"
 LOOKUP_PATH = "/history/7"
+_SHOWN_LOG_LINES = 40
 _SETTINGS_VARIABLE = "JUJUBEPASS_SETTINGS"
 
 
@@ -146,11 +147,18 @@
         for number in range(nodes):
             self.start_node(f"n{number + 1}", "ab"[number % 2], first_start)
         for name in self.nodes:
-            processes.wait_for(lambda name=name: self.is_ready(name), f"{name} ready")
+            self._wait_until_ready(name)
         processes.wait_for(
             lambda: self.request_stream("n1").status == 200, "a first pipeline"
         )
 
+    def _wait_until_ready(self, name: str) -> None:
+        try:
+            processes.wait_for(lambda: self.is_ready(name), f"{name} ready")
+        except processes.TrialError as error:
+            lines = self.read_log(name)[-_SHOWN_LOG_LINES:]
+            raise processes.TrialError(f"{error}: {lines}") from error
+
     def start_store(self) -> None:
         """Start the store."""
         self.processes.start(
--- a/tests/features/steps/platform_moves_steps.py
+++ b/tests/features/steps/platform_moves_steps.py
@@ -27,6 +27,11 @@
     ]
 
 
+def has_stream_on_spare_pair(context):
+    context.system.request_stream("n1")
+    return list_engines_in_use(context)
+
+
 @behave.given("a spare engine that holds layers of its failure domain's pipeline")
 def step_spare(context):
     try:
@@ -34,6 +39,10 @@
             lambda: all(read_layers(context, name) for name in SPARE_PAIR),
             "a loaded spare",
         )
+        # The node's list of engines is older than their reports.
+        processes.wait_for(
+            lambda: has_stream_on_spare_pair(context), "a pipeline of loaded engines"
+        )
     except processes.TrialError as error:
         raise processes.TrialError(f"{error}: {list_planning_log(context)}") from error
 
