--- a/src/jujubepass/forwarding/members.py
+++ b/src/jujubepass/forwarding/members.py
@@ -25,7 +25,8 @@
 # A row that was not renewed for this many of its intervals no longer counts; after
 # twice that time it is removed.
 _EXPIRY_RENEWALS = 3.0
-# Part that nodes share while the others may not count them yet.
+# Part that nodes share while the others may not count them yet. It suffices while fewer
+# than 1.7 times as many nodes join at once as there are.
 _NEWCOMER_PART = 0.1
 
 
