--- a/src/jujubepass/forwarding/metrics_page.py
+++ b/src/jujubepass/forwarding/metrics_page.py
@@ -38,33 +38,9 @@
         distributions=(measures.request_times, measures.first_events),
     )
     _add_requests(registry, measures)
-    registry.add_counter(
-        "connections_opened",
-        "Connections opened to backend servers and the store.",
-        lambda: client.opened_connections,
-    )
-    registry.add_counter("orders", "Orders to engines.", lambda: orders.orders_sent)
-    registry.add_labelled_counter(
-        "pipeline_attempts",
-        "Attempts of model requests by the first engine.",
-        "backend",
-        lambda: {str(name): count for name, count in choice.attempts.items()},
-    )
+    _add_calls(registry, client, orders, choice, count_reads)
     _add_budgets(registry, budgets)
-    registry.add_labelled_counter(
-        "store_reads",
-        "Reads of the store's feeds.",
-        "feed",
-        count_reads,
-    )
-    registry.add_gauge(
-        "nodes", "Nodes known by their rows.", lambda: len(blackboard.members.nodes)
-    )
-    registry.add_gauge(
-        "retry_slack_share",
-        "This node's share of the retry slack.",
-        lambda: members.find_share(blackboard, clocks.read_boot_clock()),
-    )
+    _add_members(registry, blackboard)
     _add_configuration(registry, blackboard)
     return MetricsPage(
         content_type=_metric_registry.CONTENT_TYPE, data=registry.expose()
@@ -84,6 +60,33 @@
         )
 
 
+def _add_calls(
+    registry: _metric_registry.Registry,
+    client: _http_client.Client,
+    orders: ordering.OrderSender,
+    choice: engine_choice.EngineChoice,
+    count_reads: collections.abc.Callable[[], collections.abc.Mapping[str, int]],
+) -> None:
+    registry.add_counter(
+        "connections_opened",
+        "Connections opened to backend servers and the store.",
+        lambda: client.opened_connections,
+    )
+    registry.add_counter("orders", "Orders to engines.", lambda: orders.orders_sent)
+    registry.add_labelled_counter(
+        "pipeline_attempts",
+        "Attempts of model requests by the first engine.",
+        "backend",
+        lambda: {str(name): count for name, count in choice.attempts.items()},
+    )
+    registry.add_labelled_counter(
+        "store_reads",
+        "Reads of the store's feeds.",
+        "feed",
+        count_reads,
+    )
+
+
 def _add_budgets(
     registry: _metric_registry.Registry,
     budgets: collections.abc.Mapping[ids.ServiceId, _retry_budget.RetryBudget],
@@ -102,6 +105,19 @@
     )
 
 
+def _add_members(
+    registry: _metric_registry.Registry, blackboard: board.Blackboard
+) -> None:
+    registry.add_gauge(
+        "nodes", "Nodes known by their rows.", lambda: len(blackboard.members.nodes)
+    )
+    registry.add_gauge(
+        "retry_slack_share",
+        "This node's share of the retry slack.",
+        lambda: members.find_share(blackboard, clocks.read_boot_clock()),
+    )
+
+
 def _add_configuration(
     registry: _metric_registry.Registry, blackboard: board.Blackboard
 ) -> None:
