--- a/tests/features/steps/platform_moves_steps.py
+++ b/tests/features/steps/platform_moves_steps.py
@@ -1,5 +1,4 @@
 import threading
-import time
 
 import behave
 
@@ -54,6 +53,8 @@
 
 
 def start_stream(context):
+    """Start a stream in the background and wait until an engine runs it."""
+    previous = context.system.last_request
     context.answers, context.events = [], EVENTS
     context.background = threading.Thread(
         target=lambda: context.answers.append(
@@ -61,7 +62,13 @@
         )
     )
     context.background.start()
-    time.sleep(0.4)
+    processes.wait_for(
+        lambda: (
+            context.system.last_request != previous
+            and context.system.count_runs(context.system.last_request)
+        ),
+        "a stream that has begun",
+    )
 
 
 def list_engines_in_use(context):
