--- a/src/jujubepass/_ini.py
+++ b/src/jujubepass/_ini.py
@@ -111,8 +111,7 @@
         return rule.pattern_meaning
     if base is str:
         return "any text but the empty one"
-    kind = "a whole number" if base is int else "a number"
-    return f"{kind}{_describe_bounds(rule)}"
+    return ("a whole number" if base is int else "a number") + _describe_bounds(rule)
 
 
 def read_sections(file: str, text: str) -> tuple[Sections, list[Problem]]:
@@ -211,6 +210,7 @@
 
 
 def _find_base_type(annotation: typing.Any) -> type:
+    annotation = next(iter(typing.get_args(annotation)), annotation)  # T of T | None
     while hasattr(annotation, "__supertype__"):
         annotation = annotation.__supertype__
     assert isinstance(annotation, type)
@@ -218,11 +218,11 @@
 
 
 def _describe_bounds(rule: Rule) -> str:
-    if rule.minimum is not None and rule.maximum is not None:
-        return f" from {rule.minimum:.15g} to {rule.maximum:.15g}"
-    if rule.minimum is not None:
+    if rule.minimum is None:
+        return ""
+    if rule.maximum is None:
         return f", at least {rule.minimum:.15g}"
-    return ""
+    return f" from {rule.minimum:.15g} to {rule.maximum:.15g}"
 
 
 def _make_parser(*, strict: bool) -> configparser.RawConfigParser:
--- a/src/jujubepass/forwarding/adapters.py
+++ b/src/jujubepass/forwarding/adapters.py
@@ -21,8 +21,8 @@
     wire: exchange.Wire
     control: engines.EngineControl
     table: _table_client.Table
-    configuration: feeds.Feed[declarations.Declarations]
-    backends: feeds.Feed[backends.Backend]
-    plans: feeds.Feed[plans.Plan]
+    configuration: feeds.DecodedFeed[declarations.Declarations]
+    backends: feeds.DecodedFeed[backends.Backend]
+    plans: feeds.DecodedFeed[plans.Plan]
     member_table: _table_client.Table
-    members: feeds.Feed[members.Member]
+    members: feeds.DecodedFeed[members.Member]
--- a/src/jujubepass/forwarding/announcing.py
+++ b/src/jujubepass/forwarding/announcing.py
@@ -1,5 +1,6 @@
 """Task that renews this node's row and reads the rows of the others."""
 
+import collections.abc
 import itertools
 import logging
 import random
@@ -7,14 +8,26 @@
 import attrs
 import trio
 
+from jujubepass import ids
 from jujubepass.forwarding import board, clocks, feeds, member_rows, members
 from jujubepass.storage import _store_messages, _table_client
+from jujubepass.transport import _http_client
 
 _LOGGER = logging.getLogger(__name__)
 
-_RETRY_INTERVAL_SECONDS = 2.0
+# All nodes together repeat failed renewals and reads this often.
+_RETRIES_PER_SECOND = 20.0
+_MIN_RETRY_INTERVAL_SECONDS = 2.0
 # Nodes that start together spread their reads by this share of the interval.
 _JITTER_SHARE = 0.1
+# While nodes join, those that read the store do so more often, and again soon after
+# their start, as others start with them.
+_FIRST_INTERVAL_SECONDS = 0.3
+_JOINING_INTERVAL_SECONDS = 2.0
+_JOINING_SECONDS = 15.0
+_MIN_FIRST_RENEWAL_SHARE = 0.25
+# Longest wait for rows from another node; the own row is renewed in between.
+_MAX_WAIT_SECONDS = 2.0
 
 
 @attrs.define(kw_only=True)
@@ -25,8 +38,14 @@
     controller: members.MemberController
     table: _table_client.Table
     feed: feeds.Feed[members.Member]
+    address: _http_client.Address | None = None
+    """Where this node answers queries for rows."""
+    token: str = attrs.field(default="", repr=False)
+    reads_store: collections.abc.Callable[[], bool] = lambda: True
+    """Return whether the rows come from the store, which is read at intervals."""
     random_source: random.Random = attrs.field(factory=random.Random)
-    reads: int = attrs.field(default=0, init=False)
+    _known_nodes: frozenset[ids.NodeId] = attrs.field(default=frozenset(), init=False)
+    _nodes_changed_at: float = attrs.field(default=float("-inf"), init=False)
     _renew_at: float = attrs.field(default=float("-inf"), init=False)
     _version: int | None = attrs.field(default=None, init=False)
     _operations: "itertools.count[int]" = attrs.field(
@@ -38,10 +57,27 @@
         while True:
             succeeded = await self.renew_and_read()
             jitter = 1.0 - self.random_source.uniform(0.0, _JITTER_SHARE)
-            interval = (
-                members.READ_INTERVAL_SECONDS if succeeded else _RETRY_INTERVAL_SECONDS
+            await trio.sleep(self._find_interval(succeeded) * jitter)
+
+    def _find_interval(self, succeeded: bool) -> float:
+        if not succeeded:
+            return members.share_interval(
+                len(self.blackboard.members.nodes),
+                per_second=_RETRIES_PER_SECOND,
+                least=_MIN_RETRY_INTERVAL_SECONDS,
             )
-            await trio.sleep(interval * jitter)
+        if not self.reads_store():
+            return 0.0
+        now = clocks.read_boot_clock()
+        nodes = self.blackboard.members.nodes
+        if not self._known_nodes:
+            self._known_nodes, self._nodes_changed_at = nodes, now
+            return _FIRST_INTERVAL_SECONDS
+        if nodes != self._known_nodes:
+            self._known_nodes, self._nodes_changed_at = nodes, now
+        if now - self._nodes_changed_at < _JOINING_SECONDS:
+            return _JOINING_INTERVAL_SECONDS
+        return members.READ_INTERVAL_SECONDS
 
     async def renew_and_read(self) -> bool:
         """Renew the own row if due and read all; return whether both succeeded."""
@@ -59,6 +95,8 @@
             failure_domain=self.blackboard.failure_domain,
             renewal_seconds=seconds,
             abandoned=self.controller.find_abandoned(now),
+            address=self.address,
+            token=self.token,
         )
         outcome = await self.table.transact(command)
         if not isinstance(outcome, _store_messages.Transacted):
@@ -69,22 +107,33 @@
         self.controller.record_renewal(
             sent_at=now, committed_at=clocks.read_boot_clock(), seconds=seconds
         )
-        self._renew_at = now + seconds - members.READ_INTERVAL_SECONDS / 2.0
+        interval = seconds - members.READ_INTERVAL_SECONDS / 2.0
+        if self._renew_at == float("-inf"):
+            # Nodes that start together would renew together ever after.
+            interval *= self.random_source.uniform(_MIN_FIRST_RENEWAL_SHARE, 1.0)
+        self._renew_at = now + interval
         return True
 
     async def _read(self) -> bool:
-        self.reads += 1
+        wait_seconds = float("inf") if self.reads_store() else _MAX_WAIT_SECONDS
         try:
-            if self._version is None:
-                changes = await self.feed.read()
-            else:
-                changes = await self.feed.follow(self._version, 0.0)
+            with trio.move_on_after(wait_seconds) as scope:
+                changes = await self._read_changes()
         except feeds.HistoryLostError:
             self._version = None
             return False
         except feeds.FeedError as error:
             _LOGGER.info("nodes' rows not read", extra={"detail": str(error)})
             return False
+        now = clocks.read_boot_clock()
+        if scope.cancelled_caught:
+            self.controller.count(now)
+            return True
         self._version = changes.version
-        self.controller.apply(changes, clocks.read_boot_clock())
+        self.controller.apply(changes, now)
         return True
+
+    async def _read_changes(self) -> feeds.Changes[members.Member]:
+        if self._version is None:
+            return await self.feed.read()
+        return await self.feed.follow(self._version, 0.0)
--- a/src/jujubepass/forwarding/board.py
+++ b/src/jujubepass/forwarding/board.py
@@ -2,12 +2,16 @@
 
 import collections
 import enum
+import typing
 
 import attrs
 
 from jujubepass import ids
 from jujubepass.forwarding import backends, declarations, plans, settings
 
+if typing.TYPE_CHECKING:
+    from jujubepass.forwarding import members
+
 _NEVER = float("-inf")
 # Aliases, because fields of the areas have the same names as the modules.
 _Declarations = declarations.Declarations
@@ -67,6 +71,8 @@
         factory=collections.Counter
     )
     """Number of nodes by failure domain."""
+    neighbors: "tuple[members.Member, ...]" = ()
+    """Nodes of this failure domain, in an order that all nodes share."""
     confirmed_at: float = _NEVER
     """Boot-clock time at which the rows were last confirmed up to date."""
     announced_at: float = float("inf")
--- a/src/jujubepass/forwarding/clocks.py
+++ b/src/jujubepass/forwarding/clocks.py
@@ -2,6 +2,7 @@
 
 import time
 
+import attrs
 import trio
 
 
@@ -13,3 +14,26 @@
 def move_on_at(boot_time: float) -> trio.CancelScope:
     """Return a scope that is cancelled at a time on the boot clock."""
     return trio.move_on_after(max(0.0, boot_time - read_boot_clock()))
+
+
+@attrs.define(kw_only=True)
+class RemoteClock:
+    """Convert another clock's timestamps to lower bounds of the local time.
+
+    A timestamp is made after its request was sent. The answer with the shortest request
+    delay gives the tightest bound, which holds for later timestamps too.
+    """
+
+    _offset_seconds: float | None = attrs.field(default=None, init=False)
+    _last_timestamp_seconds: float = attrs.field(default=float("-inf"), init=False)
+
+    def bound_local_time(self, timestamp_seconds: float, sent_at: float) -> float:
+        """Return a lower bound of the local time at which a timestamp was made."""
+        if (
+            self._offset_seconds is None
+            or timestamp_seconds < self._last_timestamp_seconds
+        ):
+            self._offset_seconds = sent_at - timestamp_seconds
+        self._last_timestamp_seconds = timestamp_seconds
+        self._offset_seconds = max(self._offset_seconds, sent_at - timestamp_seconds)
+        return self._offset_seconds + timestamp_seconds
--- a/src/jujubepass/forwarding/following.py
+++ b/src/jujubepass/forwarding/following.py
@@ -33,7 +33,6 @@
     Several changes are then read in one request.
     """
     on_recovery: collections.abc.Callable[[float], None] | None = None
-    reads: int = attrs.field(default=0, init=False)
     _version: int | None = attrs.field(default=None, init=False)
     _outage_backoff_seconds: float = attrs.field(default=0.0, init=False)
     _reading: trio.Lock = attrs.field(factory=trio.Lock, init=False)
@@ -53,7 +52,6 @@
 
     async def read_now(self) -> bool:
         """Read all rows immediately; return whether the store responded."""
-        self.reads += 1
         try:
             self._apply_changes(await self.feed.read())
         except feeds.FeedError as error:
@@ -62,7 +60,6 @@
         return True
 
     async def _step(self) -> None:
-        self.reads += 1
         if self._version is None:
             changes = await self.feed.read()
         else:
--- a/src/jujubepass/forwarding/member_rows.py
+++ b/src/jujubepass/forwarding/member_rows.py
@@ -5,6 +5,7 @@
 from jujubepass import ids
 from jujubepass.forwarding import members
 from jujubepass.storage import _store_messages
+from jujubepass.transport import _http_client
 
 
 class MemberRowError(Exception):
@@ -19,11 +20,18 @@
             version=version,
             failure_domain=ids.FailureDomainId(str(value["failure_domain"])),
             renewal_seconds=float(value["renewal_seconds"]),
+            address=_read_address(value.get("address")),
+            token=str(value.get("token") or ""),
         )
-    except (KeyError, TypeError, ValueError) as error:
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise MemberRowError(f"{key!r} contains no valid node: {error!r}") from error
 
 
+def _read_address(text: typing.Any) -> _http_client.Address | None:
+    """Parse where a node answers queries; older nodes name no address."""
+    return None if text is None else _http_client.parse_address(text)
+
+
 def write_member(
     operation: _store_messages.OperationId,
     *,
@@ -31,9 +39,16 @@
     failure_domain: ids.FailureDomainId,
     renewal_seconds: float,
     abandoned: members.Member | None,
+    address: _http_client.Address | None = None,
+    token: str = "",
 ) -> _store_messages.Transact:
     """Return a write of a node's row that also removes an abandoned one."""
-    value = {"failure_domain": failure_domain, "renewal_seconds": renewal_seconds}
+    value: dict[str, typing.Any] = {
+        "failure_domain": failure_domain,
+        "renewal_seconds": renewal_seconds,
+    }
+    if address is not None:
+        value |= {"address": str(address), "token": token}
     writes = [_store_messages.Write(key=node, value=value)]
     conditions = []
     if abandoned is not None and abandoned.node != node:
--- a/src/jujubepass/forwarding/members.py
+++ b/src/jujubepass/forwarding/members.py
@@ -13,6 +13,7 @@
 
 from jujubepass import ids
 from jujubepass.forwarding import board, feeds
+from jujubepass.transport import _http_client
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -20,8 +21,8 @@
 # Rows read longer ago may lack a node that already takes its share.
 _MAX_READ_AGE_SECONDS = 12.5
 _MIN_RENEWAL_SECONDS = 20.0
-# Keeps the renewals of all nodes at ten a second in large deployments.
-_RENEWAL_SECONDS_PER_NODE = 0.1
+# Keeps the renewals of all nodes at about three a second in large deployments.
+_RENEWAL_SECONDS_PER_NODE = 0.4
 # A row that was not renewed for this many of its intervals no longer counts; after
 # twice that time it is removed.
 _EXPIRY_RENEWALS = 3.0
@@ -39,6 +40,10 @@
     failure_domain: ids.FailureDomainId
     renewal_seconds: float
     """Longest time until the node renews its row."""
+    address: _http_client.Address | None = None
+    """Where the node answers queries for rows; None if it does not."""
+    token: str = attrs.field(default="", repr=False)
+    """Key of the messages that the node takes and sends."""
 
 
 @attrs.frozen(kw_only=True)
@@ -94,6 +99,11 @@
             )
         area.nodes = frozenset(each.node for each in live)
         area.sizes = sizes
+        domain = self.blackboard.failure_domain
+        neighbors = (each for each in live if each.failure_domain == domain)
+        area.neighbors = tuple(
+            sorted(neighbors, key=lambda each: _hash_turn(f"rows/{domain}", each.node))
+        )
 
     def find_abandoned(self, now: float) -> Member | None:
         """Return a row to remove, as its node has not renewed it for long."""
--- a/src/jujubepass/forwarding/metrics_page.py
+++ b/src/jujubepass/forwarding/metrics_page.py
@@ -9,6 +9,7 @@
 from jujubepass.forwarding import board, clocks, engine_choice, members, ordering
 from jujubepass.forwarding import measures as node_measures
 from jujubepass.limits import _retry_budget
+from jujubepass.relay import assembly
 from jujubepass.telemetry import _metric_registry
 from jujubepass.transport import _http_client
 
@@ -30,7 +31,7 @@
     orders: ordering.OrderSender,
     choice: engine_choice.EngineChoice,
     budgets: collections.abc.Mapping[ids.ServiceId, _retry_budget.RetryBudget],
-    count_reads: collections.abc.Callable[[], collections.abc.Mapping[str, int]],
+    relay: assembly.Relay,
 ) -> MetricsPage:
     """Return all metrics in the Prometheus text format."""
     registry = _metric_registry.Registry(
@@ -38,7 +39,8 @@
         distributions=(measures.request_times, measures.first_events),
     )
     _add_requests(registry, measures)
-    _add_calls(registry, client, orders, choice, count_reads)
+    _add_calls(registry, client, orders, choice)
+    _add_relay(registry, relay)
     _add_budgets(registry, budgets)
     _add_members(registry, blackboard)
     _add_configuration(registry, blackboard)
@@ -65,7 +67,6 @@
     client: _http_client.Client,
     orders: ordering.OrderSender,
     choice: engine_choice.EngineChoice,
-    count_reads: collections.abc.Callable[[], collections.abc.Mapping[str, int]],
 ) -> None:
     registry.add_counter(
         "connections_opened",
@@ -79,11 +80,35 @@
         "backend",
         lambda: {str(name): count for name, count in choice.attempts.items()},
     )
-    registry.add_labelled_counter(
-        "store_reads",
-        "Reads of the store's feeds.",
-        "feed",
-        count_reads,
+
+
+def _add_relay(registry: _metric_registry.Registry, relay: assembly.Relay) -> None:
+    for name, description, label, read in (
+        ("store_reads", "Reads of the store's feeds.", "feed", relay.count_reads),
+        (
+            "store_reads_by_reason",
+            "Reads of the store's feeds by their reason.",
+            "reason",
+            relay.count_reasons,
+        ),
+    ):
+        registry.add_labelled_counter(name, description, label, read)
+    link, server, controller = relay.link, relay.server, relay.controller
+    for name, description, count in (
+        ("relay_queries", "Queries to other nodes for rows.", lambda: link.queries),
+        ("relay_failures", "Queries without a valid answer.", lambda: link.failures),
+        ("relay_answers", "Queries of other nodes answered.", lambda: server.answered),
+        ("relay_rejections", "Queries rejected.", lambda: server.rejected),
+        ("relay_sources", "Changes of the source.", lambda: controller.changes),
+    ):
+        registry.add_counter(name, description, count)
+    registry.add_gauge(
+        "relay_reader", "1 if the node reads the store.", lambda: relay.reads_store()
+    )
+    registry.add_gauge(
+        "backends_age_seconds",
+        "Time since the list was surely the newest.",
+        lambda: relay.find_age("backends"),
     )
 
 
--- a/src/jujubepass/forwarding/node.py
+++ b/src/jujubepass/forwarding/node.py
@@ -6,6 +6,7 @@
 import os
 import signal
 
+import attrs
 import trio
 
 from jujubepass import __version__, ids
@@ -40,6 +41,7 @@
     suspicion,
 )
 from jujubepass.limits import _retry_budget
+from jujubepass.relay import assembly, links
 from jujubepass.transport import _http_client, _http_server
 
 _LOGGER = logging.getLogger(__name__)
@@ -55,7 +57,7 @@
 # another second and keep to the two in which it may receive requests.
 _MIN_BACKENDS_INTERVAL_SECONDS = 0.25
 _MAX_BACKENDS_INTERVAL_SECONDS = 0.75
-_BACKENDS_READS_PER_SECOND = 150.0
+_BACKENDS_READS_PER_SECOND = 20.0
 # Time before SIGKILL at which running answers are aborted and the process ends.
 _EXIT_MARGIN_SECONDS = 0.4
 # The load balancer removes a node after two failed health checks, one second apart.
@@ -95,6 +97,7 @@
         )
         self._allowance = retry_allowance.RetryAllowance(blackboard=self.blackboard)
         self._make_controllers()
+        self._make_relay()
         self._make_followers()
         self._budgets: collections.defaultdict[
             ids.ServiceId, _retry_budget.RetryBudget
@@ -136,6 +139,31 @@
             blackboard=self.blackboard, control=self.adapter.control
         )
 
+    def _make_relay(self) -> None:
+        adapter = self.adapter
+        self._relay = assembly.Relay(
+            blackboard=self.blackboard,
+            stores={
+                "configuration": adapter.configuration.rows,
+                "backends": adapter.backends.rows,
+                "plans": adapter.plans.rows,
+                "members": adapter.members.rows,
+            },
+            transport=links.HttpTransport(client=self.client),
+            address=self.settings.listen.relay,
+        )
+
+    def _make_announcer(self) -> None:
+        self._announcer = announcing.Announcer(
+            blackboard=self.blackboard,
+            controller=members.MemberController(blackboard=self.blackboard),
+            table=self.adapter.member_table,
+            feed=attrs.evolve(self.adapter.members, rows=self._relay.feeds["members"]),
+            address=self.settings.listen.relay,
+            token=self._relay.token,
+            reads_store=self._relay.reads_store,
+        )
+
     def _make_followers(self) -> None:
         self._backend_list = backend_list.BackendController(
             area=self.blackboard.backends
@@ -150,21 +178,20 @@
             ),
             table=self.adapter.table,
         )
-        self._announcer = announcing.Announcer(
-            blackboard=self.blackboard,
-            controller=members.MemberController(blackboard=self.blackboard),
-            table=self.adapter.member_table,
-            feed=self.adapter.members,
-        )
+        self._make_announcer()
         self._configuration = following.Follower(
             name="configuration",
-            feed=self.adapter.configuration,
+            feed=attrs.evolve(
+                self.adapter.configuration, rows=self._relay.feeds["configuration"]
+            ),
             wait_seconds=_MAX_CONFIGURATION_WAIT_SECONDS,
             apply=installer.apply,
         )
         self._backends = following.Follower(
             name="backends",
-            feed=self.adapter.backends,
+            feed=attrs.evolve(
+                self.adapter.backends, rows=self._relay.feeds["backends"]
+            ),
             wait_seconds=_MAX_BACKENDS_WAIT_SECONDS,
             apply=self._backend_list.apply,
             find_batch_interval=self._find_backends_interval,
@@ -172,20 +199,14 @@
         )
         self._plans = following.Follower(
             name="plans",
-            feed=self.adapter.plans,
+            feed=attrs.evolve(self.adapter.plans, rows=self._relay.feeds["plans"]),
             wait_seconds=_MAX_PLANS_WAIT_SECONDS,
             apply=self._planning.apply,
         )
 
-    def _count_reads(self) -> dict[str, int]:
-        """Return the number of reads of each feed of the store."""
-        followers = (self._configuration, self._backends, self._plans)
-        reads = {each.name: each.reads for each in followers}
-        return {**reads, "members": self._announcer.reads}
-
     def _find_backends_interval(self) -> float:
         return members.share_interval(
-            len(self.blackboard.members.nodes),
+            self._relay.controller.count_readers(),
             per_second=_BACKENDS_READS_PER_SECOND,
             least=_MIN_BACKENDS_INTERVAL_SECONDS,
             most=_MAX_BACKENDS_INTERVAL_SECONDS,
@@ -244,6 +265,7 @@
                     nursery.start_soon(_run_with_restarts, follower.run)
                 for task in (
                     self._announcer.run,
+                    self._relay.link.run,
                     self._planning.run,
                     self._orders.run,
                     self._stalls.run,
@@ -252,13 +274,7 @@
                     self._run_periodic_tasks,
                 ):
                     nursery.start_soon(_run_with_restarts, task)
-                ready = _http_server.Server(handler=self._readiness)
-                for server, address in (
-                    (ready, listen.readiness),
-                    (_http_server.Server(handler=self._expose), listen.metrics),
-                    (self._callers, listen.callers),
-                ):
-                    await nursery.start(server.serve, address.host, address.port)
+                await self._start_listeners(nursery)
                 _LOGGER.info(
                     "node started",
                     extra={
@@ -273,6 +289,19 @@
                 nursery.cancel_scope.cancel()
         _LOGGER.info("node stopped", extra={"node": self.settings.node.name})
 
+    async def _start_listeners(self, nursery: trio.Nursery) -> None:
+        listen = self.settings.listen
+        if listen.relay is not None:
+            relay = _http_server.Server(handler=self._relay.server)
+            await nursery.start(relay.serve, listen.relay.host, listen.relay.port)
+        ready = _http_server.Server(handler=self._readiness)
+        for server, address in (
+            (ready, listen.readiness),
+            (_http_server.Server(handler=self._expose), listen.metrics),
+            (self._callers, listen.callers),
+        ):
+            await nursery.start(server.serve, address.host, address.port)
+
     async def _wait_for_stop(self, signals: collections.abc.AsyncIterator[int]) -> None:
         async for received in signals:
             if received == signal.SIGTERM:
@@ -338,7 +367,7 @@
             orders=self._orders,
             choice=self._choice,
             budgets=self._budgets,
-            count_reads=self._count_reads,
+            relay=self._relay,
         )
         await responder.send(200, page.data, content_type=page.content_type)
 
--- a/src/jujubepass/forwarding/settings.py
+++ b/src/jujubepass/forwarding/settings.py
@@ -34,6 +34,11 @@
     callers: _http_client.Address = _ini.key(meaning="listener for callers")
     readiness: _http_client.Address = _ini.key(meaning="listener for the balancer")
     metrics: _http_client.Address = _ini.key(meaning="listener for metrics")
+    relay: _http_client.Address | None = _ini.key(
+        default=None,
+        meaning="listener for the nodes of the failure domain;"
+        " without it the node reads the store for itself alone",
+    )
 
 
 @attrs.frozen(kw_only=True)
--- a/src/jujubepass/operators/_settings_reference.py
+++ b/src/jujubepass/operators/_settings_reference.py
@@ -72,6 +72,8 @@
 
 
 def _format_default(default: object) -> str:
+    if default is None:
+        return "none"
     if default is attrs.NOTHING:
         return "required"
     return str(default.value if isinstance(default, enum.Enum) else default)
--- a/src/jujubepass/platform/assembly.py
+++ b/src/jujubepass/platform/assembly.py
@@ -7,6 +7,7 @@
 
 from jujubepass.forwarding import (
     adapters,
+    feeds,
     member_rows,
     members,
     node,
@@ -49,21 +50,24 @@
         wire=wire.HttpWire(),
         control=engines.HttpEngineControl(client=client),
         table=store.StoreTable(store=store_client),
-        configuration=store.TableFeed(
-            store=store_client,
-            table="op",
+        configuration=feeds.DecodedFeed(
+            rows=store.TableFeed(
+                store=store_client, table="op", keys=frozenset(("config",))
+            ),
             decode=configuration.read_configuration,
-            keys=frozenset(("config",)),
         ),
-        backends=store.TableFeed(
-            store=store_client, table="servers", decode=backends.read_backend
+        backends=feeds.DecodedFeed(
+            rows=store.TableFeed(store=store_client, table="servers"),
+            decode=backends.read_backend,
         ),
-        plans=store.TableFeed(
-            store=store_client, table=store.PLAN_TABLE, decode=_decode_plan
+        plans=feeds.DecodedFeed(
+            rows=store.TableFeed(store=store_client, table=store.PLAN_TABLE),
+            decode=_decode_plan,
         ),
         member_table=store.StoreTable(store=store_client, name=store.MEMBER_TABLE),
-        members=store.TableFeed(
-            store=store_client, table=store.MEMBER_TABLE, decode=_decode_member
+        members=feeds.DecodedFeed(
+            rows=store.TableFeed(store=store_client, table=store.MEMBER_TABLE),
+            decode=_decode_member,
         ),
     )
 
@@ -72,11 +76,11 @@
     try:
         return plan_rows.read_plan(key, version, value)
     except plan_rows.PlanRowError as error:
-        raise store.UnreadableRowError(str(error)) from error
+        raise feeds.UnreadableRowError(str(error)) from error
 
 
 def _decode_member(key: str, version: int, value: typing.Any) -> members.Member:
     try:
         return member_rows.read_member(key, version, value)
     except member_rows.MemberRowError as error:
-        raise store.UnreadableRowError(str(error)) from error
+        raise feeds.UnreadableRowError(str(error)) from error
--- a/src/jujubepass/platform/backends.py
+++ b/src/jujubepass/platform/backends.py
@@ -3,8 +3,7 @@
 import typing
 
 from jujubepass import ids
-from jujubepass.forwarding import backends
-from jujubepass.platform import store
+from jujubepass.forwarding import backends, feeds
 from jujubepass.transport import _http_client
 
 _BACKEND_STATES = {
@@ -14,7 +13,7 @@
 
 
 def read_backend(key: str, row_version: int, value: typing.Any) -> backends.Backend:
-    """Decode one entry; raises store.UnreadableRowError."""
+    """Decode one entry; raises feeds.UnreadableRowError."""
     try:
         return backends.Backend(
             name=ids.BackendServerId(key),
@@ -28,7 +27,7 @@
             held=read_span(value.get("layers")),
         )
     except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise store.UnreadableRowError(
+        raise feeds.UnreadableRowError(
             f"invalid backend server entry: {error!r}"
         ) from error
 
--- a/src/jujubepass/platform/configuration.py
+++ b/src/jujubepass/platform/configuration.py
@@ -6,8 +6,7 @@
 import attrs
 
 from jujubepass import ids
-from jujubepass.forwarding import declarations
-from jujubepass.platform import store
+from jujubepass.forwarding import declarations, feeds
 
 _REPEAT_POLICIES = {
     "idempotent": declarations.RepeatPolicy.IDEMPOTENT,
@@ -20,11 +19,11 @@
 def read_configuration(
     key: str, row_version: int, value: _Json
 ) -> declarations.Declarations:
-    """Decode the whole configuration; raises store.UnreadableRowError."""
+    """Decode the whole configuration; raises feeds.UnreadableRowError."""
     try:
         return _decode_configuration(value)
     except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise store.UnreadableRowError(f"invalid configuration: {error!r}") from error
+        raise feeds.UnreadableRowError(f"invalid configuration: {error!r}") from error
 
 
 def _decode_configuration(value: _Json) -> declarations.Declarations:
--- a/src/jujubepass/platform/store.py
+++ b/src/jujubepass/platform/store.py
@@ -15,8 +15,6 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-_Item = typing.TypeVar("_Item")
-
 _OK = 200
 _PRECONDITION_FAILED = 412
 _GONE = 410
@@ -34,10 +32,6 @@
 _FEED_TIMEOUT_MARGIN_SECONDS = 0.5
 
 
-class UnreadableRowError(Exception):
-    """Signal that the value of a row cannot be decoded."""
-
-
 @attrs.frozen(kw_only=True)
 class _Reply:
     status: int
@@ -46,36 +40,13 @@
     received_at: float
 
 
-@attrs.define(kw_only=True)
-class StoreClock:
-    """Convert the store's timestamps to lower bounds of the local time.
-
-    A timestamp is made after its request was sent. The answer with the shortest request
-    delay gives the tightest bound, which holds for later timestamps too.
-    """
-
-    _offset_seconds: float | None = attrs.field(default=None, init=False)
-    _last_timestamp_seconds: float = attrs.field(default=float("-inf"), init=False)
-
-    def bound_local_time(self, timestamp_seconds: float, sent_at: float) -> float:
-        """Return a lower bound of the local time at which a timestamp was made."""
-        if (
-            self._offset_seconds is None
-            or timestamp_seconds < self._last_timestamp_seconds
-        ):
-            self._offset_seconds = sent_at - timestamp_seconds
-        self._last_timestamp_seconds = timestamp_seconds
-        self._offset_seconds = max(self._offset_seconds, sent_at - timestamp_seconds)
-        return self._offset_seconds + timestamp_seconds
-
-
 @attrs.define(kw_only=True)
 class StoreClient:
     """Call the store over HTTP; table reads raise feeds.FeedError when they fail."""
 
     client: _http_client.Client
     address: _http_client.Address
-    clock: StoreClock = attrs.field(factory=StoreClock)
+    clock: clocks.RemoteClock = attrs.field(factory=clocks.RemoteClock)
     calls_sent: int = attrs.field(default=0, init=False)
 
     async def call(
@@ -167,61 +138,56 @@
         )
 
 
-Decode = collections.abc.Callable[[str, int, typing.Any], _Item]
-"""Decode a row from its key, version and JSON value; raises UnreadableRowError."""
-
-
 @attrs.frozen(kw_only=True)
-class TableFeed(typing.Generic[_Item]):
-    """Read one table and its changes, with each row decoded."""
+class TableFeed:
+    """Read one table and its changes."""
 
     store: StoreClient
     table: str
-    decode: Decode[_Item]
     keys: frozenset[str] | None = None
     """Keys of the rows to include; None for all."""
 
-    async def read(self) -> feeds.Changes[_Item]:
+    async def read(self) -> feeds.RowChanges:
         """Read all rows."""
         rows, reply = await self.store.read_table(self.table)
         return self._make_changes(rows, reply, is_complete=True)
 
-    async def follow(self, after: int, wait_seconds: float) -> feeds.Changes[_Item]:
+    async def follow(self, after: int, wait_seconds: float) -> feeds.RowChanges:
         """Wait until rows change after a version, or until the time has passed."""
         reply = await self.store.follow_table(self.table, after, wait_seconds)
         return self._make_changes(reply.value["rows"], reply, is_complete=False)
 
     def _make_changes(
         self, rows: list[typing.Any], reply: _Reply, *, is_complete: bool
-    ) -> feeds.Changes[_Item]:
-        items: dict[str, _Item | None] = {}
-        for row in rows:
-            self._decode_row_into(row, items)
-        return feeds.Changes(
-            items=items,
+    ) -> feeds.RowChanges:
+        by_key = {row["key"]: row for row in rows if self._includes(row)}
+        return feeds.RowChanges(
+            rows=tuple(self._read_row(row) for row in by_key.values()),
             version=int(reply.value["ver"]),
             confirmed_at=self.store.compute_confirmed_at(reply),
             is_complete=is_complete,
         )
 
-    def _decode_row_into(self, row: typing.Any, items: dict[str, _Item | None]) -> None:
-        key = row["key"]
-        if row.get("part") or (self.keys is not None and key not in self.keys):
-            return
-        if row.get("deleted"):
-            items[key] = None
-            return
-        try:
-            value = json.loads(base64.b64decode(row["value"]))
-            items[key] = self.decode(key, row["ver"], value)
-        except (UnreadableRowError, ValueError, KeyError, TypeError) as error:
-            # Other programs write these tables. A row that cannot be decoded counts as
-            # deleted, so that its previous value is no longer used.
-            items[key] = None
-            _LOGGER.warning(
-                "row cannot be decoded",
-                extra={"table": self.table, "key": key, "detail": repr(error)[:200]},
-            )
+    def _includes(self, row: typing.Any) -> bool:
+        return not row.get("part") and (self.keys is None or row["key"] in self.keys)
+
+    def _read_row(self, row: typing.Any) -> feeds.Row:
+        key, version = row["key"], int(row["ver"])
+        value = None
+        if not row.get("deleted"):
+            try:
+                value = json.loads(base64.b64decode(row["value"]))
+            except (ValueError, KeyError, TypeError) as error:
+                _LOGGER.warning(
+                    "row is not JSON",
+                    extra={
+                        "table": self.table,
+                        "key": key,
+                        "version": version,
+                        "detail": repr(error)[:200],
+                    },
+                )
+        return feeds.Row(key=key, version=version, value=value)
 
 
 @attrs.frozen(kw_only=True)
--- /dev/null
+++ b/src/jujubepass/relay/codec.py
@@ -0,0 +1,148 @@
+"""Messages of the relay: JSON under a MAC that the receiver's token makes.
+
+A token stands in its node's row, so that only who reads the store can speak here.
+"""
+
+import collections.abc
+import hashlib
+import hmac
+import json
+import typing
+
+import attrs
+
+from jujubepass.forwarding import feeds
+
+_MAC_BYTES = 32
+
+
+class MessageError(Exception):
+    """Signal bytes that are not a valid message of a node."""
+
+
+@attrs.frozen(kw_only=True)
+class Position:
+    """Describe what the asking node has of a table."""
+
+    version: int | None
+    confirmed_at: float | None
+    """Confirmation that it got from the same node, on that node's clock."""
+
+
+@attrs.frozen(kw_only=True)
+class Query:
+    """Ask for rows that are newer than some positions, by table."""
+
+    nonce: str
+    wait_seconds: float
+    positions: collections.abc.Mapping[str, Position]
+
+
+@attrs.frozen(kw_only=True)
+class Report:
+    """Answer a query; times are on the answering node's boot clock."""
+
+    nonce: str
+    now: float
+    changes: collections.abc.Mapping[str, feeds.RowChanges]
+
+
+def write_query(query: Query, token: str) -> bytes:
+    """Encode a query for the node that holds a token."""
+    positions = {
+        name: [each.version, each.confirmed_at]
+        for name, each in query.positions.items()
+    }
+    value = [query.nonce, query.wait_seconds, positions]
+    return _seal(value, token)
+
+
+def read_query(data: bytes, token: str) -> Query:
+    """Decode a query; raises MessageError."""
+    value = _unseal(data, token)
+    try:
+        nonce, wait_seconds, positions = value
+        return Query(
+            nonce=str(nonce),
+            wait_seconds=float(wait_seconds),
+            positions={
+                str(name): Position(
+                    version=_read_optional(int, version),
+                    confirmed_at=_read_optional(float, confirmed_at),
+                )
+                for name, (version, confirmed_at) in positions.items()
+            },
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise MessageError(f"invalid query: {error!r}") from error
+
+
+def write_report(report: Report, token: str) -> bytes:
+    """Encode a report of the node that holds a token."""
+    changes = {
+        name: [
+            [[row.key, row.version, row.value] for row in each.rows],
+            each.version,
+            each.confirmed_at,
+            each.is_complete,
+        ]
+        for name, each in report.changes.items()
+    }
+    return _seal([report.nonce, report.now, changes], token)
+
+
+def read_report(data: bytes, token: str, nonce: str) -> Report:
+    """Decode the report for a query's nonce; raises MessageError."""
+    value = _unseal(data, token)
+    try:
+        found_nonce, now, changes = value
+        if found_nonce != nonce:
+            raise MessageError("report for another query")
+        return Report(
+            nonce=nonce,
+            now=float(now),
+            changes={str(name): _read_changes(each) for name, each in changes.items()},
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise MessageError(f"invalid report: {error!r}") from error
+
+
+def _read_changes(value: typing.Any) -> feeds.RowChanges:
+    rows, version, confirmed_at, is_complete = value
+    return feeds.RowChanges(
+        rows=tuple(
+            feeds.Row(key=str(key), version=int(row_version), value=row_value)
+            for key, row_version, row_value in rows
+        ),
+        version=int(version),
+        confirmed_at=float(confirmed_at),
+        is_complete=is_complete is True,
+    )
+
+
+_Number = typing.TypeVar("_Number")
+
+
+def _read_optional(
+    kind: collections.abc.Callable[[typing.Any], _Number], value: typing.Any
+) -> _Number | None:
+    return None if value is None else kind(value)
+
+
+def _seal(value: typing.Any, token: str) -> bytes:
+    data = json.dumps(value, separators=(",", ":")).encode()
+    return _sign(data, token) + data
+
+
+def _unseal(data: bytes, token: str) -> typing.Any:
+    mac, message = data[:_MAC_BYTES], data[_MAC_BYTES:]
+    if not hmac.compare_digest(mac, _sign(message, token)):
+        raise MessageError("the MAC does not match")
+    try:
+        return json.loads(message)
+    except ValueError as error:
+        raise MessageError(f"not JSON: {error}") from error
+
+
+def _sign(data: bytes, token: str) -> bytes:
+    return hmac.digest(token.encode(), data, hashlib.sha256)
--- /dev/null
+++ b/src/jujubepass/relay/history.py
@@ -0,0 +1,65 @@
+"""Rows of one table with the changes that lead to them.
+
+history.apply(changes); history.find_since(version)
+"""
+
+import attrs
+
+from jujubepass.forwarding import feeds
+
+_MAX_DELETED_ROWS = 1_000
+
+
+@attrs.define(kw_only=True)
+class RowHistory:
+    """Keep a table's rows and list what changed after a version."""
+
+    version: int | None = attrs.field(default=None, init=False)
+    """Version of the store up to which the rows are known; None before any."""
+    confirmed_at: float = attrs.field(default=float("-inf"), init=False)
+    """Latest boot-clock time at which the rows were confirmed up to date."""
+    _rows: dict[str, feeds.Row] = attrs.field(factory=dict, init=False)
+    _complete_since: int = attrs.field(default=0, init=False)
+    """Version after which no deletion is missing."""
+
+    def apply(self, changes: feeds.RowChanges) -> bool:
+        """Apply rows unless they are outdated; return whether they were applied."""
+        if self.version is not None and changes.version < self.version:
+            return False
+        if not changes.is_complete and self.version is None:
+            return False
+        if changes.is_complete:
+            self._rows = {row.key: row for row in changes.rows}
+            self._complete_since = changes.version
+        else:
+            self._update(changes.rows)
+        self.version = changes.version
+        self.confirmed_at = max(self.confirmed_at, changes.confirmed_at)
+        return True
+
+    def _update(self, rows: tuple[feeds.Row, ...]) -> None:
+        for row in rows:
+            known = self._rows.get(row.key)
+            if known is None or known.version <= row.version:
+                self._rows[row.key] = row
+        deleted = [row for row in self._rows.values() if row.value is None]
+        if len(deleted) > _MAX_DELETED_ROWS:
+            for row in deleted:
+                del self._rows[row.key]
+                self._complete_since = max(self._complete_since, row.version)
+
+    def find_since(self, after: int | None) -> feeds.RowChanges:
+        """Return the rows that changed after a version, or all if unsure."""
+        assert self.version is not None
+        is_complete = after is None or after < self._complete_since
+        rows = tuple(
+            row
+            for row in self._rows.values()
+            if is_complete or after is None or row.version > after
+        )
+        return feeds.RowChanges(
+            rows=rows,
+            version=self.version,
+            confirmed_at=self.confirmed_at,
+            is_complete=is_complete,
+        )
--- /dev/null
+++ b/src/jujubepass/relay/sources.py
@@ -0,0 +1,182 @@
+"""Choice of where a node reads the store's rows: the store or another node.
+
+The nodes of a failure domain form a tree in an order that all derive from their rows;
+its first ones, the readers, read the store.
+"""
+
+import enum
+import logging
+import math
+import random
+
+import attrs
+
+from jujubepass import ids
+from jujubepass.forwarding import board, members
+
+_LOGGER = logging.getLogger(__name__)
+
+READERS_PER_DOMAIN = 2
+_CHILDREN_PER_NODE = 8
+# Readers confirm the configuration every two seconds. With rows older than this a node
+# tries other sources; it still accepts keys until they are three seconds old.
+MAX_ROW_AGE_SECONDS = 2.2
+_STALE_SECONDS = 1.0
+_MIN_SILENCE_SECONDS = 2.0
+_MAX_SILENCE_SECONDS = 60.0
+# While the store is away, the nodes that are not readers together read each table this
+# often.
+_OUTAGE_READS_PER_SECOND = 20.0
+_MIN_OUTAGE_INTERVAL_SECONDS = 0.5
+
+
+class ReadReason(enum.Enum):
+    """Enumerate why a node reads the store itself."""
+
+    START = "start"
+    """No rows are known yet, or the store has lost its history."""
+    READER = "reader"
+    ROWS_OLD = "rows_old"
+    """No other node has had newer rows for too long."""
+    FAILED = "failed"
+    """A read as a reader or for old rows had no usable answer."""
+
+
+@attrs.define(kw_only=True)
+class _Silence:
+    token: str
+    """Token of the node's process; a new process is asked at once."""
+    until: float
+    times: int = 1
+
+
+@attrs.define(kw_only=True)
+class SourceController:
+    """Choose the source of rows by rank, silence and age."""
+
+    blackboard: board.Blackboard
+    is_enabled: bool = True
+    """Whether this node takes part; otherwise it reads the store."""
+    random_source: random.Random = attrs.field(factory=random.Random)
+    changes: int = attrs.field(default=0, init=False)
+    _silences: dict[ids.NodeId, _Silence] = attrs.field(factory=dict, init=False)
+    _stale_until: dict[ids.NodeId, float] = attrs.field(factory=dict, init=False)
+    _chosen: ids.NodeId | None = attrs.field(default=None, init=False)
+
+    def choose(self, now: float, row_age_seconds: float) -> members.Member | None:
+        """Return the node to read from; None to read the store.
+
+        `row_age_seconds` is the age of the rows that this node has.
+        """
+        source = self._find_parent(now)
+        if row_age_seconds > MAX_ROW_AGE_SECONDS:
+            source = self._find_fresher(source, now)
+        self._record_choice(source)
+        return source
+
+    def is_reader(self, now: float) -> bool:
+        """Return whether this node reads the store, as none before it answers."""
+        return self._find_parent(now) is None
+
+    def has_others(self, now: float) -> bool:
+        """Return whether another node of the failure domain may answer."""
+        return any(
+            each.node != self.blackboard.node and self._is_available(each, now)
+            for each in self.blackboard.members.neighbors
+        )
+
+    def find_outage_interval(self) -> float:
+        """Return the interval of reads while the store fails."""
+        area = self.blackboard.members
+        first = [each.node for each in area.neighbors[:READERS_PER_DOMAIN]]
+        if self.blackboard.node in first or not area.neighbors:
+            return _MIN_OUTAGE_INTERVAL_SECONDS
+        return members.share_interval(
+            len(area.nodes),
+            per_second=_OUTAGE_READS_PER_SECOND,
+            least=_MIN_OUTAGE_INTERVAL_SECONDS,
+        )
+
+    def count_readers(self) -> int:
+        """Return how many nodes read the store while all answer."""
+        sizes = self.blackboard.members.sizes.values()
+        if not self.is_enabled:
+            return sum(sizes)
+        return sum(min(size, READERS_PER_DOMAIN) for size in sizes)
+
+    def record_answer(
+        self, node: ids.NodeId, row_age_seconds: float, now: float
+    ) -> None:
+        """Record that a node answered, and how old its rows are."""
+        self._silences.pop(node, None)
+        if row_age_seconds > MAX_ROW_AGE_SECONDS:
+            self._stale_until[node] = now + _STALE_SECONDS
+
+    def record_silence(self, source: members.Member, now: float, detail: str) -> None:
+        """Leave a node out of the order, for longer each time."""
+        known = self._silences.get(source.node)
+        is_known = known is not None and known.token == source.token
+        times = known.times + 1 if known is not None and is_known else 1
+        seconds = _MIN_SILENCE_SECONDS * math.exp2(times - 1)
+        seconds = min(_MAX_SILENCE_SECONDS, seconds)
+        self._silences[source.node] = _Silence(
+            token=source.token, until=now + seconds, times=times
+        )
+        _LOGGER.info(
+            "node gave no rows",
+            extra={"source": source.node, "seconds": seconds, "detail": detail},
+        )
+
+    def _find_parent(self, now: float) -> members.Member | None:
+        if not self.is_enabled:
+            return None
+        before = []
+        for each in self.blackboard.members.neighbors:
+            if each.node == self.blackboard.node:
+                break
+            if self._is_available(each, now):
+                before.append(each)
+        else:
+            # The own row was not read back yet.
+            return None
+        if len(before) < READERS_PER_DOMAIN:
+            return None
+        return before[(len(before) - READERS_PER_DOMAIN) // _CHILDREN_PER_NODE]
+
+    def _find_fresher(
+        self, parent: members.Member | None, now: float
+    ) -> members.Member | None:
+        """Return a node that may have newer rows than the parent, if there is one.
+
+        A reader asks others too, as the store may serve them and not this node.
+        """
+        if not self.is_enabled:
+            return None
+        if parent is not None and now >= self._stale_until.get(parent.node, now):
+            return parent
+        others = [
+            each
+            for each in self.blackboard.members.neighbors
+            if each.node != self.blackboard.node
+            and self._is_available(each, now)
+            and now >= self._stale_until.get(each.node, now)
+        ]
+        return self.random_source.choice(others) if others else parent
+
+    def _is_available(self, node: members.Member, now: float) -> bool:
+        silence = self._silences.get(node.node)
+        is_silent = (
+            silence is not None and silence.token == node.token and now < silence.until
+        )
+        return node.address is not None and not is_silent
+
+    def _record_choice(self, source: members.Member | None) -> None:
+        chosen = source.node if source is not None else None
+        if chosen == self._chosen:
+            return
+        _LOGGER.info(
+            "source of rows changed",
+            extra={"before": self._chosen or "store", "source": chosen or "store"},
+        )
+        self._chosen = chosen
+        self.changes += 1
--- a/standins/forwarding_system.py
+++ b/standins/forwarding_system.py
@@ -66,6 +66,7 @@
     callers: int
     readiness: int
     metrics: int
+    relay: int
 
 
 def make_routes() -> list[dict[str, typing.Any]]:
@@ -186,6 +187,7 @@
                 callers=self._ports.allocate(),
                 readiness=self._ports.allocate(),
                 metrics=self._ports.allocate(),
+                relay=self._ports.allocate(),
             )
         path = self.processes.folder / f"{name}.ini"
         path.write_text(self.write_settings(name, domain, first_start))
@@ -205,6 +207,7 @@
             f"first_start = {str(first_start).lower()}\n"
             f"[listen]\ncallers = {host}:{ports.callers}\n"
             f"readiness = {host}:{ports.readiness}\nmetrics = {host}:{ports.metrics}\n"
+            f"relay = {host}:{ports.relay}\n"
             f"[store]\naddress = {host}:{self.store_port}\n"
             "[bounds]\nrevocation_milliseconds = 5000\nshutdown_seconds = 8\n"
             f"retry_slack = {self._retry_slack}\n"
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -32,7 +32,7 @@
 class Ports:
     """Allocate ports in order, skipping those that cannot be bound."""
 
-    def __init__(self, *, first: int, count: int = 100) -> None:
+    def __init__(self, *, first: int, count: int = 200) -> None:
         self._next = first
         self._end = first + count
 
--- a/tests/features/steps/platform_settings_steps.py
+++ b/tests/features/steps/platform_settings_steps.py
@@ -39,6 +39,7 @@
     "listen.ready": "10.1.0.40:8220",
     "ip": "10.1.0.40",
     "platform.address": "10.200.1.7:8223",
+    "internalPorts.0": "7340",
     "bounds.revokeMs": "5000",
     "bounds.graceS": "8",
     "bounds.retryBudget": "0.2",
@@ -60,4 +61,5 @@
     read = settings.parse_settings("node.ini", text).unwrap()
     assert read.bounds.revocation_milliseconds == 5_000, read
     assert read.listen.callers == _http_client.parse_address("10.1.0.40:8227")
+    assert read.listen.relay == _http_client.parse_address("10.1.0.40:7340")
     assert read.node.first_start, read
--- a/tests/features/steps/store_away_steps.py
+++ b/tests/features/steps/store_away_steps.py
@@ -1,8 +1,7 @@
 import behave
 
 from jujubepass import reasons
-from jujubepass.forwarding import admission, configuration, exchange, feeds
-from jujubepass.platform import store
+from jujubepass.forwarding import admission, clocks, configuration, exchange, feeds
 from tests import small_fleet
 
 
@@ -126,7 +125,7 @@
 
 @behave.then("a slow answer confirms the rows for no later time than it can")
 def step_store_clock(context):
-    clock = store.StoreClock()
+    clock = clocks.RemoteClock()
     # (timestamp, sent at): the store's clock is 50 s behind the local one.
     assert clock.bound_local_time(50.0, 99.99) == 99.99
     assert clock.bound_local_time(52.0, 100.0) == 101.99
--- a/tests/features/steps/store_client_steps.py
+++ b/tests/features/steps/store_client_steps.py
@@ -125,7 +125,8 @@
         return value
 
     async def use(rows):
-        feed = store.TableFeed(store=rows, table="servers", decode=decode)
+        table = store.TableFeed(store=rows, table="servers")
+        feed = feeds.DecodedFeed(rows=table, decode=decode)
         return await feed.follow(after, 0.2) if after is not None else await feed.read()
 
     return run(context, use)
--- /dev/null
+++ b/tests/relay_fleet.py
@@ -0,0 +1,338 @@
+"""Nodes that relay rows to each other, with a simulated store, network and clock."""
+
+import bisect
+import collections
+import itertools
+import queue
+import random
+import threading
+import unittest.mock
+
+import trio
+import trio.testing
+
+from jujubepass import ids
+from jujubepass.forwarding import (
+    announcing,
+    board,
+    clocks,
+    feeds,
+    following,
+    member_rows,
+    members,
+)
+from jujubepass.relay import assembly, links
+from jujubepass.storage import _store_messages
+from jujubepass.transport import _http_client
+
+ANSWER_SECONDS = 0.004
+HOP_SECONDS = 0.0005
+FEEDS = {"configuration": 2.0, "backends": 2.0, "plans": 20.0}
+
+
+class Store:
+    """Keep rows of tables with versions from one counter, and count calls."""
+
+    def __init__(self):
+        self.version = 0
+        self.tables = collections.defaultdict(list)
+        self.calls = []
+        self.is_available = True
+        self.refused = set()
+        self.configuration_times = []
+        self._changed = trio.Event()
+
+    def write(self, table, key, value):
+        self.version += 1
+        row = feeds.Row(key=key, version=self.version, value=value)
+        self.tables[table].append(row)
+        if table == "configuration":
+            self.configuration_times.append((trio.current_time(), value))
+        self._changed.set()
+        self._changed = trio.Event()
+
+    def find_configuration(self, time):
+        """Return the configuration that was stored at a time."""
+        index = bisect.bisect_right(self.configuration_times, (time, float("inf")))
+        return self.configuration_times[index - 1][1] if index else None
+
+    def make_changes(self, table, after, *, is_complete=False):
+        latest = {row.key: row for row in self.tables[table] if row.version > after}
+        return feeds.RowChanges(
+            rows=tuple(latest.values()),
+            version=self.version,
+            confirmed_at=trio.current_time(),
+            is_complete=is_complete,
+        )
+
+    async def serve(self, node):
+        self.calls.append((trio.current_time(), node.name))
+        await trio.sleep(ANSWER_SECONDS)
+        await node.wait_while_frozen()
+        if not self.is_available or node.name in self.refused:
+            raise feeds.FeedError("the store answered 503")
+
+    async def wait_for_change(self, table, after, seconds):
+        with trio.move_on_after(seconds):
+            while not self.has_changed(table, after):
+                await self._changed.wait()
+
+    def has_changed(self, table, after):
+        rows = self.tables[table]
+        return bool(rows) and rows[-1].version > after
+
+    def count_calls(self, start, end):
+        return sum(start <= time < end for time, _ in self.calls)
+
+    def find_busiest_second(self):
+        times = [time for time, _ in self.calls]
+        return max(
+            bisect.bisect_left(times, start + 1.0) - number
+            for number, start in enumerate(times)
+        )
+
+
+class StoreFeed:
+    """Read one table on behalf of a node."""
+
+    def __init__(self, *, store, node, table):
+        self._store, self._node, self._table = store, node, table
+
+    async def read(self):
+        await self._store.serve(self._node)
+        return self._store.make_changes(self._table, 0, is_complete=True)
+
+    async def follow(self, after, wait_seconds):
+        await self._store.serve(self._node)
+        await self._store.wait_for_change(self._table, after, wait_seconds)
+        if not self._store.is_available or self._node.name in self._store.refused:
+            raise feeds.FeedError("connection broke")
+        return self._store.make_changes(self._table, after)
+
+
+class MemberTable:
+    """Write the rows of nodes."""
+
+    def __init__(self, *, store, node):
+        self._store, self._node = store, node
+
+    async def transact(self, command):
+        try:
+            await self._store.serve(self._node)
+        except feeds.FeedError as error:
+            return _store_messages.TransactionUnsent(
+                operation=command.operation, detail=str(error)
+            )
+        for write in command.writes:
+            self._store.write("members", write.key, write.value)
+        return _store_messages.Transacted(operation=command.operation, versions={})
+
+
+def decode_member(key, version, value):
+    return member_rows.read_member(key, version, value)
+
+
+class RelayNode:
+    """Run one node's relay, its followers and its announcer."""
+
+    def __init__(self, *, fleet, number, domain, seed):
+        self.fleet = fleet
+        self.name = ids.NodeId(f"n{number}")
+        self.domain = ids.FailureDomainId(domain)
+        self.address = _http_client.Address(host="10.0.0.1", port=number + 1)
+        self.random_source = random.Random(seed)
+        self.scope = None
+        self.is_frozen = False
+        self.is_cut_off = False
+        self.configuration = None
+        self.confirmed_at = float("-inf")
+        self.faults = []
+        self._thawed = trio.Event()
+
+    async def run(self, start_delay):
+        with trio.CancelScope() as self.scope:
+            await trio.sleep(start_delay)
+            await self._run_parts()
+
+    async def _run_parts(self):
+        blackboard = board.Blackboard(node=self.name, failure_domain=self.domain)
+        tables = (*FEEDS, "members")
+        self.relay = assembly.Relay(
+            blackboard=blackboard,
+            stores={
+                name: StoreFeed(store=self.fleet.store, node=self, table=name)
+                for name in tables
+            },
+            transport=self,
+            address=self.address,
+        )
+        announcer = announcing.Announcer(
+            blackboard=blackboard,
+            controller=members.MemberController(blackboard=blackboard),
+            table=MemberTable(store=self.fleet.store, node=self),
+            feed=self._decode("members", decode_member),
+            address=self.address,
+            token=self.relay.token,
+            reads_store=self.relay.reads_store,
+            random_source=self.random_source,
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(announcer.run)
+            nursery.start_soon(self.relay.link.run)
+            for name, wait_seconds in FEEDS.items():
+                follower = following.Follower(
+                    name=name,
+                    feed=self._decode(name, lambda key, version, value: value),
+                    wait_seconds=wait_seconds,
+                    apply=self._apply if name == "configuration" else lambda *_: None,
+                )
+                nursery.start_soon(follower.run)
+
+    def _decode(self, name, decode):
+        return feeds.DecodedFeed(rows=self.relay.feeds[name], decode=decode)
+
+    def _apply(self, changes, now):
+        self.confirmed_at = max(self.confirmed_at, changes.confirmed_at)
+        found = changes.items.get("config", self.configuration)
+        if found is not None and found < (self.configuration or 0):
+            self.faults.append(f"{self.name}: {found} after {self.configuration}")
+        self.configuration = found
+        # The rows must be those of the claimed time, or later ones.
+        oldest = self.fleet.store.find_configuration(changes.confirmed_at)
+        if oldest is not None and (found is None or found < oldest):
+            self.faults.append(
+                f"{self.name}: {found} at {changes.confirmed_at:.3f}, was {oldest}"
+            )
+
+    async def ask(self, address, data, timeout_seconds):
+        """Carry a query to another node, as links.Transport."""
+        await trio.sleep(HOP_SECONDS)
+        target = self.fleet.nodes[address.port - 1]
+        if target.is_killed:
+            raise links.LinkError("connection refused")
+        if self.is_cut_off or target.is_cut_off:
+            await trio.sleep(timeout_seconds)
+            raise links.LinkError("timed out")
+        await target.wait_while_frozen()
+        answer = await target.relay.server.answer(data)
+        await target.wait_while_frozen()
+        await self.wait_while_frozen()
+        await trio.sleep(HOP_SECONDS)
+        return answer
+
+    @property
+    def is_killed(self):
+        return self.scope is None or self.scope.cancel_called
+
+    @property
+    def age(self):
+        return trio.current_time() - self.confirmed_at
+
+    async def wait_while_frozen(self):
+        while self.is_frozen:
+            await self._thawed.wait()
+
+    def freeze(self):
+        self.is_frozen, self._thawed = True, trio.Event()
+
+    def thaw(self):
+        self.is_frozen = False
+        self._thawed.set()
+
+
+class RelayFleet:
+    """Run nodes in failure domains until the block is left."""
+
+    def __init__(self, *, count, domains, seed=1):
+        self.random_source = random.Random(seed)
+        self.store = Store()
+        numbers = range(count)
+        self.nodes = [
+            RelayNode(
+                fleet=self, number=number, domain=f"d{number % domains}", seed=number
+            )
+            for number in numbers
+        ]
+        self.domains = domains
+        self.worst_age = 0.0
+        self._versions = itertools.count(1)
+
+    def start(self, nursery, *, within_seconds=0.3):
+        self.configure()
+        for node in self.nodes:
+            delay = self.random_source.uniform(0.0, within_seconds)
+            nursery.start_soon(node.run, delay)
+
+    def configure(self):
+        self.store.write("configuration", "config", next(self._versions))
+
+    async def run(self, seconds, *, watched=None):
+        """Run for some seconds and record the greatest age of the configuration."""
+        end = trio.current_time() + seconds
+        while trio.current_time() < end:
+            await trio.sleep(0.05)
+            for node in self.nodes if watched is None else watched:
+                self.worst_age = max(self.worst_age, node.age)
+
+    def list_readers(self, domain):
+        return [
+            each
+            for each in self.nodes
+            if each.domain == domain and each.relay.reads_store()
+        ]
+
+    def list_outdated(self):
+        """Return the running nodes that lack the newest configuration."""
+        newest = self.store.find_configuration(trio.current_time())
+        return [
+            (each.name, each.configuration, newest)
+            for each in self.nodes
+            if not each.is_killed and each.configuration != newest
+        ]
+
+    def count_calls(self):
+        return self.store.count_calls(self.measured_from, self.measured_until)
+
+    def list_faults(self):
+        return [fault for node in self.nodes for fault in node.faults]
+
+
+class Simulation:
+    """Run a fleet in a thread whose clock stands still between commands."""
+
+    def __init__(self, *, count, domains):
+        self.fleet = None
+        self._size = count, domains
+        self._commands = queue.Queue()
+        self._results = queue.Queue()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._thread.start()
+
+    def _run(self):
+        clock = trio.testing.MockClock(autojump_threshold=0.0)
+        with unittest.mock.patch.object(clocks, "read_boot_clock", trio.current_time):
+            trio.run(self._serve, clock=clock)
+
+    async def _serve(self):
+        count, domains = self._size
+        self.fleet = RelayFleet(count=count, domains=domains)
+        async with trio.open_nursery() as nursery:
+            self.fleet.start(nursery)
+            while (command := self._commands.get()) is not None:
+                try:
+                    self._results.put((await command(self.fleet), None))
+                except Exception as error:
+                    self._results.put((None, error))
+            nursery.cancel_scope.cancel()
+
+    def do(self, command):
+        """Run an async function of the fleet and return its result."""
+        self._commands.put(command)
+        result, error = self._results.get(timeout=600)
+        if error is not None:
+            raise error
+        return result
+
+    def close(self):
+        self._commands.put(None)
+        self._thread.join()
--- a/tests/run.py
+++ b/tests/run.py
@@ -10,7 +10,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 FIRST_PORT = int(os.environ.get("JUJUBEPASS_FIRST_PORT", "10000"))
-PORTS_PER_FEATURE = 100
+PORTS_PER_FEATURE = 200
 PARALLEL_FEATURES = 4
 LAST_FEATURE = "bench"
 FEATURE_TIMEOUT_SECONDS = 900
