Bound denials by the platform's time for configuration changes

A node asked the store again before each 401 and 404 once its configuration was 1.5 s old, on every platform, though some allow four seconds for a change. The limit is now three quarters of the platform's own bound, 1.5 s as before where that is two seconds. Scenario in store_away.

--- a/src/jujubepass/forwarding/admission.py
+++ b/src/jujubepass/forwarding/admission.py
@@ -7,9 +7,9 @@
 from jujubepass import reasons
 from jujubepass.forwarding import board, declarations, exchange
 
-# A route or key is reported as unknown only if the configuration was confirmed up to
-# date within this time; the platform allows two seconds to apply a change.
-_MAX_DENIAL_AGE_SECONDS = 1.5
+# A route or key is reported as unknown only if the configuration's age is within this
+# share of the time limit for changes.
+_MAX_DENIAL_AGE_SHARE = 0.75
 # Interval at which the store is polled after it has failed.
 _STALE_RETRY_SECONDS = 0.5
 # Requests with a key are refused once the configuration's age exceeds this share of the
@@ -37,7 +37,7 @@
         area = self.blackboard.configuration
         if (
             area.declarations is None
-            or now - area.confirmed_at <= _MAX_DENIAL_AGE_SECONDS
+            or now - area.confirmed_at <= self._find_max_denial_age()
         ):
             return False
         found = self._decide(request, area.declarations, now)
@@ -58,11 +58,15 @@
                 retry_after_seconds=_STALE_RETRY_SECONDS,
             )
         found = self._decide(request, area.declarations, now)
-        is_confirmed = now - area.confirmed_at <= _MAX_DENIAL_AGE_SECONDS
+        is_confirmed = now - area.confirmed_at <= self._find_max_denial_age()
         if isinstance(found, Refusal) and not is_confirmed:
             return self._refuse_stale()
         return found
 
+    def _find_max_denial_age(self) -> float:
+        bound_seconds = self.blackboard.bounds.configuration_milliseconds / 1_000.0
+        return _MAX_DENIAL_AGE_SHARE * bound_seconds
+
     def is_stale(self, now: float) -> bool:
         """Return whether a key may have been revoked unnoticed by this node."""
         bound_seconds = self.blackboard.bounds.revocation_milliseconds / 1_000.0
--- a/src/jujubepass/forwarding/settings.py
+++ b/src/jujubepass/forwarding/settings.py
@@ -59,6 +59,13 @@
         minimum=100,
         maximum=3_600_000,
     )
+    configuration_milliseconds: int = _ini.key(
+        default=2_000,
+        meaning="time after which no request is handled by an older configuration",
+        unit="milliseconds",
+        minimum=100,
+        maximum=3_600_000,
+    )
     shutdown_seconds: float = _ini.seconds_key(
         8.0, "time from SIGTERM to SIGKILL", minimum=0.1, maximum=3_600.0
     )
--- a/tests/features/steps/platform_settings_steps.py
+++ b/tests/features/steps/platform_settings_steps.py
@@ -41,6 +41,7 @@
     "platform.address": "10.200.1.7:8223",
     "internalPorts.0": "7340",
     "bounds.revokeMs": "5000",
+    "bounds.configApplyMs": "3000",
     "bounds.graceS": "8",
     "bounds.retryBudget": "0.2",
     "bounds.budgetSlack": "202",
@@ -60,6 +61,7 @@
     text = re.sub(r"\{\{([\w.]+)\}\}", lambda found: TEMPLATE_FIELDS[found[1]], text)
     read = settings.parse_settings("node.ini", text).unwrap()
     assert read.bounds.revocation_milliseconds == 5_000, read
+    assert read.bounds.configuration_milliseconds == 3_000, read
     assert read.listen.callers == _http_client.parse_address("10.1.0.40:8227")
     assert read.listen.relay == _http_client.parse_address("10.1.0.40:7340")
     assert read.node.first_start, read
--- a/tests/features/steps/store_away_steps.py
+++ b/tests/features/steps/store_away_steps.py
@@ -1,3 +1,4 @@
+import attrs
 import behave
 
 from jujubepass import reasons
@@ -96,6 +97,17 @@
         assert admit(context, 1.6, **changes).reason.status == 503
 
 
+@behave.then(
+    "with twice the time limit for changes, with one confirmed 2.8 seconds ago"
+)
+def step_denied_later(context):
+    area = context.fleet.blackboard
+    area.bounds = attrs.evolve(area.bounds, configuration_milliseconds=4_000)
+    for changes, status in (({"key": "no"}, 401), ({"target": "/no/1"}, 404)):
+        assert admit(context, 2.8, **changes).reason.status == status
+        assert admit(context, 3.1, **changes).reason.status == 503
+
+
 @behave.then(
     "a refusal with a configuration 3.1 seconds old gives a retry time of 0.5 seconds"
 )
--- a/tests/features/store_away.feature
+++ b/tests/features/store_away.feature
@@ -17,6 +17,7 @@
     Then a request is admitted with a configuration confirmed 2.9 seconds ago
     And refused as not run with one confirmed 3.1 seconds ago
     And a key or route is reported unknown only with one confirmed 1.4 seconds ago
+    And with twice the time limit for changes, with one confirmed 2.8 seconds ago
 
   Scenario: Refusals during an outage give a short retry time
     Given a fleet of engines, planned and loaded
