Choose pipelines without comparing all pairs of engines

The search compared each engine with all states reached so far, and all engines took part although one crossing costs more than a whole pipeline of an idle failure domain.

The scenario fails on the code before with 96 engines and more.

--- a/src/jujubepass/forwarding/engine_choice.py
+++ b/src/jujubepass/forwarding/engine_choice.py
@@ -67,42 +67,53 @@
 
         `entries` restricts the engines at which it may begin; None allows all.
         """
-        assert service.model is not None
-        options = list(self._list_options(service.name, service.model, now, avoided))
-        return pipelines.find_pipeline(
-            service.model, options, self.blackboard.failure_domain, entries
-        )
+        model = service.model
+        assert model is not None
+        domain = self.blackboard.failure_domain
+        listed = [
+            engine
+            for engine in self.blackboard.backends.listed.values()
+            if engine.service == service.name and engine.name not in avoided
+        ]
+        local = [engine for engine in listed if engine.failure_domain == domain]
+        options = list(self._list_options(service.name, model, local, now))
+        found = pipelines.find_pipeline(model, options, domain, entries)
+        # Engines elsewhere need not be compared, as none of them costs less than this.
+        if found and found.cost_seconds <= pipelines.REMOTE_ENTRY_SECONDS:
+            return found
+        remote = [engine for engine in listed if engine.failure_domain != domain]
+        options += self._list_options(service.name, model, remote, now)
+        return pipelines.find_pipeline(model, options, domain, entries)
 
     def _list_options(
         self,
         service: ids.ServiceId,
         model: declarations.Model,
+        engines: collections.abc.Iterable[backends.Backend],
         now: float,
-        avoided: collections.abc.Set[ids.BackendServerId],
     ) -> collections.abc.Iterator[pipelines.StageOption]:
         plan = self.blackboard.plans.plans.get(service)
         if plan is None:
             return
-        for engine in self.blackboard.backends.listed.values():
+        neighbors = members.count_neighbors(self.blackboard)
+        for engine in engines:
             accelerator = model.accelerators.get(engine.accelerator)
-            if engine.service != service or accelerator is None:
-                continue
-            if engine.held is None or engine.name in avoided:
+            if accelerator is None or engine.held is None:
                 continue
             if plan.excludes(engine):
                 continue
             if self.suspects.is_suspected(engine.name, now):
                 continue
             seconds = accelerator.step_slowdown * self._predict_step_seconds(
-                model, engine.name
+                model, engine.name, neighbors
             )
             seconds += accelerator.prefill_slowdown * self._predict_queue_delay(
-                model, engine.name
+                model, engine.name, neighbors
             )
             cost_factor = (
                 self.slowdowns.get_slowdown(engine.name, now) ** _SLOWDOWN_EXPONENT
             )
-            contention = self._compute_contention(model, accelerator, engine)
+            contention = self._compute_contention(model, accelerator, engine, neighbors)
             yield from _make_options(
                 engine,
                 plan.placements.get(engine.name),
@@ -113,18 +124,16 @@
             )
 
     def _predict_step_seconds(
-        self, model: declarations.Model, engine: ids.BackendServerId
+        self, model: declarations.Model, engine: ids.BackendServerId, neighbors: int
     ) -> float:
-        shared = self._running[engine] * members.count_neighbors(self.blackboard)
+        shared = self._running[engine] * neighbors
         return model.step_seconds + model.step_seconds_per_sequence * shared
 
     def _predict_queue_delay(
-        self, model: declarations.Model, engine: ids.BackendServerId
+        self, model: declarations.Model, engine: ids.BackendServerId, neighbors: int
     ) -> float:
         """Return the delay per token caused by queued prompts, in seconds."""
-        queued_prompts = self._prefilling[engine] * members.count_neighbors(
-            self.blackboard
-        )
+        queued_prompts = self._prefilling[engine] * neighbors
         return (
             queued_prompts
             * model.prompt_tokens
@@ -137,6 +146,7 @@
         model: declarations.Model,
         accelerator: declarations.Accelerator,
         engine: backends.Backend,
+        neighbors: int,
     ) -> float:
         """Return the cost in seconds of the cache memory that requests use."""
         assert engine.held is not None
@@ -145,8 +155,7 @@
         )
         request_tokens = model.prompt_tokens + model.answer_tokens / 2.0
         # Counts the request to be sent, since other nodes add theirs at the same time.
-        requests = self._running[engine.name] + 1
-        requests *= members.count_neighbors(self.blackboard)
+        requests = (self._running[engine.name] + 1) * neighbors
         used_tokens = requests * request_tokens
         token_kilobytes = model.token_kilobytes * len(engine.held) / model.layers
         used_share = used_tokens * token_kilobytes / max(1.0, free_megabytes * 1_000.0)
--- a/src/jujubepass/forwarding/pipelines.py
+++ b/src/jujubepass/forwarding/pipelines.py
@@ -20,7 +20,8 @@
 # The answer of a pipeline that begins in another failure domain crosses a link as well.
 # The cost exceeds the difference between unloaded pipelines of two failure domains (8
 # and 14 ms per token).
-_REMOTE_ENTRY_SECONDS = 0.02
+REMOTE_ENTRY_SECONDS = 0.02
+"""Least cost of a pipeline that uses another failure domain."""
 
 
 @attrs.frozen(kw_only=True)
@@ -39,6 +40,8 @@
     stages: tuple[Stage, ...]
     step_seconds: float
     """Predicted time per token."""
+    cost_seconds: float = math.inf
+    """Predicted time per token with all factors and costs of the search."""
 
     @property
     def engines(self) -> frozenset[ids.BackendServerId]:
@@ -60,7 +63,40 @@
     """Cost of a stage beside its predicted time."""
 
 
-_State = tuple[int, ids.FailureDomainId]
+@attrs.frozen
+class _Partial:
+    """Describe the cheapest stages from the first layer up to some layer."""
+
+    cost: float
+    option: StageOption
+    span: backends.Span
+    before: "_Partial | None"
+
+    def uses(self, engine: ids.BackendServerId) -> bool:
+        """Return whether an engine runs one of the stages."""
+        partial: _Partial | None = self
+        while partial is not None:
+            if partial.option.backend.name == engine:
+                return True
+            partial = partial.before
+        return False
+
+    def list_stages(self) -> list[Stage]:
+        """Return the stages in order."""
+        stages = []
+        partial: _Partial | None = self
+        while partial is not None:
+            backend = partial.option.backend
+            stage = Stage(
+                engine=backend.name, address=backend.address, span=partial.span
+            )
+            stages.append(stage)
+            partial = partial.before
+        return stages[::-1]
+
+
+_Reached = dict[ids.FailureDomainId, _Partial]
+"""The cheapest stages up to one layer, by the failure domain of the last one."""
 
 
 def find_pipeline(
@@ -73,71 +109,88 @@
 
     `entries` restricts the engines at which it may begin; None allows all.
     """
-    bounds = {0, model.layers}
+    found = {0, model.layers}
     for each in options:
-        bounds |= {each.span.first, each.span.end}
-    best: dict[_State, tuple[float, tuple[Stage, ...]]] = {}
-    ordered = sorted(bound for bound in bounds if 0 <= bound <= model.layers)
-    for layer in ordered[:-1]:
-        for option in options:
-            barred = entries is not None and option.backend.name not in entries
-            if layer == 0 and barred:
-                continue
-            if option.span.first <= layer < option.span.end:
-                _extend(best, option, layer, ordered, entry_domain)
-    finals = [found for (end, _), found in best.items() if end == model.layers]
-    if not finals:
+        found |= {each.span.first, each.span.end}
+    bounds = sorted(bound for bound in found if 0 <= bound <= model.layers)
+    options_by_bound = _index_options(options, bounds)
+    reached: list[_Reached] = [{} for _ in bounds]
+    for number in range(len(bounds) - 1):
+        for option, last in options_by_bound[number]:
+            is_barred = entries is not None and option.backend.name not in entries
+            if number == 0:
+                if is_barred:
+                    continue
+                before = None
+                is_local = option.backend.failure_domain == entry_domain
+                cost = 0.0 if is_local else REMOTE_ENTRY_SECONDS
+            else:
+                before, cost = _find_before(reached[number], option)
+                if before is None:
+                    continue
+            _extend(reached, bounds, number, last, option, before, cost)
+    if not reached[-1]:
         return None
-    _, stages = min(finals, key=lambda found: found[0])
+    cheapest = min(reached[-1].values(), key=lambda each: each.cost)
+    stages = cheapest.list_stages()
     seconds = {each.backend.name: each.layer_seconds for each in options}
     step_seconds = sum(
         len(stage.span) * seconds[stage.engine] + _HOP_SECONDS for stage in stages
     )
-    return Pipeline(stages=stages, step_seconds=step_seconds)
+    return Pipeline(
+        stages=tuple(stages), step_seconds=step_seconds, cost_seconds=cheapest.cost
+    )
 
 
-def _extend(
-    best: dict[_State, tuple[float, tuple[Stage, ...]]],
-    option: StageOption,
-    layer: int,
-    ordered: list[int],
-    entry_domain: ids.FailureDomainId,
-) -> None:
-    """Extend the best partial pipeline up to a layer by one more engine."""
-    domain = option.backend.failure_domain
-    before = _find_before(best, option, layer, entry_domain)
-    if before is None:
-        return
-    cost, stages = before
-    for end in ordered:
-        if not layer < end <= option.span.end:
+def _index_options(
+    options: collections.abc.Sequence[StageOption], bounds: list[int]
+) -> list[list[tuple[StageOption, int]]]:
+    """Return, for each bound, the options that may go on from it.
+
+    Each option is listed with the number of the last bound that it reaches.
+    """
+    numbers = {bound: number for number, bound in enumerate(bounds)}
+    indexed: list[list[tuple[StageOption, int]]] = [[] for _ in bounds]
+    for option in options:
+        first = numbers.get(option.span.first)
+        last = numbers.get(option.span.end)
+        if first is None or last is None:
             continue
-        seconds = (end - layer) * option.layer_seconds + _HOP_SECONDS
-        total = cost + seconds * option.cost_factor + option.stage_seconds
-        state = (end, domain)
-        if total < best.get(state, (math.inf, ()))[0]:
-            stage = Stage(
-                engine=option.backend.name,
-                address=option.backend.address,
-                span=backends.Span(first=layer, end=end),
-            )
-            best[state] = (total, (*stages, stage))
+        for number in range(first, last):
+            indexed[number].append((option, last))
+    return indexed
 
 
 def _find_before(
-    best: dict[_State, tuple[float, tuple[Stage, ...]]],
+    reached: _Reached, option: StageOption
+) -> tuple[_Partial | None, float]:
+    """Return the cheapest stages to go on from, with the cost of crossing to here."""
+    engine, domain = option.backend.name, option.backend.failure_domain
+    found, cost = None, math.inf
+    for last_domain, partial in reached.items():
+        total = partial.cost + (_CROSSING_SECONDS if last_domain != domain else 0.0)
+        if total < cost and not partial.uses(engine):
+            found, cost = partial, total
+    return found, cost
+
+
+def _extend(
+    reached: list[_Reached],
+    bounds: list[int],
+    number: int,
+    last: int,
     option: StageOption,
-    layer: int,
-    entry_domain: ids.FailureDomainId,
-) -> tuple[float, tuple[Stage, ...]] | None:
-    domain = option.backend.failure_domain
-    if layer == 0:
-        return (0.0 if domain == entry_domain else _REMOTE_ENTRY_SECONDS), ()
-    found: tuple[float, tuple[Stage, ...]] | None = None
-    for (end, last_domain), (cost, stages) in best.items():
-        if end != layer or any(stage.engine == option.backend.name for stage in stages):
-            continue
-        total = cost + (_CROSSING_SECONDS if last_domain != domain else 0.0)
-        if found is None or total < found[0]:
-            found = total, stages
-    return found
+    before: _Partial | None,
+    cost: float,
+) -> None:
+    """Extend stages up to a bound by one engine, to each bound that it reaches."""
+    domain, first = option.backend.failure_domain, bounds[number]
+    for reached_number in range(number + 1, last + 1):
+        end = bounds[reached_number]
+        seconds = (end - first) * option.layer_seconds + _HOP_SECONDS
+        total = cost + seconds * option.cost_factor + option.stage_seconds
+        known = reached[reached_number].get(domain)
+        if known is None or total < known.cost:
+            reached[reached_number][domain] = _Partial(
+                total, option, backends.Span(first=first, end=end), before
+            )
--- a/tests/features/fleet_size.feature
+++ b/tests/features/fleet_size.feature
@@ -100,3 +100,15 @@
     Given a system of 24 nodes whose engines refuse all requests
     When each node receives 1 request at once
     Then the engines receive no more retries than the allowance of all nodes
+
+  Scenario Outline: A pipeline is chosen with work that grows little with <engines> engines
+    Given <domains> failure domains with chains for <engines> engines in all
+    When a pipeline is chosen while engines are idle, and while all are loaded
+    Then idle engines take at most 1500 function calls and loaded ones 100 for each
+
+    Examples:
+      | engines | domains |
+      | 32      | 1       |
+      | 96      | 3       |
+      | 224     | 7       |
+      | 704     | 22      |
--- a/tests/features/steps/fleet_load_steps.py
+++ b/tests/features/steps/fleet_load_steps.py
@@ -1,5 +1,6 @@
 import collections
 import random
+import sys
 import unittest.mock
 
 import behave
@@ -164,3 +165,58 @@
     for number, found in enumerate(context.turns):
         left = random.Random(number).sample(found, (len(found) + 1) // 2)
         assert min(left) <= turns, sorted(left)[:5]
+
+
+# Guards against choices of a pipeline that take a node's processor in large
+# deployments, when each compared all pairs of engines of all failure domains.
+@behave.given("{domains:d} failure domains with chains for {engines:d} engines in all")
+def step_many_engines(context, domains, engines):
+    context.fleet = small_fleet.Fleet()
+    context.fleet.blackboard.failure_domain = ids.FailureDomainId("d0")
+    listed = small_fleet.make_engines(
+        {f"d{number}": LARGE_DOMAIN for number in range(domains)}
+    )
+    assert len(listed) == engines
+    context.fleet.list_engines(listed)
+    assert context.fleet.wait(4.0)
+    context.fleet.load_planned()
+    context.engines = engines
+
+
+def count_function_calls(function):
+    """Return how many function calls of Python a call makes."""
+    count = 0
+
+    def record(_frame, event, _argument):
+        nonlocal count
+        count += event == "call"
+
+    before = sys.getprofile()
+    sys.setprofile(record)
+    try:
+        function()
+    finally:
+        sys.setprofile(before)
+    return count
+
+
+@behave.when("a pipeline is chosen while engines are idle, and while all are loaded")
+def step_choose(context):
+    fleet = context.fleet
+
+    def choose():
+        assert small_fleet.choose(fleet) is not None
+
+    context.idle_calls = count_function_calls(choose)
+    for name in fleet.blackboard.backends.listed:
+        fleet.choice._running[name] = 80
+    context.loaded_calls = count_function_calls(choose)
+
+
+@behave.then(
+    "idle engines take at most {idle:d} function calls and loaded ones {loaded:d}"
+    " for each"
+)
+def step_calls(context, idle, loaded):
+    assert context.idle_calls <= idle, context.idle_calls
+    assert context.loaded_calls <= loaded * context.engines, context.loaded_calls
