Determine the turn to order engines only once it may be due

It now looks at its turn once the author has had its three seconds. The new scenario fails on the code before.

--- a/src/jujubepass/forwarding/ordering.py
+++ b/src/jujubepass/forwarding/ordering.py
@@ -156,15 +156,19 @@
             if version != plan.version:
                 since = now
             self._differs_since[name] = plan.version, since
-            is_due = now - since >= self._find_delay(plan)
-            if is_due and not self._is_in_progress(engine, now):
+            if self._is_due(plan, now - since) and not self._is_in_progress(
+                engine, now
+            ):
                 yield engine
 
-    def _find_delay(self, plan: plans.Plan) -> float:
+    def _is_due(self, plan: plans.Plan, waited_seconds: float) -> bool:
         if plan.author == self.blackboard.node:
-            return 0.0
+            return True
+        # The turn depends on all nodes and is determined only once it matters.
+        if waited_seconds < _NON_AUTHOR_DELAY_SECONDS:
+            return False
         turn = members.find_turn(self.blackboard, f"orders/{plan.version}")
-        return _NON_AUTHOR_DELAY_SECONDS + _TURN_SECONDS * (turn or 0)
+        return waited_seconds >= _NON_AUTHOR_DELAY_SECONDS + _TURN_SECONDS * (turn or 0)
 
     def _is_in_progress(self, engine: backends.Backend, now: float) -> bool:
         """Return whether the last order to an engine may still be in progress."""
--- a/tests/features/fleet_size.feature
+++ b/tests/features/fleet_size.feature
@@ -112,3 +112,10 @@
       | 96      | 3       |
       | 224     | 7       |
       | 704     | 22      |
+
+  Scenario: Waiting for another node's orders takes no look at all nodes
+    Given a fleet of engines, planned and loaded
+    When 20 engines differ from a plan of another node for 2 seconds
+    Then the node's turn was never determined
+    When they differ for 4 seconds
+    Then the node's turn was determined
--- a/tests/features/steps/fleet_load_steps.py
+++ b/tests/features/steps/fleet_load_steps.py
@@ -3,6 +3,7 @@
 import sys
 import unittest.mock
 
+import attrs
 import behave
 import trio
 import trio.testing
@@ -13,6 +14,7 @@
     clocks,
     engines,
     members,
+    ordering,
     probing,
 )
 from tests import small_fleet
@@ -220,3 +222,42 @@
 def step_calls(context, idle, loaded):
     assert context.idle_calls <= idle, context.idle_calls
     assert context.loaded_calls <= loaded * context.engines, context.loaded_calls
+
+
+@behave.when("20 engines differ from a plan of another node for {seconds:d} seconds")
+def step_differ(context, seconds):
+    fleet = context.fleet
+    plan = attrs.evolve(fleet.plan, author=ids.NodeId("another"))
+    fleet.blackboard.plans.plans[plan.service] = plan
+    for name in list(plan.placements)[:20]:
+        listed = fleet.blackboard.backends.listed
+        listed[name] = attrs.evolve(listed[name], held=None)
+    context.sender = ordering.OrderSender(blackboard=fleet.blackboard, control=None)
+    context.differed_from = fleet.now
+    context.turns = 0
+    check_orders(context, seconds)
+
+
+@behave.when("they differ for {seconds:d} seconds")
+def step_differ_longer(context, seconds):
+    check_orders(context, seconds)
+
+
+def check_orders(context, seconds):
+    fleet = context.fleet
+    with unittest.mock.patch.object(members, "find_turn", return_value=0) as find_turn:
+        for tick in range(10 * seconds):
+            list(
+                context.sender._find_due(fleet.plan, context.differed_from + tick / 10)
+            )
+    context.turns = find_turn.call_count
+
+
+@behave.then("the node's turn was never determined")
+def step_no_turn(context):
+    assert context.turns == 0, context.turns
+
+
+@behave.then("the node's turn was determined")
+def step_turn(context):
+    assert context.turns > 0
