Derive ages of relayed rows from the platform's bounds

The store turned away both readers of the node's failure domain; the node itself was in touch with the store and still read the list only once its rows were 2.6 to 4.0 s old.

Ages and the readers' waits are now shares of the time in which a change must apply, which the platform states (new setting drain_milliseconds). A server found draining after a late read counts as draining since the read before. With four nodes or fewer in a failure domain each reads for itself, as shorter waits of two readers save nothing there.

Also: rows that cannot be decoded are counted by table, and a failure domain without engines is served by others (scenario).

--- a/src/jujubepass/forwarding/backend_list.py
+++ b/src/jujubepass/forwarding/backend_list.py
@@ -13,6 +13,9 @@
 # Servers whose entries expired during an outage of the store register again within
 # about two seconds of its return. Missing ones stay listed until shortly before.
 LAPSE_GRACE_SECONDS = 1.8
+_DEFAULT_WAIT_SECONDS = 2.0
+# Longest usual delay of a change on its way from the store.
+_MAX_DELAY_SECONDS = 0.1
 # If one change removes more than this share of the list, the entries have expired
 # together, as after an outage of the store.
 _MASS_LAPSE_SHARE = 0.5
@@ -23,6 +26,8 @@
     """Update the backends area from changes of the list."""
 
     area: board.BackendArea
+    find_wait: collections.abc.Callable[[], float] = lambda: _DEFAULT_WAIT_SECONDS
+    """Return the usual time between two confirmations of the list, in seconds."""
     _missing_until: dict[ids.BackendServerId, float] = attrs.field(
         factory=dict, init=False
     )
@@ -59,7 +64,8 @@
         if before is None or before.started_at != backend.started_at:
             self.area.restarted.append(backend.name)
         if backend.state is backends.BackendState.DRAINING:
-            self.area.draining_since.setdefault(backend.name, now)
+            since = self._find_draining_since(now)
+            self.area.draining_since.setdefault(backend.name, since)
         else:
             self.area.draining_since.pop(backend.name, None)
         if before is None or before.state is not backend.state:
@@ -73,6 +79,14 @@
                 },
             )
 
+    def _find_draining_since(self, now: float) -> float:
+        """Return the time since which a server may have been draining.
+
+        A change that came later than usual may be as old as the last confirmation.
+        """
+        is_late = now - self.area.confirmed_at > self.find_wait() + _MAX_DELAY_SECONDS
+        return self.area.confirmed_at if is_late else now
+
     def _record_missing(self, name: ids.BackendServerId, now: float) -> None:
         until = max(now, self.area.lapse_grace_until)
         self._missing_until.setdefault(name, until)
--- a/src/jujubepass/forwarding/following.py
+++ b/src/jujubepass/forwarding/following.py
@@ -24,8 +24,8 @@
 
     name: str
     feed: feeds.Feed[_Item]
-    wait_seconds: float
-    """Maximum wait for a change; also the interval of confirmations."""
+    find_wait: collections.abc.Callable[[], float]
+    """Return the maximum wait for a change, which is the interval of confirmations."""
     apply: collections.abc.Callable[[feeds.Changes[_Item], float], None]
     find_batch_interval: collections.abc.Callable[[], float] = lambda: 0.0
     """Return the interval in seconds after a change.
@@ -65,7 +65,7 @@
         else:
             # During an outage the store must respond at once for its return to be
             # noticed.
-            wait = 0.0 if self._outage_backoff_seconds else self.wait_seconds
+            wait = 0.0 if self._outage_backoff_seconds else self.find_wait()
             changes = await self.feed.follow(self._version, wait)
         if self._outage_backoff_seconds:
             self._outage_backoff_seconds = 0.0
--- a/src/jujubepass/forwarding/metrics_page.py
+++ b/src/jujubepass/forwarding/metrics_page.py
@@ -32,6 +32,7 @@
     choice: engine_choice.EngineChoice,
     budgets: collections.abc.Mapping[ids.ServiceId, _retry_budget.RetryBudget],
     relay: assembly.Relay,
+    count_unreadable: collections.abc.Callable[[], collections.abc.Mapping[str, int]],
 ) -> MetricsPage:
     """Return all metrics in the Prometheus text format."""
     registry = _metric_registry.Registry(
@@ -41,6 +42,12 @@
     _add_requests(registry, measures)
     _add_calls(registry, client, orders, choice)
     _add_relay(registry, relay)
+    registry.add_labelled_counter(
+        "unreadable_rows",
+        "Rows of the store that could not be decoded.",
+        "feed",
+        count_unreadable,
+    )
     _add_budgets(registry, budgets)
     _add_members(registry, blackboard)
     _add_configuration(registry, blackboard)
--- a/src/jujubepass/forwarding/node.py
+++ b/src/jujubepass/forwarding/node.py
@@ -5,6 +5,7 @@
 import logging
 import os
 import signal
+import typing
 
 import attrs
 import trio
@@ -20,6 +21,7 @@
     configuration,
     engine_choice,
     evacuation,
+    feeds,
     following,
     forwarder,
     measures,
@@ -46,11 +48,9 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-# Maximum waits for changes. A dead connection has to be detected within three seconds.
-# For the plans a longer wait suffices: an outdated plan only makes a pipeline fail
-# once.
-_MAX_CONFIGURATION_WAIT_SECONDS = 1.5
-_MAX_BACKENDS_WAIT_SECONDS = 2.0
+_Item = typing.TypeVar("_Item")
+
+# Maximum wait for changes of plans. An outdated plan only makes a pipeline fail once.
 _MAX_PLANS_WAIT_SECONDS = 20.0
 # Interval after changes of the list, as engines register one by one during a start. All
 # nodes together read it at this rate, but each soon enough to use a draining engine for
@@ -97,6 +97,7 @@
         )
         self._allowance = retry_allowance.RetryAllowance(blackboard=self.blackboard)
         self._make_controllers()
+        self._decoded_feeds: dict[str, feeds.DecodedFeed[typing.Any]] = {}
         self._make_relay()
         self._make_followers()
         self._budgets: collections.defaultdict[
@@ -153,12 +154,20 @@
             address=self.settings.listen.relay,
         )
 
+    def _relay_rows(
+        self, name: str, feed: feeds.DecodedFeed[_Item]
+    ) -> feeds.DecodedFeed[_Item]:
+        """Return a feed that gets its rows from the relay."""
+        relayed = attrs.evolve(feed, rows=self._relay.feeds[name])
+        self._decoded_feeds[name] = relayed
+        return relayed
+
     def _make_announcer(self) -> None:
         self._announcer = announcing.Announcer(
             blackboard=self.blackboard,
             controller=members.MemberController(blackboard=self.blackboard),
             table=self.adapter.member_table,
-            feed=attrs.evolve(self.adapter.members, rows=self._relay.feeds["members"]),
+            feed=self._relay_rows("members", self.adapter.members),
             address=self.settings.listen.relay,
             token=self._relay.token,
             reads_store=self._relay.reads_store,
@@ -166,7 +175,7 @@
 
     def _make_followers(self) -> None:
         self._backend_list = backend_list.BackendController(
-            area=self.blackboard.backends
+            area=self.blackboard.backends, find_wait=self._relay.find_backends_wait
         )
         installer = configuration.ConfigurationController(
             area=self.blackboard.configuration
@@ -181,29 +190,30 @@
         self._make_announcer()
         self._configuration = following.Follower(
             name="configuration",
-            feed=attrs.evolve(
-                self.adapter.configuration, rows=self._relay.feeds["configuration"]
-            ),
-            wait_seconds=_MAX_CONFIGURATION_WAIT_SECONDS,
+            feed=self._relay_rows("configuration", self.adapter.configuration),
+            find_wait=self._relay.find_configuration_wait,
             apply=installer.apply,
         )
         self._backends = following.Follower(
             name="backends",
-            feed=attrs.evolve(
-                self.adapter.backends, rows=self._relay.feeds["backends"]
-            ),
-            wait_seconds=_MAX_BACKENDS_WAIT_SECONDS,
+            feed=self._relay_rows("backends", self.adapter.backends),
+            find_wait=self._relay.find_backends_wait,
             apply=self._backend_list.apply,
             find_batch_interval=self._find_backends_interval,
             on_recovery=self._backend_list.record_store_recovery,
         )
         self._plans = following.Follower(
             name="plans",
-            feed=attrs.evolve(self.adapter.plans, rows=self._relay.feeds["plans"]),
-            wait_seconds=_MAX_PLANS_WAIT_SECONDS,
+            feed=self._relay_rows("plans", self.adapter.plans),
+            find_wait=lambda: _MAX_PLANS_WAIT_SECONDS,
             apply=self._planning.apply,
         )
 
+    def _count_unreadable(self) -> dict[str, int]:
+        return {
+            name: each.unreadable_rows for name, each in self._decoded_feeds.items()
+        }
+
     def _find_backends_interval(self) -> float:
         return members.share_interval(
             self._relay.controller.count_readers(),
@@ -368,6 +378,7 @@
             choice=self._choice,
             budgets=self._budgets,
             relay=self._relay,
+            count_unreadable=self._count_unreadable,
         )
         await responder.send(200, page.data, content_type=page.content_type)
 
--- a/src/jujubepass/forwarding/pipelines.py
+++ b/src/jujubepass/forwarding/pipelines.py
@@ -109,26 +109,19 @@
 
     `entries` restricts the engines at which it may begin; None allows all.
     """
-    found = {0, model.layers}
-    for each in options:
-        found |= {each.span.first, each.span.end}
-    bounds = sorted(bound for bound in found if 0 <= bound <= model.layers)
+    bounds = _list_bounds(model, options)
     options_by_bound = _index_options(options, bounds)
     reached: list[_Reached] = [{} for _ in bounds]
-    for number in range(len(bounds) - 1):
+    for option, last in options_by_bound[0]:
+        if entries is None or option.backend.name in entries:
+            is_local = option.backend.failure_domain == entry_domain
+            cost = 0.0 if is_local else REMOTE_ENTRY_SECONDS
+            _extend(reached, bounds, 0, last, option, None, cost)
+    for number in range(1, len(bounds) - 1):
         for option, last in options_by_bound[number]:
-            is_barred = entries is not None and option.backend.name not in entries
-            if number == 0:
-                if is_barred:
-                    continue
-                before = None
-                is_local = option.backend.failure_domain == entry_domain
-                cost = 0.0 if is_local else REMOTE_ENTRY_SECONDS
-            else:
-                before, cost = _find_before(reached[number], option)
-                if before is None:
-                    continue
-            _extend(reached, bounds, number, last, option, before, cost)
+            before, cost = _find_before(reached[number], option)
+            if before is not None:
+                _extend(reached, bounds, number, last, option, before, cost)
     if not reached[-1]:
         return None
     cheapest = min(reached[-1].values(), key=lambda each: each.cost)
@@ -142,6 +135,16 @@
     )
 
 
+def _list_bounds(
+    model: declarations.Model, options: collections.abc.Sequence[StageOption]
+) -> list[int]:
+    """Return the layers at which stages may begin or end, in order."""
+    found = {0, model.layers}
+    for each in options:
+        found |= {each.span.first, each.span.end}
+    return sorted(bound for bound in found if 0 <= bound <= model.layers)
+
+
 def _index_options(
     options: collections.abc.Sequence[StageOption], bounds: list[int]
 ) -> list[list[tuple[StageOption, int]]]:
--- a/src/jujubepass/forwarding/settings.py
+++ b/src/jujubepass/forwarding/settings.py
@@ -66,6 +66,13 @@
         minimum=100,
         maximum=3_600_000,
     )
+    drain_milliseconds: int = _ini.key(
+        default=2_000,
+        meaning="time after which a leaving backend server gets no request any more",
+        unit="milliseconds",
+        minimum=100,
+        maximum=3_600_000,
+    )
     shutdown_seconds: float = _ini.seconds_key(
         8.0, "time from SIGTERM to SIGKILL", minimum=0.1, maximum=3_600.0
     )
--- a/src/jujubepass/relay/assembly.py
+++ b/src/jujubepass/relay/assembly.py
@@ -10,14 +10,9 @@
 from jujubepass.relay import area, feed, links, sources
 from jujubepass.transport import _http_client
 
-# Ages at which a node that other nodes serve reads a table of the store itself. Keys
-# are accepted until the configuration is three seconds old.
-_MAX_AGES_SECONDS = {
-    "configuration": (1.85, 2.5),
-    "backends": (2.6, 4.0),
-    "plans": (23.0, 30.0),
-    "members": (11.0, 12.0),
-}
+# Ages at which a node that other nodes serve reads a table of the store itself.
+_MAX_PLANS_AGES_SECONDS = (23.0, 30.0)
+_MAX_MEMBERS_AGES_SECONDS = (11.0, 12.0)
 # Aliases, because fields have the same names as the modules.
 _RelayArea = area.RelayArea
 _RowFeed = feeds.RowFeed
@@ -41,6 +36,9 @@
     link: links.RelayLink = attrs.field(init=False)
     server: links.RelayServer = attrs.field(init=False)
     feeds: dict[str, feed.RelayedFeed] = attrs.field(init=False)
+    _read_ages: dict[str, collections.abc.Callable[[], tuple[float, float]]] = (
+        attrs.field(init=False)
+    )
 
     def __attrs_post_init__(self) -> None:
         self.controller = sources.SourceController(
@@ -50,19 +48,38 @@
             area=self.area, controller=self.controller, transport=self.transport
         )
         self.server = links.RelayServer(area=self.area, token=self.token)
+        controller = self.controller
+        self._read_ages = {
+            "configuration": lambda: controller.find_read_ages(
+                controller.find_configuration_bound()
+            ),
+            "backends": lambda: controller.find_read_ages(
+                controller.find_drain_bound()
+            ),
+            "plans": lambda: _MAX_PLANS_AGES_SECONDS,
+            "members": lambda: _MAX_MEMBERS_AGES_SECONDS,
+        }
         self.feeds = {
             name: feed.RelayedFeed(
                 name=name,
                 store=store,
                 area=self.area,
                 controller=self.controller,
-                max_age_seconds=_MAX_AGES_SECONDS[name],
+                find_read_ages=self._read_ages[name],
                 # The rows of nodes tell where the other rows can be had.
                 waits_at_start=self.address is not None and name != "members",
             )
             for name, store in self.stores.items()
         }
 
+    def find_configuration_wait(self) -> float:
+        """Return the wait for changes of the configuration, in seconds."""
+        return self.controller.find_wait(self.controller.find_configuration_bound())
+
+    def find_backends_wait(self) -> float:
+        """Return the wait for changes of the list, in seconds."""
+        return self.controller.find_wait(self.controller.find_drain_bound())
+
     def reads_store(self) -> bool:
         """Return whether this node reads the store, for itself and for others."""
         return self.controller.is_reader(clocks.read_boot_clock())
--- a/src/jujubepass/relay/feed.py
+++ b/src/jujubepass/relay/feed.py
@@ -1,6 +1,7 @@
 """Feed of a table's rows from another node or from the store."""
 
 import collections
+import collections.abc
 import logging
 import random
 
@@ -34,8 +35,8 @@
     store: feeds.RowFeed
     area: area.RelayArea
     controller: sources.SourceController
-    max_age_seconds: tuple[float, float]
-    """Range from which the age is drawn at which a node reads the store itself."""
+    find_read_ages: collections.abc.Callable[[], tuple[float, float]]
+    """Return the range of ages at which a node reads the store itself."""
     waits_at_start: bool = True
     """Whether the first read waits for the rows of another node."""
     random_source: random.Random = attrs.field(factory=random.Random)
@@ -159,4 +160,4 @@
         return history.find_since(after)
 
     def _draw_age_limit(self) -> float:
-        return self.random_source.uniform(*self.max_age_seconds)
+        return self.random_source.uniform(*self.find_read_ages())
--- a/src/jujubepass/relay/links.py
+++ b/src/jujubepass/relay/links.py
@@ -187,7 +187,7 @@
         self._apply(report, link, sent_at, now)
         age = now - link.configuration_confirmed_at
         self.controller.record_answer(source.node, age, now)
-        if age <= sources.MAX_ROW_AGE_SECONDS:
+        if age <= self.controller.find_max_row_age():
             self._stale_backoff_seconds = 0.0
             return
         backoff = max(_MIN_STALE_BACKOFF_SECONDS, 2.0 * self._stale_backoff_seconds)
--- a/src/jujubepass/relay/sources.py
+++ b/src/jujubepass/relay/sources.py
@@ -18,9 +18,20 @@
 
 READERS_PER_DOMAIN = 2
 _CHILDREN_PER_NODE = 8
-# Readers confirm the configuration every 1.5 seconds. With rows older than this a node
-# tries other sources; it still accepts keys until they are three seconds old.
-MAX_ROW_AGE_SECONDS = 1.75
+# Readers of a tree wait for half of the time in which a change must apply, so that the
+# rows that they pass on are confirmed twice as often as those of a node that reads for
+# itself. Trees pay for that in failure domains of more nodes than twice the readers.
+_DIRECT_WAIT_SECONDS = 2.0
+_TREE_WAIT_SHARE = 0.5
+_MIN_TREE_NODES = 2 * READERS_PER_DOMAIN + 1
+# Shares of the time at which a node of a tree tries other sources, and range of those
+# at which it reads the store itself.
+_TREE_ROW_AGE_SHARE = 0.55
+_TREE_READ_AGE_SHARES = (0.6, 0.8)
+_DIRECT_ROW_AGE_SECONDS = 2.2
+_DIRECT_READ_AGES_SECONDS = (2.3, 2.8)
+# Keys are accepted until the configuration's age is 0.6 of the time for revoked keys.
+_REVOCATION_SHARE = 0.5
 _STALE_SECONDS = 0.3
 _MIN_SILENCE_SECONDS = 2.0
 _MAX_SILENCE_SECONDS = 60.0
@@ -69,11 +80,47 @@
         `row_age_seconds` is the age of the rows that this node has.
         """
         source = self._find_parent(now)
-        if row_age_seconds > MAX_ROW_AGE_SECONDS:
+        if row_age_seconds > self.find_max_row_age():
             source = self._find_fresher(source, now)
         self._record_choice(source)
         return source
 
+    def _is_tree(self) -> bool:
+        """Return whether rows are passed on in this failure domain."""
+        neighbors = self.blackboard.members.neighbors
+        return self.is_enabled and len(neighbors) >= _MIN_TREE_NODES
+
+    def find_wait(self, bound_seconds: float) -> float:
+        """Return a reader's wait for changes that must apply within a time."""
+        if not self._is_tree():
+            return _DIRECT_WAIT_SECONDS
+        return min(_DIRECT_WAIT_SECONDS, _TREE_WAIT_SHARE * bound_seconds)
+
+    def find_read_ages(self, bound_seconds: float) -> tuple[float, float]:
+        """Return the range of ages at which a node reads the store itself."""
+        if not self._is_tree():
+            return _DIRECT_READ_AGES_SECONDS
+        least, most = _TREE_READ_AGE_SHARES
+        return least * bound_seconds, most * bound_seconds
+
+    def find_configuration_bound(self) -> float:
+        """Return the time in which a changed configuration must apply, in seconds."""
+        bounds = self.blackboard.bounds
+        return 0.001 * min(
+            bounds.configuration_milliseconds,
+            _REVOCATION_SHARE * bounds.revocation_milliseconds,
+        )
+
+    def find_drain_bound(self) -> float:
+        """Return the time in which a leaving server must be left, in seconds."""
+        return 0.001 * self.blackboard.bounds.drain_milliseconds
+
+    def find_max_row_age(self) -> float:
+        """Return the configuration's age at which other sources are tried."""
+        if not self._is_tree():
+            return _DIRECT_ROW_AGE_SECONDS
+        return _TREE_ROW_AGE_SHARE * self.find_configuration_bound()
+
     def is_reader(self, now: float) -> bool:
         """Return whether this node reads the store, as none before it answers."""
         return self._find_parent(now) is None
@@ -89,7 +136,7 @@
         """Return the interval of reads while the store fails."""
         area = self.blackboard.members
         first = [each.node for each in area.neighbors[:READERS_PER_DOMAIN]]
-        if self.blackboard.node in first or not area.neighbors:
+        if self.blackboard.node in first or not self._is_tree():
             return _MIN_OUTAGE_INTERVAL_SECONDS
         return members.share_interval(
             len(area.nodes),
@@ -102,14 +149,16 @@
         sizes = self.blackboard.members.sizes.values()
         if not self.is_enabled:
             return sum(sizes)
-        return sum(min(size, READERS_PER_DOMAIN) for size in sizes)
+        return sum(
+            READERS_PER_DOMAIN if size >= _MIN_TREE_NODES else size for size in sizes
+        )
 
     def record_answer(
         self, node: ids.NodeId, row_age_seconds: float, now: float
     ) -> None:
         """Record that a node answered, and how old its rows are."""
         self._silences.pop(node, None)
-        if row_age_seconds > MAX_ROW_AGE_SECONDS:
+        if row_age_seconds > self.find_max_row_age():
             self._stale_until[node] = now + _STALE_SECONDS
 
     def record_silence(self, source: members.Member, now: float, detail: str) -> None:
@@ -128,7 +177,7 @@
         )
 
     def _find_parent(self, now: float) -> members.Member | None:
-        if not self.is_enabled:
+        if not self._is_tree():
             return None
         before = []
         for each in self.blackboard.members.neighbors:
--- a/tests/features/fleet_size.feature
+++ b/tests/features/fleet_size.feature
@@ -119,3 +119,9 @@
     Then the node's turn was never determined
     When they differ for 4 seconds
     Then the node's turn was determined
+
+  Scenario: Callers of a failure domain without engines are served by the others
+    Given five failure domains of which one has no engines
+    Then a node of that one chooses a pipeline within a single other domain
+    When the engines of that other domain are lost
+    Then it chooses a pipeline within a third domain
--- a/tests/features/steps/fleet_load_steps.py
+++ b/tests/features/steps/fleet_load_steps.py
@@ -261,3 +261,40 @@
 @behave.then("the node's turn was determined")
 def step_turn(context):
     assert context.turns > 0
+
+
+@behave.given("five failure domains of which one has no engines")
+def step_empty_domain(context):
+    context.fleet = small_fleet.Fleet()
+    context.fleet.blackboard.failure_domain = ids.FailureDomainId("d4")
+    context.fleet.list_engines(
+        small_fleet.make_engines({f"d{number}": LARGE_DOMAIN for number in range(4)})
+    )
+    assert context.fleet.wait(4.0)
+    context.fleet.load_planned()
+
+
+def find_domains(fleet):
+    listed = fleet.blackboard.backends.listed
+    pipeline = small_fleet.choose(fleet)
+    assert pipeline is not None
+    return {listed[name].failure_domain for name in pipeline.engines}
+
+
+@behave.then("a node of that one chooses a pipeline within a single other domain")
+def step_single_domain(context):
+    (context.used_domain,) = find_domains(context.fleet)
+
+
+@behave.when("the engines of that other domain are lost")
+def step_lose_domain(context):
+    listed = context.fleet.blackboard.backends.listed
+    for name, engine in list(listed.items()):
+        if engine.failure_domain == context.used_domain:
+            del listed[name]
+
+
+@behave.then("it chooses a pipeline within a third domain")
+def step_third_domain(context):
+    (domain,) = find_domains(context.fleet)
+    assert domain not in (context.used_domain, "d4"), domain
--- a/tests/features/steps/platform_settings_steps.py
+++ b/tests/features/steps/platform_settings_steps.py
@@ -42,6 +42,7 @@
     "internalPorts.0": "7340",
     "bounds.revokeMs": "5000",
     "bounds.configApplyMs": "3000",
+    "bounds.drainMs": "4000",
     "bounds.graceS": "8",
     "bounds.retryBudget": "0.2",
     "bounds.budgetSlack": "202",
@@ -62,6 +63,7 @@
     read = settings.parse_settings("node.ini", text).unwrap()
     assert read.bounds.revocation_milliseconds == 5_000, read
     assert read.bounds.configuration_milliseconds == 3_000, read
+    assert read.bounds.drain_milliseconds == 4_000, read
     assert read.listen.callers == _http_client.parse_address("10.1.0.40:8227")
     assert read.listen.relay == _http_client.parse_address("10.1.0.40:7340")
     assert read.node.first_start, read
--- a/tests/features/steps/relay_steps.py
+++ b/tests/features/steps/relay_steps.py
@@ -210,6 +210,23 @@
     assert not faults, faults[:5]
 
 
+@behave.when("a node's row is replaced by one that cannot be read")
+def step_unreadable(context):
+    async def write(fleet):
+        fleet.store.write("members", fleet.nodes[2].name, {"renewal_seconds": "x"})
+        await fleet.run(11.0)
+
+    context.simulation.do(write)
+
+
+@behave.then("the two other nodes are known and the row is counted")
+def step_others_known(context):
+    first = context.simulation.fleet.nodes[0]
+    neighbors = {each.node for each in first.relay.blackboard.members.neighbors}
+    assert {"n0", "n1"} <= neighbors, neighbors
+    assert first.members_feed.unreadable_rows >= 1
+
+
 @behave.then("queries with a wrong token, cut short or changed are rejected")
 def step_rejected(context):
     query = codec.Query(
--- a/tests/features/steps/store_away_steps.py
+++ b/tests/features/steps/store_away_steps.py
@@ -2,7 +2,14 @@
 import behave
 
 from jujubepass import reasons
-from jujubepass.forwarding import admission, clocks, configuration, exchange, feeds
+from jujubepass.forwarding import (
+    admission,
+    backends,
+    clocks,
+    configuration,
+    exchange,
+    feeds,
+)
 from tests import small_fleet
 
 
@@ -49,6 +56,32 @@
     assert context.fleet.blackboard.backends.listed == context.kept
 
 
+def list_draining(context, seconds):
+    """List an engine as draining and return how long it counts as draining."""
+    fleet = context.fleet
+    fleet.blackboard.backends.confirmed_at = fleet.now
+    fleet.now += seconds
+    name = next(iter(fleet.blackboard.backends.listed))
+    engine = fleet.blackboard.backends.listed[name]
+    draining = attrs.evolve(engine, state=backends.BackendState.DRAINING)
+    fleet.list_engines([draining])
+    return fleet.now - fleet.blackboard.backends.draining_since.pop(name)
+
+
+@behave.then(
+    "an engine listed as draining 1.9 seconds after a confirmation drains from then on"
+)
+def step_draining_now(context):
+    assert list_draining(context, 1.9) == 0.0
+
+
+@behave.then(
+    "one listed as draining 2.3 seconds after a confirmation from that confirmation on"
+)
+def step_draining_before(context):
+    assert abs(list_draining(context, 2.3) - 2.3) < 1e-9
+
+
 def make_request(key="ana-key", target="/drafts/1"):
     return exchange.CallerRequest(
         request_id="r1",
--- a/tests/features/store_away.feature
+++ b/tests/features/store_away.feature
@@ -12,6 +12,11 @@
     Then no engine is dropped for 1.7 seconds
     And those that are still missing after 2 seconds are gone
 
+  Scenario: A draining engine is not used longer because the list was late
+    Given a fleet of engines, planned and loaded
+    Then an engine listed as draining 1.9 seconds after a confirmation drains from then on
+    And one listed as draining 2.3 seconds after a confirmation from that confirmation on
+
   Scenario: Keys are accepted only while the configuration is confirmed
     Given a fleet of engines, planned and loaded
     Then a request is admitted with a configuration confirmed 2.9 seconds ago
