--- a/tests/features/steps/relay_steps.py
+++ b/tests/features/steps/relay_steps.py
@@ -101,6 +101,10 @@
     return [each for each in fleet.nodes if each.domain == "d0"]
 
 
+def select_all_but_one(fleet):
+    return select_domain(fleet)[1:]
+
+
 async def freeze(fleet, node):
     node.freeze()
     await trio.sleep(8.0)
@@ -132,6 +136,11 @@
         cut_from_store,
         False,
     ),
+    "all but one node of a domain are cut from the store": (
+        select_all_but_one,
+        cut_from_store,
+        False,
+    ),
     "all nodes of a domain are cut from their neighbors": (
         select_domain,
         cut_off,
