Compare plans with the list only after one has changed

Cause: each check compared all listed engines with the plan, and for each one that differed listed all engines of its failure domain: engines x engines.

Change: the comparison is kept until the plan, the list or the configuration changes; engines that do not answer are taken from those that were probed. Tests that change the list past its controller raise its revision as the controller does.

--- a/src/jujubepass/forwarding/ordering.py
+++ b/src/jujubepass/forwarding/ordering.py
@@ -12,6 +12,7 @@
     backends,
     board,
     clocks,
+    declarations,
     engines,
     members,
     plans,
@@ -115,6 +116,16 @@
     retry_at: float
 
 
+@attrs.frozen(kw_only=True)
+class _Comparison:
+    """Describe which listed engines differ from a plan."""
+
+    plan: plans.Plan
+    list_revision: int
+    declared: declarations.Declarations | None
+    differing: tuple[backends.Backend, ...]
+
+
 @attrs.define(kw_only=True)
 class OrderSender:
     """Bring engines to their placements, with at most one order each at a time."""
@@ -126,6 +137,7 @@
     _last_orders: dict[ids.BackendServerId, _LastOrder] = attrs.field(
         factory=dict, init=False
     )
+    _compared: dict[ids.ServiceId, _Comparison] = attrs.field(factory=dict, init=False)
     _differs_since: dict[ids.BackendServerId, tuple[int, float]] = attrs.field(
         factory=dict, init=False
     )
@@ -144,22 +156,49 @@
     def _find_due(
         self, plan: plans.Plan, now: float
     ) -> collections.abc.Iterator[backends.Backend]:
+        for engine in self._list_differing(plan, now):
+            if engine.name in self._running:
+                continue
+            _, since = self._differs_since[engine.name]
+            if self._is_due(plan, now - since) and not self._is_in_progress(
+                engine, now
+            ):
+                yield engine
+
+    def _list_differing(
+        self, plan: plans.Plan, now: float
+    ) -> tuple[backends.Backend, ...]:
+        """Return the engines to be ordered; compares only what has changed."""
+        area = self.blackboard
+        known = self._compared.get(plan.service)
+        if (
+            known is not None
+            and known.plan is plan
+            and known.list_revision == area.backends.revision
+            and known.declared is area.configuration.declarations
+        ):
+            return known.differing
+        differing = []
         for name in plan.placements:
-            engine = self.blackboard.backends.listed.get(name)
-            if engine is None or name in self._running:
+            engine = area.backends.listed.get(name)
+            if engine is None:
                 continue
-            decision = self._decide(plan, engine, engine.held)
-            if decision.step is not Step.ORDER:
+            if self._decide(plan, engine, engine.held).step is not Step.ORDER:
                 self._differs_since.pop(name, None)
                 continue
+            differing.append(engine)
             version, since = self._differs_since.get(name, (0, now))
             if version != plan.version:
                 since = now
             self._differs_since[name] = plan.version, since
-            if self._is_due(plan, now - since) and not self._is_in_progress(
-                engine, now
-            ):
-                yield engine
+        found = _Comparison(
+            plan=plan,
+            list_revision=area.backends.revision,
+            declared=area.configuration.declarations,
+            differing=tuple(differing),
+        )
+        self._compared[plan.service] = found
+        return found.differing
 
     def _is_due(self, plan: plans.Plan, waited_seconds: float) -> bool:
         if plan.author == self.blackboard.node:
@@ -187,22 +226,19 @@
     ) -> Decision:
         def _is_covered(layer: int) -> bool:
             return any(
-                other.held is not None and other.held.first <= layer < other.held.end
-                for other in others
+                other.held is not None
+                and other.held.first <= layer < other.held.end
+                and other.name != engine.name
+                and other.service == engine.service
+                and other.failure_domain == engine.failure_domain
+                and other.state is backends.BackendState.READY
+                and other.name in plan.placements
+                for other in self.blackboard.backends.listed.values()
             )
 
         wanted = plan.placements[engine.name].span
         if held == wanted:
             return _NOTHING
-        others = [
-            other
-            for other in self.blackboard.backends.listed.values()
-            if other.name != engine.name
-            and other.service == engine.service
-            and other.failure_domain == engine.failure_domain
-            and other.state is backends.BackendState.READY
-            and other.name in plan.placements
-        ]
         max_layers = self._find_max_layers(plan.service, engine)
         return decide_order(wanted, held, max_layers, _is_covered)
 
--- a/src/jujubepass/forwarding/planner.py
+++ b/src/jujubepass/forwarding/planner.py
@@ -60,8 +60,15 @@
 
     reason: str = ""
     due_at: float = float("inf")
+    list_revision: int = -1
     listed: frozenset[ids.BackendServerId] = frozenset()
     listed_at: float = float("-inf")
+    compared: tuple[plans.Plan, int] | None = None
+    """Plan and revision of the list that were compared last."""
+    lost: frozenset[ids.BackendServerId] = frozenset()
+    """Planned engines that are not listed."""
+    added: frozenset[ids.BackendServerId] = frozenset()
+    """Usable engines that are not planned."""
     unimproved_state: object = None
     """Plan version, list and reason for which no better plan was found."""
 
@@ -119,10 +126,8 @@
         self, service: declarations.Service, now: float
     ) -> WritePlan | None:
         pending = self._pending_changes.setdefault(service.name, _PendingChange())
-        ready = backend_list.list_ready(self.blackboard.backends, service.name)
-        listed = frozenset(each.name for each in ready)
-        if listed != pending.listed:
-            pending.listed, pending.listed_at = listed, now
+        self._update_listed(service.name, pending, now)
+        listed = pending.listed
         plan = self.blackboard.plans.plans.get(service.name)
         reason, delay = self._find_reason(plan, pending, now)
         state = (plan.version if plan else 0, listed, reason)
@@ -139,6 +144,28 @@
         pending.unimproved_state = state if command is None else None
         return command
 
+    def _update_listed(
+        self, service: ids.ServiceId, pending: _PendingChange, now: float
+    ) -> None:
+        area = self.blackboard.backends
+        if pending.list_revision == area.revision:
+            return
+        pending.list_revision = area.revision
+        listed = frozenset(each.name for each in backend_list.list_ready(area, service))
+        if listed != pending.listed:
+            pending.listed, pending.listed_at = listed, now
+
+    def _compare(self, plan: plans.Plan, pending: _PendingChange) -> None:
+        """Update the differences between a plan and the list, if either is new."""
+        if pending.compared is not None:
+            compared, revision = pending.compared
+            if compared is plan and revision == pending.list_revision:
+                return
+        pending.compared = plan, pending.list_revision
+        pending.lost = frozenset(plan.placements.keys() - pending.listed)
+        usable = self._find_usable(plan, pending.listed)
+        pending.added = frozenset(usable - plan.placements.keys())
+
     def _draw_delay(self, plan: plans.Plan | None) -> float:
         if plan is not None and plan.author == self.blackboard.node:
             return 0.0
@@ -160,24 +187,23 @@
                 and now - pending.listed_at >= _MIN_UNCHANGED_SECONDS
             )
             return ("first plan", 0.0) if is_unchanged else ("", 0.0)
-        lost = plan.placements.keys() - pending.listed
-        if lost:
-            return f"lost {', '.join(sorted(lost))}", _LOSS_DELAY_SECONDS
+        self._compare(plan, pending)
+        if pending.lost:
+            return f"lost {', '.join(sorted(pending.lost))}", _LOSS_DELAY_SECONDS
         dead = self._find_dead(plan, now)
         if dead:
             return f"failing {', '.join(sorted(dead))}", 0.0
-        usable = self._find_usable(plan, pending.listed)
-        added = usable - plan.placements.keys()
-        if added and now - pending.listed_at >= _GROWTH_DELAY_SECONDS:
-            return f"idle {', '.join(sorted(added))}", 0.0
+        if pending.added and now - pending.listed_at >= _GROWTH_DELAY_SECONDS:
+            return f"idle {', '.join(sorted(pending.added))}", 0.0
         return "", 0.0
 
     def _find_dead(self, plan: plans.Plan, now: float) -> set[ids.BackendServerId]:
         """Return the planned engines that are dead, or none if too many seem to be."""
         dead = {
             name
-            for name in plan.placements
-            if self.suspects.is_dead(
+            for name in self.suspects.list_unresponsive()
+            if name in plan.placements
+            and self.suspects.is_dead(
                 name,
                 now,
                 min_seconds=_MIN_DEAD_SECONDS,
--- a/tests/features/fleet_size.feature
+++ b/tests/features/fleet_size.feature
@@ -113,6 +113,18 @@
       | 224     | 7       |
       | 704     | 22      |
 
+  Scenario Outline: Unchanged plans are checked with work that does not grow with <engines> engines
+    Given <domains> failure domains with chains for <engines> engines in all
+    When plans and orders are checked for 10 seconds without a change
+    Then a check takes at most 100 function calls
+
+    Examples:
+      | engines | domains |
+      | 32      | 1       |
+      | 96      | 3       |
+      | 224     | 7       |
+      | 704     | 22      |
+
   Scenario: An idle node wakes up for all its checks together
     Given a fleet of engines, planned and loaded
     When the node's periodic tasks run for 10 seconds without a request
--- a/tests/features/steps/store_away_steps.py
+++ b/tests/features/steps/store_away_steps.py
@@ -18,6 +18,7 @@
     fleet = context.fleet
     fleet.wait(3.0, confirmed=False)
     fleet.blackboard.backends.listed.pop("este-l4-3")
+    fleet.blackboard.backends.revision += 1
     context.written = fleet.wait(2.0, confirmed=False)
 
 
--- a/tests/small_fleet.py
+++ b/tests/small_fleet.py
@@ -179,6 +179,7 @@
         listed = self.blackboard.backends.listed
         for name, placement in self.plan.placements.items():
             listed[name] = hold(listed[name], placement.span)
+        self.blackboard.backends.revision += 1
 
     def miss_probes(self, name):
         """Leave two probes of an engine unanswered, 0.4 s apart."""
