Send nothing to servers that leave or ask for silence in their answers

What callers would have seen: requests sent to an engine that had said that it leaves, until the list said so too, and retries and probes at an engine that had asked for none with Retry-After.

Change: Server-Leaving in any answer or report makes the run count as draining, whatever the list says, until a new run is listed. Where silence alone is missing for a request, it is refused at once with the time at which the first server takes requests again. A draining engine is used for half of the drain bound at most. Engine controllers and refusals of streams stand in modules of their own.

--- a/src/jujubepass/forwarding/backend_list.py
+++ b/src/jujubepass/forwarding/backend_list.py
@@ -14,6 +14,7 @@
 # about two seconds of its return. Missing ones stay listed until shortly before.
 LAPSE_GRACE_SECONDS = 1.8
 _DEFAULT_WAIT_SECONDS = 2.0
+_MAX_LEAVING = 1_000
 # Longest usual delay of a change on its way from the store.
 _MAX_DELAY_SECONDS = 0.1
 # If one change removes more than this share of the list, the entries have expired
@@ -28,6 +29,9 @@
     area: board.BackendArea
     find_wait: collections.abc.Callable[[], float] = lambda: _DEFAULT_WAIT_SECONDS
     """Return the usual time between two confirmations of the list, in seconds."""
+    leaving_announced: int = attrs.field(default=0, init=False)
+    _leaving: dict[ids.BackendServerId, int] = attrs.field(factory=dict, init=False)
+    """Runs of servers that said themselves that they leave."""
     _missing_until: dict[ids.BackendServerId, float] = attrs.field(
         factory=dict, init=False
     )
@@ -57,7 +61,34 @@
         self.area.is_initialized = True
         self.area.confirmed_at = max(self.area.confirmed_at, changes.confirmed_at)
 
+    def record_leaving(
+        self, name: ids.BackendServerId, started_at: int, now: float
+    ) -> None:
+        """Record that a run of a server said that it leaves, whatever the list says."""
+        if self._leaving.get(name) == started_at:
+            return
+        # The oldest entries belong to servers that are long gone.
+        while len(self._leaving) >= _MAX_LEAVING:
+            del self._leaving[next(iter(self._leaving))]
+        self._leaving[name] = started_at
+        self.leaving_announced += 1
+        _LOGGER.info(
+            "backend server said that it leaves",
+            extra={"backend": name, "started_at": started_at},
+        )
+        listed = self.area.listed.get(name)
+        if listed is not None and listed.started_at == started_at:
+            self._add(listed, now)
+
+    def _apply_leaving(self, backend: backends.Backend) -> backends.Backend:
+        """Return an entry as draining if its run has said that it leaves."""
+        if self._leaving.get(backend.name) == backend.started_at:
+            return attrs.evolve(backend, state=backends.BackendState.DRAINING)
+        self._leaving.pop(backend.name, None)
+        return backend
+
     def _add(self, backend: backends.Backend, now: float) -> None:
+        backend = self._apply_leaving(backend)
         before = self.area.listed.get(backend.name)
         self.area.listed[backend.name] = backend
         self.area.revision += 1
--- a/src/jujubepass/forwarding/engine_choice.py
+++ b/src/jujubepass/forwarding/engine_choice.py
@@ -13,13 +13,15 @@
     members,
     pipelines,
     plans,
+    silences,
     slowdowns,
     suspicion,
 )
 
 # A draining engine is used for this long, so that requests need not wait for its
-# successor; the platform allows two seconds.
+# successor, and for no more than this share of the platform's bound.
 _MAX_DRAINING_USE_SECONDS = 1.0
+_DRAINING_USE_SHARE = 0.5
 # Once an engine's cache memory runs out, it refuses requests or evicts others, however
 # fast it is. Beyond this share of used memory each stage costs more, by so many seconds
 # for the whole memory; in a pipeline of a dozen stages that are all full, this exceeds
@@ -45,6 +47,7 @@
     blackboard: board.Blackboard
     suspects: suspicion.Suspects
     slowdowns: slowdowns.SlowdownTracker
+    silences: silences.Silences
     attempts: collections.Counter[ids.BackendServerId] = attrs.field(
         factory=collections.Counter, init=False
     )
@@ -62,6 +65,8 @@
         now: float,
         avoided: collections.abc.Set[ids.BackendServerId] = frozenset(),
         entries: collections.abc.Set[ids.BackendServerId] | None = None,
+        *,
+        ignores_silence: bool = False,
     ) -> pipelines.Pipeline | None:
         """Return the cheapest pipeline of available engines, or None.
 
@@ -70,12 +75,16 @@
         model = service.model
         assert model is not None
         domain = self.blackboard.failure_domain
+        if not ignores_silence:
+            avoided = self.silences.list_silent(now).union(avoided)
         listed = [
             engine
             for engine in self.blackboard.backends.listed.values()
             if engine.service == service.name and engine.name not in avoided
         ]
         local = [engine for engine in listed if engine.failure_domain == domain]
+        if not ignores_silence:
+            entries = self._remove_closed(listed, entries, now)
         options = list(self._list_options(service.name, model, local, now))
         found = pipelines.find_pipeline(model, options, domain, entries)
         # Engines elsewhere need not be compared, as none of them costs less than this.
@@ -85,6 +94,32 @@
         options += self._list_options(service.name, model, remote, now)
         return pipelines.find_pipeline(model, options, domain, entries)
 
+    def _remove_closed(
+        self,
+        listed: list[backends.Backend],
+        entries: collections.abc.Set[ids.BackendServerId] | None,
+        now: float,
+    ) -> collections.abc.Set[ids.BackendServerId] | None:
+        """Return the allowed first engines without those that asked for silence."""
+        closed = self.silences.list_closed(now)
+        if not closed:
+            return entries
+        return (entries or {each.name for each in listed}) - closed
+
+    def find_end_of_silence(
+        self, service: declarations.Service, now: float
+    ) -> float | None:
+        """Return when a silent engine takes requests again, if none else is missing."""
+        names = (
+            each.name
+            for each in self.blackboard.backends.listed.values()
+            if each.service == service.name
+        )
+        end = self.silences.find_end(names, now)
+        if end is None or self.choose(service, now, ignores_silence=True) is None:
+            return None
+        return end
+
     def _list_options(
         self,
         service: ids.ServiceId,
@@ -166,7 +201,11 @@
         if engine.state is backends.BackendState.READY:
             return False
         since = self.blackboard.backends.draining_since.get(engine.name, 0.0)
-        return True if now - since < _MAX_DRAINING_USE_SECONDS else None
+        bound_seconds = 0.001 * self.blackboard.bounds.drain_milliseconds
+        use_seconds = min(
+            _MAX_DRAINING_USE_SECONDS, _DRAINING_USE_SHARE * bound_seconds
+        )
+        return True if now - since < use_seconds else None
 
     def filter_listed(
         self, engines: collections.abc.Mapping[ids.BackendServerId, int]
--- a/src/jujubepass/forwarding/engines.py
+++ b/src/jujubepass/forwarding/engines.py
@@ -29,6 +29,8 @@
     """Slowdown factor; 1.0 is normal speed."""
     stalled: tuple[tuple[ids.RequestId, _http_client.Address], ...] = ()
     """Stalled requests, each with the address of the engine it waits for."""
+    is_leaving: bool = False
+    """Whether the engine wants no new requests any more."""
 
 
 class OrderOutcome(enum.Enum):
--- a/src/jujubepass/forwarding/exchange.py
+++ b/src/jujubepass/forwarding/exchange.py
@@ -59,15 +59,25 @@
 
 
 @attrs.frozen(kw_only=True)
-class AnswerHead:
+class Signals:
+    """Describe what a backend server says of itself in an answer."""
+
+    is_leaving: bool = False
+    """Whether it wants no new requests any more."""
+    retry_after_seconds: float | None = None
+    """How long it wants no requests after a refusal; None if it does not say."""
+    at_fault: _http_client.Address | None = None
+    """Engine that could not run its stage of the pipeline."""
+
+
+@attrs.frozen(kw_only=True)
+class AnswerHead(Signals):
     """Describe the start of a backend server's answer."""
 
     kind: AnswerKind
     status: int
     fields: Fields
     """Header fields to forward to the caller."""
-    at_fault: _http_client.Address | None = None
-    """Engine that could not run its stage of the pipeline."""
 
 
 class Wire(typing.Protocol):
--- a/src/jujubepass/forwarding/metrics_page.py
+++ b/src/jujubepass/forwarding/metrics_page.py
@@ -6,7 +6,14 @@
 import attrs
 
 from jujubepass import ids
-from jujubepass.forwarding import board, clocks, engine_choice, members, ordering
+from jujubepass.forwarding import (
+    board,
+    clocks,
+    engine_choice,
+    members,
+    ordering,
+    server_signals,
+)
 from jujubepass.forwarding import measures as node_measures
 from jujubepass.limits import _retry_budget
 from jujubepass.relay import assembly
@@ -32,6 +39,7 @@
     choice: engine_choice.EngineChoice,
     budgets: collections.abc.Mapping[ids.ServiceId, _retry_budget.RetryBudget],
     relay: assembly.Relay,
+    signals: server_signals.ServerSignals,
     count_unreadable: collections.abc.Callable[[], collections.abc.Mapping[str, int]],
 ) -> MetricsPage:
     """Return all metrics in the Prometheus text format."""
@@ -41,6 +49,7 @@
     )
     _add_requests(registry, measures)
     _add_calls(registry, client, orders, choice)
+    _add_signals(registry, signals)
     _add_relay(registry, relay)
     registry.add_labelled_counter(
         "unreadable_rows",
@@ -89,6 +98,21 @@
     )
 
 
+def _add_signals(
+    registry: _metric_registry.Registry, signals: server_signals.ServerSignals
+) -> None:
+    registry.add_counter(
+        "backends_leaving",
+        "Backend servers that said in an answer that they leave.",
+        lambda: signals.backend_list.leaving_announced,
+    )
+    registry.add_counter(
+        "backend_silences",
+        "Refusals with a time in which the server wants no requests.",
+        lambda: signals.silences.recorded,
+    )
+
+
 def _add_relay(registry: _metric_registry.Registry, relay: assembly.Relay) -> None:
     for name, description, label, read in (
         ("store_reads", "Reads of the store's feeds.", "feed", relay.count_reads),
--- a/src/jujubepass/forwarding/node.py
+++ b/src/jujubepass/forwarding/node.py
@@ -19,26 +19,20 @@
     board,
     clocks,
     configuration,
-    engine_choice,
-    evacuation,
+    engine_controllers,
     feeds,
     following,
     forwarder,
     measures,
     members,
-    moves,
-    ordering,
     planner,
     planning,
-    probing,
     readiness,
     reloading,
     retry_allowance,
     sending,
     service_exchange,
     settings,
-    slowdowns,
-    stall_watch,
     stream_exchange,
     suspicion,
 )
@@ -96,9 +90,9 @@
             blackboard=self.blackboard, source=source, in_force=settings
         )
         self._allowance = retry_allowance.RetryAllowance(blackboard=self.blackboard)
+        self._make_relay()
         self._make_controllers()
         self._decoded_feeds: dict[str, feeds.DecodedFeed[typing.Any]] = {}
-        self._make_relay()
         self._make_followers()
         self._budgets: collections.defaultdict[
             ids.ServiceId, _retry_budget.RetryBudget
@@ -110,34 +104,14 @@
         self._readiness = readiness.Readiness(
             blackboard=self.blackboard, admission_control=self._admission_control
         )
-        self._slowdowns = slowdowns.SlowdownTracker()
-        self._prober = probing.Prober(
-            blackboard=self.blackboard,
-            suspects=self.suspects,
-            control=self.adapter.control,
-            slowdowns=self._slowdowns,
+        self._backend_list = backend_list.BackendController(
+            area=self.blackboard.backends, find_wait=self._relay.find_backends_wait
         )
-        self._choice = engine_choice.EngineChoice(
+        self._engines = engine_controllers.EngineControllers(
             blackboard=self.blackboard,
             suspects=self.suspects,
-            slowdowns=self._slowdowns,
-        )
-        mover = moves.Mover(
-            blackboard=self.blackboard,
-            choice=self._choice,
             control=self.adapter.control,
-        )
-        self._stalls = stall_watch.StallWatch(
-            blackboard=self.blackboard,
-            suspects=self.suspects,
-            prober=self._prober,
-            mover=mover,
-        )
-        self._evacuation = evacuation.Evacuation(
-            blackboard=self.blackboard, stalls=self._stalls, mover=mover
-        )
-        self._orders = ordering.OrderSender(
-            blackboard=self.blackboard, control=self.adapter.control
+            backend_list=self._backend_list,
         )
 
     def _make_relay(self) -> None:
@@ -174,9 +148,6 @@
         )
 
     def _make_followers(self) -> None:
-        self._backend_list = backend_list.BackendController(
-            area=self.blackboard.backends, find_wait=self._relay.find_backends_wait
-        )
         installer = configuration.ConfigurationController(
             area=self.blackboard.configuration
         )
@@ -223,7 +194,9 @@
         )
 
     def _make_forwarder(self) -> forwarder.Forwarder:
-        sender = sending.Sender(client=self.client, wire=self.adapter.wire)
+        sender = sending.Sender(
+            client=self.client, wire=self.adapter.wire, signals=self._engines.signals
+        )
         return forwarder.Forwarder(
             blackboard=self.blackboard,
             wire=self.adapter.wire,
@@ -232,7 +205,9 @@
                 sender=sender,
                 admission_control=self._admission_control,
                 choice=service_exchange.ServiceChoice(
-                    blackboard=self.blackboard, suspects=self.suspects
+                    blackboard=self.blackboard,
+                    suspects=self.suspects,
+                    silences=self._engines.silences,
                 ),
                 suspects=self.suspects,
                 budgets=self._budgets,
@@ -241,9 +216,9 @@
             streams=stream_exchange.StreamExchange(
                 sender=sender,
                 admission_control=self._admission_control,
-                choice=self._choice,
+                choice=self._engines.choice,
                 suspects=self.suspects,
-                stalls=self._stalls,
+                stalls=self._engines.stalls,
                 budgets=self._budgets,
                 count_retry=self.measures.count_retry,
                 observe_first_event=self.measures.observe_first_event,
@@ -277,10 +252,10 @@
                     self._announcer.run,
                     self._relay.link.run,
                     self._planning.run,
-                    self._orders.run,
-                    self._stalls.run,
-                    self._prober.run,
-                    self._evacuation.run,
+                    self._engines.orders.run,
+                    self._engines.stalls.run,
+                    self._engines.prober.run,
+                    self._engines.evacuation.run,
                     self._run_periodic_tasks,
                 ):
                     nursery.start_soon(_run_with_restarts, task)
@@ -374,10 +349,11 @@
             measures=self.measures,
             blackboard=self.blackboard,
             client=self.client,
-            orders=self._orders,
-            choice=self._choice,
+            orders=self._engines.orders,
+            choice=self._engines.choice,
             budgets=self._budgets,
             relay=self._relay,
+            signals=self._engines.signals,
             count_unreadable=self._count_unreadable,
         )
         await responder.send(200, page.data, content_type=page.content_type)
--- a/src/jujubepass/forwarding/ordering.py
+++ b/src/jujubepass/forwarding/ordering.py
@@ -16,6 +16,7 @@
     engines,
     members,
     plans,
+    silences,
 )
 
 _LOGGER = logging.getLogger(__name__)
@@ -132,6 +133,7 @@
 
     blackboard: board.Blackboard
     control: engines.EngineControl
+    silences: silences.Silences
     orders_sent: int = attrs.field(default=0, init=False)
     _running: set[ids.BackendServerId] = attrs.field(factory=set, init=False)
     _last_orders: dict[ids.BackendServerId, _LastOrder] = attrs.field(
@@ -157,7 +159,9 @@
         self, plan: plans.Plan, now: float
     ) -> collections.abc.Iterator[backends.Backend]:
         for engine in self._list_differing(plan, now):
-            if engine.name in self._running:
+            if engine.name in self._running or self.silences.is_closed(
+                engine.name, now
+            ):
                 continue
             _, since = self._differs_since[engine.name]
             if self._is_due(plan, now - since) and not self._is_in_progress(
--- a/src/jujubepass/forwarding/probing.py
+++ b/src/jujubepass/forwarding/probing.py
@@ -11,7 +11,9 @@
     board,
     clocks,
     engines,
+    exchange,
     members,
+    server_signals,
     slowdowns,
     suspicion,
 )
@@ -54,6 +56,7 @@
     suspects: suspicion.Suspects
     control: engines.EngineControl
     slowdowns: slowdowns.SlowdownTracker
+    signals: server_signals.ServerSignals
     _slowdown_candidates: set[ids.BackendServerId] = attrs.field(
         factory=set, init=False
     )
@@ -130,8 +133,13 @@
         record = self._probe_records.get(name)
         return record is None or trio.current_time() - record.at >= interval_seconds
 
+    def _is_closed(self, name: ids.BackendServerId) -> bool:
+        return self.signals.silences.is_closed(name, clocks.read_boot_clock())
+
     async def probe(self, name: ids.BackendServerId) -> None:
         """Probe an engine; suspect it, or those for which its requests wait."""
+        if self._is_closed(name):
+            return
         report = await self._read_report(name, _REPORT_TIMEOUT_SECONDS)
         if report is not None:
             await self._check_stalled(report)
@@ -152,7 +160,9 @@
         interval = self._share_interval(_REACHABILITY_PROBES_PER_SECOND)
         async with trio.open_nursery() as nursery:
             for name in self.blackboard.backends.listed.keys() & names:
-                if self._has_interval_passed(name, interval):
+                if not self._is_closed(name) and self._has_interval_passed(
+                    name, interval
+                ):
                     # Set before the probe, as other streams of the pipeline are checked
                     # in the same pass.
                     record = self._probe_records.setdefault(name, _ProbeRecord(at=0.0))
@@ -190,6 +200,8 @@
                 "engine did not report", extra={"backend": name, "detail": str(error)}
             )
             return None
+        signals = exchange.Signals(is_leaving=report.is_leaving)
+        self.signals.record(name, backend.started_at, signals)
         self.suspects.record_response(name)
         self.slowdowns.record_slowdown(name, report.slowdown, clocks.read_boot_clock())
         return report
--- a/src/jujubepass/forwarding/sending.py
+++ b/src/jujubepass/forwarding/sending.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from jujubepass.forwarding import exchange
+from jujubepass.forwarding import exchange, server_signals
 from jujubepass.transport import _http_client
 
 _LOGGER = logging.getLogger(__name__)
@@ -38,6 +38,7 @@
 
     client: _http_client.Client
     wire: exchange.Wire
+    signals: server_signals.ServerSignals
 
     @contextlib.asynccontextmanager
     async def open(
@@ -52,6 +53,7 @@
 
         A failure while the answer is being read also raises OutcomeUnknownError.
         """
+        started_at = self.signals.find_run(attempt.backend)
         try:
             async with self.client.open(
                 request.method,
@@ -63,6 +65,8 @@
                 once=True,
             ) as answer:
                 head = self.wire.read_answer(request, answer.status, answer.fields)
+                if head.kind is not exchange.AnswerKind.MISMATCHED:
+                    self.signals.record(attempt.backend, started_at, head)
                 if head.kind is exchange.AnswerKind.NOT_RUN:
                     detail = f"answered {answer.status} without running the request"
                     raise NotRunError(detail=detail, head=head)
--- /dev/null
+++ b/src/jujubepass/forwarding/server_signals.py
@@ -0,0 +1,62 @@
+"""What backend servers say of themselves in their answers: leaving, retry times."""
+
+import attrs
+
+from jujubepass import ids
+from jujubepass.forwarding import backend_list, board, clocks, exchange, silences
+
+
+@attrs.define(kw_only=True)
+class ServerSignals:
+    """Pass on what an answer says of the server that sent it."""
+
+    area: board.BackendArea
+    backend_list: backend_list.BackendController
+    silences: silences.Silences
+
+    def find_run(self, name: ids.BackendServerId) -> int | None:
+        """Return the listed run of a server, which identifies it in later answers."""
+        listed = self.area.listed.get(name)
+        return listed.started_at if listed is not None else None
+
+    def record(
+        self, name: ids.BackendServerId, started_at: int | None, head: exchange.Signals
+    ) -> None:
+        """Record the signals in an answer of a server's run."""
+        if started_at is None:
+            return
+        now = clocks.read_boot_clock()
+        if head.is_leaving:
+            self.backend_list.record_leaving(name, started_at, now)
+        if head.retry_after_seconds is not None:
+            self._record_silence(name, started_at, head, now)
+
+    def _record_silence(
+        self,
+        name: ids.BackendServerId,
+        started_at: int,
+        head: exchange.Signals,
+        now: float,
+    ) -> None:
+        assert head.retry_after_seconds is not None
+        at_fault = next(
+            (
+                each
+                for each in self.area.listed.values()
+                if head.at_fault is not None and each.address == head.at_fault
+            ),
+            None,
+        )
+        is_relayed = at_fault is not None and at_fault.name != name
+        self.silences.record(
+            name,
+            started_at,
+            head.retry_after_seconds,
+            now,
+            # The first engine may only have passed on what another one asked for.
+            only_first=is_relayed,
+        )
+        if is_relayed and at_fault is not None:
+            self.silences.record(
+                at_fault.name, at_fault.started_at, head.retry_after_seconds, now
+            )
--- a/src/jujubepass/forwarding/service_exchange.py
+++ b/src/jujubepass/forwarding/service_exchange.py
@@ -16,6 +16,7 @@
     exchange,
     replies,
     sending,
+    silences,
     suspicion,
 )
 from jujubepass.limits import _retry_budget
@@ -43,6 +44,7 @@
 
     blackboard: board.Blackboard
     suspects: suspicion.Suspects
+    silences: silences.Silences
     running: collections.Counter[ids.BackendServerId] = attrs.field(
         factory=collections.Counter
     )
@@ -57,10 +59,18 @@
         ready = [
             each
             for each in backend_list.list_ready(self.blackboard.backends, service)
-            if each.name not in tried
+            if each.name not in tried and not self.silences.is_closed(each.name, now)
         ]
         return min(ready, key=lambda each: self._rank(each, now), default=None)
 
+    def find_end_of_silence(self, service: ids.ServiceId, now: float) -> float | None:
+        """Return when the first silent server of a service takes requests again."""
+        ready = backend_list.list_ready(self.blackboard.backends, service)
+        names = [each.name for each in ready]
+        if not all(self.silences.is_closed(name, now) for name in names):
+            return None
+        return self.silences.find_end(names, now)
+
     def _rank(self, backend: backends.Backend, now: float) -> tuple[bool, bool, int]:
         suspect = self.suspects.is_suspected(backend.name, now)
         remote = backend.failure_domain != self.blackboard.failure_domain
@@ -127,7 +137,8 @@
                 return _make_refusal(checked, progress)
             backend = self.choice.choose(admitted.service.name, progress.tried, now)
             if backend is None:
-                return _refuse_none_left(progress)
+                end = self.choice.find_end_of_silence(admitted.service.name, now)
+                return _refuse_none_left(progress, end - now if end else None)
             if admitted.deadline - now < _MIN_REMAINING_SECONDS:
                 return _refuse_expired(progress)
             if progress.tried and not self.budgets[admitted.service.name].spend(now):
@@ -254,17 +265,18 @@
     )
 
 
-def _refuse_none_left(progress: _Progress) -> admission.Refusal:
+def _refuse_none_left(
+    progress: _Progress, silence_seconds: float | None = None
+) -> admission.Refusal:
     if progress.may_have_run:
         return admission.Refusal(reason=reasons.RefusalReason.OUTCOME_UNKNOWN)
-    if progress.full:
-        return admission.Refusal(
-            reason=reasons.RefusalReason.BACKEND_UNAVAILABLE,
-            retry_after_seconds=_FULL_RETRY_SECONDS,
-        )
+    seconds = _ABSENT_RETRY_SECONDS
+    if silence_seconds is not None:
+        seconds = max(_FULL_RETRY_SECONDS, silence_seconds)
+    elif progress.full:
+        seconds = _FULL_RETRY_SECONDS
     return admission.Refusal(
-        reason=reasons.RefusalReason.BACKEND_UNAVAILABLE,
-        retry_after_seconds=_ABSENT_RETRY_SECONDS,
+        reason=reasons.RefusalReason.BACKEND_UNAVAILABLE, retry_after_seconds=seconds
     )
 
 
--- a/src/jujubepass/forwarding/stream_exchange.py
+++ b/src/jujubepass/forwarding/stream_exchange.py
@@ -19,6 +19,7 @@
     replies,
     sending,
     stall_watch,
+    stream_refusals,
     stream_timeouts,
     suspicion,
     watched_streams,
@@ -31,10 +32,6 @@
 # Share of the stall time-out that a request waits for the repair of a pipeline.
 _PIPELINE_WAIT_SHARE = 0.6
 _PIPELINE_POLL_INTERVAL_SECONDS = 0.05
-_PIPELINE_RETRY_SECONDS = 1.5
-_FULL_RETRY_SECONDS = 0.5
-# Retry time of a request that another node can serve while this one stops.
-_STOP_RETRY_SECONDS = 0.05
 # Margin for the first event and for batch steps shared with other requests.
 _PREDICTION_MARGIN = 1.2
 # Maximum number of refused attempts before the request itself is refused.
@@ -112,24 +109,25 @@
         while True:
             pipeline = await self._wait_for_pipeline(admitted, progress)
             refusal = self._check_attempt(request, admitted, pipeline, progress)
-            if refusal in _TEMPORARY and reply.started:
+            if stream_refusals.is_temporary(refusal) and reply.started:
                 # The caller still waits, so that a stall does not end the answer.
                 await trio.sleep(_PIPELINE_POLL_INTERVAL_SECONDS)
                 continue
             if refusal is not None or pipeline is None:
-                return self._make_refusal(refusal or _NO_PIPELINE, progress)
+                refusal = refusal or self._refuse_without_pipeline(admitted)
+                return self._make_refusal(refusal, progress)
             try:
                 await self._run_attempt(request, admitted, pipeline, reply, progress)
                 return None
             except sending.NotRunError as error:
                 self._record_refusal(request, pipeline, error, progress)
                 if progress.refusals >= _MAX_REFUSALS and not reply.started:
-                    return self._make_refusal(_FULL, progress)
+                    return self._make_refusal(stream_refusals.FULL, progress)
                 await trio.sleep(self._draw_delay(progress))
             except (sending.OutcomeUnknownError, PipelineFailedError) as error:
                 self._record_failure(request, pipeline, error, progress)
                 if not admitted.route.is_repeatable or progress.runs >= _MAX_RUNS:
-                    return self._make_refusal(_OUTCOME_UNKNOWN, progress)
+                    return self._make_refusal(stream_refusals.OUTCOME_UNKNOWN, progress)
 
     def _draw_delay(self, progress: _Progress) -> float:
         """Return the delay after a refused attempt, in seconds."""
@@ -153,12 +151,12 @@
         if isinstance(checked, admission.Refusal):
             return checked
         if pipeline is None:
-            return _NO_PIPELINE
+            return self._refuse_without_pipeline(admitted)
         if self._outlasts_node(request, pipeline, progress, now):
-            return _STOPPING
+            return stream_refusals.STOPPING
         is_retry = progress.runs + progress.refusals > 0
         if is_retry and not self.budgets[admitted.service.name].spend(now):
-            return _BUDGET_SPENT
+            return stream_refusals.BUDGET_SPENT
         return None
 
     def _outlasts_node(
@@ -174,11 +172,20 @@
         seconds = request.max_answer_tokens * pipeline.step_seconds * _PREDICTION_MARGIN
         return now + seconds > self.choice.blackboard.abort_answers_at
 
+    def _refuse_without_pipeline(
+        self, admitted: exchange.Admitted
+    ) -> admission.Refusal:
+        now = clocks.read_boot_clock()
+        end = self.choice.find_end_of_silence(admitted.service, now)
+        if end is None:
+            return stream_refusals.NO_PIPELINE
+        return stream_refusals.refuse_silent(end - now)
+
     def _make_refusal(
         self, refusal: admission.Refusal, progress: _Progress
     ) -> admission.Refusal:
         """Return the refusal, or OUTCOME_UNKNOWN if an attempt has run."""
-        return _OUTCOME_UNKNOWN if progress.runs else refusal
+        return stream_refusals.OUTCOME_UNKNOWN if progress.runs else refusal
 
     async def _wait_for_pipeline(
         self, admitted: exchange.Admitted, progress: _Progress
@@ -197,6 +204,9 @@
                 pipeline = self.choice.choose(service, now, entries=entries)
             if pipeline is not None or now >= until:
                 return pipeline
+            end = self.choice.find_end_of_silence(service, now)
+            if end is not None and end > until and not progress.events:
+                return None
             await trio.sleep(_PIPELINE_POLL_INTERVAL_SECONDS)
 
     def _find_entries(
@@ -355,22 +365,6 @@
 # Maximum runs of one request, including those whose engine has ended. After this many
 # lost pipelines, further runs would use up the retry budget of other requests.
 _MAX_RUNS = 4
-_OUTCOME_UNKNOWN = admission.Refusal(reason=reasons.RefusalReason.OUTCOME_UNKNOWN)
-_STOPPING = admission.Refusal(
-    reason=reasons.RefusalReason.NODE_STOPPING, retry_after_seconds=_STOP_RETRY_SECONDS
-)
-_FULL = admission.Refusal(
-    reason=reasons.RefusalReason.ENGINES_FULL, retry_after_seconds=_FULL_RETRY_SECONDS
-)
-_BUDGET_SPENT = admission.Refusal(
-    reason=reasons.RefusalReason.RETRY_BUDGET_SPENT,
-    retry_after_seconds=_FULL_RETRY_SECONDS,
-)
-_NO_PIPELINE = admission.Refusal(
-    reason=reasons.RefusalReason.NO_ROUTE, retry_after_seconds=_PIPELINE_RETRY_SECONDS
-)
-# Temporary reasons; an answer that has begun waits until they have passed.
-_TEMPORARY = (_BUDGET_SPENT, _NO_PIPELINE)
 
 
 def _log_attempt(
--- /dev/null
+++ b/src/jujubepass/forwarding/stream_refusals.py
@@ -0,0 +1,39 @@
+"""Refusals of model requests, with times after which callers may retry."""
+
+import attrs
+
+from jujubepass import reasons
+from jujubepass.forwarding import admission
+
+_PIPELINE_RETRY_SECONDS = 1.5
+_FULL_RETRY_SECONDS = 0.5
+# Retry time of a request that another node can serve while this one stops.
+_STOP_RETRY_SECONDS = 0.05
+
+OUTCOME_UNKNOWN = admission.Refusal(reason=reasons.RefusalReason.OUTCOME_UNKNOWN)
+STOPPING = admission.Refusal(
+    reason=reasons.RefusalReason.NODE_STOPPING, retry_after_seconds=_STOP_RETRY_SECONDS
+)
+FULL = admission.Refusal(
+    reason=reasons.RefusalReason.ENGINES_FULL, retry_after_seconds=_FULL_RETRY_SECONDS
+)
+BUDGET_SPENT = admission.Refusal(
+    reason=reasons.RefusalReason.RETRY_BUDGET_SPENT,
+    retry_after_seconds=_FULL_RETRY_SECONDS,
+)
+NO_PIPELINE = admission.Refusal(
+    reason=reasons.RefusalReason.NO_ROUTE, retry_after_seconds=_PIPELINE_RETRY_SECONDS
+)
+_TEMPORARY_REASONS = (BUDGET_SPENT.reason, NO_PIPELINE.reason)
+
+
+def is_temporary(refusal: admission.Refusal | None) -> bool:
+    """Return whether an answer that has begun waits until a refusal's cause ends."""
+    return refusal is not None and refusal.reason in _TEMPORARY_REASONS
+
+
+def refuse_silent(seconds: float) -> admission.Refusal:
+    """Return the refusal while engines ask for no requests for some seconds."""
+    return attrs.evolve(
+        NO_PIPELINE, retry_after_seconds=max(_PIPELINE_RETRY_SECONDS, seconds)
+    )
--- a/src/jujubepass/platform/engines.py
+++ b/src/jujubepass/platform/engines.py
@@ -48,7 +48,10 @@
                 raise engines.EngineError(
                     f"report request failed with status {answer.status}"
                 )
-            return _decode_report(answer.read_json())
+            report = _decode_report(answer.read_json())
+            return attrs.evolve(
+                report, is_leaving=wire.read_leaving(answer.status, answer.headers)
+            )
         except (_http_client.ClientError, KeyError, TypeError, ValueError) as error:
             raise engines.EngineError(f"cannot read report: {error!r}") from error
 
--- a/src/jujubepass/platform/wire.py
+++ b/src/jujubepass/platform/wire.py
@@ -1,5 +1,7 @@
 """Translation of requests and answers to and from the platform's header fields."""
 
+import collections.abc
+import logging
 import uuid
 
 import attrs
@@ -9,6 +11,8 @@
 from jujubepass.platform import headers
 from jujubepass.transport import _http_client, _http_server
 
+_LOGGER = logging.getLogger(__name__)
+
 _HOP_BY_HOP_FIELDS = frozenset(
     (
         *("connection", "keep-alive", "proxy-connection", "te", "trailer"),
@@ -29,6 +33,7 @@
 )
 _MAX_PRIORITY = 9
 _MISDIRECTED = 421
+_UNAVAILABLE = 503
 # A caller concludes from these statuses that the request has not run.
 _NOT_RUN_STATUSES_FOR_CALLERS = frozenset((408, _MISDIRECTED, 429, 503))
 _NOT_RUN_STATUSES = frozenset((400, 429, 503))
@@ -96,6 +101,8 @@
             status=status,
             fields=_remove_fields(fields, _HOP_BY_HOP_FIELDS),
             at_fault=_parse_address(at_fault) if at_fault else None,
+            is_leaving=read_leaving(status, headers_by_name),
+            retry_after_seconds=_read_retry_after(status, headers_by_name),
         )
 
     def write_refusal(self, request: exchange.CallerRequest) -> exchange.Fields:
@@ -103,6 +110,30 @@
         return ((headers.REQUEST_ID, request.request_id),)
 
 
+def read_leaving(
+    status: int, headers_by_name: collections.abc.Mapping[str, str]
+) -> bool:
+    """Return whether the server that answers is leaving."""
+    # Another server than the expected one answers with this status.
+    return status != _MISDIRECTED and headers_by_name.get(headers.LEAVING) == "1"
+
+
+def _read_retry_after(
+    status: int, headers_by_name: collections.abc.Mapping[str, str]
+) -> float | None:
+    """Parse the seconds for which the server wants no requests, if it refused one."""
+    text = headers_by_name.get(headers.RETRY_AFTER)
+    if status != _UNAVAILABLE or text is None:
+        return None
+    try:
+        return float(text)
+    except ValueError:
+        _LOGGER.warning(
+            "unreadable retry time of a backend server", extra={"text": text[:80]}
+        )
+        return None
+
+
 def format_pipeline(pipeline: pipelines.Pipeline) -> str:
     """Format a pipeline as a list of engine addresses with their spans."""
     return ",".join(f"{stage.address}={stage.span}" for stage in pipeline.stages)
--- a/standins/path_engine.py
+++ b/standins/path_engine.py
@@ -36,6 +36,9 @@
     fail: float = 0
     spoil: float = 0
     pretend_other: bool = False
+    leaving: bool = False
+    retry_after: str = ""
+    """Value of Retry-After in refusals; empty for none."""
 
 
 @cappa.command(name="path-engine")
@@ -71,6 +74,7 @@
         self._max_layers = 0
         self._runs: collections.Counter[str] = collections.Counter()
         self._refused = 0
+        self._refused_at: list[float] = []
         self._invalid_pipelines = 0
         self._stalled: dict[str, str] = {}
         self._pipelines: dict[str, list[Stage]] = {}
@@ -85,6 +89,7 @@
             counts = {
                 "runs": dict(self._runs),
                 "refused": self._refused,
+                "refused_at": self._refused_at,
                 "bad_paths": self._invalid_pipelines,
                 "most_layers": self._max_layers,
                 "orders": self._orders,
@@ -94,7 +99,8 @@
             }
             await responder.send_json(200, counts)
         elif request.path == "/v1/report":
-            await responder.send_json(200, self._report())
+            report = json.dumps(self._report()).encode()
+            await responder.send_fields(200, self._list_signals(200), report)
         elif request.path == "/v1/order":
             await self._order(json.loads(request.body), responder)
         elif request.path.startswith("/part/"):
@@ -182,6 +188,13 @@
         self._pipelines[request_id] = stages
         await responder.send_json(200, {})
 
+    def _list_signals(self, status: int) -> list[tuple[str, str]]:
+        """Return the header fields in which this server speaks of itself."""
+        if status == 503:
+            text = self.settings.retry_after
+            return [("retry-after", text)] if text else []
+        return [("server-leaving", "1")] if self.settings.leaving else []
+
     def _draw_fault(self, knob: str) -> bool:
         happens, knob_value = knobs.draw_fault(getattr(self.settings, knob), 1.0)
         setattr(self.settings, knob, knob_value)
@@ -191,13 +204,14 @@
         request_id = request.headers["x-request-id"]
         own = self._arguments.name
         expected = request.headers.get("x-expect-instance", own)
-        echo = [("x-request-id", request_id)]
+        echo = [("x-request-id", request_id), *self._list_signals(200)]
         if expected != own or self.settings.pretend_other:
             await responder.send_fields(421, echo, b"")
             return
         if self._draw_fault("refuse"):
             self._refused += 1
-            refusal = [*echo, ("x-not-executed", "1")]
+            self._refused_at.append(time.time())
+            refusal = [*echo, *self._list_signals(503), ("x-not-executed", "1")]
             await responder.send_fields(503, refusal, b"")
             return
         path = request.headers.get("x-hop-count")
--- a/tests/features/steps/fleet_load_steps.py
+++ b/tests/features/steps/fleet_load_steps.py
@@ -107,6 +107,7 @@
             suspects=fleet.suspects,
             control=context.engine,
             slowdowns=fleet.slowdowns,
+            signals=fleet.signals,
         )
         context.probers.append((prober, name))
 
@@ -231,7 +232,9 @@
 @behave.when("plans and orders are checked for {seconds:d} seconds without a change")
 def step_check_unchanged(context, seconds):
     fleet = context.fleet
-    context.sender = ordering.OrderSender(blackboard=fleet.blackboard, control=None)
+    context.sender = ordering.OrderSender(
+        blackboard=fleet.blackboard, control=None, silences=fleet.silences
+    )
     context.checks = 10 * seconds
 
     def check():
@@ -259,32 +262,35 @@
         self.count += 1
 
 
-# Guards against timers of their own for each task, each of which costs a wake-up.
-@behave.when("the node's periodic tasks run for {seconds:d} seconds without a request")
-def step_idle(context, seconds):
-    fleet = context.fleet
+def make_periodic_tasks(fleet):
     control = SlowEngine()
     prober = probing.Prober(
         blackboard=fleet.blackboard,
         suspects=fleet.suspects,
         control=control,
         slowdowns=fleet.slowdowns,
+        signals=fleet.signals,
     )
     stalls = stall_watch.StallWatch(
-        blackboard=fleet.blackboard,
-        suspects=fleet.suspects,
-        prober=prober,
-        mover=None,
+        blackboard=fleet.blackboard, suspects=fleet.suspects, prober=prober, mover=None
     )
-    tasks = [
+    return [
         planning.Planning(
             blackboard=fleet.blackboard, controller=fleet.planner, table=None
         ),
-        ordering.OrderSender(blackboard=fleet.blackboard, control=control),
+        ordering.OrderSender(
+            blackboard=fleet.blackboard, control=control, silences=fleet.silences
+        ),
         prober,
         stalls,
         evacuation.Evacuation(blackboard=fleet.blackboard, stalls=stalls, mover=None),
     ]
+
+
+# Guards against timers of their own for each task, each of which costs a wake-up.
+@behave.when("the node's periodic tasks run for {seconds:d} seconds without a request")
+def step_idle(context, seconds):
+    tasks = make_periodic_tasks(context.fleet)
     wake_ups = WakeUps()
 
     async def run():
@@ -317,7 +323,9 @@
     for name in list(plan.placements)[:20]:
         listed = fleet.blackboard.backends.listed
         listed[name] = attrs.evolve(listed[name], held=None)
-    context.sender = ordering.OrderSender(blackboard=fleet.blackboard, control=None)
+    context.sender = ordering.OrderSender(
+        blackboard=fleet.blackboard, control=None, silences=fleet.silences
+    )
     context.differed_from = fleet.now
     context.turns = 0
     check_orders(context, seconds)
--- a/tests/features/steps/full_engine_steps.py
+++ b/tests/features/steps/full_engine_steps.py
@@ -194,6 +194,7 @@
         suspects=fleet.suspects,
         control=LateControl(context.late, seconds),
         slowdowns=fleet.slowdowns,
+        signals=fleet.signals,
     )
 
     async def probe_thrice():
--- a/tests/small_fleet.py
+++ b/tests/small_fleet.py
@@ -14,6 +14,8 @@
     feeds,
     planner,
     plans,
+    server_signals,
+    silences,
     slowdowns,
     suspicion,
     watched_streams,
@@ -130,8 +132,17 @@
             random_source=random.Random(seed),
         )
         self.slowdowns = slowdowns.SlowdownTracker()
+        self.silences = silences.Silences(area=self.blackboard.backends)
+        self.signals = server_signals.ServerSignals(
+            area=self.blackboard.backends,
+            backend_list=self.list,
+            silences=self.silences,
+        )
         self.choice = engine_choice.EngineChoice(
-            blackboard=self.blackboard, suspects=self.suspects, slowdowns=self.slowdowns
+            blackboard=self.blackboard,
+            suspects=self.suspects,
+            slowdowns=self.slowdowns,
+            silences=self.silences,
         )
         self.blackboard.configuration.declarations = make_declarations()
         self.blackboard.configuration.confirmed_at = self.now
