Probe engines that report no fault less and less

Cause: while first events are late, each node read the first engine's report every 0.3 s, whatever it said, and the reports of slow pipelines at the same rate whether an engine was slow or not; a lost engine got six frequent probes from each node, though two are enough to plan around it.

--- a/src/jujubepass/forwarding/probing.py
+++ b/src/jujubepass/forwarding/probing.py
@@ -23,11 +23,14 @@
 # Time limit for a report; an engine normally responds within a few milliseconds.
 _REPORT_TIMEOUT_SECONDS = 0.25
 # Interval between two probes of an engine; reports are some hundred milliseconds old.
+# It doubles with each report in a row that shows no fault, as under overload, up to the
+# maximum, which leaves time to move a stream before its caller aborts it.
 _PROBE_INTERVAL_SECONDS = 0.3
+_MAX_PROBE_INTERVAL_SECONDS = 1.2
 # An unresponsive engine is probed often enough for two probes before its loss is
-# planned around, and less often afterwards.
+# planned around, once more in case that it is back, and less often afterwards.
 _UNRESPONSIVE_INTERVAL_SECONDS = 0.4
-_MAX_FREQUENT_PROBES = 6
+_MAX_FREQUENT_PROBES = 3
 # All nodes of a failure domain together probe an engine this often.
 _UNRESPONSIVE_PROBES_PER_SECOND = 1.5
 _SLOW_PROBES_PER_SECOND = 1.5
@@ -46,6 +49,8 @@
 class _ProbeRecord:
     at: float
     probes: int = 0
+    clear_reports: int = 0
+    """Reports in a row that named no engine as stalling requests."""
 
 
 @attrs.define(kw_only=True)
@@ -125,7 +130,12 @@
 
     def may_probe(self, name: ids.BackendServerId) -> bool:
         """Return whether an engine may be probed again."""
-        return self._has_interval_passed(name, _PROBE_INTERVAL_SECONDS)
+        record = self._probe_records.get(name)
+        clear_reports = record.clear_reports if record is not None else 0
+        interval = _PROBE_INTERVAL_SECONDS * 2.0 ** max(0, clear_reports - 1)
+        return self._has_interval_passed(
+            name, min(interval, _MAX_PROBE_INTERVAL_SECONDS)
+        )
 
     def _has_interval_passed(
         self, name: ids.BackendServerId, interval_seconds: float
@@ -141,6 +151,10 @@
         if self._is_closed(name):
             return
         report = await self._read_report(name, _REPORT_TIMEOUT_SECONDS)
+        record = self._probe_records.get(name)
+        if record is not None:
+            is_clear = report is not None and not report.stalled
+            record.clear_reports = record.clear_reports + 1 if is_clear else 0
         if report is not None:
             await self._check_stalled(report)
         elif name in self.blackboard.backends.listed:
--- a/tests/features/fleet_size.feature
+++ b/tests/features/fleet_size.feature
@@ -78,6 +78,16 @@
       | 28    |
       | 84    |
 
+  Scenario Outline: <nodes> overloaded nodes probe an engine without faults less and less
+    Given an engine that <nodes> nodes of its failure domain find late and that reports no fault
+    When each of them asks for a probe ten times a second for 20 seconds
+    Then it receives at most 20 probes from each node
+
+    Examples:
+      | nodes |
+      | 3     |
+      | 28    |
+
   Scenario Outline: Few of <nodes> nodes do the work of a lost one
     Given <nodes> nodes that know each other by their rows
     When each determines its turn for 20 tasks
--- a/tests/features/steps/fleet_load_steps.py
+++ b/tests/features/steps/fleet_load_steps.py
@@ -71,10 +71,12 @@
         assert used * per_request <= free, (engine.name, used, free / per_request)
 
 
-class SlowEngine:
+class ReportingEngine:
     """Report a slowdown and count the reports."""
 
-    reports = 0
+    def __init__(self, *, slowdown=3.0):
+        self.reports = 0
+        self.slowdown = slowdown
 
     async def read_report(self, engine):
         self.reports += 1
@@ -85,7 +87,7 @@
             orders_begun=0,
             running=0,
             queued=0,
-            slowdown=3.0,
+            slowdown=self.slowdown,
             stalled=(),
         )
 
@@ -94,7 +96,11 @@
 # each node kept the same intervals whatever their number.
 @behave.given("an engine that {count:d} nodes of its failure domain know to be slow")
 def step_slow_engine(context, count):
-    context.engine = SlowEngine()
+    make_probers(context, count, ReportingEngine())
+
+
+def make_probers(context, count, engine):
+    context.engine = engine
     context.probers = []
     for _ in range(count):
         fleet = small_fleet.Fleet()
@@ -112,6 +118,39 @@
         context.probers.append((prober, name))
 
 
+@behave.given(
+    "an engine that {count:d} nodes of its failure domain find late and that reports no"
+    " fault"
+)
+def step_late_engine(context, count):
+    make_probers(context, count, ReportingEngine(slowdown=1.0))
+
+
+@behave.when("each of them asks for a probe ten times a second for {seconds:d} seconds")
+def step_probe_first(context, seconds):
+    async def probe_all():
+        async with trio.open_nursery() as nursery:
+            for prober, name in context.probers:
+                nursery.start_soon(probe_repeatedly, prober, name)
+            await trio.sleep(seconds)
+            nursery.cancel_scope.cancel()
+
+    async def probe_repeatedly(prober, name):
+        while True:
+            if prober.may_probe(name):
+                await prober.probe(name)
+            await trio.sleep(0.1)
+
+    with unittest.mock.patch.object(clocks, "read_boot_clock", trio.current_time):
+        trio.run(probe_all, clock=trio.testing.MockClock(autojump_threshold=0.0))
+
+
+@behave.then("it receives at most {count:d} probes from each node")
+def step_probes_each(context, count):
+    nodes = len(context.probers)
+    assert nodes <= context.engine.reports <= count * nodes, context.engine.reports
+
+
 @behave.when("they probe it for {seconds:d} seconds")
 def step_probe(context, seconds):
     context.seconds = seconds
@@ -263,7 +302,7 @@
 
 
 def make_periodic_tasks(fleet):
-    control = SlowEngine()
+    control = ReportingEngine()
     prober = probing.Prober(
         blackboard=fleet.blackboard,
         suspects=fleet.suspects,
