Follow the store's era when it returns from an older copy

What callers saw on the stand-ins: two seconds after the store came back from a copy 300 versions older, all requests with keys were refused, until its versions had caught up.

Cause: versions alone ordered rows. Relayed histories and followers took a complete read with a lower version for outdated; a plan kept the version of its old row, so that no other could replace it under a condition; a node's row with an old version number counted as unchanged.

Change: replies of the store, rows that nodes keep and rows that they pass on name the era. Rows of a later era start anew, those of an earlier one are dropped. A plan that the copy lacks stays in force and is written again; a run that was leaving or removed does not return with the copy; each node writes its row again within a second for each 200 nodes and takes none of the retry slack until then. Answers without a valid era are counted.

--- a/src/jujubepass/forwarding/adapters.py
+++ b/src/jujubepass/forwarding/adapters.py
@@ -1,5 +1,7 @@
 """Interfaces that a forwarding node needs from the platform it runs on."""
 
+import collections.abc
+
 import attrs
 
 from jujubepass.forwarding import (
@@ -26,3 +28,5 @@
     plans: feeds.DecodedFeed[plans.Plan]
     member_table: _table_client.Table
     members: feeds.DecodedFeed[members.Member]
+    count_eras: collections.abc.Callable[[], collections.abc.Mapping[str, int]]
+    """Return how often the store's era changed, and was missing or invalid."""
--- a/src/jujubepass/forwarding/announcing.py
+++ b/src/jujubepass/forwarding/announcing.py
@@ -18,6 +18,9 @@
 # All nodes together repeat failed renewals and reads this often.
 _RETRIES_PER_SECOND = 20.0
 _MIN_RETRY_INTERVAL_SECONDS = 2.0
+# All nodes together write their rows again this often after the store has returned from
+# an older copy.
+_RESTORED_RENEWALS_PER_SECOND = 200.0
 # Nodes that start together spread their reads by this share of the interval.
 _JITTER_SHARE = 0.1
 # While nodes join, those that read the store do so more often, and again soon after
@@ -30,6 +33,10 @@
 _MAX_WAIT_SECONDS = 2.0
 
 
+async def _wait_forever(_era: int) -> None:
+    await trio.sleep_forever()
+
+
 @attrs.define(kw_only=True)
 class Announcer:
     """Keep this node known to the others, and their number up to date."""
@@ -41,6 +48,10 @@
     address: _http_client.Address | None = None
     """Where this node answers queries for rows."""
     token: str = attrs.field(default="", repr=False)
+    wait_for_era: collections.abc.Callable[[int], collections.abc.Awaitable[None]] = (
+        _wait_forever
+    )
+    """Wait until rows of any table are of a later era."""
     reads_store: collections.abc.Callable[[], bool] = lambda: True
     """Return whether the rows come from the store, which is read at intervals."""
     random_source: random.Random = attrs.field(factory=random.Random)
@@ -48,6 +59,10 @@
     _nodes_changed_at: float = attrs.field(default=float("-inf"), init=False)
     _renew_at: float = attrs.field(default=float("-inf"), init=False)
     _version: int | None = attrs.field(default=None, init=False)
+    _era: int | None = attrs.field(default=None, init=False)
+    """Era of the rows that were read last."""
+    _is_row_lost: bool = attrs.field(default=False, init=False)
+    """Whether the store may have lost the own row."""
     _operations: "itertools.count[int]" = attrs.field(
         factory=itertools.count, init=False
     )
@@ -57,7 +72,8 @@
         while True:
             succeeded = await self.renew_and_read()
             jitter = 1.0 - self.random_source.uniform(0.0, _JITTER_SHARE)
-            await trio.sleep(self._find_interval(succeeded) * jitter)
+            with trio.move_on_after(self._find_interval(succeeded) * jitter):
+                await self.wait_for_era(self._era or 0)
 
     def _find_interval(self, succeeded: bool) -> float:
         if not succeeded:
@@ -66,9 +82,11 @@
                 per_second=_RETRIES_PER_SECOND,
                 least=_MIN_RETRY_INTERVAL_SECONDS,
             )
+        now = clocks.read_boot_clock()
+        if self._is_row_lost:
+            return max(0.0, self._renew_at - now)
         if not self.reads_store():
             return 0.0
-        now = clocks.read_boot_clock()
         nodes = self.blackboard.members.nodes
         if not self._known_nodes:
             self._known_nodes, self._nodes_changed_at = nodes, now
@@ -104,6 +122,7 @@
                 "node's row not renewed", extra={"outcome": type(outcome).__name__}
             )
             return False
+        self._is_row_lost = False
         self.controller.record_renewal(
             sent_at=now, committed_at=clocks.read_boot_clock(), seconds=seconds
         )
@@ -119,9 +138,6 @@
         try:
             with trio.move_on_after(wait_seconds) as scope:
                 changes = await self._read_changes()
-        except feeds.HistoryLostError:
-            self._version = None
-            return False
         except feeds.FeedError as error:
             _LOGGER.info("nodes' rows not read", extra={"detail": str(error)})
             return False
@@ -129,11 +145,23 @@
         if scope.cancelled_caught:
             self.controller.count(now)
             return True
-        self._version = changes.version
+        if self._era is not None and changes.era != self._era:
+            self._renew_after_restore(now)
+        self._version, self._era = changes.version, changes.era
         self.controller.apply(changes, now)
         return True
 
+    def _renew_after_restore(self, now: float) -> None:
+        """Write the own row again, as the store's copy may lack it."""
+        self._is_row_lost = True
+        self.controller.record_lost_renewal()
+        longest = len(self.blackboard.members.nodes) / _RESTORED_RENEWALS_PER_SECOND
+        self._renew_at = now + self.random_source.uniform(0.0, longest)
+
     async def _read_changes(self) -> feeds.Changes[members.Member]:
         if self._version is None:
             return await self.feed.read()
-        return await self.feed.follow(self._version, 0.0)
+        try:
+            return await self.feed.follow(self._version, 0.0, era=self._era or 0)
+        except feeds.HistoryLostError:
+            return await self.feed.read()
--- a/src/jujubepass/forwarding/backend_list.py
+++ b/src/jujubepass/forwarding/backend_list.py
@@ -14,7 +14,7 @@
 # about two seconds of its return. Missing ones stay listed until shortly before.
 LAPSE_GRACE_SECONDS = 1.8
 _DEFAULT_WAIT_SECONDS = 2.0
-_MAX_LEAVING = 1_000
+_MAX_REMEMBERED_RUNS = 1_000
 # Longest usual delay of a change on its way from the store.
 _MAX_DELAY_SECONDS = 0.1
 # If one change removes more than this share of the list, the entries have expired
@@ -32,6 +32,9 @@
     leaving_announced: int = attrs.field(default=0, init=False)
     _leaving: dict[ids.BackendServerId, int] = attrs.field(factory=dict, init=False)
     """Runs of servers that said themselves that they leave."""
+    _removed: dict[ids.BackendServerId, int] = attrs.field(factory=dict, init=False)
+    """Runs of servers that were removed from the list."""
+    _era: int = attrs.field(default=0, init=False)
     _missing_until: dict[ids.BackendServerId, float] = attrs.field(
         factory=dict, init=False
     )
@@ -42,16 +45,20 @@
 
     def apply(self, changes: feeds.Changes[backends.Backend], now: float) -> None:
         """Apply changes of the list; an unreadable entry counts as removed."""
+        items = changes.items
+        if changes.era != self._era:
+            items = self._remove_restored(changes.items)
+            self._era = changes.era
         removed = [
             name
-            for name, backend in changes.items.items()
+            for name, backend in items.items()
             if backend is None and name in self.area.listed
         ]
         if changes.is_complete:
-            removed += [name for name in self.area.listed if name not in changes.items]
+            removed += [name for name in self.area.listed if name not in items]
         if len(removed) > max(1, _MASS_LAPSE_SHARE * len(self.area.listed)):
             self.record_store_recovery(now)
-        for name, backend in changes.items.items():
+        for name, backend in items.items():
             if backend is not None:
                 self._missing_until.pop(ids.BackendServerId(name), None)
                 self._add(backend, now)
@@ -67,10 +74,7 @@
         """Record that a run of a server said that it leaves, whatever the list says."""
         if self._leaving.get(name) == started_at:
             return
-        # The oldest entries belong to servers that are long gone.
-        while len(self._leaving) >= _MAX_LEAVING:
-            del self._leaving[next(iter(self._leaving))]
-        self._leaving[name] = started_at
+        _remember(self._leaving, name, started_at)
         self.leaving_announced += 1
         _LOGGER.info(
             "backend server said that it leaves",
@@ -87,6 +91,24 @@
         self._leaving.pop(backend.name, None)
         return backend
 
+    def _remove_restored(
+        self,
+        items: collections.abc.Mapping[str, backends.Backend | None],
+    ) -> collections.abc.Mapping[str, backends.Backend | None]:
+        """Return the entries of an older copy of the list without those known as gone.
+
+        A server that is listed as leaving stays so, whatever the copy says.
+        """
+        for name, backend in self.area.listed.items():
+            if backend.state is backends.BackendState.DRAINING:
+                _remember(self._leaving, name, backend.started_at)
+        return {
+            name: backend
+            for name, backend in items.items()
+            if backend is None
+            or self._removed.get(ids.BackendServerId(name)) != backend.started_at
+        }
+
     def _add(self, backend: backends.Backend, now: float) -> None:
         backend = self._apply_leaving(backend)
         before = self.area.listed.get(backend.name)
@@ -129,13 +151,24 @@
                 continue
             del self._missing_until[name]
             self.area.draining_since.pop(name, None)
-            if self.area.listed.pop(name, None) is not None:
+            backend = self.area.listed.pop(name, None)
+            if backend is not None:
+                _remember(self._removed, name, backend.started_at)
                 self.area.revision += 1
                 _LOGGER.info(
                     "backend server removed from the list", extra={"backend": name}
                 )
 
 
+def _remember(
+    runs: dict[ids.BackendServerId, int], name: ids.BackendServerId, started_at: int
+) -> None:
+    # The oldest entries belong to servers that are long gone.
+    while len(runs) >= _MAX_REMEMBERED_RUNS:
+        del runs[next(iter(runs))]
+    runs[name] = started_at
+
+
 def list_ready(
     area: board.BackendArea, service: ids.ServiceId
 ) -> collections.abc.Iterator[backends.Backend]:
--- a/src/jujubepass/forwarding/feeds.py
+++ b/src/jujubepass/forwarding/feeds.py
@@ -41,6 +41,8 @@
     version: int
     confirmed_at: float
     """Latest boot-clock time at which the rows were confirmed up to date."""
+    era: int = 0
+    """Era of the store; versions are comparable within one era only."""
     is_complete: bool = False
     """Whether all rows are included, so that missing keys have no row."""
     origin: str = ""
@@ -55,8 +57,10 @@
     async def read(self) -> RowChanges:
         """Read all rows."""
 
-    async def follow(self, after: int, wait_seconds: float) -> RowChanges:
-        """Wait until rows change after a version, or until the time has passed."""
+    async def follow(
+        self, after: int, wait_seconds: float, *, era: int = 0
+    ) -> RowChanges:
+        """Wait until rows change after a version of an era, or the time has passed."""
 
 
 @attrs.frozen(kw_only=True)
@@ -67,6 +71,8 @@
     version: int
     confirmed_at: float
     """Latest boot-clock time at which the rows were confirmed up to date."""
+    era: int = 0
+    """Era of the store; versions are comparable within one era only."""
     is_complete: bool = False
     """Whether all rows are included, so that missing keys have no row."""
 
@@ -77,8 +83,10 @@
     async def read(self) -> Changes[Item]:
         """Read all rows."""
 
-    async def follow(self, after: int, wait_seconds: float) -> Changes[Item]:
-        """Wait until rows change after a version, or until the time has passed."""
+    async def follow(
+        self, after: int, wait_seconds: float, *, era: int = 0
+    ) -> Changes[Item]:
+        """Wait until rows change after a version of an era, or the time has passed."""
 
 
 Decode = collections.abc.Callable[[str, int, typing.Any], _Decoded]
@@ -97,15 +105,19 @@
         """Read all rows."""
         return self._decode_changes(await self.rows.read())
 
-    async def follow(self, after: int, wait_seconds: float) -> Changes[_Decoded]:
-        """Wait until rows change after a version, or until the time has passed."""
-        return self._decode_changes(await self.rows.follow(after, wait_seconds))
+    async def follow(
+        self, after: int, wait_seconds: float, *, era: int = 0
+    ) -> Changes[_Decoded]:
+        """Wait until rows change after a version of an era, or the time has passed."""
+        changes = await self.rows.follow(after, wait_seconds, era=era)
+        return self._decode_changes(changes)
 
     def _decode_changes(self, changes: RowChanges) -> Changes[_Decoded]:
         return Changes(
             items={row.key: self._decode_row(row) for row in changes.rows},
             version=changes.version,
             confirmed_at=changes.confirmed_at,
+            era=changes.era,
             is_complete=changes.is_complete,
         )
 
--- a/src/jujubepass/forwarding/following.py
+++ b/src/jujubepass/forwarding/following.py
@@ -34,6 +34,7 @@
     """
     on_recovery: collections.abc.Callable[[float], None] | None = None
     _version: int | None = attrs.field(default=None, init=False)
+    _era: int = attrs.field(default=0, init=False)
     _outage_backoff_seconds: float = attrs.field(default=0.0, init=False)
     _reading: trio.Lock = attrs.field(factory=trio.Lock, init=False)
 
@@ -66,7 +67,7 @@
             # During an outage the store must respond at once for its return to be
             # noticed.
             wait = 0.0 if self._outage_backoff_seconds else self.find_wait()
-            changes = await self.feed.follow(self._version, wait)
+            changes = await self.feed.follow(self._version, wait, era=self._era)
         if self._outage_backoff_seconds:
             self._outage_backoff_seconds = 0.0
             _LOGGER.info("store available again", extra={"feed": self.name})
@@ -77,13 +78,14 @@
             await trio.sleep(self.find_batch_interval())
 
     def _apply_changes(self, changes: feeds.Changes[_Item]) -> None:
-        if self._version is not None and changes.version < self._version:
+        is_outdated = (changes.era, changes.version) < (self._era, self._version or 0)
+        if self._version is not None and is_outdated:
             _LOGGER.warning(
                 "ignored an outdated answer of the store",
                 extra={"feed": self.name, "version": changes.version},
             )
             return
-        self._version = changes.version
+        self._version, self._era = changes.version, changes.era
         self.apply(changes, clocks.read_boot_clock())
 
     async def _handle_outage(self, error: feeds.FeedError) -> None:
--- a/src/jujubepass/forwarding/members.py
+++ b/src/jujubepass/forwarding/members.py
@@ -61,6 +61,7 @@
     _observations: dict[ids.NodeId, _Observation] = attrs.field(
         factory=dict, init=False
     )
+    _era: int = attrs.field(default=0, init=False)
 
     @property
     def renewal_seconds(self) -> float:
@@ -70,6 +71,8 @@
 
     def apply(self, changes: feeds.Changes[Member], now: float) -> None:
         """Apply rows that were read; an unreadable row counts as removed."""
+        is_restored = changes.era != self._era
+        self._era = changes.era
         if changes.is_complete:
             for node in self._observations.keys() - changes.items.keys():
                 del self._observations[node]
@@ -78,7 +81,7 @@
             known = self._observations.get(node)
             if member is None:
                 self._observations.pop(node, None)
-            elif known is None or known.member.version != member.version:
+            elif known is None or is_restored or known.member.version != member.version:
                 self._observations[node] = _Observation(member=member, changed_at=now)
         self.blackboard.members.confirmed_at = changes.confirmed_at
         self.count(now)
@@ -116,6 +119,10 @@
             None,
         )
 
+    def record_lost_renewal(self) -> None:
+        """Record that other nodes may not count this one until it renews its row."""
+        self.blackboard.members.counted_until = float("-inf")
+
     def record_renewal(
         self, *, sent_at: float, committed_at: float, seconds: float
     ) -> None:
--- a/src/jujubepass/forwarding/metrics_page.py
+++ b/src/jujubepass/forwarding/metrics_page.py
@@ -40,6 +40,7 @@
     budgets: collections.abc.Mapping[ids.ServiceId, _retry_budget.RetryBudget],
     relay: assembly.Relay,
     signals: server_signals.ServerSignals,
+    count_eras: collections.abc.Callable[[], collections.abc.Mapping[str, int]],
     count_unreadable: collections.abc.Callable[[], collections.abc.Mapping[str, int]],
 ) -> MetricsPage:
     """Return all metrics in the Prometheus text format."""
@@ -57,6 +58,12 @@
         "feed",
         count_unreadable,
     )
+    registry.add_labelled_counter(
+        "store_eras",
+        "Returns of the store from an older copy, and answers without a valid era.",
+        "event",
+        count_eras,
+    )
     _add_budgets(registry, budgets)
     _add_members(registry, blackboard)
     _add_configuration(registry, blackboard)
--- a/src/jujubepass/forwarding/node.py
+++ b/src/jujubepass/forwarding/node.py
@@ -145,6 +145,7 @@
             address=self.settings.listen.relay,
             token=self._relay.token,
             reads_store=self._relay.reads_store,
+            wait_for_era=self._relay.area.wait_for_era,
         )
 
     def _make_followers(self) -> None:
@@ -354,6 +355,7 @@
             budgets=self._budgets,
             relay=self._relay,
             signals=self._engines.signals,
+            count_eras=self.adapter.count_eras,
             count_unreadable=self._count_unreadable,
         )
         await responder.send(200, page.data, content_type=page.content_type)
--- a/src/jujubepass/forwarding/plan_rows.py
+++ b/src/jujubepass/forwarding/plan_rows.py
@@ -16,6 +16,11 @@
     """Signal that a row contains no valid plan."""
 
 
+def make_key(service: ids.ServiceId) -> str:
+    """Return the key of a service's row."""
+    return _PREFIX + service
+
+
 def read_plan(key: str, version: int, value: typing.Any) -> plans.Plan:
     """Parse a plan from its row; raises PlanRowError."""
     if not key.startswith(_PREFIX):
@@ -48,7 +53,7 @@
     operation: _store_messages.OperationId, plan: plans.Plan
 ) -> _store_messages.Transact:
     """Return a write of a plan, on condition that its row has the plan's version."""
-    key = _PREFIX + plan.service
+    key = make_key(plan.service)
     value = {
         "revision": plan.revision,
         "author": plan.author,
@@ -69,5 +74,5 @@
     plan: plans.Plan, outcome: _store_messages.Transacted
 ) -> plans.Plan:
     """Return a plan with the row version of its write."""
-    version = outcome.versions[_PREFIX + plan.service]
+    version = outcome.versions[make_key(plan.service)]
     return attrs.evolve(plan, version=version)
--- a/src/jujubepass/forwarding/planner.py
+++ b/src/jujubepass/forwarding/planner.py
@@ -16,8 +16,10 @@
     board,
     chains,
     declarations,
+    feeds,
     members,
     placement,
+    plan_rows,
     plans,
     suspicion,
 )
@@ -80,16 +82,43 @@
     blackboard: board.Blackboard
     suspects: suspicion.Suspects
     random_source: random.Random = attrs.field(factory=random.Random)
+    _era: int = attrs.field(default=0, init=False)
+    _lost: set[ids.ServiceId] = attrs.field(factory=set, init=False)
+    """Services whose plan in force the store has lost."""
     _pending_changes: dict[ids.ServiceId, _PendingChange] = attrs.field(
         factory=dict, init=False
     )
 
+    def update_era(self, changes: feeds.Changes[plans.Plan]) -> None:
+        """Compare the plans in force with the rows of a store that went back.
+
+        A plan that the store's copy lacks stays in force and is written again.
+        """
+        if changes.era <= self._era:
+            return
+        self._era = changes.era
+        area = self.blackboard.plans
+        for service, plan in area.plans.items():
+            found = changes.items.get(plan_rows.make_key(service))
+            if found is not None and found.revision >= plan.revision:
+                # Its row is installed whatever the version in force.
+                area.plans[service] = attrs.evolve(plan, version=0)
+                continue
+            stored_version = found.version if found is not None else 0
+            area.plans[service] = attrs.evolve(plan, version=stored_version)
+            self._lost.add(service)
+            _LOGGER.warning(
+                "plan in force is missing in the store",
+                extra={"service": service, "revision": plan.revision},
+            )
+
     def install_plan(self, plan: plans.Plan) -> None:
         """Install a plan from the store."""
         area = self.blackboard.plans
         before = area.plans.get(plan.service)
         if before is not None and before.version >= plan.version:
             return
+        self._lost.discard(plan.service)
         area.plans[plan.service] = plan
         self._pending_changes.setdefault(plan.service, _PendingChange()).reason = ""
         _LOGGER.info(
@@ -187,6 +216,8 @@
                 and now - pending.listed_at >= _MIN_UNCHANGED_SECONDS
             )
             return ("first plan", 0.0) if is_unchanged else ("", 0.0)
+        if plan.service in self._lost:
+            return "lost by the store", 0.0
         self._compare(plan, pending)
         if pending.lost:
             return f"lost {', '.join(sorted(pending.lost))}", _LOSS_DELAY_SECONDS
@@ -241,7 +272,8 @@
             if candidate.name not in excluded
         ]
         placements = self._place(model, candidates, plan)
-        if plan is not None and _is_same(plan, placements, excluded):
+        is_lost = service.name in self._lost
+        if plan is not None and not is_lost and _is_same(plan, placements, excluded):
             return None
         _LOGGER.info(
             "writing a new plan",
--- a/src/jujubepass/forwarding/planning.py
+++ b/src/jujubepass/forwarding/planning.py
@@ -29,6 +29,7 @@
 
     def apply(self, changes: feeds.Changes[plans.Plan], now: float) -> None:
         """Install plans that other nodes wrote."""
+        self.controller.update_era(changes)
         for plan in changes.items.values():
             if plan is not None:
                 self.controller.install_plan(plan)
--- a/src/jujubepass/platform/assembly.py
+++ b/src/jujubepass/platform/assembly.py
@@ -69,6 +69,7 @@
             rows=store.TableFeed(store=store_client, table=store.MEMBER_TABLE),
             decode=_decode_member,
         ),
+        count_eras=store_client.eras.count,
     )
 
 
--- a/src/jujubepass/platform/store.py
+++ b/src/jujubepass/platform/store.py
@@ -10,6 +10,7 @@
 import attrs
 
 from jujubepass.forwarding import clocks, feeds
+from jujubepass.platform import eras, headers
 from jujubepass.storage import _object_client, _store_messages, _transaction_failures
 from jujubepass.transport import _http_client
 
@@ -32,9 +33,14 @@
 _FEED_TIMEOUT_MARGIN_SECONDS = 0.5
 
 
+# Alias, because a field has the same name as the module.
+_EraTracker = eras.EraTracker
+
+
 @attrs.frozen(kw_only=True)
 class _Reply:
     status: int
+    era: int
     value: dict[str, typing.Any]
     sent_at: float
     received_at: float
@@ -47,6 +53,7 @@
     client: _http_client.Client
     address: _http_client.Address
     clock: clocks.RemoteClock = attrs.field(factory=clocks.RemoteClock)
+    eras: _EraTracker = attrs.field(factory=_EraTracker)
     calls_sent: int = attrs.field(default=0, init=False)
 
     async def call(
@@ -72,11 +79,19 @@
             once=True,
         )
         received_at = clocks.read_boot_clock()
+        try:
+            era = self.eras.observe(answer.headers.get(headers.STORE_ERA))
+        except eras.OutdatedEraError as error:
+            raise _http_client.InterruptedAnswerError(str(error)) from error
         value = answer.read_json() if answer.body else {}
         if not isinstance(value, dict):
             raise _http_client.InterruptedAnswerError("answer is not a JSON object")
         return _Reply(
-            status=answer.status, value=value, sent_at=sent_at, received_at=received_at
+            status=answer.status,
+            era=era,
+            value=value,
+            sent_at=sent_at,
+            received_at=received_at,
         )
 
     async def read_table(self, table: str) -> tuple[list[typing.Any], _Reply]:
@@ -90,6 +105,8 @@
         while True:
             reply = await self._read("/v1/rows-get", query, _ANSWER_TIMEOUT_SECONDS)
             first = first or reply
+            if reply.era != first.era:
+                raise feeds.FeedError("the store's era changed between two pages")
             rows += reply.value["rows"]
             if not reply.value.get("hasMore"):
                 return rows, first
@@ -152,9 +169,17 @@
         rows, reply = await self.store.read_table(self.table)
         return self._make_changes(rows, reply, is_complete=True)
 
-    async def follow(self, after: int, wait_seconds: float) -> feeds.RowChanges:
-        """Wait until rows change after a version, or until the time has passed."""
+    async def follow(
+        self, after: int, wait_seconds: float, *, era: int = 0
+    ) -> feeds.RowChanges:
+        """Wait until rows change after a version of an era, or the time has passed."""
+        if era < self.store.eras.era:
+            raise feeds.HistoryLostError("the version is one of an earlier era")
         reply = await self.store.follow_table(self.table, after, wait_seconds)
+        if reply.era < era:
+            raise feeds.FeedError("the store answered from an earlier era")
+        if reply.era > era:
+            raise feeds.HistoryLostError("the store returned from an older copy")
         return self._make_changes(reply.value["rows"], reply, is_complete=False)
 
     def _make_changes(
@@ -165,6 +190,7 @@
             rows=tuple(self._read_row(row) for row in by_key.values()),
             version=int(reply.value["ver"]),
             confirmed_at=self.store.compute_confirmed_at(reply),
+            era=reply.era,
             is_complete=is_complete,
         )
 
--- a/src/jujubepass/relay/area.py
+++ b/src/jujubepass/relay/area.py
@@ -30,9 +30,11 @@
     )
     _changed: trio.Event = attrs.field(factory=trio.Event, init=False)
 
-    def apply(self, name: str, changes: feeds.RowChanges) -> None:
+    def apply(
+        self, name: str, changes: feeds.RowChanges, *, restarts: bool = False
+    ) -> None:
         """Apply rows of a table and wake what waits for them."""
-        if not self.histories[name].apply(changes):
+        if not self.histories[name].apply(changes, restarts=restarts):
             return
         self._table_changed[name].set()
         self._table_changed[name] = trio.Event()
@@ -44,6 +46,11 @@
         with trio.move_on_after(seconds):
             await self._table_changed[name].wait()
 
+    async def wait_for_era(self, era: int) -> None:
+        """Wait until rows of any table are of a later era."""
+        while all(each.era <= era for each in self.histories.values()):
+            await self._changed.wait()
+
     async def wait(self) -> None:
         """Wait until rows of any table are applied."""
         await self._changed.wait()
--- a/src/jujubepass/relay/codec.py
+++ b/src/jujubepass/relay/codec.py
@@ -27,6 +27,7 @@
     """Describe what the asking node has of a table."""
 
     version: int | None
+    era: int
     confirmed_at: float | None
     """Confirmation that it got from the same node, on that node's clock."""
 
@@ -56,7 +57,7 @@
 def write_query(query: Query, token: str) -> bytes:
     """Encode a query for the node that holds a token."""
     positions = {
-        name: [each.version, each.confirmed_at]
+        name: [each.version, each.era, each.confirmed_at]
         for name, each in query.positions.items()
     }
     value = [
@@ -82,9 +83,10 @@
             positions={
                 str(name): Position(
                     version=_read_optional(int, version),
+                    era=int(era),
                     confirmed_at=_read_optional(float, confirmed_at),
                 )
-                for name, (version, confirmed_at) in positions.items()
+                for name, (version, era, confirmed_at) in positions.items()
             },
         )
     except (KeyError, TypeError, ValueError, AttributeError) as error:
@@ -97,6 +99,7 @@
         name: [
             [[row.key, row.version, row.value] for row in each.rows],
             each.version,
+            each.era,
             each.confirmed_at,
             each.is_complete,
             each.origin,
@@ -124,13 +127,14 @@
 
 
 def _read_changes(value: typing.Any) -> feeds.RowChanges:
-    rows, version, confirmed_at, is_complete, origin, hops = value
+    rows, version, era, confirmed_at, is_complete, origin, hops = value
     return feeds.RowChanges(
         rows=tuple(
             feeds.Row(key=str(key), version=int(row_version), value=row_value)
             for key, row_version, row_value in rows
         ),
         version=int(version),
+        era=int(era),
         confirmed_at=float(confirmed_at),
         is_complete=is_complete is True,
         origin=str(origin),
--- a/src/jujubepass/relay/feed.py
+++ b/src/jujubepass/relay/feed.py
@@ -50,6 +50,7 @@
     """Position in the range of ages at which this node reads the store itself."""
     _is_failing: bool = attrs.field(default=False, init=False)
     """Whether the last read of the store failed."""
+    _has_lost_history: bool = attrs.field(default=False, init=False)
     _read_not_before: float = attrs.field(default=float("-inf"), init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -63,23 +64,29 @@
             self._read_not_before = clocks.read_boot_clock() + _SETTLE_SECONDS
             await self._wait_at_start()
             if history.version is not None:
-                return self._return_since(None)
+                return self._return_since(None, history.era)
         if self._is_failing and clocks.read_boot_clock() < self._read_not_before:
             raise feeds.FeedError("the store has just failed")
         self.reads[sources.ReadReason.START.value] += 1
-        self._apply(await self.store.read())
-        return self._return_since(None)
-
-    async def follow(self, after: int, wait_seconds: float) -> feeds.RowChanges:
+        changes = await self.store.read()
+        self.area.apply(self.name, changes, restarts=self._has_lost_history)
+        self._has_lost_history = False
+        return self._return_since(None, history.era)
+
+    async def follow(
+        self, after: int, wait_seconds: float, *, era: int = 0
+    ) -> feeds.RowChanges:
         """Return the rows that changed after a version, or a later confirmation.
 
         Only a reader keeps to the wait; others wait until their rows are too old.
         """
         history = self.area.histories[self.name]
         while True:
-            is_ahead = history.version is not None and history.version >= after
+            is_ahead = history.version is not None and (
+                (history.era, history.version) >= (era, after)
+            )
             if is_ahead and history.confirmed_at > self._returned_at:
-                return self._return_since(after)
+                return self._return_since(after, era)
             reason = self._find_reason(clocks.read_boot_clock())
             if reason is None:
                 await self.area.wait_for_table(self.name, self._find_wait())
@@ -88,8 +95,10 @@
                 reason is not sources.ReadReason.ROWS_OLD and not self._is_failing
             )
             try:
-                await self._follow_store(after, wait_seconds if is_waiting else 0.0)
+                wait = wait_seconds if is_waiting else 0.0
+                await self._follow_store(after, wait, era)
             except feeds.HistoryLostError:
+                self._has_lost_history = True
                 raise
             except feeds.FeedError as error:
                 self._record_failure(error)
@@ -101,7 +110,7 @@
                 self._is_failing = False
                 if self.name == area.REFERENCE_FEED_NAME:
                     self.controller.record_read(reason)
-                return self._return_since(after)
+                return self._return_since(after, era)
 
     async def _wait_at_start(self) -> None:
         """Wait until another node has sent rows, or none is known that may."""
@@ -143,11 +152,12 @@
         least, most = self.find_read_ages()
         return history.confirmed_at + least + self._age_share * (most - least)
 
-    async def _follow_store(self, after: int, wait_seconds: float) -> None:
-        known = self.area.histories[self.name].version
+    async def _follow_store(self, after: int, wait_seconds: float, era: int) -> None:
+        history = self.area.histories[self.name]
         # Changes that another node sent in the meantime need not be read again.
-        position = after if known is None else max(after, known)
-        self._apply(await self.store.follow(position, wait_seconds))
+        if history.version is not None:
+            era, after = max((era, after), (history.era, history.version))
+        self._apply(await self.store.follow(after, wait_seconds, era=era))
         self._age_share = self.random_source.random()
 
     def _record_failure(self, error: feeds.FeedError) -> None:
@@ -164,7 +174,7 @@
     def _apply(self, changes: feeds.RowChanges) -> None:
         self.area.apply(self.name, changes)
 
-    def _return_since(self, after: int | None) -> feeds.RowChanges:
+    def _return_since(self, after: int | None, era: int) -> feeds.RowChanges:
         history = self.area.histories[self.name]
         self._returned_at = history.confirmed_at
-        return history.find_since(after)
+        return history.find_since(after, era)
--- a/src/jujubepass/relay/links.py
+++ b/src/jujubepass/relay/links.py
@@ -112,7 +112,7 @@
             nonce=query.nonce,
             now=clocks.read_boot_clock(),
             changes={
-                name: self._find_changes(name, position.version)
+                name: self._find_changes(name, position)
                 for name, position in query.positions.items()
                 if name in self.area.histories
                 and self.area.histories[name].version is not None
@@ -120,8 +120,9 @@
         )
         return codec.write_report(report, self.token)
 
-    def _find_changes(self, name: str, after: int | None) -> feeds.RowChanges:
-        changes = self.area.histories[name].find_since(after)
+    def _find_changes(self, name: str, position: codec.Position) -> feeds.RowChanges:
+        history = self.area.histories[name]
+        changes = history.find_since(position.version, position.era)
         return attrs.evolve(
             changes, origin=changes.origin or self.node, hops=changes.hops + 1
         )
@@ -232,7 +233,9 @@
             wait_seconds=wait_seconds,
             positions={
                 name: codec.Position(
-                    version=each.version, confirmed_at=link.confirmed_at.get(name)
+                    version=each.version,
+                    era=each.era,
+                    confirmed_at=link.confirmed_at.get(name),
                 )
                 for name, each in self.area.histories.items()
             },
