--- a/src/jujubepass/forwarding/metrics_page.py
+++ b/src/jujubepass/forwarding/metrics_page.py
@@ -52,18 +52,7 @@
     _add_calls(registry, client, orders, choice)
     _add_signals(registry, signals)
     _add_relay(registry, relay)
-    registry.add_labelled_counter(
-        "unreadable_rows",
-        "Rows of the store that could not be decoded.",
-        "feed",
-        count_unreadable,
-    )
-    registry.add_labelled_counter(
-        "store_eras",
-        "Returns of the store from an older copy, and answers without a valid era.",
-        "event",
-        count_eras,
-    )
+    _add_store(registry, count_unreadable, count_eras)
     _add_budgets(registry, budgets)
     _add_members(registry, blackboard)
     _add_configuration(registry, blackboard)
@@ -105,6 +94,25 @@
     )
 
 
+def _add_store(
+    registry: _metric_registry.Registry,
+    count_unreadable: collections.abc.Callable[[], collections.abc.Mapping[str, int]],
+    count_eras: collections.abc.Callable[[], collections.abc.Mapping[str, int]],
+) -> None:
+    registry.add_labelled_counter(
+        "unreadable_rows",
+        "Rows of the store that could not be decoded.",
+        "feed",
+        count_unreadable,
+    )
+    registry.add_labelled_counter(
+        "store_eras",
+        "Returns of the store from an older copy, and answers without a valid era.",
+        "event",
+        count_eras,
+    )
+
+
 def _add_signals(
     registry: _metric_registry.Registry, signals: server_signals.ServerSignals
 ) -> None:
