Keep restored lists and reads of a new era within bounds

Found on reading the change of eras again; callers would have seen engines missing, and the store calls without a pause.

- A server that had lapsed and registered again was taken for removed when the store returned from a copy.
It is forgotten as removed once it is back.
- A node whose reads of nodes' rows failed while another table was of a new era repeated them without a pause.
- Complete rows of a lower version are accepted after lost history from a store without eras only; with eras they cannot be right.

--- a/src/jujubepass/forwarding/announcing.py
+++ b/src/jujubepass/forwarding/announcing.py
@@ -72,8 +72,16 @@
         while True:
             succeeded = await self.renew_and_read()
             jitter = 1.0 - self.random_source.uniform(0.0, _JITTER_SHARE)
-            with trio.move_on_after(self._find_interval(succeeded) * jitter):
-                await self.wait_for_era(self._era or 0)
+            await self._wait(self._find_interval(succeeded) * jitter, succeeded)
+
+    async def _wait(self, seconds: float, succeeded: bool) -> None:
+        """Wait until the next read, which is due at once in a new era of the store."""
+        if not succeeded:
+            # Rows of another table may be of the new era already.
+            await trio.sleep(seconds)
+            return
+        with trio.move_on_after(seconds):
+            await self.wait_for_era(self._era or 0)
 
     def _find_interval(self, succeeded: bool) -> float:
         if not succeeded:
--- a/src/jujubepass/forwarding/backend_list.py
+++ b/src/jujubepass/forwarding/backend_list.py
@@ -111,6 +111,7 @@
 
     def _add(self, backend: backends.Backend, now: float) -> None:
         backend = self._apply_leaving(backend)
+        self._removed.pop(backend.name, None)
         before = self.area.listed.get(backend.name)
         self.area.listed[backend.name] = backend
         self.area.revision += 1
--- a/src/jujubepass/relay/history.py
+++ b/src/jujubepass/relay/history.py
@@ -38,7 +38,7 @@
         is_known = self.version is not None and changes.era == self.era
         if not changes.is_complete and not is_known:
             return False
-        restarts = restarts and changes.is_complete
+        restarts = restarts and changes.is_complete and changes.era == 0
         if is_known and not restarts and changes.version < (self.version or 0):
             return False
         if changes.is_complete:
--- a/tests/features/steps/store_eras_steps.py
+++ b/tests/features/steps/store_eras_steps.py
@@ -1,19 +1,24 @@
 import time
+import unittest.mock
 
 import attrs
 import behave
+import trio
+import trio.testing
 
 from jujubepass import ids
 from jujubepass.forwarding import (
+    announcing,
     backends,
     board,
+    clocks,
     feeds,
     members,
     plan_rows,
 )
 from jujubepass.platform import eras
 from standins import forwarding_system, processes
-from tests import small_fleet
+from tests import relay_fleet, small_fleet
 
 LOST_ENGINES = ("e3", "f2")
 
@@ -150,14 +155,16 @@
     assert context.fleet.plan == context.stored
 
 
-@behave.when("one engine is listed as draining and another is removed")
+@behave.when("one engine is listed as draining, another is removed and a third is back")
 def step_leave(context):
     fleet = context.fleet
     context.copy = dict(fleet.blackboard.backends.listed)
-    context.left, context.gone = list(context.copy)[:2]
+    context.left, context.gone, context.back = list(context.copy)[:3]
     draining = backends.BackendState.DRAINING
     fleet.list_engines([attrs.evolve(context.copy[context.left], state=draining)])
     fleet.list_engines([], gone=[context.gone])
+    fleet.list_engines([], gone=[context.back])
+    fleet.list_engines([context.copy[context.back]])
     assert context.gone not in fleet.blackboard.backends.listed
 
 
@@ -183,11 +190,12 @@
     list_copy(context)
 
 
-@behave.then("the first is still draining and the second is not listed")
+@behave.then("the first is still draining, the second is not listed and the third is")
 def step_not_back(context):
     listed = context.fleet.blackboard.backends.listed
     assert listed[context.left].state is backends.BackendState.DRAINING
     assert context.gone not in listed
+    assert context.back in listed
 
 
 @behave.when("a new run of each is listed")
@@ -247,6 +255,59 @@
     assert 0.0 < share < 0.2 / 9, share
 
 
+class FailingFeed:
+    """Fail each read of nodes' rows and count them."""
+
+    reads = 0
+
+    async def read(self):
+        self.reads += 1
+        raise feeds.FeedError("connection refused")
+
+
+@behave.given("a node whose reads of nodes' rows fail")
+def step_failing_feed(context):
+    context.feed = FailingFeed()
+
+
+@behave.when("rows of another table are of a new era for {seconds:d} seconds")
+def step_other_era(context, seconds):
+    area = board.Blackboard(
+        node=ids.NodeId("n0"), failure_domain=ids.FailureDomainId("a")
+    )
+
+    async def pass_at_once(_era):
+        await trio.lowlevel.checkpoint()
+
+    async def run():
+        announcer = announcing.Announcer(
+            blackboard=area,
+            controller=members.MemberController(blackboard=area),
+            table=relay_fleet.MemberTable(store=relay_fleet.Store(), node=ReadyNode()),
+            feed=context.feed,
+            wait_for_era=pass_at_once,
+        )
+        with trio.move_on_after(seconds):
+            await announcer.run()
+
+    with unittest.mock.patch.object(clocks, "read_boot_clock", trio.current_time):
+        trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0.0))
+
+
+class ReadyNode:
+    """Stand for a node that the simulated store serves."""
+
+    name = "n0"
+
+    async def wait_while_frozen(self):
+        pass
+
+
+@behave.then("it has read the rows of nodes at most {count:d} times")
+def step_few_reads(context, count):
+    assert 0 < context.feed.reads <= count, context.feed.reads
+
+
 def refuses_key(context, node):
     answer = context.system.send_request(
         node, "GET", forwarding_system.LOOKUP_PATH, key="ben-key-1"
--- a/tests/features/store_eras.feature
+++ b/tests/features/store_eras.feature
@@ -26,9 +26,9 @@
 
   Scenario: Servers that left do not return with an older copy of the list
     Given a planned fleet with a drain bound of 2000 milliseconds
-    When one engine is listed as draining and another is removed
+    When one engine is listed as draining, another is removed and a third is back
     And the store returns with an older copy of the list
-    Then the first is still draining and the second is not listed
+    Then the first is still draining, the second is not listed and the third is
     When a new run of each is listed
     Then both are ready
 
@@ -38,6 +38,11 @@
     Then it takes no part of the retry slack until it has renewed its row
     And it takes a newcomer's part then
 
+  Scenario: A node that cannot read the rows of nodes in a new era asks at intervals
+    Given a node whose reads of nodes' rows fail
+    When rows of another table are of a new era for 10 seconds
+    Then it has read the rows of nodes at most 6 times
+
   Scenario: Node processes go on with a store that returned from an older copy
     Given a system on the platform
     When a key is removed and an engine is lost after the store's copy was taken
