--- a/tests/features/steps/store_client_steps.py
+++ b/tests/features/steps/store_client_steps.py
@@ -9,6 +9,9 @@
 
 KEY = "plan/a"
 
+# Era of the stand-in's answers before it has returned from a copy.
+FIRST_ERA = 1
+
 
 @behave.given("the store's stand-in")
 def step_store(context):
@@ -127,7 +130,9 @@
     async def use(rows):
         table = store.TableFeed(store=rows, table="servers")
         feed = feeds.DecodedFeed(rows=table, decode=decode)
-        return await feed.follow(after, 0.2) if after is not None else await feed.read()
+        if after is None:
+            return await feed.read()
+        return await feed.follow(after, 0.2, era=FIRST_ERA)
 
     return run(context, use)
 
