--- a/tests/features/steps/relay_process_steps.py
+++ b/tests/features/steps/relay_process_steps.py
@@ -7,8 +7,6 @@
 DOMAINS = 2
 NODES = 24
 IDLE_SECONDS = 6.0
-# The bounds of a platform with failure domains of this size.
-BOUND_MILLISECONDS = 3_000
 # Until each node has read the rows of the others.
 SETTLE_SECONDS = 20.0
 
@@ -31,14 +29,36 @@
 
 @behave.given("24 node processes in two failure domains")
 def step_start(context):
+    start_system(context)
+
+
+@behave.given(
+    "24 node processes in two failure domains with bounds of {bound:d} milliseconds"
+)
+def step_start_with_bounds(context, bound):
+    start_system(context, bound_milliseconds=bound)
+
+
+def start_system(context, **bounds):
     context.system = forwarding_system.ForwardingSystem(
-        first_port=context.first_port, bound_milliseconds=BOUND_MILLISECONDS
+        first_port=context.first_port, **bounds
     )
     context.add_cleanup(context.system.processes.close)
     context.system.start_all(nodes=NODES)
     time.sleep(SETTLE_SECONDS)
 
 
+@behave.then(
+    "the store is called at most {rate:d} times a second for each failure domain"
+)
+def step_idle_call_rate(context, rate):
+    before, began = sum(count_calls(context.system)), time.monotonic()
+    time.sleep(IDLE_SECONDS)
+    calls = sum(count_calls(context.system)) - before
+    allowed = rate * DOMAINS * (time.monotonic() - began)
+    assert calls <= allowed, (calls, allowed)
+
+
 @behave.then(
     "the store is read at most {rate:d} times a second for each failure domain"
     " and written to once in {interval:d} seconds by each node"
