Log the version of admission, discarded input and broken connections

The log could not tell a request that a newer configuration ended from one that silence ended, and said nothing of input that the listener read while closing, or of an error of another connection that ends a caller's. No decision changes.

--- a/src/jujubepass/forwarding/forwarder.py
+++ b/src/jujubepass/forwarding/forwarder.py
@@ -76,6 +76,7 @@
         if isinstance(found, exchange.Admitted):
             inputs["route"] = found.route.name
             inputs["service"] = found.service.name
+            inputs["admitted_version"] = str(found.version)
             if found.account is not None:
                 inputs["account"] = found.account.name
         area = self.blackboard.configuration
--- a/src/jujubepass/transport/_http_server.py
+++ b/src/jujubepass/transport/_http_server.py
@@ -116,7 +116,7 @@
             self.connections -= 1
             deadline = trio.current_time() + _CLOSE_TIMEOUT_SECONDS
             with trio.CancelScope(shield=True, deadline=deadline):
-                await _close(stream)
+                await self._close(stream)
             await trio.aclose_forcefully(stream)
 
     async def _refuse_connection(self, stream: trio.SocketStream) -> None:
@@ -130,13 +130,29 @@
                         connection=connection, stream=stream, closing=lambda: True
                     )
                     await _send_too_many_connections(responder, self.limits.connections)
-                    await _close(stream)
+                    await self._close(stream)
         except trio.BrokenResourceError:
             _LOGGER.debug("connection broke while being refused")
         finally:
             self._running_refusals -= 1
             await trio.aclose_forcefully(stream)
 
+    async def _close(self, stream: trio.SocketStream) -> None:
+        """Close without a reset, which would discard a response in transit."""
+        discarded_bytes = 0
+        try:
+            await stream.send_eof()
+            while data := await stream.receive_some(_RECEIVE_BUFFER_BYTES):
+                discarded_bytes += len(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            _LOGGER.debug("connection was already closed")
+        finally:
+            if discarded_bytes:
+                _LOGGER.info(
+                    "discarded input of a connection being closed",
+                    extra={"bytes": discarded_bytes},
+                )
+
     async def _serve_requests(self, stream: trio.SocketStream) -> None:
         connection = h11.Connection(
             h11.SERVER, max_incomplete_event_size=self.limits.header_bytes
@@ -180,8 +196,11 @@
                 await self._handler(request, responder)
             except _rejections.RejectedInputError as error:
                 await _reject(connection, responder, error)
-            except (trio.BrokenResourceError, trio.ClosedResourceError):
-                _LOGGER.debug("caller closed the connection")
+            except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+                _LOGGER.info(
+                    "connection broke before the end of the answer",
+                    extra={"peer": request.peer, "detail": str(error)},
+                )
             except h11.LocalProtocolError as error:
                 _LOGGER.warning("response ended early: %s", error)
             except Exception:
@@ -313,16 +332,6 @@
         await responder.send_problem(error.status, error.code, error.detail)
 
 
-async def _close(stream: trio.SocketStream) -> None:
-    """Close without a reset, which would discard a response in transit."""
-    try:
-        await stream.send_eof()
-        while await stream.receive_some(_RECEIVE_BUFFER_BYTES):
-            continue
-    except (trio.BrokenResourceError, trio.ClosedResourceError):
-        _LOGGER.debug("connection was already closed")
-
-
 async def _send_too_many_connections(responder: Responder, limit: int) -> None:
     detail = f"This listener has {limit} connections open. Close idle ones, then retry."
     code = "too_many_connections"
