Complete requests that may have run as they were admitted

Callers' streams ended in the middle, and lookups were answered 502, when an attempt broke after a change of the configuration had dropped the key, the route or the service, or while the store was away for longer than keys may go unconfirmed.

Cause: both exchanges admitted a request again before each attempt, under the configuration in force at that moment. For a request that has not run, a refusal is true and useful. For one that may have run it can only lose the answer: nothing is undone by it, and the caller is left without an end or with an unknown outcome. A server that is silent for a second is enough to break an attempt.

Change: only requests that have not run are admitted again. One that may have run goes on to its deadline under the configuration that admitted it, as its unbroken first run would have.

The six scenarios of accepted_requests that failed before (streams after the loss of key, route, service and store; lookups after the loss of key and route) pass, and the one that refuses a request without a run still does.

--- a/src/jujubepass/forwarding/service_exchange.py
+++ b/src/jujubepass/forwarding/service_exchange.py
@@ -132,9 +132,11 @@
         route = admitted.route
         while True:
             now = clocks.read_boot_clock()
-            checked = self.admission_control.admit(request, now)
-            if isinstance(checked, admission.Refusal):
-                return _make_refusal(checked, progress)
+            # What may have run is completed as it was admitted.
+            if not progress.may_have_run:
+                checked = self.admission_control.admit(request, now)
+                if isinstance(checked, admission.Refusal):
+                    return checked
             backend = self.choice.choose(admitted.service.name, progress.tried, now)
             if backend is None:
                 end = self.choice.find_end_of_silence(admitted.service.name, now)
@@ -280,13 +282,6 @@
     )
 
 
-def _make_refusal(refusal: admission.Refusal, progress: _Progress) -> admission.Refusal:
-    """Replace a refusal by OUTCOME_UNKNOWN if an attempt may have run."""
-    if progress.may_have_run:
-        return admission.Refusal(reason=reasons.RefusalReason.OUTCOME_UNKNOWN)
-    return refusal
-
-
 def _log_attempt(
     request: exchange.CallerRequest,
     backend: backends.Backend,
--- a/src/jujubepass/forwarding/stream_exchange.py
+++ b/src/jujubepass/forwarding/stream_exchange.py
@@ -147,9 +147,11 @@
     ) -> admission.Refusal | None:
         """Return why the attempt must not be sent now, or None."""
         now = clocks.read_boot_clock()
-        checked = self.admission_control.admit(request, now)
-        if isinstance(checked, admission.Refusal):
-            return checked
+        # What has run is completed as it was admitted: a refusal would lose its answer.
+        if not progress.runs:
+            checked = self.admission_control.admit(request, now)
+            if isinstance(checked, admission.Refusal):
+                return checked
         if pipeline is None:
             return self._refuse_without_pipeline(admitted)
         if self._outlasts_node(request, pipeline, progress, now):
