Keep idle connections for a raised idle limit

Callers that kept a connection by the new idle limit had it closed under them: their request was read and dropped without an answer, as the connection went on being closed.

Cause: the deadline of an idle connection was set when it became idle, by the limit of that moment. A configuration that raises the limit left it as it was.

Change: when the limits change, connections that are idle get the later of both deadlines. A lowered limit closes none sooner than their callers expect.

The scenario of accepted_requests failed before (no answer) and passes; the one of a lowered limit passes on both.

--- a/src/jujubepass/transport/_http_server.py
+++ b/src/jujubepass/transport/_http_server.py
@@ -58,15 +58,27 @@
 
     def __init__(self, *, handler: Handler, limits: ServerLimits | None = None) -> None:
         self._handler = handler
-        self.limits = limits or ServerLimits()
+        self._limits = limits or ServerLimits()
         self._stopping = trio.Event()
         self._draining = False
-        self._idle_scopes: set[trio.CancelScope] = set()
+        self._idle_since: dict[trio.CancelScope, float] = {}
         self._running_refusals = 0
         self.connections = 0
         self.refused_connections = 0
         self.running_requests = 0
 
+    @property
+    def limits(self) -> ServerLimits:
+        """Return the limits in force."""
+        return self._limits
+
+    @limits.setter
+    def limits(self, limits: ServerLimits) -> None:
+        """Apply changed limits; idle connections keep a later deadline."""
+        self._limits = limits
+        for scope, since in self._idle_since.items():
+            scope.deadline = max(scope.deadline, since + limits.idle_timeout_seconds)
+
     async def serve(
         self,
         host: str,
@@ -100,7 +112,7 @@
     def stop(self) -> None:
         """Stop accepting; idle connections close, running requests finish."""
         self._stopping.set()
-        for scope in list(self._idle_scopes):
+        for scope in list(self._idle_since):
             scope.cancel()
 
     async def _serve_connection(self, stream: trio.SocketStream) -> None:
@@ -252,8 +264,9 @@
         self, connection: h11.Connection, stream: trio.SocketStream
     ) -> h11.Request | None:
         with trio.CancelScope() as idle:
-            self._idle_scopes.add(idle)
-            idle.deadline = trio.current_time() + self.limits.idle_timeout_seconds
+            now = trio.current_time()
+            self._idle_since[idle] = now
+            idle.deadline = now + self.limits.idle_timeout_seconds
             if self._stopping.is_set():
                 idle.cancel()
             try:
@@ -264,7 +277,7 @@
             except trio.BrokenResourceError:
                 return None
             finally:
-                self._idle_scopes.discard(idle)
+                del self._idle_since[idle]
         if idle.cancelled_caught:
             return None
         with trio.move_on_after(self.limits.receive_timeout_seconds):
--- a/tests/features/accepted_requests.feature
+++ b/tests/features/accepted_requests.feature
@@ -53,5 +53,11 @@
   Scenario: A connection that was idle before its limit was raised is used again
     Given a system on the platform
     And an idle limit of 1 second
-    When a caller's connection is idle for 2 seconds and the limit is raised meanwhile
+    When a caller's connection is idle for 2 seconds and the limit becomes 10 s
+    Then a request on that connection is answered with 200
+
+  # Guards against closing connections that callers keep by the limit they know.
+  Scenario: A connection that was idle before its limit was lowered is used again
+    Given a system on the platform
+    When a caller's connection is idle for 2 seconds and the limit becomes 1 s
     Then a request on that connection is answered with 200
--- a/tests/features/steps/accepted_requests_steps.py
+++ b/tests/features/steps/accepted_requests_steps.py
@@ -221,16 +221,16 @@
 
 
 @behave.when(
-    "a caller's connection is idle for {seconds:d} seconds and the limit is raised "
-    "meanwhile"
+    "a caller's connection is idle for {seconds:d} seconds and the limit becomes "
+    "{limit:d} s"
 )
-def step_idle(context, seconds):
+def step_idle(context, seconds, limit):
     port = context.system.nodes["n1"].callers
     connection = socket.create_connection((processes.HOST, port), timeout=5.0)
     context.add_cleanup(connection.close)
     assert exchange_lookup(connection, "idle-1").startswith(b"HTTP/1.1 200")
     idle_since = time.monotonic()
-    set_idle_limit(context, 5, 10)
+    set_idle_limit(context, 5, limit)
     time.sleep(max(0.0, idle_since + seconds - time.monotonic()))
     context.answer = exchange_lookup(connection, "idle-2")
 
