Let streams that may not be repeated outlast a silent engine

Callers' streams on routes whose answers may not be repeated ended in the middle when an engine of the pipeline was silent for a second and went on.

The attempt to move the stream to other engines failed, as the first engine must stay, and a failed move aborted the attempt. Another attempt is not allowed there, so that the answer ended.

Change: an attempt that may not be repeated is aborted only once its first engine has ended or started anew, and the caller's time-out is near. Until then a failed move is tried again twice a second.

--- a/src/jujubepass/forwarding/stall_watch.py
+++ b/src/jujubepass/forwarding/stall_watch.py
@@ -21,6 +21,8 @@
 # stall.
 _OVERDUE_INTERVAL_SECONDS = 0.025
 _MAX_INTERVAL_SECONDS = 0.1
+# Interval between attempts to move a stream that may not be repeated.
+_MOVE_INTERVAL_SECONDS = 0.5
 # The engines are probed for a slowdown once the first event is later than this share of
 # the time after which a stream counts as suspicious.
 _LATE_FIRST_EVENT_SHARE = 1.0
@@ -48,8 +50,10 @@
         is_repeatable: bool,
     ) -> collections.abc.Iterator[watched_streams.WatchedStream]:
         """Watch a stream during the block; abort the block if the stream fails."""
+        first = self.blackboard.backends.listed.get(pipeline.stages[0].engine)
         stream = watched_streams.WatchedStream(
             pipeline=pipeline,
+            first_started_at=first.started_at if first is not None else 0,
             request=request,
             timeouts=timeouts,
             is_repeatable=is_repeatable,
@@ -105,6 +109,7 @@
             now,
             has_unavailable=bool(unavailable),
             is_overtaken=self._is_overtaken(stream),
+            has_ended=self._has_ended(stream),
         )
         late_seconds = (
             _LATE_FIRST_EVENT_SHARE * stream.timeouts.first_suspicious_seconds
@@ -127,6 +132,11 @@
             return False
         return any(stream.is_overtaken_by(other) for other in self._streams)
 
+    def _has_ended(self, stream: watched_streams.WatchedStream) -> bool:
+        """Return whether the first engine has ended or started anew meanwhile."""
+        listed = self.blackboard.backends.listed.get(stream.pipeline.stages[0].engine)
+        return listed is None or listed.started_at != stream.first_started_at
+
     def _list_unavailable(
         self, stream: watched_streams.WatchedStream
     ) -> frozenset[ids.BackendServerId]:
@@ -142,10 +152,18 @@
         stream: watched_streams.WatchedStream,
         unavailable: frozenset[ids.BackendServerId],
     ) -> None:
-        """Replace the unavailable engines of a stream, or else abort the attempt."""
+        """Replace the unavailable engines of a stream, or else abort the attempt.
+
+        An attempt that may not be repeated waits, as its engines may only be silent.
+        """
         try:
-            if not await self.mover.move(stream, unavailable):
+            if await self.mover.move(stream, unavailable):
+                return
+            if stream.is_repeatable:
                 self._abort(stream, unavailable)
+            else:
+                now = trio.current_time()
+                stream.move_not_before = now + _MOVE_INTERVAL_SECONDS
         finally:
             stream.is_moving = False
 
--- a/src/jujubepass/forwarding/watched_streams.py
+++ b/src/jujubepass/forwarding/watched_streams.py
@@ -53,8 +53,11 @@
     last_data_at: float = attrs.field(factory=trio.current_time)
     has_begun: bool = False
     reason: str = ""
-
+    first_started_at: int = 0
+    """Start time of the first engine's run at the start of the stream."""
     is_moving: bool = False
+    move_not_before: float = float("-inf")
+    """Time of trio's clock before which no further move is attempted."""
     is_repeatable: bool = True
     chunks: int = 0
     began_at: float = attrs.field(factory=trio.current_time)
@@ -98,12 +101,18 @@
         )
 
     def classify_stall(
-        self, now: float, *, has_unavailable: bool, is_overtaken: bool = False
+        self,
+        now: float,
+        *,
+        has_unavailable: bool,
+        is_overtaken: bool = False,
+        has_ended: bool = False,
     ) -> StallAction:
         """Classify a stall by whether an engine of the pipeline is unavailable.
 
         Engines process prompts in order: if later streams from the same engine begin
-        first, the answer of this stream is lost.
+        first, the answer of this stream is lost. An answer that may not be repeated is
+        lost only if the run of its first engine has ended.
         """
         stall_seconds = now - self.last_data_at
         timeouts = self.timeouts
@@ -117,13 +126,13 @@
             if self.has_begun
             else timeouts.first_suspicious_seconds
         )
-        if stall_seconds >= timeout:
+        if stall_seconds >= timeout and (self.is_repeatable or has_ended):
             return StallAction.ABORT
         if is_overtaken and not self.has_begun and stall_seconds >= suspicious_seconds:
             return StallAction.ABORT
         if stall_seconds < self._find_overdue_seconds():
             return StallAction.CONTINUE
-        if has_unavailable:
+        if has_unavailable and now >= self.move_not_before:
             return StallAction.MOVE
         return (
             StallAction.PROBE_FIRST
