--- a/standins/path_engine.py
+++ b/standins/path_engine.py
@@ -88,6 +88,7 @@
         elif request.path == "/counts":
             counts = {
                 "runs": dict(self._runs),
+                "running": list(self._pipelines),
                 "refused": self._refused,
                 "refused_at": self._refused_at,
                 "bad_paths": self._invalid_pipelines,
--- a/tests/features/accepted_requests.feature
+++ b/tests/features/accepted_requests.feature
@@ -49,6 +49,13 @@
     When all engines are silent for a second during a stream
     Then the answer has each event once and in order
 
+  # Guards against cutting off a stream after a number of interrupted attempts,
+  # although each of them continued the answer.
+  Scenario: A stream outlasts engines that are silent in turn for a second each
+    Given a system on the platform
+    When the engine that runs a stream is silent for a second, 5 times
+    Then the answer has each event once and in order
+
   # Guards against closing connections by an idle limit that is no longer in force.
   Scenario: A connection that was idle before its limit was raised is used again
     Given a system on the platform
--- a/tests/features/steps/accepted_requests_steps.py
+++ b/tests/features/steps/accepted_requests_steps.py
@@ -8,6 +8,7 @@
 from standins import forwarding_system, processes
 
 EVENTS = 150
+LONG_EVENTS = 350
 # A sound server may be silent for about a second.
 SILENCE_SECONDS = 1.0
 ENGINES = tuple(each for each in forwarding_system.MEMBERS if each.kind)
@@ -29,12 +30,12 @@
     context.background.start()
 
 
-def start_stream(context):
+def start_stream(context, events=EVENTS):
     """Start a stream in the background and wait until an engine runs it."""
     system = context.system
     previous = system.last_request
-    context.events = EVENTS
-    send_in_background(context, lambda: system.request_stream("n1", EVENTS))
+    context.events = events
+    send_in_background(context, lambda: system.request_stream("n1", events))
     processes.wait_for(
         lambda: (
             system.last_request != previous and system.count_runs(system.last_request)
@@ -195,6 +196,25 @@
     silence(context, [each.name for each in ENGINES])
 
 
+def list_running_engines(context):
+    """Return the engines that run the last request as the first one."""
+    request = context.system.last_request
+    counts = {each.name: context.system.read_counts(each.name) for each in ENGINES}
+    return [name for name, found in counts.items() if request in found["running"]]
+
+
+@behave.when("the engine that runs a stream is silent for a second, {times:d} times")
+def step_silent_in_turn(context, times):
+    start_stream(context, LONG_EVENTS)
+    for _ in range(times):
+        time.sleep(0.2)
+        processes.wait_for(
+            lambda: not context.background.is_alive() or list_running_engines(context),
+            "an engine that runs the stream, or its end",
+        )
+        silence(context, list_running_engines(context))
+
+
 @behave.given("an idle limit of {seconds:d} second")
 def step_idle_limit(context, seconds):
     set_idle_limit(context, 3, seconds)
