Log the parts and the events of runs that broke

Requests with one part in their prompts crashed engine after engine. The logs named the requests and engines, but neither the parts of the prompts nor the events of the run that broke, so that crashes could not be linked to what the requests share, nor repeats of one request told from new ones.

The header field that lists the parts is parsed (all but the last; a malformed list counts as none) and still goes on unchanged. Lines of broken attempts carry the first eight parts and the events of that run.

--- a/src/jujubepass/forwarding/exchange.py
+++ b/src/jujubepass/forwarding/exchange.py
@@ -31,6 +31,8 @@
     fields: Fields
     """Header fields to forward, without those that the node sets itself."""
     body: bytes
+    prompt_parts: tuple[ids.PromptPartId, ...] = ()
+    """Parts of the prompt that other requests may share, without the last part."""
 
 
 @attrs.frozen(kw_only=True)
--- a/src/jujubepass/forwarding/stream_exchange.py
+++ b/src/jujubepass/forwarding/stream_exchange.py
@@ -53,6 +53,7 @@
     last_id: str | None
     deadline: float
     events: int = 0
+    events_before_run: int = 0
     runs: int = 0
     refusals: int = 0
     refusals_in_row: int = 0
@@ -228,6 +229,7 @@
     ) -> None:
         """Run the rest of the answer on one pipeline; raises what ended it early."""
         first = pipeline.stages[0]
+        progress.events_before_run = progress.events
         now = clocks.read_boot_clock()
         attempt = exchange.Attempt(
             backend=first.engine,
@@ -364,6 +366,7 @@
 
 
 _OK = 200
+_MAX_LOGGED_PROMPT_PARTS = 8
 # Maximum runs of one request, including those whose engine has ended. After this many
 # lost pipelines, further runs would use up the retry budget of other requests.
 _MAX_RUNS = 4
@@ -376,6 +379,10 @@
     detail: str,
     progress: _Progress,
 ) -> None:
+    prompt_parts = {}
+    if outcome == "broken":
+        parts = request.prompt_parts[:_MAX_LOGGED_PROMPT_PARTS]
+        prompt_parts = {"prompt_parts": ",".join(parts)}
     _LOGGER.info(
         "attempt ended",
         extra={
@@ -384,6 +391,8 @@
             "parts": len(pipeline.stages),
             "outcome": outcome,
             "events": progress.events,
+            "run_events": progress.events - progress.events_before_run,
+            **prompt_parts,
             "detail": detail,
         },
     )
--- a/src/jujubepass/platform/wire.py
+++ b/src/jujubepass/platform/wire.py
@@ -32,6 +32,8 @@
     )
 )
 _MAX_PRIORITY = 9
+_MAX_PROMPT_PARTS = 64
+_MAX_PROMPT_PART_LENGTH = 100
 _MISDIRECTED = 421
 _UNAVAILABLE = 503
 # A caller concludes from these statuses that the request has not run.
@@ -68,6 +70,9 @@
                 request.fields, _HOP_BY_HOP_FIELDS | _FIELDS_SET_BY_NODE
             ),
             body=request.body,
+            prompt_parts=_parse_prompt_parts(
+                headers_by_name.get(headers.PROMPT_PREFIX)
+            ),
         )
 
     def write_request(
@@ -189,6 +194,19 @@
     return int(number) if number.isdigit() else 0
 
 
+def _parse_prompt_parts(text: str | None) -> tuple[ids.PromptPartId, ...]:
+    """Return the parts of a prompt but the last; empty if the list is malformed."""
+    found = []
+    for part in (text or "").split(","):
+        name, separator, tokens = part.strip().partition(":")
+        if not separator or not name or not tokens.strip().isdigit():
+            return ()
+        if len(name) > _MAX_PROMPT_PART_LENGTH:
+            return ()
+        found.append(ids.PromptPartId(name))
+    return tuple(found[:-1][:_MAX_PROMPT_PARTS])
+
+
 def _parse_address(text: str) -> _http_client.Address | None:
     try:
         return _http_client.parse_address(text)
