Reproduce parts of prompts that crash one engine after the other

Callers' requests that share one part of their prompts crashed engines one after the other: nodes send a request whose engine has ended to another one, and hold nothing against the next request with that part.

The stand-in of an engine gets a knob for such a part, and the scenarios count ends and arrivals in the engines' logs, as counters end with the process.

--- a/standins/forwarding_system.py
+++ b/standins/forwarding_system.py
@@ -176,7 +176,7 @@
             port=self.store_port,
         )
 
-    def start_member(self, member: Member) -> None:
+    def start_member(self, member: Member, *options: str) -> None:
         """Start an engine or a server of a plain service."""
         port = self.ports.setdefault(member.name, self._ports.allocate())
         service = MODEL_SERVICE if member.kind else PLAIN_SERVICE
@@ -185,6 +185,7 @@
         arguments += ["--domain", member.domain, "--layers", str(LAYERS)]
         if member.kind:
             arguments += ["--kind", member.kind]
+        arguments += options
         self.processes.start(member.name, "standins.path_engine", *arguments, port=port)
 
     def start_node(self, name: str, domain: str, first_start: bool = False) -> None:
@@ -265,9 +266,26 @@
             timeout_seconds=request_timeout_seconds + 2.0,
         )
 
-    def request_stream(self, node: str, events: int = 5) -> _http_client.Answer:
-        """Request a streamed answer with the given number of events."""
+    def request_stream(
+        self,
+        node: str,
+        events: int = 5,
+        *,
+        parts: collections.abc.Sequence[str] = (),
+        request_id: str | None = None,
+    ) -> _http_client.Answer:
+        """Request a streamed answer with the given number of events.
+
+        The prompt consists of `parts`; an id of the caller's replaces the usual one.
+        """
         parameters = {"x-token-count": f"100,{2 * events}", "x-model": "m"}
+        if parts:
+            tokens = 100 // len(parts)
+            parameters["x-prompt-prefix"] = ",".join(
+                f"{each}:{tokens}" for each in parts
+            )
+        if request_id is not None:
+            parameters["x-request-id"] = request_id
         return self.send_request(
             node, "POST", STREAM_PATH, body=b"prompt", headers=parameters
         )
--- a/standins/path_engine.py
+++ b/standins/path_engine.py
@@ -2,6 +2,7 @@
 
 import collections
 import json
+import os
 import time
 import typing
 
@@ -16,6 +17,7 @@
 _EVENT_INTERVAL_SECONDS = 0.02
 _STALL_TIMEOUT_SECONDS = 1.0
 _STAGE_CHECK_TIMEOUT_SECONDS = 0.2
+_CRASH_DELAY_SECONDS = 0.06
 
 Responder = _http_server.Responder
 LayerSpan = tuple[int, int]
@@ -39,6 +41,10 @@
     leaving: bool = False
     retry_after: str = ""
     """Value of Retry-After in refusals; empty for none."""
+    crash_part: str = ""
+    """Part of a prompt on which each answer crashes the process; empty for none."""
+    crash_events: int = 0
+    """Events that such an answer has before the crash."""
 
 
 @cappa.command(name="path-engine")
@@ -54,13 +60,18 @@
     layers: typing.Annotated[int, cappa.Arg(long=True)] = 8
     host: typing.Annotated[str, cappa.Arg(long=True)] = "127.0.0.1"
     kind: typing.Annotated[str | None, cappa.Arg(long=True)] = None
+    crash_part: typing.Annotated[str | None, cappa.Arg(long=True)] = None
+    crash_events: typing.Annotated[int | None, cappa.Arg(long=True)] = None
 
 
 class Engine:
     """Serve requests, reports and orders."""
 
     def __init__(self, *, arguments: Arguments) -> None:
-        self.settings = EngineKnobs()
+        self.settings = EngineKnobs(
+            crash_part=arguments.crash_part or "",
+            crash_events=arguments.crash_events or 0,
+        )
         self._arguments = arguments
         self._client = _http_client.Client(
             connect_timeout_seconds=_STAGE_CHECK_TIMEOUT_SECONDS
@@ -202,6 +213,8 @@
 
     async def _serve(self, request: _http_server.Request, responder: Responder) -> None:
         request_id = request.headers["x-request-id"]
+        if self._names_crash_part(request):
+            _log("arrival", request_id)
         own = self._arguments.name
         expected = request.headers.get("x-expect-instance", own)
         echo = [("x-request-id", request_id), *self._list_signals(200)]
@@ -258,6 +271,8 @@
         await responder.start_fields(200, fields)
         tokens = int(request.headers["x-token-count"].partition(",")[2])
         last = int(request.headers.get("last-event-id", 0))
+        if self._names_crash_part(request):
+            await self._crash(request_id, responder, last)
         self._pipelines[request_id] = stages
         try:
             await self._write_events(request_id, responder, last, tokens // 2)
@@ -265,12 +280,25 @@
             del self._pipelines[request_id]
         await responder.finish()
 
+    def _names_crash_part(self, request: _http_server.Request) -> bool:
+        parts = request.headers.get("x-prompt-prefix", "").split(",")
+        names = {each.partition(":")[0] for each in parts}
+        return bool(self.settings.crash_part) and self.settings.crash_part in names
+
+    async def _crash(self, request_id: str, responder: Responder, last: int) -> None:
+        """End the process after the start of an answer."""
+        for number in range(last + 1, last + 1 + self.settings.crash_events):
+            await responder.write(_format_event(request_id, number))
+        await trio.sleep(_CRASH_DELAY_SECONDS)
+        _log("crash", request_id)
+        os._exit(1)
+
     async def _write_events(
         self, request_id: str, responder: Responder, last: int, events: int
     ) -> None:
         for number in range(last + 1, events + 1):
             await self._wait_for_pipeline(request_id)
-            event = f"id: {number}\ndata: {request_id} {number}\n\n".encode()
+            event = _format_event(request_id, number)
             if self._draw_fault("cut_event"):
                 await responder.write(event[: len(event) // 2])
                 raise trio.BrokenResourceError
@@ -350,6 +378,16 @@
         )
 
 
+def _format_event(request_id: str, number: int) -> bytes:
+    return f"id: {number}\ndata: {request_id} {number}\n\n".encode()
+
+
+def _log(message: str, request_id: str) -> None:
+    """Write a line that outlasts the process, unlike its counters."""
+    line = {"message": message, "request": request_id, "at": time.time()}
+    print(json.dumps(line), flush=True)
+
+
 def _intersect(span: dict[str, int] | None, layers: LayerSpan) -> LayerSpan | None:
     if span is None:
         return None
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -204,6 +204,10 @@
         """Return a process's id."""
         return self._running[name].pid
 
+    def has_exited(self, name: str) -> bool:
+        """Return whether a process has exited."""
+        return self._running[name].poll() is not None
+
     def suspend(self, name: str) -> None:
         """Suspend a process, as happens to a paused VM."""
         self._running[name].send_signal(signal.SIGSTOP)
--- /dev/null
+++ b/tests/features/prompt_parts.feature
@@ -0,0 +1,38 @@
+Feature: Parts of prompts that crash engines
+  # Guards against sending requests with a part that has crashed engines to further ones.
+  Scenario Outline: Requests with a crashing part reach no engine after five have ended <when>
+    Given a system on the platform
+    And engines that crash <when> and are started again
+    When requests with the crashing part come beside sound ones
+    Then at most five engines have ended
+    And none of those requests reached an engine later than 3 seconds after the fifth end
+    And from then on each of them is refused at once with 503 and a retry time
+
+    Examples:
+      | when            |
+      | before an event |
+      | after one event |
+
+  # Guards against refusing sound requests that share parts and the key with others.
+  Scenario: Sound requests are served beside requests with a crashing part
+    Given a system on the platform
+    And engines that crash before an event and are started again
+    When requests with the crashing part come beside sound ones
+    Then no sound request is refused with a status of 4xx
+    And each sound request that came 6 seconds after the last end is answered at each node
+
+  # Guards against a restarted node that has forgotten which parts crash engines.
+  Scenario: A restarted node sends no requests with a crashing part
+    Given a system on the platform
+    And engines that crash before an event and are started again
+    When requests with the crashing part come beside sound ones
+    And a node is killed and started again
+    Then requests with the crashing part reach no engine from each node
+    And at most five engines have ended
+
+  # Guards against one request that crashes one engine after the other.
+  Scenario: One request with a crashing part ends at most two engines
+    Given a system on the platform
+    And engines that crash before an event and are started again
+    When one request with the crashing part comes
+    Then at most two engines have ended
--- /dev/null
+++ b/tests/features/steps/prompt_parts_steps.py
@@ -0,0 +1,246 @@
+import contextlib
+import threading
+import time
+
+import attrs
+import behave
+
+from jujubepass.transport import _http_client
+from standins import forwarding_system, processes
+
+CRASHING_PART = "c4a5"
+SHARED_PARTS = ("a1", "b2", "b3")
+ENGINES = tuple(each for each in forwarding_system.MEMBERS if each.kind)
+CRASHING_INTERVAL_SECONDS = 0.5
+SOUND_INTERVAL_SECONDS = 0.25
+# Engines are back after about this time.
+RESTART_SECONDS = 0.5
+# Time limits that the users require.
+CONTACT_SECONDS = 3.0
+RECOVERY_SECONDS = 2 * CONTACT_SECONDS
+MAX_CRASHES = 5
+MAX_REFUSAL_SECONDS = 0.5
+EVENTS = 5
+# At least twenty requests with the crashing part come.
+MIN_TRAFFIC_SECONDS = 10.0
+MAX_TRAFFIC_SECONDS = 20.0
+
+
+@attrs.frozen(kw_only=True)
+class Exchange:
+    """Describe one request and its answer; status 0 if the answer broke off."""
+
+    node: str
+    request: str
+    sent_at: float
+    seconds: float
+    status: int
+    headers: dict[str, str]
+    is_complete: bool
+
+
+class Traffic:
+    """Send requests in the background and record their answers."""
+
+    def __init__(self, *, system):
+        self._system = system
+        self._threads = []
+        self._counts = 0
+        self.crashing = []
+        self.sound = []
+
+    def send(self, node, *, crashes):
+        """Send one request whose last part is its own."""
+        self._counts += 1
+        number = self._counts
+        first, *others = SHARED_PARTS
+        shared = others[number % len(others)]
+        # Its place among the parts does not matter.
+        middle = [CRASHING_PART, shared] if number % 2 else [shared, CRASHING_PART]
+        parts = [first, *(middle if crashes else [shared]), f"f{number:x}"]
+        request = f"{node}-{'crashing' if crashes else 'sound'}-{number}"
+        found = self.crashing if crashes else self.sound
+        thread = threading.Thread(
+            target=lambda: found.append(self._exchange(node, parts, request))
+        )
+        thread.start()
+        self._threads.append(thread)
+
+    def _exchange(self, node, parts, request):
+        sent_at, started_at = time.time(), time.monotonic()
+        answer = _http_client.Answer(status=0, headers={}, body=b"")
+        with contextlib.suppress(_http_client.ClientError):
+            answer = self._system.request_stream(
+                node, EVENTS, parts=parts, request_id=request
+            )
+        events = forwarding_system.list_events(answer)
+        return Exchange(
+            node=node,
+            request=request,
+            sent_at=sent_at,
+            seconds=time.monotonic() - started_at,
+            status=answer.status,
+            headers=dict(answer.headers),
+            is_complete=answer.status == 200 and events == list(range(1, EVENTS + 1)),
+        )
+
+    def join(self):
+        for thread in self._threads:
+            thread.join()
+        self._threads.clear()
+
+
+def restart_engine(context, member, options, stopping):
+    """Start an engine again each time that it has ended."""
+    system = context.system
+    while not stopping.wait(0.02):
+        if system.processes.has_exited(member.name):
+            time.sleep(RESTART_SECONDS)
+            system.start_member(member, *options)
+
+
+@behave.given("engines that crash {when} and are started again")
+def step_engines(context, when):
+    system = context.system
+    events = 1 if when == "after one event" else 0
+    options = ("--crash-part", CRASHING_PART, "--crash-events", str(events))
+    stopping = threading.Event()
+    threads = []
+    for member in ENGINES:
+        processes.change_knobs(
+            system.ports[member.name], crash_part=CRASHING_PART, crash_events=events
+        )
+        arguments = (context, member, options, stopping)
+        threads.append(threading.Thread(target=restart_engine, args=arguments))
+    for thread in threads:
+        thread.start()
+
+    def stop():
+        stopping.set()
+        for thread in threads:
+            thread.join()
+
+    context.add_cleanup(stop)
+    context.traffic = Traffic(system=system)
+
+
+@behave.when("requests with the crashing part come beside sound ones")
+def step_traffic(context):
+    nodes = list(context.system.nodes)
+    begun_at = time.time()
+    crashing = sound = 0
+    while not has_recovered(context, begun_at):
+        elapsed = time.time() - begun_at
+        if elapsed >= crashing * CRASHING_INTERVAL_SECONDS:
+            context.traffic.send(nodes[crashing % len(nodes)], crashes=True)
+            crashing += 1
+        if elapsed >= sound * SOUND_INTERVAL_SECONDS:
+            for node in nodes:
+                context.traffic.send(node, crashes=False)
+            sound += 1
+        time.sleep(0.02)
+    context.traffic.join()
+
+
+def has_recovered(context, begun_at):
+    """Return whether sound requests came for 2 s after the time for recovery."""
+    last = max(list_times(context, "crash"), default=begun_at)
+    end = max(last + RECOVERY_SECONDS + 2.0, begun_at + MIN_TRAFFIC_SECONDS)
+    # Engines that crash until then have already failed the scenario.
+    return time.time() > min(end, begun_at + MAX_TRAFFIC_SECONDS)
+
+
+def list_times(context, message):
+    """Return when engines logged a message about the crashing part, in order."""
+    return sorted(
+        line["at"]
+        for member in ENGINES
+        for line in context.system.read_log(member.name)
+        if line["message"] == message
+    )
+
+
+def find_last_crash(context):
+    """Return when the fifth engine ended, or the last one if there were fewer."""
+    crashes = list_times(context, "crash")
+    assert crashes, "no engine has ended"
+    return crashes[:MAX_CRASHES][-1]
+
+
+@behave.then("at most {limit} engines have ended")
+def step_crashes(context, limit):
+    crashes = list_times(context, "crash")
+    found = f"{len(crashes)} ends, {len(list_times(context, 'arrival'))} arrivals"
+    assert crashes, found
+    assert len(crashes) <= {"two": 2, "five": 5}[limit], found
+
+
+@behave.then(
+    "none of those requests reached an engine later than 3 seconds after the fifth end"
+)
+def step_arrivals(context):
+    end = find_last_crash(context) + CONTACT_SECONDS
+    late = [at - end for at in list_times(context, "arrival") if at > end]
+    assert not late, f"{len(late)} arrivals, after {late} s"
+
+
+def assert_refused(exchange):
+    assert exchange.status == 503, exchange
+    assert float(exchange.headers["retry-after"]) > 0.0, exchange
+    assert exchange.seconds < MAX_REFUSAL_SECONDS, exchange
+
+
+@behave.then("from then on each of them is refused at once with 503 and a retry time")
+def step_refused(context):
+    end = find_last_crash(context) + CONTACT_SECONDS
+    late = [each for each in context.traffic.crashing if each.sent_at > end]
+    assert late, "no request came later"
+    for each in late:
+        assert_refused(each)
+    for each in context.traffic.crashing:
+        assert not 400 <= each.status < 500, each
+
+
+@behave.then("no sound request is refused with a status of 4xx")
+def step_sound_refusals(context):
+    for each in context.traffic.sound:
+        assert not 400 <= each.status < 500, each
+
+
+@behave.then(
+    "each sound request that came 6 seconds after the last end is answered at each node"
+)
+def step_sound_answered(context):
+    crashes = list_times(context, "crash")
+    assert crashes, "no engine has ended"
+    end = crashes[-1] + RECOVERY_SECONDS
+    late = [each for each in context.traffic.sound if each.sent_at > end]
+    assert {each.node for each in late} == set(context.system.nodes), (
+        f"{len(crashes)} ends, the last one {time.time() - crashes[-1]:.1f} s ago"
+    )
+    for each in late:
+        assert each.is_complete, each
+
+
+@behave.then("requests with the crashing part reach no engine from each node")
+def step_none_sent(context):
+    system = context.system
+    for node in system.nodes:
+        processes.wait_for(lambda node=node: system.is_ready(node), f"{node} ready")
+    arrivals = len(list_times(context, "arrival"))
+    begun = len(context.traffic.crashing)
+    for _ in range(3):
+        for node in system.nodes:
+            context.traffic.send(node, crashes=True)
+        time.sleep(CRASHING_INTERVAL_SECONDS)
+    context.traffic.join()
+    found = len(list_times(context, "arrival")) - arrivals
+    assert not found, f"{found} arrivals"
+    for each in context.traffic.crashing[begun:]:
+        assert_refused(each)
+
+
+@behave.when("one request with the crashing part comes")
+def step_one(context):
+    context.traffic.send("n1", crashes=True)
+    context.traffic.join()
