Bound the interrupted attempts of a stream that makes no progress, not all

Callers' streams ended in the middle once four of their attempts had been interrupted, though each had continued the answer: four engines that were silent for a second, one after the other, sufficed.

Cause: the bound on the runs of a request, which protects the retry budget of others while no pipeline gets an answer anywhere, counted all of its runs.

Change: the bound counts the runs since the last event. Retries still spend the budget, and a stream that has begun waits for it.

--- a/src/jujubepass/forwarding/stream_exchange.py
+++ b/src/jujubepass/forwarding/stream_exchange.py
@@ -55,6 +55,8 @@
     events: int = 0
     events_before_run: int = 0
     runs: int = 0
+    fruitless_runs: int = 0
+    """Runs without a new event since the last one with any."""
     refusals: int = 0
     refusals_in_row: int = 0
     avoided: set[ids.BackendServerId] = attrs.field(factory=set)
@@ -127,7 +129,8 @@
                 await trio.sleep(self._draw_delay(progress))
             except (sending.OutcomeUnknownError, PipelineFailedError) as error:
                 self._record_failure(request, pipeline, error, progress)
-                if not admitted.route.is_repeatable or progress.runs >= _MAX_RUNS:
+                is_repeatable = admitted.route.is_repeatable
+                if not is_repeatable or progress.fruitless_runs >= _MAX_FRUITLESS_RUNS:
                     return self._make_refusal(stream_refusals.OUTCOME_UNKNOWN, progress)
 
     def _draw_delay(self, progress: _Progress) -> float:
@@ -351,6 +354,9 @@
     ) -> None:
         """Avoid the suspected engines, or the whole pipeline if there are none."""
         progress.runs += 1
+        if progress.events > progress.events_before_run:
+            progress.fruitless_runs = 0
+        progress.fruitless_runs += 1
         progress.refusals_in_row = 0
         first = pipeline.stages[0].engine
         listed = self.choice.blackboard.backends.listed.get(first)
@@ -367,9 +373,10 @@
 
 _OK = 200
 _MAX_LOGGED_PROMPT_PARTS = 8
-# Maximum runs of one request, including those whose engine has ended. After this many
-# lost pipelines, further runs would use up the retry budget of other requests.
-_MAX_RUNS = 4
+# Maximum runs of one request since its last event, including those whose engine has
+# ended. After this many lost pipelines, further runs would use up the retry budget of
+# other requests.
+_MAX_FRUITLESS_RUNS = 4
 
 
 def _log_attempt(
