Plan for spare engines again once requests have begun

Engines that no chain needs stayed empty on some starts, so that a stream whose engine was lost had no second copy of the layers to go on with.

Cause: a node that finds no better plan for a list of engines remembers that. Before the first model request all layers are placed from scratch, which uses no spare engines; the remembered comparison was not repeated afterwards, though its result depends on whether a request has begun.

Change: the state that is remembered includes whether this is a cold start.

--- a/src/jujubepass/forwarding/planner.py
+++ b/src/jujubepass/forwarding/planner.py
@@ -72,7 +72,8 @@
     added: frozenset[ids.BackendServerId] = frozenset()
     """Usable engines that are not planned."""
     unimproved_state: object = None
-    """Plan version, list and reason for which no better plan was found."""
+    """Plan version, list, reason and whether no request has begun, for which no better
+    plan was found."""
 
 
 @attrs.define(kw_only=True)
@@ -159,7 +160,8 @@
         listed = pending.listed
         plan = self.blackboard.plans.plans.get(service.name)
         reason, delay = self._find_reason(plan, pending, now)
-        state = (plan.version if plan else 0, listed, reason)
+        version = plan.version if plan else 0
+        state = (version, listed, reason, self.blackboard.is_cold_start)
         if not reason or state == pending.unimproved_state:
             pending.reason = ""
             return None
--- a/tests/features/lost_stage.feature
+++ b/tests/features/lost_stage.feature
@@ -50,3 +50,9 @@
   Scenario: Engines keep layers that no other engine holds yet
     Then an engine with a new span keeps the layers that only it holds
     And old and ordered layers together never exceed what an engine can hold
+
+  # Guards against engines that stay empty because the plan was compared with the list
+  # before the first model request.
+  Scenario: Engines that no chain needs hold layers once requests have begun
+    Given a fleet of engines whose first model request comes after 10 seconds
+    Then engines outside the chains hold a second copy of layers within 5 seconds
--- a/tests/features/steps/lost_stage_steps.py
+++ b/tests/features/steps/lost_stage_steps.py
@@ -15,6 +15,21 @@
     context.before = dict(context.fleet.plan.placements)
 
 
+@behave.given("a fleet of engines whose first model request comes after 10 seconds")
+def step_cold_fleet(context):
+    context.fleet = small_fleet.Fleet()
+    context.fleet.blackboard.is_cold_start = True
+    context.fleet.list_engines(small_fleet.make_engines())
+    context.fleet.wait(10.0)
+    context.fleet.blackboard.is_cold_start = False
+
+
+@behave.then("engines outside the chains hold a second copy of layers within 5 seconds")
+def step_extra_after_start(context):
+    context.fleet.wait(5.0)
+    assert list_extra(context.fleet.plan.placements), context.fleet.plan.placements
+
+
 def list_layers(placements, domain):
     return sorted(
         layer
