Reproduce lookups that are given up although no retry is possible

A lookup is cut off after 0.45 s for another attempt, and answered 502, although no other server is ready (one drains, or each has had an attempt) or the retry budget is spent. The servers were silent for a second and would have answered within the deadline.

--- /dev/null
+++ b/tests/features/accepted_requests_more.feature
@@ -0,0 +1,21 @@
+Feature: Further paths by which a request that a node has accepted ends
+  # Guards against giving up a request that may have run although no other backend
+  # server could take it.
+  Scenario: A lookup outlasts a second's silence of the only backend server that is ready
+    Given a system on the platform
+    And a backend server that drains
+    When the other backend server is silent during a lookup
+    Then the lookup is answered with 200
+
+  # Guards against giving up a request after it was sent to each backend server once.
+  Scenario: A lookup with more attempts than backend servers outlasts their silence
+    Given a system on the platform
+    And a route whose lookups have 3 attempts
+    When all backend servers are silent during a lookup
+    Then the lookup is answered with 200
+
+  # Guards against giving up a request for a retry that the budget does not allow.
+  Scenario: A lookup without a retry in the budget outlasts a silence
+    Given a system on the platform without spare retries
+    When all backend servers are silent during a lookup
+    Then the lookup is answered with 200
--- /dev/null
+++ b/tests/features/steps/accepted_requests_more_steps.py
@@ -0,0 +1,62 @@
+import time
+
+import behave
+
+from standins import forwarding_system, processes
+from tests.features.steps import accepted_requests_steps
+
+SERVERS = ("s1", "s2")
+# Longer than two attempts at a lookup, and within its deadline of 1.2 s.
+LOOKUP_SILENCE_SECONDS = 1.0
+
+
+@behave.given("a system on the platform without spare retries")
+def step_without_retries(context):
+    context.system = forwarding_system.ForwardingSystem(
+        first_port=context.first_port, retry_slack=0.0
+    )
+    context.add_cleanup(context.system.processes.close)
+    context.system.start_all()
+
+
+@behave.given("a backend server that drains")
+def step_draining(context):
+    processes.change_knobs(context.system.ports["s2"], state="draining")
+    processes.wait_for(
+        lambda: any(
+            line.get("backend") == "s2" and line.get("state") == "draining"
+            for line in context.system.read_log("n1")
+        ),
+        "a node that knows the draining server",
+    )
+
+
+@behave.given("a route whose lookups have {attempts:d} attempts")
+def step_attempts(context, attempts):
+    configuration = forwarding_system.make_configuration(3)
+    configuration["routes"][2]["maxAttempts"] = attempts
+    context.system.configure(configuration)
+    accepted_requests_steps.wait_for_version(context, 3)
+
+
+def silence_during_lookup(context, names):
+    system = context.system
+    for name in names:
+        system.processes.suspend(name)
+    accepted_requests_steps.send_in_background(
+        context,
+        lambda: system.send_request("n1", "GET", forwarding_system.LOOKUP_PATH),
+    )
+    time.sleep(LOOKUP_SILENCE_SECONDS)
+    for name in names:
+        system.processes.resume(name)
+
+
+@behave.when("the other backend server is silent during a lookup")
+def step_one_silent(context):
+    silence_during_lookup(context, SERVERS[:1])
+
+
+@behave.when("all backend servers are silent during a lookup")
+def step_servers_silent(context):
+    silence_during_lookup(context, SERVERS)
