Reproduce a stream without events that is answered 502 for a spent budget

All engines are silent for a second. The attempt is cut off before its first event; no retry is left in the budget, and the request, which may have run, is answered 502 at once instead of waiting as a stream that has begun does.

--- a/tests/features/accepted_requests_more.feature
+++ b/tests/features/accepted_requests_more.feature
@@ -19,3 +19,9 @@
     Given a system on the platform without spare retries
     When all backend servers are silent during a lookup
     Then the lookup is answered with 200
+
+  # Guards against giving up a stream for a retry that the budget does not allow.
+  Scenario: A stream without events or a retry in the budget outlasts a silence
+    Given a system on the platform without spare retries
+    When all engines are silent for a second before a stream's first event
+    Then the answer has each event once and in order
--- a/tests/features/steps/accepted_requests_more_steps.py
+++ b/tests/features/steps/accepted_requests_more_steps.py
@@ -60,3 +60,18 @@
 @behave.when("all backend servers are silent during a lookup")
 def step_servers_silent(context):
     silence_during_lookup(context, SERVERS)
+
+
+@behave.when("all engines are silent for a second before a stream's first event")
+def step_silent_before_event(context):
+    system = context.system
+    names = [each.name for each in accepted_requests_steps.ENGINES]
+    context.events = 20
+    for name in names:
+        system.processes.suspend(name)
+    accepted_requests_steps.send_in_background(
+        context, lambda: system.request_stream("n1", context.events)
+    )
+    time.sleep(accepted_requests_steps.SILENCE_SECONDS)
+    for name in names:
+        system.processes.resume(name)
