Reproduce a request that is cancelled by a body limit that has been raised

While a request runs, its connection is read ahead up to the limits of the moment at which the request began. A further request that only the raised limit allows exceeds that bound, and the running request is cancelled without an answer.

--- a/tests/features/accepted_requests_more.feature
+++ b/tests/features/accepted_requests_more.feature
@@ -25,3 +25,10 @@
     Given a system on the platform without spare retries
     When all engines are silent for a second before a stream's first event
     Then the answer has each event once and in order
+
+  # Guards against cancelling a request by a bound that a change of the limits raised.
+  Scenario: A request ahead of a body that a raised limit allows is answered
+    Given a system on the platform
+    And a body limit of 1000 bytes
+    When a caller sends 40000 bytes ahead after the limit was raised to 65536 bytes
+    Then both requests are answered
--- a/tests/features/steps/accepted_requests_more_steps.py
+++ b/tests/features/steps/accepted_requests_more_steps.py
@@ -1,3 +1,4 @@
+import socket
 import time
 
 import behave
@@ -8,6 +9,7 @@
 SERVERS = ("s1", "s2")
 # Longer than two attempts at a lookup, and within its deadline of 1.2 s.
 LOOKUP_SILENCE_SECONDS = 1.0
+ANSWER = b"HTTP/1.1 "
 
 
 @behave.given("a system on the platform without spare retries")
@@ -75,3 +77,69 @@
     time.sleep(accepted_requests_steps.SILENCE_SECONDS)
     for name in names:
         system.processes.resume(name)
+
+
+def set_limit(context, version, name, value):
+    configuration = forwarding_system.make_configuration(version)
+    configuration["limits"][name] = value
+    context.system.configure(configuration)
+    accepted_requests_steps.wait_for_version(context, version)
+    # The listener takes changed limits over at the next of its periodic checks.
+    time.sleep(0.3)
+
+
+def connect(context):
+    port = context.system.nodes["n1"].callers
+    connection = socket.create_connection((processes.HOST, port), timeout=5.0)
+    context.add_cleanup(connection.close)
+    return connection
+
+
+def make_request(request_id, method, path, body=b"", *fields):
+    lines = [
+        f"{method} {path} HTTP/1.1",
+        f"host: {forwarding_system.HOST_NAME}",
+        f"x-request-id: {request_id}",
+        "x-key: ana-key-1",
+        f"content-length: {len(body)}",
+        *fields,
+    ]
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
+def receive_answers(connection, count):
+    """Receive until a number of answers has begun or the connection ends."""
+    received = b""
+    while received.count(ANSWER) < count:
+        try:
+            data = connection.recv(65_536)
+        except OSError:
+            break
+        if not data:
+            break
+        received += data
+    return received
+
+
+@behave.given("a body limit of {size:d} bytes")
+def step_body_limit(context, size):
+    set_limit(context, 3, "maxBodyBytes", size)
+
+
+@behave.when(
+    "a caller sends {size:d} bytes ahead after the limit was raised to {limit:d} bytes"
+)
+def step_ahead_after_raise(context, size, limit):
+    connection = connect(context)
+    for name in SERVERS:
+        processes.change_knobs(context.system.ports[name], work_seconds=0.9)
+    path = forwarding_system.BOOKING_PATH
+    connection.sendall(make_request("ahead-1", "POST", path))
+    set_limit(context, 5, "maxBodyBytes", limit)
+    connection.sendall(make_request("ahead-2", "POST", path, b"x" * size))
+    context.answer = receive_answers(connection, 2)
+
+
+@behave.then("both requests are answered")
+def step_both_answered(context):
+    assert context.answer.count(ANSWER + b"200") == 2, context.answer
