Reproduce a request that is cancelled for the requests behind it

Two requests within the limits, sent ahead while another one runs, together exceed the bound on input that is read ahead. The running request is cancelled, and the connection is closed without any answer.

--- a/tests/features/accepted_requests_more.feature
+++ b/tests/features/accepted_requests_more.feature
@@ -32,3 +32,9 @@
     And a body limit of 1000 bytes
     When a caller sends 40000 bytes ahead after the limit was raised to 65536 bytes
     Then both requests are answered
+
+  # Guards against cancelling a request because further ones wait behind it.
+  Scenario: A request ahead of two bodies within the limit is answered
+    Given a system on the platform
+    When a caller sends two requests of 60000 bytes ahead
+    Then all three requests are answered
--- a/tests/features/steps/accepted_requests_more_steps.py
+++ b/tests/features/steps/accepted_requests_more_steps.py
@@ -121,6 +121,14 @@
     return received
 
 
+def send_slow_lookup(context, connection):
+    """Send a lookup that is answered after half a second, and wait until it runs."""
+    for name in SERVERS:
+        processes.change_knobs(context.system.ports[name], work_seconds=0.4)
+    connection.sendall(make_request("ahead-1", "GET", forwarding_system.LOOKUP_PATH))
+    time.sleep(0.1)
+
+
 @behave.given("a body limit of {size:d} bytes")
 def step_body_limit(context, size):
     set_limit(context, 3, "maxBodyBytes", size)
@@ -143,3 +151,19 @@
 @behave.then("both requests are answered")
 def step_both_answered(context):
     assert context.answer.count(ANSWER + b"200") == 2, context.answer
+
+
+@behave.when("a caller sends two requests of {size:d} bytes ahead")
+def step_two_ahead(context, size):
+    connection = connect(context)
+    send_slow_lookup(context, connection)
+    path = forwarding_system.BOOKING_PATH
+    for number in (2, 3):
+        request = make_request(f"ahead-{number}", "POST", path, b"x" * size)
+        connection.sendall(request)
+    context.answer = receive_answers(connection, 3)
+
+
+@behave.then("all three requests are answered")
+def step_three_answered(context):
+    assert context.answer.count(ANSWER + b"200") == 3, context.answer
