Reproduce a request that was read but is dropped as the node stops

A lookup follows a stream that began before SIGTERM, so that the stream's answer does not announce the end of the connection. The stream ends completely, and the connection is closed though the lookup was read seconds before.

--- a/tests/features/accepted_requests_more.feature
+++ b/tests/features/accepted_requests_more.feature
@@ -38,3 +38,9 @@
     Given a system on the platform
     When a caller sends two requests of 60000 bytes ahead
     Then all three requests are answered
+
+  # Guards against dropping a request that was read completely before the node stops.
+  Scenario: A request read behind a stream is answered while the node stops
+    Given a system on the platform
+    When a caller sends a lookup behind a stream and the node is stopped
+    Then the lookup behind the stream is answered
--- a/tests/features/steps/accepted_requests_more_steps.py
+++ b/tests/features/steps/accepted_requests_more_steps.py
@@ -1,3 +1,4 @@
+import signal
 import socket
 import time
 
@@ -10,6 +11,7 @@
 # Longer than two attempts at a lookup, and within its deadline of 1.2 s.
 LOOKUP_SILENCE_SECONDS = 1.0
 ANSWER = b"HTTP/1.1 "
+STREAM_EVENTS = 230
 
 
 @behave.given("a system on the platform without spare retries")
@@ -167,3 +169,22 @@
 @behave.then("all three requests are answered")
 def step_three_answered(context):
     assert context.answer.count(ANSWER + b"200") == 3, context.answer
+
+
+@behave.when("a caller sends a lookup behind a stream and the node is stopped")
+def step_behind_stream(context):
+    connection = connect(context)
+    fields = (f"x-token-count: 100,{2 * STREAM_EVENTS}", "x-model: m")
+    path = forwarding_system.STREAM_PATH
+    connection.sendall(make_request("behind-1", "POST", path, b"prompt", *fields))
+    begun = connection.recv(65_536)
+    connection.sendall(make_request("behind-2", "GET", forwarding_system.LOOKUP_PATH))
+    context.system.processes.send_signal("n1", signal.SIGTERM)
+    context.answer = begun + receive_answers(connection, 2 - begun.count(ANSWER))
+
+
+@behave.then("the lookup behind the stream is answered")
+def step_behind_answered(context):
+    last = f"id: {STREAM_EVENTS}\n".encode()
+    assert last in context.answer, context.answer[-200:]
+    assert context.answer.count(ANSWER + b"200") == 2, context.answer[-200:]
