Reproduce a header that is rejected by a limit that has been raised

A connection keeps the header limit in force when it was opened. A request whose header only the raised limit allows is answered 431 on it if it arrives in two parts.

--- a/tests/features/accepted_requests_more.feature
+++ b/tests/features/accepted_requests_more.feature
@@ -44,3 +44,9 @@
     Given a system on the platform
     When a caller sends a lookup behind a stream and the node is stopped
     Then the lookup behind the stream is answered
+
+  # Guards against rejecting a request by a limit that is no longer in force.
+  Scenario: A connection that was opened before the header limit was raised follows it
+    Given a system on the platform
+    When the header limit is raised to 16384 bytes while a caller's connection is kept
+    Then a header of 12000 bytes in two parts is accepted on that connection
--- a/tests/features/steps/accepted_requests_more_steps.py
+++ b/tests/features/steps/accepted_requests_more_steps.py
@@ -188,3 +188,25 @@
     last = f"id: {STREAM_EVENTS}\n".encode()
     assert last in context.answer, context.answer[-200:]
     assert context.answer.count(ANSWER + b"200") == 2, context.answer[-200:]
+
+
+@behave.when(
+    "the header limit is raised to {size:d} bytes while a caller's connection is kept"
+)
+def step_header_limit(context, size):
+    context.connection = connect(context)
+    path = forwarding_system.LOOKUP_PATH
+    context.connection.sendall(make_request("kept-1", "GET", path))
+    assert receive_answers(context.connection, 1).startswith(ANSWER + b"200")
+    set_limit(context, 5, "maxHeaderBytes", size)
+
+
+@behave.then("a header of {size:d} bytes in two parts is accepted on that connection")
+def step_long_header(context, size):
+    field = f"x-padding: {'x' * size}"
+    request = make_request("kept-2", "GET", forwarding_system.LOOKUP_PATH, b"", field)
+    context.connection.sendall(request[:-100])
+    time.sleep(0.2)
+    context.connection.sendall(request[-100:])
+    answer = receive_answers(context.connection, 1)
+    assert answer.startswith(ANSWER + b"200"), answer
