Reproduce an answer that is lost for a header field beyond ASCII

Fields are received as Latin-1 and sent as ASCII. The start of the answer raises, after the response was marked as started, so that the connection is closed without an answer.

--- a/tests/features/accepted_requests_more.feature
+++ b/tests/features/accepted_requests_more.feature
@@ -50,3 +50,8 @@
     Given a system on the platform
     When the header limit is raised to 16384 bytes while a caller's connection is kept
     Then a header of 12000 bytes in two parts is accepted on that connection
+
+  # Guards against closing a connection because of a field of an engine's answer.
+  Scenario: An answer with a header field beyond ASCII reaches its caller
+    When a server answers with a header field beyond ASCII
+    Then the caller receives that field unchanged
--- a/tests/features/steps/accepted_requests_more_steps.py
+++ b/tests/features/steps/accepted_requests_more_steps.py
@@ -3,7 +3,9 @@
 import time
 
 import behave
+import trio
 
+from jujubepass.transport import _http_server
 from standins import forwarding_system, processes
 from tests.features.steps import accepted_requests_steps
 
@@ -210,3 +212,27 @@
     context.connection.sendall(request[-100:])
     answer = receive_answers(context.connection, 1)
     assert answer.startswith(ANSWER + b"200"), answer
+
+
+@behave.when("a server answers with a header field beyond ASCII")
+def step_beyond_ascii(context):
+    async def answer(request, responder):
+        await responder.send_fields(200, [("x-place", "caf\xe9")], b"")
+
+    async def exchange():
+        server = _http_server.Server(handler=answer)
+        async with trio.open_nursery() as nursery:
+            port = await nursery.start(server.serve, processes.HOST, 0)
+            stream = await trio.open_tcp_stream(processes.HOST, port)
+            await stream.send_all(b"GET / HTTP/1.1\r\nhost: h\r\n\r\n")
+            with trio.move_on_after(2.0):
+                context.answer = bytes(await stream.receive_some())
+            nursery.cancel_scope.cancel()
+
+    context.answer = b""
+    trio.run(exchange)
+
+
+@behave.then("the caller receives that field unchanged")
+def step_field_unchanged(context):
+    assert b"x-place: caf\xe9\r\n" in context.answer, context.answer
