Leave what exceeds the read-ahead in the socket, and complete the request

Callers that sent further requests while one ran had their connection closed without any answer, although each request was within the limits. A limit that was raised meanwhile had the same effect for a single further request.

Cause: input beyond one header and one body, by the limits at the start of the running request, was taken for abuse and cancelled that request.

Change: reading pauses at the bound until the answer has been sent. What is left is read by the limits then in force. Memory is bounded as before. A caller that has sent more than the bound and disconnects is noticed only with the answer.

--- a/src/jujubepass/transport/_http_server.py
+++ b/src/jujubepass/transport/_http_server.py
@@ -321,15 +321,15 @@
     scope: trio.CancelScope,
     max_bytes: int,
 ) -> None:
-    """Cancel a request whose caller disconnects or sends over `max_bytes` ahead."""
+    """Cancel a request whose caller disconnects; read up to `max_bytes` ahead."""
     received_bytes = 0
     try:
-        while received_bytes <= max_bytes:
-            data = await stream.receive_some(_RECEIVE_BUFFER_BYTES)
-            if not data:
-                break
+        while data := await stream.receive_some(_RECEIVE_BUFFER_BYTES):
             received_bytes += len(data)
             connection.receive_data(bytes(data))
+            if received_bytes > max_bytes:
+                # The rest is read after the answer, within the limits then in force.
+                return
     except trio.BrokenResourceError:
         _LOGGER.debug("caller reset the connection")
     scope.cancel()
