Give up a late lookup only for an attempt that can be sent

Callers' lookups were answered 502 while their backend server was silent for a second, or had failed, though no other attempt was possible: one server ready, all servers tried, or no retry left in the budget.

Cause: the time limit of an attempt, and the discarding of a failed answer, depended on the route's number of attempts alone.

Change: an attempt is interrupted, and a failed answer discarded, only while another server and a retry are available. Otherwise the attempt goes on to the request's deadline, and the server's own answer is passed on.

--- a/src/jujubepass/forwarding/service_exchange.py
+++ b/src/jujubepass/forwarding/service_exchange.py
@@ -1,6 +1,8 @@
 """Handling of requests to plain services, some of which may not be repeated."""
 
 import collections
+import collections.abc
+import functools
 import logging
 
 import attrs
@@ -148,8 +150,11 @@
             progress.tried.add(backend.name)
             reply.record_attempt(backend.name)
             last = progress.runs + 1 >= route.max_attempts
+            may_retry = _never
+            if route.is_repeatable and not last:
+                may_retry = functools.partial(self._may_retry, admitted, progress)
             try:
-                await self._send(request, admitted, backend, reply, has_retry=not last)
+                await self._send(request, admitted, backend, reply, may_retry)
                 return None
             except sending.NotRunError as error:
                 self._record_not_run(backend, error, progress, now)
@@ -162,6 +167,16 @@
                     return _refuse_none_left(progress)
                 self.count_retry(reasons.RetryReason.LOOKUP_FAILED)
 
+    def _may_retry(self, admitted: exchange.Admitted, progress: _Progress) -> bool:
+        """Return whether another attempt would be sent now."""
+        now = clocks.read_boot_clock()
+        service = admitted.service.name
+        return (
+            admitted.deadline - now >= _MIN_REMAINING_SECONDS
+            and self.choice.choose(service, progress.tried, now) is not None
+            and self.budgets[service].predict_wait_seconds(now) == 0.0
+        )
+
     def _record_outcome_unknown(
         self,
         request: exchange.CallerRequest,
@@ -201,8 +216,7 @@
         admitted: exchange.Admitted,
         backend: backends.Backend,
         reply: replies.Reply,
-        *,
-        has_retry: bool,
+        may_retry: collections.abc.Callable[[], bool],
     ) -> None:
         """Send one attempt and forward its answer; raises sending.AttemptError."""
         now = clocks.read_boot_clock()
@@ -214,29 +228,71 @@
             remaining_seconds=admitted.deadline - now,
             fresh=not admitted.route.is_repeatable,
         )
-        limit = _LOOKUP_SECONDS if has_retry and admitted.route.is_repeatable else None
+
+        async def forward(limit: _AttemptLimit) -> None:
+            async with self.sender.open(request, attempt, backend.address) as start:
+                head, answer = start
+                body, is_complete = await _read_body(answer, _MAX_BUFFERED_BYTES)
+                limit.is_answered = True
+                if head.status >= _FIRST_FAILING_STATUS and may_retry():
+                    raise sending.FailureResponseError(f"answered {head.status}")
+                if is_complete:
+                    await reply.send_complete(head, body)
+                else:
+                    await _relay(head, body, answer, reply)
+
         self.choice.running[backend.name] += 1
         try:
-            with trio.CancelScope() as scope:
-                if limit is not None:
-                    scope.deadline = trio.current_time() + limit
-                async with self.sender.open(request, attempt, backend.address) as start:
-                    head, answer = start
-                    body, is_complete = await _read_body(answer, _MAX_BUFFERED_BYTES)
-                    scope.deadline = float("inf")
-                    if limit is not None and head.status >= _FIRST_FAILING_STATUS:
-                        raise sending.FailureResponseError(f"answered {head.status}")
-                    if is_complete:
-                        await reply.send_complete(head, body)
-                    else:
-                        await _relay(head, body, answer, reply)
-            if scope.cancelled_caught:
-                raise sending.OutcomeUnknownError(f"no answer within {limit:g} s")
+            await _AttemptLimit(may_retry=may_retry).run(forward)
         finally:
             self.choice.running[backend.name] -= 1
         self.suspects.clear(backend.name)
 
 
+@attrs.define(kw_only=True)
+class _AttemptLimit:
+    """Interrupt an attempt that is late once another one would be sent."""
+
+    may_retry: collections.abc.Callable[[], bool]
+    is_answered: bool = False
+    """Whether the answer has been read, so that the attempt goes on to its end."""
+
+    async def run(
+        self,
+        send: collections.abc.Callable[
+            ["_AttemptLimit"], collections.abc.Awaitable[None]
+        ],
+    ) -> None:
+        """Send an attempt within the limit; raises sending.AttemptError."""
+        if self.may_retry is _never:
+            await send(self)
+            return
+        failure: Exception | None = None
+        async with trio.open_nursery() as nursery:
+            with trio.CancelScope() as scope:
+                nursery.start_soon(self._watch, scope)
+                try:
+                    await send(self)
+                except Exception as error:
+                    # Raised below, as the nursery would wrap it in a group.
+                    failure = error
+            nursery.cancel_scope.cancel()
+        if failure is not None:
+            raise failure
+        if scope.cancelled_caught:
+            raise sending.OutcomeUnknownError(f"no answer within {_LOOKUP_SECONDS:g} s")
+
+    async def _watch(self, scope: trio.CancelScope) -> None:
+        while True:
+            await trio.sleep(_LOOKUP_SECONDS)
+            if not self.is_answered and self.may_retry():
+                scope.cancel()
+
+
+def _never() -> bool:
+    return False
+
+
 async def _read_body(answer: object, limit: int) -> tuple[bytes, bool]:
     """Read up to a limit; also return whether the body is complete."""
     received = bytearray()
