Interrupt a silent stream only for an attempt that can be sent

Callers' streams without an event were answered 502, though their engine was only silent for a second, when no retry was left in the budget.

Cause: silence ended the attempt whether or not another one could follow.

Change: an attempt is interrupted for silence only while the route, the number of runs and the budget allow another one; else it goes on as one that may not be repeated. An engine that has ended is still left at the caller's time-out.

--- a/src/jujubepass/forwarding/stall_watch.py
+++ b/src/jujubepass/forwarding/stall_watch.py
@@ -21,7 +21,7 @@
 # stall.
 _OVERDUE_INTERVAL_SECONDS = 0.025
 _MAX_INTERVAL_SECONDS = 0.1
-# Interval between attempts to move a stream that may not be repeated.
+# Interval between attempts to move a stream without another attempt to follow.
 _MOVE_INTERVAL_SECONDS = 0.5
 # The engines are probed for a slowdown once the first event is later than this share of
 # the time after which a stream counts as suspicious.
@@ -128,7 +128,7 @@
             self._start_probe(first, nursery)
 
     def _is_overtaken(self, stream: watched_streams.WatchedStream) -> bool:
-        if stream.has_begun or not stream.is_repeatable:
+        if stream.has_begun or not stream.can_be_replaced():
             return False
         return any(stream.is_overtaken_by(other) for other in self._streams)
 
@@ -154,12 +154,13 @@
     ) -> None:
         """Replace the unavailable engines of a stream, or else abort the attempt.
 
-        An attempt that may not be repeated waits, as its engines may only be silent.
+        An attempt without another one to follow waits, as its engines may only be
+        silent.
         """
         try:
             if await self.mover.move(stream, unavailable):
                 return
-            if stream.is_repeatable:
+            if stream.can_be_replaced():
                 self._abort(stream, unavailable)
             else:
                 now = trio.current_time()
--- a/src/jujubepass/forwarding/stream_exchange.py
+++ b/src/jujubepass/forwarding/stream_exchange.py
@@ -2,6 +2,7 @@
 
 import collections
 import collections.abc
+import functools
 import logging
 import random
 
@@ -165,6 +166,15 @@
             return stream_refusals.BUDGET_SPENT
         return None
 
+    def _may_retry(self, admitted: exchange.Admitted, progress: _Progress) -> bool:
+        """Return whether the request may run once more after the run in use."""
+        has_progressed = progress.events > progress.events_before_run
+        fruitless_runs = 0 if has_progressed else progress.fruitless_runs
+        if fruitless_runs + 1 >= _MAX_FRUITLESS_RUNS:
+            return False
+        budget = self.budgets[admitted.service.name]
+        return budget.predict_wait_seconds(clocks.read_boot_clock()) == 0.0
+
     def _outlasts_node(
         self,
         request: exchange.CallerRequest,
@@ -251,6 +261,7 @@
         )
         reply.record_attempt(first.engine)
         with watching as stream:
+            stream.may_retry = functools.partial(self._may_retry, admitted, progress)
             self.choice.record_start(pipeline)
             try:
                 await self._relay(request, attempt, stream, reply, progress)
--- a/src/jujubepass/forwarding/watched_streams.py
+++ b/src/jujubepass/forwarding/watched_streams.py
@@ -1,5 +1,6 @@
 """State of a running stream and classification of its stalls."""
 
+import collections.abc
 import enum
 
 import attrs
@@ -59,6 +60,8 @@
     move_not_before: float = float("-inf")
     """Time of trio's clock before which no further move is attempted."""
     is_repeatable: bool = True
+    may_retry: collections.abc.Callable[[], bool] = lambda: True
+    """Return whether another attempt would be sent after this one."""
     chunks: int = 0
     began_at: float = attrs.field(factory=trio.current_time)
     first_data_at: float = 0.0
@@ -85,6 +88,10 @@
         gap = (now - self.first_data_at) / self.chunks
         return gap > _SLOW_STEPS * step_seconds
 
+    def can_be_replaced(self) -> bool:
+        """Return whether another attempt may continue the answer now."""
+        return self.is_repeatable and self.may_retry()
+
     def find_next_check(self) -> float:
         """Return the time before which no action is due while data arrives."""
         due_at = self.last_data_at + self._find_overdue_seconds()
@@ -111,8 +118,8 @@
         """Classify a stall by whether an engine of the pipeline is unavailable.
 
         Engines process prompts in order: if later streams from the same engine begin
-        first, the answer of this stream is lost. An answer that may not be repeated is
-        lost only if the run of its first engine has ended.
+        first, the answer of this stream is lost. An answer that cannot be replaced by
+        that of another attempt is lost only if the run of its first engine has ended.
         """
         stall_seconds = now - self.last_data_at
         timeouts = self.timeouts
@@ -126,7 +133,7 @@
             if self.has_begun
             else timeouts.first_suspicious_seconds
         )
-        if stall_seconds >= timeout and (self.is_repeatable or has_ended):
+        if stall_seconds >= timeout and (has_ended or self.can_be_replaced()):
             return StallAction.ABORT
         if is_overtaken and not self.has_begun and stall_seconds >= suspicious_seconds:
             return StallAction.ABORT
