Serve requests that have been read before the listener stops

A request that a caller had sent behind a running one was read and then dropped without an answer when the node stopped meanwhile. The first answer had begun before SIGTERM and did not announce the end of the connection.

Cause: the listener, once stopped, closed each connection after its answer, also one with a further request in its buffer.

--- a/src/jujubepass/transport/_http_server.py
+++ b/src/jujubepass/transport/_http_server.py
@@ -187,10 +187,13 @@
                 await self._handle(request, responder, connection, stream)
             finally:
                 self.running_requests -= 1
-            if self._stopping.is_set() or connection.our_state is not h11.DONE:
+            if connection.our_state is not h11.DONE:
                 return
             if connection.their_state is not h11.DONE:
                 return
+            # A request that has been read already is served before the stop.
+            if self._stopping.is_set() and not connection.trailing_data[0]:
+                return
             connection.start_next_cycle()
 
     async def _handle(
