Send header values in the encoding in which they are received

An answer with a byte beyond ASCII in a header field was lost: its caller's connection was closed without any answer. A request with such a byte was answered 500 instead of being forwarded.

Cause: values are received as Latin-1, but were passed on as text, which h11 encodes as ASCII. The error came up after the response was marked as started.

Change: the listener and the client encode values as Latin-1.

The scenario of accepted_requests_more that failed before (no answer) passes. The one of requests is new; it fails with UnicodeEncodeError without the change of the client, and passes.

--- a/src/jujubepass/transport/_http_client.py
+++ b/src/jujubepass/transport/_http_client.py
@@ -296,7 +296,9 @@
     fields = [("content-length", str(len(body))), *given]
     if not any(name == "host" for name, _ in fields):
         fields.insert(0, ("host", str(address)))
-    return h11.Request(method=method, target=path, headers=fields), body
+    # Values are received as Latin-1, but h11 encodes text as ASCII.
+    encoded = [(name.encode(), value.encode("latin-1")) for name, value in fields]
+    return h11.Request(method=method, target=path, headers=encoded), body
 
 
 async def _send_and_receive_head(
--- a/src/jujubepass/transport/_http_responder.py
+++ b/src/jujubepass/transport/_http_responder.py
@@ -40,7 +40,9 @@
     def _make_head(self, status: int, fields: list[tuple[str, str]]) -> h11.Response:
         if self._closing():
             fields = [*fields, ("connection", "close")]
-        return h11.Response(status_code=status, headers=fields)
+        # Values are received as Latin-1, but h11 encodes text as ASCII.
+        encoded = [(name.encode(), value.encode("latin-1")) for name, value in fields]
+        return h11.Response(status_code=status, headers=encoded)
 
     async def write(self, data: bytes) -> None:
         """Send part of the body."""
--- a/tests/features/accepted_requests_more.feature
+++ b/tests/features/accepted_requests_more.feature
@@ -55,3 +55,8 @@
   Scenario: An answer with a header field beyond ASCII reaches its caller
     When a server answers with a header field beyond ASCII
     Then the caller receives that field unchanged
+
+  # Guards against failing a request because of a header field of its caller.
+  Scenario: A request with a header field beyond ASCII reaches its server
+    When a client sends a header field beyond ASCII
+    Then the server receives that field unchanged
--- a/tests/features/steps/accepted_requests_more_steps.py
+++ b/tests/features/steps/accepted_requests_more_steps.py
@@ -5,7 +5,7 @@
 import behave
 import trio
 
-from jujubepass.transport import _http_server
+from jujubepass.transport import _http_client, _http_server
 from standins import forwarding_system, processes
 from tests.features.steps import accepted_requests_steps
 
@@ -236,3 +236,30 @@
 @behave.then("the caller receives that field unchanged")
 def step_field_unchanged(context):
     assert b"x-place: caf\xe9\r\n" in context.answer, context.answer
+
+
+@behave.when("a client sends a header field beyond ASCII")
+def step_send_beyond_ascii(context):
+    received = []
+
+    async def answer(request, responder):
+        received.append(request.headers.get("x-place"))
+        await responder.send(200, b"")
+
+    async def exchange():
+        server = _http_server.Server(handler=answer)
+        async with trio.open_nursery() as nursery:
+            port = await nursery.start(server.serve, processes.HOST, 0)
+            address = _http_client.Address(host=processes.HOST, port=port)
+            await _http_client.Client().request(
+                "GET", address, "/", headers=[("x-place", "caf\xe9")]
+            )
+            nursery.cancel_scope.cancel()
+
+    trio.run(exchange)
+    context.received = received
+
+
+@behave.then("the server receives that field unchanged")
+def step_received_unchanged(context):
+    assert context.received == ["caf\xe9"], context.received
