Reproduce answers without end that fill a node's memory

Bytes that are no answer may come without end. A node reads the answers to reports and orders, those of the store, and failures of engines completely before it acts on them, without a bound; it buffers an event until its end.

Knobs are given to an engine at its start as JSON, so that they also hold for its first orders.

--- a/standins/forwarding_system.py
+++ b/standins/forwarding_system.py
@@ -176,8 +176,8 @@
             port=self.store_port,
         )
 
-    def start_member(self, member: Member, *options: str) -> None:
-        """Start an engine or a server of a plain service."""
+    def start_member(self, member: Member, **knobs: object) -> None:
+        """Start an engine or a server of a plain service with some knobs set."""
         port = self.ports.setdefault(member.name, self._ports.allocate())
         service = MODEL_SERVICE if member.kind else PLAIN_SERVICE
         arguments = ["--name", member.name, "--service", service]
@@ -185,7 +185,8 @@
         arguments += ["--domain", member.domain, "--layers", str(LAYERS)]
         if member.kind:
             arguments += ["--kind", member.kind]
-        arguments += options
+        if knobs:
+            arguments += ["--knobs", json.dumps(knobs)]
         self.processes.start(member.name, "standins.path_engine", *arguments, port=port)
 
     def start_node(self, name: str, domain: str, first_start: bool = False) -> None:
--- a/standins/path_engine.py
+++ b/standins/path_engine.py
@@ -11,7 +11,7 @@
 import trio
 
 from jujubepass.transport import _http_client, _http_server
-from standins import knobs
+from standins import knobs, raw_answers
 
 _HEARTBEAT_INTERVAL_SECONDS = 0.2
 _EVENT_INTERVAL_SECONDS = 0.02
@@ -45,6 +45,14 @@
     """Part of a prompt on which each answer crashes the process; empty for none."""
     crash_events: int = 0
     """Events that such an answer has before the crash."""
+    unframed: bool = False
+    """Whether answers have neither a length nor chunks."""
+    reset_answer: float = 0
+    """Resets of the connection in the middle of an unframed answer."""
+    endless_request: str = ""
+    """Form of bytes without end in place of answers; see `raw_answers`."""
+    endless_report: str = ""
+    endless_order: str = ""
 
 
 @cappa.command(name="path-engine")
@@ -60,18 +68,15 @@
     layers: typing.Annotated[int, cappa.Arg(long=True)] = 8
     host: typing.Annotated[str, cappa.Arg(long=True)] = "127.0.0.1"
     kind: typing.Annotated[str | None, cappa.Arg(long=True)] = None
-    crash_part: typing.Annotated[str | None, cappa.Arg(long=True)] = None
-    crash_events: typing.Annotated[int | None, cappa.Arg(long=True)] = None
+    knobs: typing.Annotated[str | None, cappa.Arg(long=True)] = None
+    """Knobs from the start on, as a JSON object."""
 
 
 class Engine:
     """Serve requests, reports and orders."""
 
     def __init__(self, *, arguments: Arguments) -> None:
-        self.settings = EngineKnobs(
-            crash_part=arguments.crash_part or "",
-            crash_events=arguments.crash_events or 0,
-        )
+        self.settings = EngineKnobs(**json.loads(arguments.knobs or "{}"))
         self._arguments = arguments
         self._client = _http_client.Client(
             connect_timeout_seconds=_STAGE_CHECK_TIMEOUT_SECONDS
@@ -109,6 +114,8 @@
                 "connections": self.server.connections,
             }
             await responder.send_json(200, counts)
+        elif endless := self._find_endless(request.path):
+            await self._write_endless(request, responder, endless)
         elif request.path == "/v1/report":
             report = json.dumps(self._report()).encode()
             await responder.send_fields(200, self._list_signals(200), report)
@@ -121,6 +128,27 @@
         else:
             await self._serve(request, responder)
 
+    def _find_endless(self, path: str) -> str:
+        """Return the form of bytes without end that a path is answered with."""
+        if path.startswith("/part/"):
+            return ""
+        forms = {
+            "/v1/report": self.settings.endless_report,
+            "/v1/order": self.settings.endless_order,
+        }
+        return forms.get(path, self.settings.endless_request)
+
+    async def _write_endless(
+        self, request: _http_server.Request, responder: Responder, form: str
+    ) -> None:
+        request_id = request.headers.get("x-request-id", "")
+        fields = [("x-request-id", request_id), ("x-server-seal", "seal")]
+        began_at = time.monotonic()
+        try:
+            await raw_answers.write_endless(responder, form, fields)
+        finally:
+            _log("endless", request_id, seconds=time.monotonic() - began_at)
+
     def _report(self) -> dict[str, typing.Any]:
         return {
             "kind": self._arguments.kind or "",
@@ -227,6 +255,8 @@
             refusal = [*echo, *self._list_signals(503), ("x-not-executed", "1")]
             await responder.send_fields(503, refusal, b"")
             return
+        if self.settings.unframed:
+            responder = raw_answers.UnframedResponder(responder=responder)
         path = request.headers.get("x-hop-count")
         if path is not None:
             await self._stream(request, responder, path, echo)
@@ -247,7 +277,19 @@
             "path": request.path,
             "body": request.body.decode(),
         }
-        await responder.send_fields(status, fields, json.dumps(value).encode())
+        body = json.dumps(value).encode()
+        if self._draw_fault("reset_answer"):
+            await responder.start_fields(status, fields)
+            await self._reset(responder, body[: len(body) // 2])
+        await responder.send_fields(status, fields, body)
+
+    async def _reset(self, responder: Responder, data: bytes) -> None:
+        """Reset the connection of an unframed answer after some more data."""
+        assert isinstance(responder, raw_answers.UnframedResponder)
+        await responder.write(data)
+        # The caller reads what has arrived before the reset.
+        await trio.sleep(_EVENT_INTERVAL_SECONDS)
+        responder.reset()
 
     async def _stream(
         self,
@@ -302,6 +344,8 @@
             if self._draw_fault("cut_event"):
                 await responder.write(event[: len(event) // 2])
                 raise trio.BrokenResourceError
+            if number > last + 2 and self._draw_fault("reset_answer"):
+                await self._reset(responder, event)
             await responder.write(event)
             await trio.sleep(_EVENT_INTERVAL_SECONDS)
 
@@ -382,9 +426,9 @@
     return f"id: {number}\ndata: {request_id} {number}\n\n".encode()
 
 
-def _log(message: str, request_id: str) -> None:
+def _log(message: str, request_id: str, **values: float) -> None:
     """Write a line that outlasts the process, unlike its counters."""
-    line = {"message": message, "request": request_id, "at": time.time()}
+    line = {"message": message, "request": request_id, "at": time.time(), **values}
     print(json.dumps(line), flush=True)
 
 
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -4,6 +4,7 @@
 import json
 import os
 import pathlib
+import re
 import signal
 import socket
 import subprocess
@@ -204,6 +205,13 @@
         """Return a process's id."""
         return self._running[name].pid
 
+    def read_memory(self, name: str, field: str = "VmRSS") -> int:
+        """Return a field of a process's memory in bytes; VmHWM is its peak."""
+        status = pathlib.Path(f"/proc/{self.get_pid(name)}/status").read_text()
+        found = re.search(rf"^{field}:\s+(\d+) kB", status, re.MULTILINE)
+        assert found is not None
+        return int(found[1]) * 1_024
+
     def has_exited(self, name: str) -> bool:
         """Return whether a process has exited."""
         return self._running[name].poll() is not None
--- a/standins/row_store.py
+++ b/standins/row_store.py
@@ -11,7 +11,7 @@
 import trio
 
 from jujubepass.transport import _http_server
-from standins import knobs
+from standins import knobs, raw_answers
 
 _MAX_ROWS = 500
 _LIMITS = _http_server.ServerLimits(connections=5_000)
@@ -32,6 +32,8 @@
     lose_writes: float = 0
     lapse_seconds: float = 1.0
     sends_era: bool = True
+    endless: str = ""
+    """Form of bytes without end in place of answers; see `raw_answers`."""
 
 
 class RowStore:
@@ -131,6 +133,8 @@
         if self.settings.reset:
             raise trio.BrokenResourceError
         await trio.sleep(self.settings.delay_seconds)
+        if self.settings.endless:
+            await raw_answers.write_endless(responder, self.settings.endless)
         if self.settings.status:
             await responder.send_json(self.settings.status, {})
         elif path == "/v1/rows-tx":
--- a/tests/features/steps/prompt_parts_steps.py
+++ b/tests/features/steps/prompt_parts_steps.py
@@ -92,27 +92,25 @@
         self._threads.clear()
 
 
-def restart_engine(context, member, options, stopping):
+def restart_engine(context, member, knobs, stopping):
     """Start an engine again each time that it has ended."""
     system = context.system
     while not stopping.wait(0.02):
         if system.processes.has_exited(member.name):
             time.sleep(RESTART_SECONDS)
-            system.start_member(member, *options)
+            system.start_member(member, **knobs)
 
 
 @behave.given("engines that crash {when} and are started again")
 def step_engines(context, when):
     system = context.system
     events = 1 if when == "after one event" else 0
-    options = ("--crash-part", CRASHING_PART, "--crash-events", str(events))
+    knobs = {"crash_part": CRASHING_PART, "crash_events": events}
     stopping = threading.Event()
     threads = []
     for member in ENGINES:
-        processes.change_knobs(
-            system.ports[member.name], crash_part=CRASHING_PART, crash_events=events
-        )
-        arguments = (context, member, options, stopping)
+        processes.change_knobs(system.ports[member.name], **knobs)
+        arguments = (context, member, knobs, stopping)
         threads.append(threading.Thread(target=restart_engine, args=arguments))
     for thread in threads:
         thread.start()
