Bound the answers that the HTTP client reads into memory

A node whose engine or store answered with bytes without end grew by up to 717 MB (limit of a node: 300 MB), since the client collected a complete answer without a bound; only a time-out ended it.

An answer over the bound raises InterruptedAnswerError, which the callers treat as an answer that broke off, and closes its connection. The bound is 1 MiB for failures of engines, reports and orders, 4 MiB for the store, whose pages have up to 1 MB before base64 and JSON, and 16 MiB for other complete answers.

--- a/src/jujubepass/platform/engines.py
+++ b/src/jujubepass/platform/engines.py
@@ -13,6 +13,7 @@
 from jujubepass.transport import _http_client
 
 _REQUEST_TIMEOUT_SECONDS = 0.5
+_MAX_ANSWER_BYTES = 1_048_576
 _OK = 200
 _ACCEPTED = 202
 _NOT_FOUND = 404
@@ -43,6 +44,7 @@
                 "/v1/report",
                 headers=((headers.EXPECTED_BACKEND, engine.name),),
                 timeout_seconds=_REQUEST_TIMEOUT_SECONDS,
+                max_bytes=_MAX_ANSWER_BYTES,
             )
             if answer.status != _OK:
                 raise engines.EngineError(
@@ -111,6 +113,7 @@
                     (headers.EXPECTED_BACKEND, engine.name),
                 ),
                 timeout_seconds=_REQUEST_TIMEOUT_SECONDS,
+                max_bytes=_MAX_ANSWER_BYTES,
                 fresh=True,
                 once=True,
             )
--- a/src/jujubepass/platform/store.py
+++ b/src/jujubepass/platform/store.py
@@ -25,6 +25,8 @@
 """Table of the plans; only the product writes it."""
 MEMBER_TABLE = "jujubepass-nodes"
 """Table of the nodes; only the product writes it."""
+# A page of rows has up to 1 MB of values, which base64 and JSON enlarge.
+_MAX_ANSWER_BYTES = 4 * 1_048_576
 # The store normally answers within 4 ms. On its slowest day it took 67 times as long;
 # the time-out is more than twice that.
 _ANSWER_TIMEOUT_SECONDS = 0.6
@@ -77,6 +79,7 @@
             headers=(("content-type", "application/json"),) if body else (),
             timeout_seconds=timeout_seconds,
             once=True,
+            max_bytes=_MAX_ANSWER_BYTES,
         )
         received_at = clocks.read_boot_clock()
         try:
--- a/src/jujubepass/transport/_http_client.py
+++ b/src/jujubepass/transport/_http_client.py
@@ -14,6 +14,9 @@
 from jujubepass.transport import _socket_io
 
 _MAX_IDLE_CONNECTIONS_PER_ADDRESS = 64
+# Maximum body that is read into memory, unless the caller expects a larger one.
+_MAX_BODY_BYTES = 1_048_576
+_MAX_REQUESTED_BODY_BYTES = 16 * _MAX_BODY_BYTES
 # A server that counts in whole seconds may close up to this much early.
 _KEEP_ALIVE_MARGIN_SECONDS = 0.5
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d+)")
@@ -122,12 +125,14 @@
                 self._ended = True
         return received
 
-    async def receive_all(self) -> Answer:
-        """Wait for the complete answer."""
-        parts = []
+    async def receive_all(self, max_bytes: int = _MAX_BODY_BYTES) -> Answer:
+        """Wait for the complete answer; raise InterruptedAnswerError if too large."""
+        body = bytearray()
         while part := await self.receive():
-            parts.append(part)
-        return Answer(status=self.status, headers=self.headers, body=b"".join(parts))
+            body += part
+            if len(body) > max_bytes:
+                raise InterruptedAnswerError(f"answer exceeds {max_bytes} bytes")
+        return Answer(status=self.status, headers=self.headers, body=bytes(body))
 
 
 @attrs.frozen(kw_only=True)
@@ -159,6 +164,7 @@
         timeout_seconds: float = 5.0,
         fresh: bool = False,
         once: bool = False,
+        max_bytes: int = _MAX_REQUESTED_BODY_BYTES,
     ) -> Answer:
         """Send a request and return its complete answer.
 
@@ -179,7 +185,7 @@
                 )
                 async with opened as answer:
                     sent = True
-                    return await answer.receive_all()
+                    return await answer.receive_all(max_bytes)
         except trio.TooSlowError as error:
             where = "the answer's end" if sent else "the answer"
             raise AnswerTimeoutError(f"{address} timed out before {where}") from error
