Bound the size of an event that is being received

An incomplete event over 256 KiB ends the attempt like an answer that breaks off, and the stream goes on at other engines.

--- a/src/jujubepass/forwarding/events.py
+++ b/src/jujubepass/forwarding/events.py
@@ -7,6 +7,10 @@
 
 import attrs
 
+from jujubepass.transport import _http_client
+
+# An event has about two tokens.
+_MAX_EVENT_BYTES = 262_144
 _END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 _ID = re.compile(rb"(?:^|[\r\n])id: ?([^\r\n]*)")
 
@@ -31,7 +35,10 @@
         return bool(self._pending)
 
     def feed(self, data: bytes) -> list[Event]:
-        """Add data from the stream and return the events completed by it."""
+        """Add data from the stream and return the events completed by it.
+
+        Raises InterruptedAnswerError if an incomplete event is too large.
+        """
         pending = self._pending + data
         events = []
         start = 0
@@ -39,6 +46,10 @@
             events.append(_read_event(pending[start : end.end()]))
             start = end.end()
         self._pending = pending[start:]
+        if len(self._pending) > _MAX_EVENT_BYTES:
+            raise _http_client.InterruptedAnswerError(
+                f"event exceeds {_MAX_EVENT_BYTES} bytes"
+            )
         return events
 
 
