Bound the number of interim responses before an answer

An engine that sent interim responses without end kept the node reading them until the stream's time-out: each read parsed thousands of heads, and other requests at that node waited.

After 16 interim responses the answer counts as broken off.

--- a/src/jujubepass/transport/_http_client.py
+++ b/src/jujubepass/transport/_http_client.py
@@ -17,6 +17,8 @@
 # Maximum body that is read into memory, unless the caller expects a larger one.
 _MAX_BODY_BYTES = 1_048_576
 _MAX_REQUESTED_BODY_BYTES = 16 * _MAX_BODY_BYTES
+# Maximum number of interim responses before an answer.
+_MAX_INTERIM_RESPONSES = 16
 # A server that counts in whole seconds may close up to this much early.
 _KEEP_ALIVE_MARGIN_SECONDS = 0.5
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d+)")
@@ -318,14 +320,18 @@
     # A server that refuses a request early may close before reading all of it.
     with contextlib.suppress(trio.BrokenResourceError):
         await stream.send_all(data)
-    while True:
+    interim_responses = 0
+    while interim_responses <= _MAX_INTERIM_RESPONSES:
         event = _read_event(connection)
         if isinstance(event, h11.Response):
             return event
         if event is h11.NEED_DATA:
             await _receive(connection, stream)
-        elif not isinstance(event, h11.InformationalResponse):
+        elif isinstance(event, h11.InformationalResponse):
+            interim_responses += 1
+        else:
             raise InterruptedAnswerError("connection closed before the answer")
+    raise InterruptedAnswerError(f"over {_MAX_INTERIM_RESPONSES} interim responses")
 
 
 def _read_event(connection: h11.Connection) -> object:
