Reproduce parts of prompts that crash engine after engine

Simulated nodes serve streams on simulated engines that end 0.05 to 0.15 s into each run of a prompt with one part.

--- a/tests/features/steps/quarantine_steps.py
+++ b/tests/features/steps/quarantine_steps.py
@@ -21,7 +21,7 @@
 from jujubepass.limits import _retry_budget
 from jujubepass.platform import wire
 from jujubepass.transport import _http_server
-from tests import small_fleet
+from tests import quarantine_fleet, small_fleet
 
 
 def read_parts(field):
@@ -194,3 +194,86 @@
         assert line.outcome == "broken", line.__dict__
         assert line.prompt_parts == "a,b", line.__dict__
         assert (line.run_events, line.events) == (1, number), line.__dict__
+
+
+@behave.given("{count:d} simulated nodes")
+def step_nodes(context, count):
+    context.fleet = quarantine_fleet.Fleet(count=count)
+
+
+def simulate(context, play):
+    """Run a function of the fleet, which has started, on a simulated clock."""
+    fleet = context.fleet
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            await fleet.start(nursery)
+            context.began = trio.current_time()
+            await play(fleet, nursery)
+            context.ended = trio.current_time()
+            nursery.cancel_scope.cancel()
+
+    quarantine_fleet.run_simulation(main)
+
+
+def send_sound(fleet, nursery, seconds, rate=15.0, nodes=None):
+    draw = quarantine_fleet.draw_sound
+    nursery.start_soon(fleet.send, rate, seconds, draw, nodes)
+
+
+# Guards against requests with one part in their prompts that crashed engine after
+# engine, as nothing linked a crash to what the requests share.
+@behave.when(
+    "sound requests and {rate:g} a second with a bad part come at any of them for"
+    " {seconds:g} seconds"
+)
+def step_bad_part(context, rate, seconds):
+    async def play(fleet, nursery):
+        send_sound(fleet, nursery, seconds + 3.0)
+        await trio.sleep(3.0)
+        await fleet.send(rate, seconds, quarantine_fleet.make_bad())
+
+    simulate(context, play)
+
+
+@behave.then(
+    "3 seconds after the fifth end no more than 3 requests with the bad part reach"
+    " engines"
+)
+def step_bound(context):
+    late = context.fleet.list_late("bad")
+    assert len(late) <= quarantine_fleet.ALLOWED_REQUESTS_AFTER, (
+        len(late),
+        len(context.fleet.ends),
+    )
+
+
+# The rule allows half; undisturbed sound requests all begin here.
+MIN_BEGUN_SHARE = 0.5
+
+
+@behave.then("6 seconds after it sound requests begin as elsewhere")
+def step_sound_after(context):
+    start = context.fleet.find_deadline("bad") + quarantine_fleet.CONTACT_SECONDS
+    share = context.fleet.share_begun(start, context.ended)
+    assert share >= MIN_BEGUN_SHARE, share
+
+
+@behave.when("a single request with a bad part comes")
+def step_single(context):
+    async def play(fleet, nursery):
+        node = fleet.nodes[0]
+        request = fleet._make_request(quarantine_fleet.make_bad()(fleet.random_source))
+        reply = replies.Reply(
+            request=request, wire=wire.HttpWire(), responder=Responder()
+        )
+        await fleet._serve(node, request, reply)
+        context.reply = reply
+
+    simulate(context, play)
+
+
+@behave.then("it has ended no more than 2 engines")
+def step_two_engines(context):
+    assert 1 <= len(context.fleet.ends) <= 2, context.fleet.ends
+    assert context.reply.reason == "outcome_unknown", context.reply
--- /dev/null
+++ b/tests/quarantine_fleet.py
@@ -0,0 +1,312 @@
+"""Nodes, engines and callers with parts of prompts that crash engines, simulated."""
+
+import collections
+import random
+import unittest.mock
+
+import attrs
+import trio
+import trio.testing
+
+from jujubepass import ids
+from jujubepass.forwarding import (
+    admission,
+    backend_list,
+    board,
+    clocks,
+    exchange,
+    feeds,
+    probing,
+    replies,
+    server_signals,
+    silences,
+    slowdowns,
+    stream_exchange,
+    suspicion,
+)
+from jujubepass.limits import _retry_budget
+from jujubepass.platform import wire
+from tests import quarantine_engines, small_fleet
+
+DOMAINS = 3
+ENGINES = 30
+RESTART_SECONDS = 4.0
+# A part crashes its engine this long after the run began.
+CRASH_SECONDS = (0.05, 0.15)
+# Time in which a part must be known at all nodes once it has ended five engines.
+CONTACT_SECONDS = 3.0
+ALLOWED_ENDS = 5
+ALLOWED_REQUESTS_AFTER = 3
+FIRST_PART = "system"
+COMMON_PARTS = tuple(f"common-{number}" for number in range(12))
+
+
+def run_simulation(function):
+    """Run an async function on a simulated clock."""
+    clock = trio.testing.MockClock(autojump_threshold=0.0)
+    with unittest.mock.patch.object(clocks, "read_boot_clock", trio.current_time):
+        return trio.run(function, clock=clock)
+
+
+@attrs.define(kw_only=True)
+class Arrival:
+    """Describe a request that reached an engine."""
+
+    at: float
+    parts: tuple[str, ...]
+    node: str
+
+
+class Node:
+    """Serve streams, and learn of parts that crash engines."""
+
+    def __init__(self, *, fleet, number):
+        self.fleet = fleet
+        self.name = ids.NodeId(f"n{number}")
+        self.random_source = random.Random(fleet.seed * 1_000 + number)
+        self.is_cut_off = False
+        self.scope = None
+
+    async def wait_while_frozen(self):
+        pass
+
+    async def run(self):
+        """Run until killed, each time without knowledge."""
+        with trio.CancelScope() as self.scope:
+            async with trio.open_nursery() as self.nursery:
+                self._make_parts()
+                await trio.sleep_forever()
+
+    def _make_parts(self):
+        self.blackboard = board.Blackboard(
+            node=self.name, failure_domain=ids.FailureDomainId("centro")
+        )
+        self.blackboard.configuration.declarations = small_fleet.make_declarations()
+        self.blackboard.members.nodes = self.fleet.node_names
+        self.list = backend_list.BackendController(area=self.blackboard.backends)
+        self.suspects = suspicion.Suspects()
+        silent = silences.Silences(area=self.blackboard.backends)
+        self.prober = probing.Prober(
+            blackboard=self.blackboard,
+            suspects=self.suspects,
+            control=quarantine_engines.Control(fleet=self.fleet, node=self),
+            slowdowns=slowdowns.SlowdownTracker(),
+            signals=server_signals.ServerSignals(
+                area=self.blackboard.backends, backend_list=self.list, silences=silent
+            ),
+        )
+        stalls = quarantine_engines.Stalls(node=self)
+        self.list_engines(self.fleet.engines.values())
+        self.streams = self._make_streams(stalls)
+
+    def _make_streams(self, stalls):
+        unlimited = _retry_budget.RetryBudgetBounds(capacity=1e9)
+        return stream_exchange.StreamExchange(
+            sender=quarantine_engines.Sender(fleet=self.fleet, node=self),
+            admission_control=admission.Admission(blackboard=self.blackboard),
+            choice=quarantine_engines.Choice(
+                node=self, random_source=self.random_source
+            ),
+            suspects=self.suspects,
+            stalls=stalls,
+            budgets=collections.defaultdict(
+                lambda: _retry_budget.RetryBudget(bounds=unlimited)
+            ),
+            count_retry=lambda reason: None,
+            observe_first_event=lambda seconds: None,
+        )
+
+    def list_engines(self, found):
+        """Apply entries of engines, as the list's follower does."""
+        now = clocks.read_boot_clock()
+        items = {each.name: each.describe() for each in found}
+        self.list.apply(feeds.Changes(items=items, version=1, confirmed_at=now), now)
+        while self.blackboard.backends.restarted:
+            self.suspects.clear(self.blackboard.backends.restarted.pop())
+
+
+class Responder:
+    """Accept an answer without a connection."""
+
+    started = False
+    retry_after_seconds = None
+
+    async def start_fields(self, status, fields):
+        self.started = True
+
+    async def write(self, data):
+        assert self.started
+
+    async def finish(self):
+        assert self.started
+
+    async def send_problem(
+        self, status, code, detail, *, retry_after_seconds=None, fields=()
+    ):
+        self.retry_after_seconds = retry_after_seconds
+
+
+@attrs.frozen(kw_only=True)
+class Outcome:
+    """Describe how the first attempt of a caller's request ended."""
+
+    at: float
+    parts: tuple[str, ...]
+    has_begun: bool
+    reason: str
+
+
+class Fleet:
+    """Run nodes, engines and callers."""
+
+    def __init__(self, *, count, seed=1, bad_parts=("bad",)):
+        self.seed = seed
+        self.random_source = random.Random(seed)
+        self.bad_parts = set(bad_parts)
+        self.resets = 0
+        self.arrivals = []
+        self.ends = []
+        """Times at which engines ended under a part, with the part."""
+        self.outcomes = []
+        self.numbers = iter(range(1, 10**9))
+        found = (quarantine_engines.Engine(number=number) for number in range(ENGINES))
+        self.engines = {each.name: each for each in found}
+        self.node_names = frozenset(ids.NodeId(f"n{n}") for n in range(count))
+        self.nodes = [Node(fleet=self, number=number) for number in range(count)]
+        self.nursery = None
+
+    async def start(self, nursery):
+        self.nursery = nursery
+        for node in self.nodes:
+            nursery.start_soon(node.run)
+        await trio.sleep(0.1)
+
+    def restart_nodes(self):
+        for node in self.nodes:
+            node.scope.cancel()
+            self.nursery.start_soon(node.run)
+
+    def record_arrival(self, request, engine, node):
+        now = clocks.read_boot_clock()
+        parts = tuple(request.prompt_parts)
+        self.arrivals.append(Arrival(at=now, parts=parts, node=node.name))
+        if bad := self.bad_parts.intersection(parts):
+            self.nursery.start_soon(self._crash_after, engine, sorted(bad)[0])
+
+    async def _crash_after(self, engine, part):
+        started_at = engine.started_at
+        await trio.sleep(self.random_source.uniform(*CRASH_SECONDS))
+        if engine.is_up and engine.started_at == started_at:
+            self.ends.append((clocks.read_boot_clock(), part))
+            self.crash(engine)
+
+    def crash(self, engine):
+        engine.is_up = False
+        self.nursery.start_soon(self._restart, engine)
+
+    async def _restart(self, engine):
+        await trio.sleep(RESTART_SECONDS)
+        engine.started_at += 1
+        engine.is_up = True
+        await trio.sleep(0.1)
+        for node in self.nodes:
+            if not node.is_cut_off:
+                node.list_engines([engine])
+
+    async def send(self, rate, seconds, make_parts, nodes=None):
+        """Let callers send requests at a rate to random nodes."""
+        end = trio.current_time() + seconds
+        while True:
+            await trio.sleep(self.random_source.expovariate(rate))
+            if trio.current_time() >= end:
+                return
+            parts = make_parts(self.random_source)
+            self.nursery.start_soon(self._call, parts, nodes or self.nodes)
+
+    async def _call(self, parts, nodes):
+        """Send a request, and repeat it elsewhere as callers may."""
+        for number in range(3):
+            node = self.random_source.choice(nodes)
+            request = self._make_request(parts)
+            responder = Responder()
+            reply = replies.Reply(
+                request=request, wire=wire.HttpWire(), responder=responder
+            )
+            await self._serve(node, request, reply)
+            if number == 0:
+                outcome = Outcome(
+                    at=request.arrived_at,
+                    parts=parts,
+                    has_begun=reply.started,
+                    reason=reply.reason,
+                )
+                self.outcomes.append(outcome)
+            if reply.outcome == "answered":
+                return
+            await trio.sleep(min(7.0, responder.retry_after_seconds or 0.0))
+
+    def _make_request(self, parts):
+        now = clocks.read_boot_clock()
+        return exchange.CallerRequest(
+            request_id=ids.RequestId(f"r{next(self.numbers)}"),
+            host=small_fleet.ROUTE.host,
+            method="POST",
+            target="/drafts/new",
+            key="ana-key",
+            arrived_at=now,
+            timeout_seconds=20.0,
+            resume_after=None,
+            max_answer_tokens=10,
+            fields=(),
+            body=b"",
+            prompt_parts=tuple(map(ids.PromptPartId, parts)),
+        )
+
+    async def _serve(self, node, request, reply):
+        now = request.arrived_at
+        node.blackboard.configuration.confirmed_at = now + 30.0
+        admitted = node.streams.admission_control.admit(request, now)
+        assert isinstance(admitted, exchange.Admitted), admitted
+        await node.streams.serve(request, admitted, reply)
+
+    def find_deadline(self, part, ends=ALLOWED_ENDS):
+        """Return the time from which no more requests with a part may reach engines."""
+        times = [at for at, each in self.ends if each == part]
+        assert len(times) >= 2, f"{part} ended {len(times)} engines"
+        return times[min(ends, len(times)) - 1] + CONTACT_SECONDS
+
+    def list_late(self, part, nodes=None):
+        """Return the arrivals of requests with a part that came too late."""
+        deadline = self.find_deadline(part)
+        return [
+            each
+            for each in self.arrivals
+            if part in each.parts
+            and each.at > deadline
+            and (nodes is None or each.node in nodes)
+        ]
+
+    def share_begun(self, start, end):
+        """Return the share of sound requests sent in a time that began at once."""
+        found = [
+            each.has_begun
+            for each in self.outcomes
+            if start <= each.at < end and not self.bad_parts.intersection(each.parts)
+        ]
+        assert len(found) >= 20, f"{len(found)} requests"
+        return sum(found) / len(found)
+
+
+def draw_sound(random_source):
+    return (FIRST_PART, *random_source.sample(COMMON_PARTS, 2))
+
+
+def make_bad(part="bad"):
+    """Return a source of prompts with a part at any place but the first."""
+
+    def draw(random_source):
+        others = [*random_source.sample(COMMON_PARTS, 2), part]
+        random_source.shuffle(others)
+        return (FIRST_PART, *others)
+
+    return draw
