Quarantine parts of prompts that crash engine after engine

Cause: nothing linked an engine's end to what its requests share. An end was held against the engine alone, so that the next request with the part went to the next engine; one request was run on up to four engines; each node learned for itself, and a restarted one from nothing.

A node now holds the end of an engine against the parts of the requests that had just begun to run on it, once the end is certain: nothing listens at its address, or it reports or is listed with a later start. Resets, silence and refusals blame nothing, nor does a part that ran well within the last minute. Nodes share the ends by part in a table, written by compare-and-set. A part is quarantined from three ends that no other such part explains; requests with it are refused as not run (503, Retry-After). One request is let through 2, 20 and 120 s later, which releases a sound part. A request under which an engine has ended is run once more at most. A new node waits up to 1 s for the first read of the rows.

--- a/src/jujubepass/forwarding/adapters.py
+++ b/src/jujubepass/forwarding/adapters.py
@@ -12,6 +12,7 @@
     feeds,
     members,
     plans,
+    prompt_parts,
 )
 from jujubepass.storage import _table_client
 
@@ -28,5 +29,7 @@
     plans: feeds.DecodedFeed[plans.Plan]
     member_table: _table_client.Table
     members: feeds.DecodedFeed[members.Member]
+    prompt_table: _table_client.Table
+    prompts: feeds.DecodedFeed[prompt_parts.SuspectedPart]
     count_eras: collections.abc.Callable[[], collections.abc.Mapping[str, int]]
     """Return how often the store's era changed, and was missing or invalid."""
--- a/src/jujubepass/forwarding/board.py
+++ b/src/jujubepass/forwarding/board.py
@@ -7,7 +7,13 @@
 import attrs
 
 from jujubepass import ids
-from jujubepass.forwarding import backends, declarations, plans, settings
+from jujubepass.forwarding import (
+    backends,
+    declarations,
+    plans,
+    prompt_parts,
+    settings,
+)
 
 if typing.TYPE_CHECKING:
     from jujubepass.forwarding import members
@@ -81,6 +87,18 @@
     """Boot-clock time until which nodes that have read the row count this node."""
 
 
+@attrs.define(kw_only=True)
+class PromptArea:
+    """Store suspected parts of prompts; written by the quarantine."""
+
+    records: dict[prompt_parts.PartKey, prompt_parts.PartRecord] = attrs.field(
+        factory=dict
+    )
+    quarantined: dict[prompt_parts.PartKey, float] = attrs.field(factory=dict)
+    """Parts in quarantine, with the boot-clock time since which they are."""
+    is_initialized: bool = False
+
+
 @attrs.define(kw_only=True)
 class Blackboard:
     """Combine all areas; docs/architecture.md lists their writers and readers."""
@@ -100,3 +118,4 @@
     backends: BackendArea = attrs.field(factory=BackendArea)
     plans: PlanArea = attrs.field(factory=PlanArea)
     members: MemberArea = attrs.field(factory=MemberArea)
+    prompts: PromptArea = attrs.field(factory=PromptArea)
--- a/src/jujubepass/forwarding/engine_controllers.py
+++ b/src/jujubepass/forwarding/engine_controllers.py
@@ -10,17 +10,24 @@
     evacuation,
     moves,
     ordering,
+    part_guard,
+    part_sharing,
     probing,
+    quarantine,
     server_signals,
     silences,
     slowdowns,
     stall_watch,
     suspicion,
 )
+from jujubepass.storage import _table_client
 
 # Aliases, because fields have the same names as the modules.
 _BackendController = backend_list.BackendController
 _Evacuation = evacuation.Evacuation
+_PartGuard = part_guard.PartGuard
+_PartSharing = part_sharing.PartSharing
+_Quarantine = quarantine.Quarantine
 _Silences = silences.Silences
 
 
@@ -32,6 +39,10 @@
     suspects: suspicion.Suspects
     control: engines.EngineControl
     backend_list: _BackendController
+    prompt_table: _table_client.Table
+    quarantine: _Quarantine = attrs.field(init=False)
+    part_sharing: _PartSharing = attrs.field(init=False)
+    part_guard: _PartGuard = attrs.field(init=False)
     silences: _Silences = attrs.field(init=False)
     signals: server_signals.ServerSignals = attrs.field(init=False)
     prober: probing.Prober = attrs.field(init=False)
@@ -47,12 +58,14 @@
         self.signals = server_signals.ServerSignals(
             area=area, backend_list=self.backend_list, silences=self.silences
         )
+        self.quarantine = quarantine.Quarantine(blackboard=self.blackboard)
         self.prober = probing.Prober(
             blackboard=self.blackboard,
             suspects=self.suspects,
             control=self.control,
             slowdowns=tracker,
             signals=self.signals,
+            on_run_ended=self.quarantine.record_end,
         )
         self.choice = engine_choice.EngineChoice(
             blackboard=self.blackboard,
@@ -64,6 +77,7 @@
             blackboard=self.blackboard, control=self.control, silences=self.silences
         )
         self._watch_streams()
+        self._watch_parts()
 
     def _watch_streams(self) -> None:
         mover = moves.Mover(
@@ -78,3 +92,17 @@
         self.evacuation = evacuation.Evacuation(
             blackboard=self.blackboard, stalls=self.stalls, mover=mover
         )
+
+    def _watch_parts(self) -> None:
+        self.part_sharing = part_sharing.PartSharing(
+            blackboard=self.blackboard,
+            quarantine=self.quarantine,
+            table=self.prompt_table,
+            schedule_probe=self.stalls.schedule_probe,
+        )
+        self.part_guard = part_guard.PartGuard(
+            area=self.blackboard.backends,
+            quarantine=self.quarantine,
+            trials=self.part_sharing,
+            schedule_probe=self.stalls.schedule_probe,
+        )
--- /dev/null
+++ b/src/jujubepass/forwarding/engine_ends.py
@@ -0,0 +1,83 @@
+"""Ends of engines, each held against parts only once it is confirmed."""
+
+import attrs
+
+from jujubepass import ids
+from jujubepass.forwarding import board, prompt_parts
+
+# Time in which the end of an engine is confirmed after a run on it broke.
+_CONFIRMATION_SECONDS = 10.0
+_PROBING_SECONDS = 2.0
+_MAX_RUNS = 1_000
+
+Depths = dict[prompt_parts.PartKey, int]
+"""Parts with their index in the prompt."""
+
+
+@attrs.define(kw_only=True)
+class _PossibleEnd:
+    since: float
+    confirmed_at: float | None = None
+    depths: Depths = attrs.field(factory=dict)
+
+
+@attrs.define(kw_only=True)
+class EngineEnds:
+    """Collect parts on runs of engines that may have ended, until that is known."""
+
+    area: board.BackendArea
+    _ends: dict[prompt_parts.EngineRun, _PossibleEnd] = attrs.field(
+        factory=dict, init=False
+    )
+
+    def record_break(
+        self, run: prompt_parts.EngineRun, depths: Depths, now: float
+    ) -> Depths:
+        """Record a request that broke on a run; return its parts if that has ended."""
+        end = self._find(run, now)
+        if end.confirmed_at is not None:
+            return depths
+        end.depths |= depths
+        return {}
+
+    def confirm(self, run: prompt_parts.EngineRun, now: float) -> Depths:
+        """Record that a run has ended; return the parts that may have ended it."""
+        end = self._find(run, now)
+        if end.confirmed_at is None:
+            end.confirmed_at = now
+        depths, end.depths = end.depths, {}
+        return depths
+
+    def list_restarted(self) -> list[prompt_parts.EngineRun]:
+        """Return unconfirmed runs whose engines are listed with another start."""
+        found = []
+        for run, end in self._ends.items():
+            listed = self.area.listed.get(run.engine)
+            is_replaced = listed is not None and listed.started_at > run.started_at
+            if is_replaced and end.confirmed_at is None:
+                found.append(run)
+        return found
+
+    def list_unconfirmed(self, now: float) -> list[ids.BackendServerId]:
+        """Return engines whose possible end is to be confirmed by a probe."""
+        return [
+            run.engine
+            for run, end in self._ends.items()
+            if end.confirmed_at is None and now - end.since <= _PROBING_SECONDS
+        ]
+
+    def remove_old(self, now: float) -> None:
+        """Remove ends that are confirmed, or were not confirmed, for long enough."""
+        for run, end in list(self._ends.items()):
+            if now - (end.confirmed_at or end.since) > _CONFIRMATION_SECONDS:
+                del self._ends[run]
+
+    def has_ended(self, run: prompt_parts.EngineRun) -> bool:
+        """Return whether the end of a run was confirmed of late."""
+        end = self._ends.get(run)
+        return end is not None and end.confirmed_at is not None
+
+    def _find(self, run: prompt_parts.EngineRun, now: float) -> _PossibleEnd:
+        while len(self._ends) >= _MAX_RUNS and run not in self._ends:
+            del self._ends[next(iter(self._ends))]
+        return self._ends.setdefault(run, _PossibleEnd(since=now))
--- a/src/jujubepass/forwarding/engines.py
+++ b/src/jujubepass/forwarding/engines.py
@@ -14,6 +14,10 @@
     """Signal that an engine gave no usable response."""
 
 
+class EngineEndedError(EngineError):
+    """Signal that nothing listens at the engine's address."""
+
+
 @attrs.frozen(kw_only=True)
 class EngineReport:
     """Describe an engine's status, which is some hundred milliseconds old."""
--- a/src/jujubepass/forwarding/metrics_page.py
+++ b/src/jujubepass/forwarding/metrics_page.py
@@ -12,6 +12,7 @@
     engine_choice,
     members,
     ordering,
+    quarantine,
     server_signals,
 )
 from jujubepass.forwarding import measures as node_measures
@@ -20,6 +21,9 @@
 from jujubepass.telemetry import _metric_registry
 from jujubepass.transport import _http_client
 
+# Alias, because an argument has the same name as the module.
+_Quarantine = quarantine.Quarantine
+
 
 @attrs.frozen(kw_only=True)
 class MetricsPage:
@@ -40,6 +44,7 @@
     budgets: collections.abc.Mapping[ids.ServiceId, _retry_budget.RetryBudget],
     relay: assembly.Relay,
     signals: server_signals.ServerSignals,
+    quarantine: _Quarantine,
     count_eras: collections.abc.Callable[[], collections.abc.Mapping[str, int]],
     count_unreadable: collections.abc.Callable[[], collections.abc.Mapping[str, int]],
 ) -> MetricsPage:
@@ -51,6 +56,7 @@
     _add_requests(registry, measures)
     _add_calls(registry, client, orders, choice)
     _add_signals(registry, signals)
+    _add_prompts(registry, quarantine)
     _add_relay(registry, relay)
     _add_store(registry, count_unreadable, count_eras)
     _add_budgets(registry, budgets)
@@ -128,6 +134,33 @@
     )
 
 
+def _add_prompts(registry: _metric_registry.Registry, quarantine: _Quarantine) -> None:
+    area = quarantine.blackboard.prompts
+    for name, description, read in (
+        ("prompt_parts_suspected", "Suspected.", lambda: len(area.records)),
+        ("prompt_parts_quarantined", "In quarantine.", lambda: len(area.quarantined)),
+    ):
+        registry.add_gauge(name, description, read)
+    for name, description, count in (
+        (
+            "prompt_part_suspicions",
+            "Ends of engines held against parts of prompts by this node's requests.",
+            lambda: quarantine.suspicions,
+        ),
+        (
+            "prompt_part_trials",
+            "Requests let through to try a part in quarantine.",
+            lambda: quarantine.trials,
+        ),
+        (
+            "prompt_part_removals",
+            "Rows of suspected parts removed after a sound run or a long time.",
+            lambda: quarantine.removals,
+        ),
+    ):
+        registry.add_counter(name, description, count)
+
+
 def _add_relay(registry: _metric_registry.Registry, relay: assembly.Relay) -> None:
     for name, description, label, read in (
         ("store_reads", "Reads of the store's feeds.", "feed", relay.count_reads),
--- a/src/jujubepass/forwarding/node.py
+++ b/src/jujubepass/forwarding/node.py
@@ -46,6 +46,7 @@
 
 # Maximum wait for changes of plans. An outdated plan only makes a pipeline fail once.
 _MAX_PLANS_WAIT_SECONDS = 20.0
+_MAX_PROMPTS_WAIT_SECONDS = 20.0
 # Interval after changes of the list, as engines register one by one during a start. All
 # nodes together read it at this rate, but each soon enough to use a draining engine for
 # another second and keep to the two in which it may receive requests.
@@ -112,6 +113,7 @@
             suspects=self.suspects,
             control=self.adapter.control,
             backend_list=self._backend_list,
+            prompt_table=self.adapter.prompt_table,
         )
 
     def _make_relay(self) -> None:
@@ -123,6 +125,7 @@
                 "backends": adapter.backends.rows,
                 "plans": adapter.plans.rows,
                 "members": adapter.members.rows,
+                "prompts": adapter.prompts.rows,
             },
             transport=links.HttpTransport(client=self.client),
             address=self.settings.listen.relay,
@@ -180,6 +183,12 @@
             find_wait=lambda: _MAX_PLANS_WAIT_SECONDS,
             apply=self._planning.apply,
         )
+        self._prompts = following.Follower(
+            name="prompts",
+            feed=self._relay_rows("prompts", self.adapter.prompts),
+            find_wait=lambda: _MAX_PROMPTS_WAIT_SECONDS,
+            apply=self._engines.quarantine.apply,
+        )
 
     def _count_unreadable(self) -> dict[str, int]:
         return {
@@ -220,6 +229,7 @@
                 choice=self._engines.choice,
                 suspects=self.suspects,
                 stalls=self._engines.stalls,
+                guard=self._engines.part_guard,
                 budgets=self._budgets,
                 count_retry=self.measures.count_retry,
                 observe_first_event=self.measures.observe_first_event,
@@ -247,12 +257,18 @@
         listen = self.settings.listen
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
             async with trio.open_nursery() as nursery:
-                for follower in (self._configuration, self._backends, self._plans):
+                for follower in (
+                    self._configuration,
+                    self._backends,
+                    self._plans,
+                    self._prompts,
+                ):
                     nursery.start_soon(_run_with_restarts, follower.run)
                 for task in (
                     self._announcer.run,
                     self._relay.link.run,
                     self._planning.run,
+                    self._engines.part_sharing.run,
                     self._engines.orders.run,
                     self._engines.stalls.run,
                     self._engines.prober.run,
@@ -355,6 +371,7 @@
             budgets=self._budgets,
             relay=self._relay,
             signals=self._engines.signals,
+            quarantine=self._engines.quarantine,
             count_eras=self.adapter.count_eras,
             count_unreadable=self._count_unreadable,
         )
--- a/src/jujubepass/forwarding/probing.py
+++ b/src/jujubepass/forwarding/probing.py
@@ -62,6 +62,10 @@
     control: engines.EngineControl
     slowdowns: slowdowns.SlowdownTracker
     signals: server_signals.ServerSignals
+    on_run_ended: collections.abc.Callable[[ids.BackendServerId, int, float], None] = (
+        lambda *_: None
+    )
+    """Record that a listed run of an engine has ended."""
     _slowdown_candidates: set[ids.BackendServerId] = attrs.field(
         factory=set, init=False
     )
@@ -210,10 +214,14 @@
             with trio.fail_after(timeout_seconds):
                 report = await self.control.read_report(backend)
         except (engines.EngineError, trio.TooSlowError) as error:
+            if isinstance(error, engines.EngineEndedError):
+                self.on_run_ended(name, backend.started_at, clocks.read_boot_clock())
             _LOGGER.info(
                 "engine did not report", extra={"backend": name, "detail": str(error)}
             )
             return None
+        if 0 < backend.started_at < report.started_at:
+            self.on_run_ended(name, backend.started_at, clocks.read_boot_clock())
         signals = exchange.Signals(is_leaving=report.is_leaving)
         self.signals.record(name, backend.started_at, signals)
         self.suspects.record_response(name)
--- /dev/null
+++ b/src/jujubepass/forwarding/prompt_parts.py
@@ -0,0 +1,111 @@
+"""Parts of prompts, and the ends of engines that are held against them."""
+
+import collections.abc
+
+import attrs
+
+from jujubepass import ids
+
+MIN_ENDED_RUNS = 3
+"""Ended runs of engines from which on a part is in quarantine."""
+
+
+@attrs.frozen(kw_only=True)
+class PartKey:
+    """Identify a part among the prompts of a service."""
+
+    service: ids.ServiceId
+    part: ids.PromptPartId
+
+    def __str__(self) -> str:
+        return f"{self.service}/{self.part}"
+
+
+@attrs.frozen(kw_only=True, order=True)
+class EngineRun:
+    """Identify one run of an engine."""
+
+    engine: ids.BackendServerId
+    started_at: int
+
+
+@attrs.frozen(kw_only=True)
+class SuspectedPart:
+    """Describe the row of a part under which runs of engines have ended."""
+
+    key: PartKey
+    version: int
+    ended: frozenset[EngineRun]
+    depth: int
+    """Greatest index of the part in a prompt."""
+    trials: int = 0
+    """Requests that were let through since the part is in quarantine."""
+
+
+@attrs.define(kw_only=True)
+class PartRecord:
+    """Track what this node knows of a suspected part; times are on the boot clock."""
+
+    row: SuspectedPart
+    """The row as it was last read or written; version 0 without one."""
+    ended: dict[EngineRun, float]
+    """Ended runs, those not yet written too, with the time this node learned of it."""
+    depth: int
+    changed_at: float
+    trials_seen_at: float
+    disproved_at: float | None = None
+    """Time since which this node has seen a sound run of the part."""
+    turn: int | None = None
+    """Turn at which this node removes the row; None before it is known."""
+
+    @property
+    def is_written(self) -> bool:
+        """Return whether the row holds all that this node knows."""
+        return self.ended.keys() <= self.row.ended
+
+
+@attrs.frozen(kw_only=True)
+class PartWrite:
+    """Replace or, without a new row, remove the row of a part under its version."""
+
+    key: PartKey
+    version: int
+    row: SuspectedPart | None
+
+
+def find_culprits(
+    records: collections.abc.Iterable[PartRecord],
+) -> set[PartKey]:
+    """Return the fewest parts that explain the ended runs, each enough of them.
+
+    Of two parts with as many ended runs, the deeper one is in fewer prompts.
+    """
+    found: set[PartKey] = set()
+    left = [
+        (set(each.ended), each.depth, each.row.key)
+        for each in records
+        if len(each.ended) >= MIN_ENDED_RUNS
+    ]
+    while left:
+        ended, _, key = max(
+            left, key=lambda each: (len(each[0]), each[1], str(each[2]))
+        )
+        found.add(key)
+        left = [
+            (rest, depth, other)
+            for runs, depth, other in left
+            if other != key and len(rest := runs - ended) >= MIN_ENDED_RUNS
+        ]
+    return found
+
+
+def merge(record: PartRecord) -> SuspectedPart:
+    """Return the row with all that this node knows of a part."""
+    return attrs.evolve(
+        record.row, ended=record.row.ended.union(record.ended), depth=record.depth
+    )
+
+
+def make_absent_row(key: PartKey, trials: int = 0) -> SuspectedPart:
+    """Return what stands for a row that does not exist."""
+    return SuspectedPart(key=key, version=0, ended=frozenset(), depth=0, trials=trials)
--- a/src/jujubepass/forwarding/replies.py
+++ b/src/jujubepass/forwarding/replies.py
@@ -25,6 +25,9 @@
         "It was not run, and no retry is left for it now."
     ),
     reasons.RefusalReason.ENGINES_FULL: "The engines are full.",
+    reasons.RefusalReason.PROMPT_QUARANTINED: (
+        "Engines ended under requests with a part of this prompt."
+    ),
     reasons.RefusalReason.DEADLINE_UNREACHABLE: "The time left is too short.",
     reasons.RefusalReason.DEADLINE_PASSED: "No answer came in time; it may have run.",
     reasons.RefusalReason.OUTCOME_UNKNOWN: "The answer was lost; it may have run.",
--- a/src/jujubepass/forwarding/sending.py
+++ b/src/jujubepass/forwarding/sending.py
@@ -19,9 +19,17 @@
 class NotRunError(AttemptError):
     """Signal that the backend server certainly did not run the request."""
 
-    def __init__(self, *, detail: str, head: exchange.AnswerHead | None = None) -> None:
+    def __init__(
+        self,
+        *,
+        detail: str,
+        head: exchange.AnswerHead | None = None,
+        has_ended: bool = False,
+    ) -> None:
         super().__init__(detail)
         self.head = head
+        self.has_ended = has_ended
+        """Whether nothing listens at the server's address."""
 
 
 class OutcomeUnknownError(AttemptError):
@@ -76,6 +84,7 @@
                     )
                 yield head, answer
         except _http_client.NotSentError as error:
-            raise NotRunError(detail=str(error)) from error
+            has_ended = isinstance(error, _http_client.RefusedConnectionError)
+            raise NotRunError(detail=str(error), has_ended=has_ended) from error
         except _http_client.ClientError as error:
             raise OutcomeUnknownError(str(error)) from error
--- a/src/jujubepass/forwarding/stream_exchange.py
+++ b/src/jujubepass/forwarding/stream_exchange.py
@@ -2,7 +2,6 @@
 
 import collections
 import collections.abc
-import logging
 import random
 
 import attrs
@@ -11,10 +10,12 @@
 from jujubepass import ids, reasons
 from jujubepass.forwarding import (
     admission,
+    attempt_log,
     clocks,
     engine_choice,
     events,
     exchange,
+    part_guard,
     pipelines,
     replies,
     sending,
@@ -27,8 +28,6 @@
 from jujubepass.limits import _retry_budget
 from jujubepass.transport import _http_client
 
-_LOGGER = logging.getLogger(__name__)
-
 # Share of the stall time-out that a request waits for the repair of a pipeline.
 _PIPELINE_WAIT_SHARE = 0.6
 _PIPELINE_POLL_INTERVAL_SECONDS = 0.05
@@ -52,6 +51,7 @@
 
     last_id: str | None
     deadline: float
+    parts: part_guard.RequestParts
     events: int = 0
     events_before_run: int = 0
     runs: int = 0
@@ -71,6 +71,7 @@
     choice: engine_choice.EngineChoice
     suspects: suspicion.Suspects
     stalls: stall_watch.StallWatch
+    guard: part_guard.PartGuard
     budgets: collections.defaultdict[ids.ServiceId, _retry_budget.RetryBudget]
     count_retry: collections.abc.Callable[[reasons.RetryReason], None]
     observe_first_event: collections.abc.Callable[[float], None]
@@ -83,7 +84,12 @@
         reply: replies.Reply,
     ) -> None:
         """Serve one request before its deadline."""
-        progress = _Progress(last_id=request.resume_after, deadline=admitted.deadline)
+        parts = part_guard.RequestParts(
+            service=admitted.service.name, parts=request.prompt_parts
+        )
+        progress = _Progress(
+            last_id=request.resume_after, deadline=admitted.deadline, parts=parts
+        )
         self.budgets[admitted.service.name].count_attempt(request.arrived_at)
         with clocks.move_on_at(admitted.deadline):
             refusal = await self._run(request, admitted, reply, progress)
@@ -109,7 +115,11 @@
         """Return why the answer is incomplete, or None if it is complete."""
         while True:
             pipeline = await self._wait_for_pipeline(admitted, progress)
-            refusal = self._check_attempt(request, admitted, pipeline, progress)
+            refusal = await self.guard.claim(
+                progress.parts, has_pipeline=bool(pipeline)
+            )
+            if refusal is None:
+                refusal = self._check_attempt(request, admitted, pipeline, progress)
             if stream_refusals.is_temporary(refusal) and reply.started:
                 # The caller still waits, so that a stall does not end the answer.
                 await trio.sleep(_PIPELINE_POLL_INTERVAL_SECONDS)
@@ -193,13 +203,18 @@
     async def _wait_for_pipeline(
         self, admitted: exchange.Admitted, progress: _Progress
     ) -> pipelines.Pipeline | None:
-        """Return a pipeline, or wait for the repair of one."""
+        """Return a pipeline, or wait for the repair of one while it may be used."""
         wait_seconds = _PIPELINE_WAIT_SHARE * stream_timeouts.compute_caller_timeout(
             admitted.route
         )
         until = clocks.read_boot_clock() + wait_seconds
         while True:
             now = clocks.read_boot_clock()
+            if self.guard.refuse(progress.parts, now) is not None:
+                return None
+            if now < until and not self.guard.is_ready(progress.parts, now):
+                await trio.sleep(_PIPELINE_POLL_INTERVAL_SECONDS)
+                continue
             service = admitted.service
             entries = self._find_entries(admitted, progress)
             pipeline = self.choice.choose(service, now, progress.avoided, entries)
@@ -230,6 +245,7 @@
         """Run the rest of the answer on one pipeline; raises what ended it early."""
         first = pipeline.stages[0]
         progress.events_before_run = progress.events
+        self.guard.record_start(progress.parts, pipeline)
         now = clocks.read_boot_clock()
         attempt = exchange.Attempt(
             backend=first.engine,
@@ -289,9 +305,12 @@
             if not stream.has_begun:
                 self.choice.record_prefilled(stream.pipeline)
             stream.record_data()
+            lasted_seconds = stream.last_data_at - stream.first_data_at
+            self.guard.record_data(progress.parts, lasted_seconds=lasted_seconds)
             await self._forward(splitter.feed(data), head, reply, progress, request)
         if splitter.has_partial:
             raise PipelineFailedError("stream ended inside an event")
+        self.guard.record_end(progress.parts, answer)
         if not reply.started:
             await reply.start(head)
         await reply.finish()
@@ -337,10 +356,13 @@
             )
             # The engine may also be dead; its report shows that.
             self.stalls.schedule_probe(stage.engine)
+        elif error.has_ended:
+            self.guard.record_refused_connection(progress.parts, stage.engine)
         self.suspects.suspect(stage.engine, reason, now)
         progress.avoided.add(stage.engine)
         self.count_retry(reasons.RetryReason.ENGINE_FULL)
-        _log_attempt(request, pipeline, "not run", f"{stage.engine}: {error}", progress)
+        detail = f"{stage.engine}: {error}"
+        attempt_log.log_not_run(request, pipeline, detail, events=progress.events)
 
     def _record_failure(
         self,
@@ -360,39 +382,19 @@
         suspected = {
             name for name in pipeline.engines if self.suspects.is_suspected(name, now)
         }
+        self.guard.record_break(progress.parts, {first} | suspected)
         progress.avoided |= suspected or pipeline.engines
         self.count_retry(reasons.RetryReason.STREAM_CUT)
-        _log_attempt(request, pipeline, "broken", str(error), progress)
+        attempt_log.log_broken(
+            request,
+            pipeline,
+            str(error),
+            events=progress.events,
+            run_events=progress.events - progress.events_before_run,
+        )
 
 
 _OK = 200
-_MAX_LOGGED_PROMPT_PARTS = 8
 # Maximum runs of one request, including those whose engine has ended. After this many
 # lost pipelines, further runs would use up the retry budget of other requests.
 _MAX_RUNS = 4
-
-
-def _log_attempt(
-    request: exchange.CallerRequest,
-    pipeline: pipelines.Pipeline,
-    outcome: str,
-    detail: str,
-    progress: _Progress,
-) -> None:
-    prompt_parts = {}
-    if outcome == "broken":
-        parts = request.prompt_parts[:_MAX_LOGGED_PROMPT_PARTS]
-        prompt_parts = {"prompt_parts": ",".join(parts)}
-    _LOGGER.info(
-        "attempt ended",
-        extra={
-            "request": request.request_id,
-            "backend": pipeline.stages[0].engine,
-            "parts": len(pipeline.stages),
-            "outcome": outcome,
-            "events": progress.events,
-            "run_events": progress.events - progress.events_before_run,
-            **prompt_parts,
-            "detail": detail,
-        },
-    )
--- a/src/jujubepass/platform/assembly.py
+++ b/src/jujubepass/platform/assembly.py
@@ -11,8 +11,10 @@
     member_rows,
     members,
     node,
+    part_rows,
     plan_rows,
     plans,
+    prompt_parts,
     settings,
 )
 from jujubepass.platform import backends, configuration, engines, store, wire
@@ -69,6 +71,11 @@
             rows=store.TableFeed(store=store_client, table=store.MEMBER_TABLE),
             decode=_decode_member,
         ),
+        prompt_table=store.StoreTable(store=store_client, name=store.PROMPT_TABLE),
+        prompts=feeds.DecodedFeed(
+            rows=store.TableFeed(store=store_client, table=store.PROMPT_TABLE),
+            decode=_decode_part,
+        ),
         count_eras=store_client.eras.count,
     )
 
@@ -85,3 +92,12 @@
         return member_rows.read_member(key, version, value)
     except member_rows.MemberRowError as error:
         raise feeds.UnreadableRowError(str(error)) from error
+
+
+def _decode_part(
+    key: str, version: int, value: typing.Any
+) -> prompt_parts.SuspectedPart:
+    try:
+        return part_rows.read_part(key, version, value)
+    except part_rows.PartRowError as error:
+        raise feeds.UnreadableRowError(str(error)) from error
--- a/src/jujubepass/platform/engines.py
+++ b/src/jujubepass/platform/engines.py
@@ -52,6 +52,8 @@
             return attrs.evolve(
                 report, is_leaving=wire.read_leaving(answer.status, answer.headers)
             )
+        except _http_client.RefusedConnectionError as error:
+            raise engines.EngineEndedError(f"cannot read report: {error!r}") from error
         except (_http_client.ClientError, KeyError, TypeError, ValueError) as error:
             raise engines.EngineError(f"cannot read report: {error!r}") from error
 
--- a/src/jujubepass/platform/store.py
+++ b/src/jujubepass/platform/store.py
@@ -25,6 +25,8 @@
 """Table of the plans; only the product writes it."""
 MEMBER_TABLE = "jujubepass-nodes"
 """Table of the nodes; only the product writes it."""
+PROMPT_TABLE = "jujubepass-prompts"
+"""Table of suspected parts of prompts; only the product and operators write it."""
 # The store normally answers within 4 ms. On its slowest day it took 67 times as long;
 # the time-out is more than twice that.
 _ANSWER_TIMEOUT_SECONDS = 0.6
--- a/src/jujubepass/reasons.py
+++ b/src/jujubepass/reasons.py
@@ -55,6 +55,7 @@
     UNKNOWN_ROUTE = "unknown_route", 404
     CONFIGURATION_STALE = "configuration_stale", 503
     ENGINES_FULL = "engines_full", 503
+    PROMPT_QUARANTINED = "prompt_quarantined", 503
 
 
 class RetryReason(enum.Enum):
--- a/src/jujubepass/relay/area.py
+++ b/src/jujubepass/relay/area.py
@@ -6,7 +6,7 @@
 from jujubepass.forwarding import feeds
 from jujubepass.relay import history
 
-FEED_NAMES = ("configuration", "backends", "plans", "members")
+FEED_NAMES = ("configuration", "backends", "plans", "members", "prompts")
 """Names of the relayed tables; nodes of other versions skip those they lack."""
 REFERENCE_FEED_NAME = "configuration"
 """Table by whose age nodes choose where they read."""
--- a/src/jujubepass/relay/assembly.py
+++ b/src/jujubepass/relay/assembly.py
@@ -13,6 +13,7 @@
 
 # Ages at which a node that other nodes serve reads a table of the store itself.
 _MAX_PLANS_AGES_SECONDS = (23.0, 30.0)
+_MAX_PROMPTS_AGES_SECONDS = (23.0, 30.0)
 _MAX_MEMBERS_AGES_SECONDS = (11.0, 12.0)
 # Aliases, because fields have the same names as the modules.
 _RelayArea = area.RelayArea
@@ -67,6 +68,7 @@
             ),
             "plans": lambda: _MAX_PLANS_AGES_SECONDS,
             "members": lambda: _MAX_MEMBERS_AGES_SECONDS,
+            "prompts": lambda: _MAX_PROMPTS_AGES_SECONDS,
         }
         self.feeds = {
             name: feed.RelayedFeed(
--- a/src/jujubepass/transport/_http_client.py
+++ b/src/jujubepass/transport/_http_client.py
@@ -33,6 +33,10 @@
     """Signal that no byte of the request left this process."""
 
 
+class RefusedConnectionError(NotSentError):
+    """Signal that nothing listens at the address."""
+
+
 class InterruptedAnswerError(ClientError):
     """Signal that the request may have reached the server."""
 
@@ -255,7 +259,10 @@
                 self.opened_connections += 1
                 return stream
         except (OSError, trio.TooSlowError) as error:
-            raise NotSentError(f"cannot connect to {address}: {error}") from error
+            detail = f"cannot connect to {address}: {error}"
+            if _is_refused(error):
+                raise RefusedConnectionError(detail) from error
+            raise NotSentError(detail) from error
 
     def _release(
         self,
@@ -335,3 +342,10 @@
     except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
         raise InterruptedAnswerError(f"connection broke: {error}") from error
     connection.receive_data(data)
+
+
+def _is_refused(error: BaseException) -> bool:
+    """Return whether a connection was refused; trio wraps the error of each address."""
+    return any(
+        isinstance(each, ConnectionRefusedError) for each in (error, error.__cause__)
+    )
--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -22,6 +22,8 @@
     When sound requests and 5 a second with a bad part come at any of them for <seconds> seconds
     Then 3 seconds after the fifth end no more than 3 requests with the bad part reach engines
     And 6 seconds after it sound requests begin as elsewhere
+    And no sound part is in quarantine
+    And the store was called no more often than 20 times a second
 
     Examples:
       | nodes | seconds |
@@ -29,7 +31,68 @@
       | 84    | 30      |
       | 700   | 10      |
 
+  Scenario: Any prompts, rates and orders of events lead to the same bound
+    Then it holds for random systems with one or two bad parts
+
+  Scenario: Ends of engines under sound parts put none in quarantine for long
+    Given 9 simulated nodes
+    When sound requests come and 4 engines end together 3 times
+    Then no sound part is in quarantine
+    And sound requests begin as elsewhere
+
+  Scenario: Reset connections blame no part
+    Given 9 simulated nodes
+    When sound requests come and all connections are reset 5 times
+    Then no part is suspected
+
+  Scenario: Nodes whose engines do not answer blame no part
+    Given 9 simulated nodes
+    When sound requests come to a node that is cut off for 10 seconds
+    Then no part is suspected
+
+  Scenario: A node without the store learns from its own requests, and then from the others
+    Given 9 simulated nodes
+    When a bad part comes while the store refuses one of them
+    Then the others keep the bound
+    And soon after the store's return that node knows the part too
+
+  Scenario: Nodes that learned of a part while the store was away agree on its return
+    Given 9 simulated nodes
+    When a bad part comes while the store is away
+    Then soon after the store's return no node sends the part to engines
+
+  Scenario: A part stays in quarantine when all nodes start again
+    Given 9 simulated nodes
+    When a bad part comes and all nodes start again after 10 seconds
+    Then 3 seconds after the fifth end no more than 3 requests with the bad part reach engines
+    And no sound part is in quarantine
+
+  Scenario: A part that was sound turns bad
+    Given 9 simulated nodes
+    When a part that was sound turns bad after 61 seconds without a request
+    Then 3 seconds after the fifth end no more than 3 requests with the bad part reach engines
+    And no sound part is in quarantine
+
+  Scenario: A part that has become sound is released by a trial
+    Given 9 simulated nodes
+    When a bad part becomes sound while it is in quarantine
+    Then it is released at all nodes by the next trial
+
+  Scenario: A part that stays bad is tried no more than three times
+    Given 9 simulated nodes
+    When a bad part comes once a second for 1500 seconds
+    Then it was tried 3 times, each later than the one before
+
   Scenario: One request ends no more than two engines
     Given 9 simulated nodes
     When a single request with a bad part comes
     Then it has ended no more than 2 engines
+
+  Scenario: A refusal for a part says that the request has not run and when to retry
+    Given 9 simulated nodes
+    When a bad part comes and all nodes know it
+    Then a request with it is refused at once with 503 and a retry time
+
+  Scenario: Rows of the part table are read as written, and bad ones are not used
+    Then a suspected part is read as written
+    And rows that hold no valid part are rejected
--- a/tests/features/steps/fleet_refusal_steps.py
+++ b/tests/features/steps/fleet_refusal_steps.py
@@ -89,6 +89,22 @@
     context.sender = RefusingSender()
 
 
+def make_request(now):
+    return exchange.CallerRequest(
+        request_id=ids.RequestId("r"),
+        host=small_fleet.ROUTE.host,
+        method="POST",
+        target="/drafts/new",
+        key="ana-key",
+        arrived_at=now,
+        timeout_seconds=20.0,
+        resume_after=None,
+        max_answer_tokens=10,
+        fields=(),
+        body=b"",
+    )
+
+
 @behave.when("a caller waits for the stream for {seconds:d} seconds")
 def step_wait_for_stream(context, seconds):
     fleet = context.fleet
@@ -96,19 +112,7 @@
     async def serve():
         now = clocks.read_boot_clock()
         fleet.blackboard.configuration.confirmed_at = now + seconds
-        request = exchange.CallerRequest(
-            request_id=ids.RequestId("r"),
-            host=small_fleet.ROUTE.host,
-            method="POST",
-            target="/drafts/new",
-            key="ana-key",
-            arrived_at=now,
-            timeout_seconds=20.0,
-            resume_after=None,
-            max_answer_tokens=10,
-            fields=(),
-            body=b"",
-        )
+        request = make_request(now)
         control = admission.Admission(blackboard=fleet.blackboard)
         admitted = control.admit(request, now)
         assert isinstance(admitted, exchange.Admitted), admitted
@@ -119,6 +123,7 @@
             choice=fleet.choice,
             suspects=fleet.suspects,
             stalls=Stalls(),
+            guard=small_fleet.make_guard(fleet.blackboard),
             budgets=collections.defaultdict(
                 lambda: _retry_budget.RetryBudget(bounds=unlimited)
             ),
--- a/tests/features/steps/quarantine_steps.py
+++ b/tests/features/steps/quarantine_steps.py
@@ -2,6 +2,7 @@
 
 import collections
 import contextlib
+import json
 import logging
 import unittest.mock
 
@@ -14,6 +15,8 @@
     admission,
     clocks,
     exchange,
+    part_rows,
+    prompt_parts,
     replies,
     sending,
     stream_exchange,
@@ -21,7 +24,7 @@
 from jujubepass.limits import _retry_budget
 from jujubepass.platform import wire
 from jujubepass.transport import _http_server
-from tests import quarantine_fleet, small_fleet
+from tests import small_fleet
 
 
 def read_parts(field):
@@ -134,6 +137,7 @@
         choice=fleet.choice,
         suspects=fleet.suspects,
         stalls=Stalls(),
+        guard=small_fleet.make_guard(fleet.blackboard),
         budgets=collections.defaultdict(
             lambda: _retry_budget.RetryBudget(bounds=unlimited)
         ),
@@ -175,7 +179,7 @@
     context.lines = []
     handler = logging.Handler()
     handler.emit = context.lines.append
-    logger = logging.getLogger("jujubepass.forwarding.stream_exchange")
+    logger = logging.getLogger("jujubepass.forwarding")
     logger.addHandler(handler)
     level, logger.level = logger.level, logging.INFO
     streams = make_streams(context.fleet, context.sender)
@@ -196,84 +200,36 @@
         assert (line.run_events, line.events) == (1, number), line.__dict__
 
 
-@behave.given("{count:d} simulated nodes")
-def step_nodes(context, count):
-    context.fleet = quarantine_fleet.Fleet(count=count)
-
-
-def simulate(context, play):
-    """Run a function of the fleet, which has started, on a simulated clock."""
-    fleet = context.fleet
-
-    async def main():
-        async with trio.open_nursery() as nursery:
-            await fleet.start(nursery)
-            context.began = trio.current_time()
-            await play(fleet, nursery)
-            context.ended = trio.current_time()
-            nursery.cancel_scope.cancel()
-
-    quarantine_fleet.run_simulation(main)
-
-
-def send_sound(fleet, nursery, seconds, rate=15.0, nodes=None):
-    draw = quarantine_fleet.draw_sound
-    nursery.start_soon(fleet.send, rate, seconds, draw, nodes)
-
-
-# Guards against requests with one part in their prompts that crashed engine after
-# engine, as nothing linked a crash to what the requests share.
-@behave.when(
-    "sound requests and {rate:g} a second with a bad part come at any of them for"
-    " {seconds:g} seconds"
-)
-def step_bad_part(context, rate, seconds):
-    async def play(fleet, nursery):
-        send_sound(fleet, nursery, seconds + 3.0)
-        await trio.sleep(3.0)
-        await fleet.send(rate, seconds, quarantine_fleet.make_bad())
-
-    simulate(context, play)
-
-
-@behave.then(
-    "3 seconds after the fifth end no more than 3 requests with the bad part reach"
-    " engines"
-)
-def step_bound(context):
-    late = context.fleet.list_late("bad")
-    assert len(late) <= quarantine_fleet.ALLOWED_REQUESTS_AFTER, (
-        len(late),
-        len(context.fleet.ends),
+def make_suspected():
+    key = prompt_parts.PartKey(service="drafts", part="a/b")
+    ended = {prompt_parts.EngineRun(engine=f"e{n}", started_at=n) for n in range(5)}
+    return prompt_parts.SuspectedPart(
+        key=key, version=7, ended=frozenset(ended), depth=3, trials=2
     )
 
 
-# The rule allows half; undisturbed sound requests all begin here.
-MIN_BEGUN_SHARE = 0.5
-
-
-@behave.then("6 seconds after it sound requests begin as elsewhere")
-def step_sound_after(context):
-    start = context.fleet.find_deadline("bad") + quarantine_fleet.CONTACT_SECONDS
-    share = context.fleet.share_begun(start, context.ended)
-    assert share >= MIN_BEGUN_SHARE, share
-
-
-@behave.when("a single request with a bad part comes")
-def step_single(context):
-    async def play(fleet, nursery):
-        node = fleet.nodes[0]
-        request = fleet._make_request(quarantine_fleet.make_bad()(fleet.random_source))
-        reply = replies.Reply(
-            request=request, wire=wire.HttpWire(), responder=Responder()
-        )
-        await fleet._serve(node, request, reply)
-        context.reply = reply
-
-    simulate(context, play)
-
-
-@behave.then("it has ended no more than 2 engines")
-def step_two_engines(context):
-    assert 1 <= len(context.fleet.ends) <= 2, context.fleet.ends
-    assert context.reply.reason == "outcome_unknown", context.reply
+@behave.then("a suspected part is read as written")
+def step_rows(context):
+    row = make_suspected()
+    write = prompt_parts.PartWrite(key=row.key, version=7, row=row)
+    command = part_rows.write_parts("o", [write])
+    assert [(c.key, c.version) for c in command.conditions] == [("drafts/a/b", 7)]
+    value = json.loads(json.dumps(command.writes[0].value))
+    assert part_rows.read_part("drafts/a/b", 7, value) == row
+
+
+@behave.then("rows that hold no valid part are rejected")
+def step_bad_rows(context):
+    sound = {"ended": [["e1", 1]], "depth": 1, "trials": 0}
+    bad = [("drafts", sound), ("drafts/", sound)]
+    for name in sound:
+        rest = {key: value for key, value in sound.items() if key != name}
+        bad += [("drafts/a", rest), ("drafts/a", {**sound, name: "x"})]
+    bad += [("drafts/a", 3), ("drafts/a", None), ("drafts/a", [])]
+    bad += [("drafts/a", {**sound, "ended": [["e1"]]})]
+    for key, value in bad:
+        try:
+            found = part_rows.read_part(key, 1, value)
+        except part_rows.PartRowError:
+            continue
+        raise AssertionError((key, value, found))
--- a/tests/quarantine_engines.py
+++ b/tests/quarantine_engines.py
@@ -68,7 +68,7 @@
             await trio.sleep(0.5)
             raise sending.NotRunError(detail="connecting timed out")
         if not engine.is_up:
-            raise sending.NotRunError(detail="connection refused")
+            raise sending.NotRunError(detail="connection refused", has_ended=True)
         self.fleet.record_arrival(request, engine, self.node)
         head = exchange.AnswerHead(kind=exchange.AnswerKind.RAN, status=200, fields=())
         first = 1 + int(attempt.resume_after or 0)
@@ -87,7 +87,7 @@
         if self.node.is_cut_off:
             await trio.sleep(1.0)
         if not found.is_up:
-            raise engines.EngineError("connection refused")
+            raise engines.EngineEndedError("connection refused")
         return engines.EngineReport(
             started_at=found.started_at,
             held=None,
--- a/tests/quarantine_fleet.py
+++ b/tests/quarantine_fleet.py
@@ -16,7 +16,11 @@
     clocks,
     exchange,
     feeds,
+    following,
+    part_guard,
+    part_sharing,
     probing,
+    quarantine,
     replies,
     server_signals,
     silences,
@@ -26,7 +30,12 @@
 )
 from jujubepass.limits import _retry_budget
 from jujubepass.platform import wire
-from tests import quarantine_engines, small_fleet
+from tests import (
+    quarantine_engines,
+    quarantine_store,
+    relay_fleet,
+    small_fleet,
+)
 
 DOMAINS = 3
 ENGINES = 30
@@ -75,6 +84,8 @@
         with trio.CancelScope() as self.scope:
             async with trio.open_nursery() as self.nursery:
                 self._make_parts()
+                self.nursery.start_soon(self._make_follower().run)
+                self.nursery.start_soon(self.sharing.run)
                 await trio.sleep_forever()
 
     def _make_parts(self):
@@ -85,6 +96,7 @@
         self.blackboard.members.nodes = self.fleet.node_names
         self.list = backend_list.BackendController(area=self.blackboard.backends)
         self.suspects = suspicion.Suspects()
+        self.quarantine = quarantine.Quarantine(blackboard=self.blackboard)
         silent = silences.Silences(area=self.blackboard.backends)
         self.prober = probing.Prober(
             blackboard=self.blackboard,
@@ -94,8 +106,16 @@
             signals=server_signals.ServerSignals(
                 area=self.blackboard.backends, backend_list=self.list, silences=silent
             ),
+            on_run_ended=self.quarantine.record_end,
         )
         stalls = quarantine_engines.Stalls(node=self)
+        self.sharing = part_sharing.PartSharing(
+            blackboard=self.blackboard,
+            quarantine=self.quarantine,
+            table=quarantine_store.Table(store=self.fleet.store, node=self),
+            schedule_probe=stalls.schedule_probe,
+            random_source=self.random_source,
+        )
         self.list_engines(self.fleet.engines.values())
         self.streams = self._make_streams(stalls)
 
@@ -109,6 +129,12 @@
             ),
             suspects=self.suspects,
             stalls=stalls,
+            guard=part_guard.PartGuard(
+                area=self.blackboard.backends,
+                quarantine=self.quarantine,
+                trials=self.sharing,
+                schedule_probe=stalls.schedule_probe,
+            ),
             budgets=collections.defaultdict(
                 lambda: _retry_budget.RetryBudget(bounds=unlimited)
             ),
@@ -116,6 +142,17 @@
             observe_first_event=lambda seconds: None,
         )
 
+    def _make_follower(self):
+        rows = relay_fleet.StoreFeed(
+            store=self.fleet.store, node=self, table=quarantine_store.TABLE
+        )
+        return following.Follower(
+            name=quarantine_store.TABLE,
+            feed=feeds.DecodedFeed(rows=rows, decode=quarantine_store.decode_part),
+            find_wait=lambda: 20.0,
+            apply=self.quarantine.apply,
+        )
+
     def list_engines(self, found):
         """Apply entries of engines, as the list's follower does."""
         now = clocks.read_boot_clock()
@@ -124,6 +161,9 @@
         while self.blackboard.backends.restarted:
             self.suspects.clear(self.blackboard.backends.restarted.pop())
 
+    def list_quarantined(self):
+        return {each.part for each in self.blackboard.prompts.quarantined}
+
 
 class Responder:
     """Accept an answer without a connection."""
@@ -162,6 +202,7 @@
     def __init__(self, *, count, seed=1, bad_parts=("bad",)):
         self.seed = seed
         self.random_source = random.Random(seed)
+        self.store = quarantine_store.Store()
         self.bad_parts = set(bad_parts)
         self.resets = 0
         self.arrivals = []
@@ -296,6 +337,11 @@
         assert len(found) >= 20, f"{len(found)} requests"
         return sum(found) / len(found)
 
+    def list_sound_quarantined(self):
+        """Return the sound parts that any node keeps in quarantine."""
+        found = set().union(*(each.list_quarantined() for each in self.nodes))
+        return found - self.bad_parts
+
 
 def draw_sound(random_source):
     return (FIRST_PART, *random_source.sample(COMMON_PARTS, 2))
--- a/tests/small_fleet.py
+++ b/tests/small_fleet.py
@@ -12,8 +12,10 @@
     declarations,
     engine_choice,
     feeds,
+    part_guard,
     planner,
     plans,
+    quarantine,
     server_signals,
     silences,
     slowdowns,
@@ -231,6 +233,22 @@
     )
 
 
+class NoTrials:
+    """Claim no trial."""
+
+    async def claim_trial(self, service, parts):
+        return False
+
+
+def make_guard(blackboard):
+    return part_guard.PartGuard(
+        area=blackboard.backends,
+        quarantine=quarantine.Quarantine(blackboard=blackboard),
+        trials=NoTrials(),
+        schedule_probe=lambda engine: None,
+    )
+
+
 def make_planned_fleet():
     fleet = Fleet()
     fleet.list_engines(make_engines())
