--- a/tests/features/steps/quarantine_steps.py
+++ b/tests/features/steps/quarantine_steps.py
@@ -2,6 +2,7 @@
 
 import collections
 import contextlib
+import json
 import logging
 import unittest.mock
 
@@ -14,6 +15,8 @@
     admission,
     clocks,
     exchange,
+    part_rows,
+    prompt_parts,
     replies,
     sending,
     stream_exchange,
@@ -134,6 +137,7 @@
         choice=fleet.choice,
         suspects=fleet.suspects,
         stalls=Stalls(),
+        guard=small_fleet.make_guard(fleet.blackboard),
         budgets=collections.defaultdict(
             lambda: _retry_budget.RetryBudget(bounds=unlimited)
         ),
@@ -175,7 +179,7 @@
     context.lines = []
     handler = logging.Handler()
     handler.emit = context.lines.append
-    logger = logging.getLogger("jujubepass.forwarding.stream_exchange")
+    logger = logging.getLogger("jujubepass.forwarding")
     logger.addHandler(handler)
     level, logger.level = logger.level, logging.INFO
     streams = make_streams(context.fleet, context.sender)
@@ -194,3 +198,38 @@
         assert line.outcome == "broken", line.__dict__
         assert line.prompt_parts == "a,b", line.__dict__
         assert (line.run_events, line.events) == (1, number), line.__dict__
+
+
+def make_suspected():
+    key = prompt_parts.PartKey(service="drafts", part="a/b")
+    ended = {prompt_parts.EngineRun(engine=f"e{n}", started_at=n) for n in range(5)}
+    return prompt_parts.SuspectedPart(
+        key=key, version=7, ended=frozenset(ended), depth=3, trials=2
+    )
+
+
+@behave.then("a suspected part is read as written")
+def step_rows(context):
+    row = make_suspected()
+    write = prompt_parts.PartWrite(key=row.key, version=7, row=row)
+    command = part_rows.write_parts("o", [write])
+    assert [(c.key, c.version) for c in command.conditions] == [("drafts/a/b", 7)]
+    value = json.loads(json.dumps(command.writes[0].value))
+    assert part_rows.read_part("drafts/a/b", 7, value) == row
+
+
+@behave.then("rows that hold no valid part are rejected")
+def step_bad_rows(context):
+    sound = {"ended": [["e1", 1]], "depth": 1, "trials": 0}
+    bad = [("drafts", sound), ("drafts/", sound)]
+    for name in sound:
+        rest = {key: value for key, value in sound.items() if key != name}
+        bad += [("drafts/a", rest), ("drafts/a", {**sound, name: "x"})]
+    bad += [("drafts/a", 3), ("drafts/a", None), ("drafts/a", [])]
+    bad += [("drafts/a", {**sound, "ended": [["e1"]]})]
+    for key, value in bad:
+        try:
+            found = part_rows.read_part(key, 1, value)
+        except part_rows.PartRowError:
+            continue
+        raise AssertionError((key, value, found))
