Cut off a lookup for a retry only if a retry is possible

Lookups were answered 502 after 0.45 s of silence, although their server went on within the deadline and no other one could take them: one server was ready, each had had its attempt, or the retry budget was spent.

Cause: the time limit of an attempt depended only on the route's maximum of attempts. After it had cut off the attempt, no other one was possible.

Change: the limit holds only while the budget and the list allow a further attempt. Otherwise the attempt has until the deadline. What changes within these 0.45 s, such as a budget that others spend, is not seen.

The three scenarios of accepted_requests_more that failed before (502) pass; retries, server_signals, store_away and the lookups of accepted_requests pass.

--- a/src/jujubepass/forwarding/service_exchange.py
+++ b/src/jujubepass/forwarding/service_exchange.py
@@ -1,6 +1,7 @@
 """Handling of requests to plain services, some of which may not be repeated."""
 
 import collections
+import collections.abc
 import logging
 
 import attrs
@@ -56,13 +57,28 @@
         now: float,
     ) -> backends.Backend | None:
         """Return the backend server for the next attempt, or None."""
-        ready = [
-            each
-            for each in backend_list.list_ready(self.blackboard.backends, service)
-            if each.name not in tried and not self.silences.is_closed(each.name, now)
-        ]
+        ready = self._list_untried(service, tried, now)
         return min(ready, key=lambda each: self._rank(each, now), default=None)
 
+    def has_untried(
+        self,
+        service: ids.ServiceId,
+        tried: collections.abc.Set[ids.BackendServerId],
+        now: float,
+    ) -> bool:
+        """Return whether a further attempt would find a backend server."""
+        return any(True for _ in self._list_untried(service, tried, now))
+
+    def _list_untried(
+        self,
+        service: ids.ServiceId,
+        tried: collections.abc.Set[ids.BackendServerId],
+        now: float,
+    ) -> collections.abc.Iterator[backends.Backend]:
+        for each in backend_list.list_ready(self.blackboard.backends, service):
+            if each.name not in tried and not self.silences.is_closed(each.name, now):
+                yield each
+
     def find_end_of_silence(self, service: ids.ServiceId, now: float) -> float | None:
         """Return when the first silent server of a service takes requests again."""
         ready = backend_list.list_ready(self.blackboard.backends, service)
@@ -147,9 +163,9 @@
                 return _refuse_none_left(progress)
             progress.tried.add(backend.name)
             reply.record_attempt(backend.name)
-            last = progress.runs + 1 >= route.max_attempts
+            has_retry = self._has_retry(admitted, progress, now)
             try:
-                await self._send(request, admitted, backend, reply, has_retry=not last)
+                await self._send(request, admitted, backend, reply, has_retry=has_retry)
                 return None
             except sending.NotRunError as error:
                 self._record_not_run(backend, error, progress, now)
@@ -158,10 +174,20 @@
                 if reply.started:
                     reply.abort(reasons.RefusalReason.OUTCOME_UNKNOWN)
                     return None
-                if not route.is_repeatable or last:
+                if not route.is_repeatable or progress.runs >= route.max_attempts:
                     return _refuse_none_left(progress)
                 self.count_retry(reasons.RetryReason.LOOKUP_FAILED)
 
+    def _has_retry(
+        self, admitted: exchange.Admitted, progress: _Progress, now: float
+    ) -> bool:
+        """Return whether a further attempt is allowed and has a backend server."""
+        if progress.runs + 1 >= admitted.route.max_attempts:
+            return False
+        service = admitted.service.name
+        has_budget = self.budgets[service].predict_wait_seconds(now) <= 0.0
+        return has_budget and self.choice.has_untried(service, progress.tried, now)
+
     def _record_outcome_unknown(
         self,
         request: exchange.CallerRequest,
