Apply the header limit in force to connections that are already open

A caller's request was answered 431 on a connection opened before a configuration raised the header limit, though the header was within it.

Cause: h11 takes the limit of incomplete input when a connection is opened, and keeps it.

Change: the listener checks it itself, by the limit of the moment, while it reads.

The scenario of accepted_requests_more that failed before (431) passes; the one of a header over the raised limit is new and passes. security and bad_input pass.

--- a/src/jujubepass/transport/_http_server.py
+++ b/src/jujubepass/transport/_http_server.py
@@ -4,6 +4,7 @@
 import functools
 import logging
 import re
+import sys
 import typing
 
 import attrs
@@ -166,9 +167,8 @@
                 )
 
     async def _serve_requests(self, stream: trio.SocketStream) -> None:
-        connection = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=self.limits.header_bytes
-        )
+        # The limit in force is checked with each event instead.
+        connection = h11.Connection(h11.SERVER, max_incomplete_event_size=sys.maxsize)
         peer = str(stream.socket.getpeername()[0])
         while True:
             responder = Responder(
@@ -245,7 +245,7 @@
         with trio.move_on_after(self.limits.receive_timeout_seconds):
             while True:
                 max_bytes = self.limits.body_bytes - len(body) if at_boundary else None
-                event = await _receive_event(connection, stream, max_bytes)
+                event = await self._receive_event(connection, stream, max_bytes)
                 if isinstance(event, h11.EndOfMessage):
                     return Request(
                         method=head.method.decode(),
@@ -284,31 +284,34 @@
         if idle.cancelled_caught:
             return None
         with trio.move_on_after(self.limits.receive_timeout_seconds):
-            event = await _receive_event(connection, stream)
+            event = await self._receive_event(connection, stream)
             return event if isinstance(event, h11.Request) else None
         raise _rejections.make_slow_sender(self.limits.receive_timeout_seconds)
 
-
-async def _receive_event(
-    connection: h11.Connection,
-    stream: trio.abc.Stream,
-    max_chunk_bytes: int | None = None,
-) -> object:
-    """Return the next event; pass `max_chunk_bytes` if a chunk size comes next."""
-    while True:
-        if max_chunk_bytes is not None:
-            _check_chunk(connection, max_chunk_bytes)
-        try:
-            event = connection.next_event()
-        except h11.RemoteProtocolError as error:
-            raise _rejections.RejectedInputError(
-                status=error.error_status_hint,
-                code="malformed_http",
-                detail=f"{error}. Send a valid HTTP/1.1 request.",
-            ) from error
-        if event is not h11.NEED_DATA:
-            return event
-        connection.receive_data(bytes(await stream.receive_some(_RECEIVE_BUFFER_BYTES)))
+    async def _receive_event(
+        self,
+        connection: h11.Connection,
+        stream: trio.abc.Stream,
+        max_chunk_bytes: int | None = None,
+    ) -> object:
+        """Return the next event; pass `max_chunk_bytes` if a chunk size comes next."""
+        while True:
+            if max_chunk_bytes is not None:
+                _check_chunk(connection, max_chunk_bytes)
+            try:
+                event = connection.next_event()
+            except h11.RemoteProtocolError as error:
+                raise _rejections.RejectedInputError(
+                    status=error.error_status_hint,
+                    code="malformed_http",
+                    detail=f"{error}. Send a valid HTTP/1.1 request.",
+                ) from error
+            if event is not h11.NEED_DATA:
+                return event
+            if len(connection.trailing_data[0]) > self.limits.header_bytes:
+                raise _rejections.make_long_header(self.limits.header_bytes)
+            data = await stream.receive_some(_RECEIVE_BUFFER_BYTES)
+            connection.receive_data(bytes(data))
 
 
 def _check_chunk(connection: h11.Connection, max_bytes: int) -> None:
--- a/src/jujubepass/transport/_rejections.py
+++ b/src/jujubepass/transport/_rejections.py
@@ -33,6 +33,12 @@
 )
 
 
+def make_long_header(limit: int) -> RejectedInputError:
+    """Make the rejection of a header over `limit` bytes."""
+    detail = f"The header is over {limit} bytes. Send a shorter one."
+    return RejectedInputError(status=431, code="malformed_http", detail=detail)
+
+
 def make_oversized(limit: int) -> RejectedInputError:
     """Make the rejection of a body over `limit` bytes."""
     detail = f"The body is over {limit} bytes. Send a smaller one."
--- a/tests/features/accepted_requests_more.feature
+++ b/tests/features/accepted_requests_more.feature
@@ -60,3 +60,9 @@
   Scenario: A request with a header field beyond ASCII reaches its server
     When a client sends a header field beyond ASCII
     Then the server receives that field unchanged
+
+  # Guards against accepting any header once the limit is read for each request.
+  Scenario: A header over the raised limit is rejected
+    Given a system on the platform
+    When the header limit is raised to 10000 bytes while a caller's connection is kept
+    Then a header of 12000 bytes in two parts is rejected on that connection
--- a/tests/features/steps/accepted_requests_more_steps.py
+++ b/tests/features/steps/accepted_requests_more_steps.py
@@ -203,17 +203,27 @@
     set_limit(context, 5, "maxHeaderBytes", size)
 
 
-@behave.then("a header of {size:d} bytes in two parts is accepted on that connection")
-def step_long_header(context, size):
+def exchange_long_header(connection, size):
     field = f"x-padding: {'x' * size}"
     request = make_request("kept-2", "GET", forwarding_system.LOOKUP_PATH, b"", field)
-    context.connection.sendall(request[:-100])
+    connection.sendall(request[:-100])
     time.sleep(0.2)
-    context.connection.sendall(request[-100:])
-    answer = receive_answers(context.connection, 1)
+    connection.sendall(request[-100:])
+    return receive_answers(connection, 1)
+
+
+@behave.then("a header of {size:d} bytes in two parts is accepted on that connection")
+def step_long_header(context, size):
+    answer = exchange_long_header(context.connection, size)
     assert answer.startswith(ANSWER + b"200"), answer
 
 
+@behave.then("a header of {size:d} bytes in two parts is rejected on that connection")
+def step_longer_header(context, size):
+    answer = exchange_long_header(context.connection, size)
+    assert answer.startswith(ANSWER + b"431"), answer
+
+
 @behave.when("a server answers with a header field beyond ASCII")
 def step_beyond_ascii(context):
     async def answer(request, responder):
