--- a/src/jujubepass/transport/_http_server.py
+++ b/src/jujubepass/transport/_http_server.py
@@ -76,6 +76,8 @@
     @limits.setter
     def limits(self, limits: ServerLimits) -> None:
         """Apply changed limits; idle connections keep a later deadline."""
+        if limits == self._limits:
+            return
         self._limits = limits
         for scope, since in self._idle_since.items():
             scope.deadline = max(scope.deadline, since + limits.idle_timeout_seconds)
