--- a/standins/path_engine.py
+++ b/standins/path_engine.py
@@ -344,7 +344,7 @@
             if self._draw_fault("cut_event"):
                 await responder.write(event[: len(event) // 2])
                 raise trio.BrokenResourceError
-            if number > last + 2 and self._draw_fault("reset_answer"):
+            if self._draw_fault("reset_answer"):
                 await self._reset(responder, event)
             await responder.write(event)
             await trio.sleep(_EVENT_INTERVAL_SECONDS)
--- a/standins/raw_answers.py
+++ b/standins/raw_answers.py
@@ -1,6 +1,7 @@
 """Answers written past the HTTP library: unframed, reset or without end."""
 
 import collections.abc
+import os
 import socket
 import struct
 import typing
@@ -55,7 +56,12 @@
     def reset(self) -> typing.NoReturn:
         """Reset the connection."""
         self._stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER)
-        self._stream.socket.close()
+        # The server would send the end of the stream before it closes the connection;
+        # it goes on with another socket that has ended.
+        ended, peer = socket.socketpair()
+        peer.close()
+        os.dup2(ended.fileno(), self._stream.socket.fileno())
+        ended.close()
         raise trio.BrokenResourceError("reset")
 
 
