Reproduce streams whose bytes never complete an event

Engines that send 1 KB each 0.1 s without the end of an event keep a model request until its deadline: in 2 of 2 starts it ended with 504, though the engines of the other failure domain were free.

--- a/standins/path_engine.py
+++ b/standins/path_engine.py
@@ -261,6 +261,15 @@
         if path is not None:
             await self._stream(request, responder, path, echo)
             return
+        await self._serve_plain(request, responder, echo)
+
+    async def _serve_plain(
+        self,
+        request: _http_server.Request,
+        responder: Responder,
+        echo: list[tuple[str, str]],
+    ) -> None:
+        request_id, own = request.headers["x-request-id"], self._arguments.name
         self._runs[request_id] += 1
         await trio.sleep(self.settings.work_seconds)
         if self._draw_fault("lose_answer"):
--- a/standins/raw_answers.py
+++ b/standins/raw_answers.py
@@ -19,7 +19,9 @@
     "interim heads": _INTERIM * (_FILLER_BYTES // len(_INTERIM)),
     "body": b"x" * _FILLER_BYTES,
     "failure": b"x" * _FILLER_BYTES,
+    "slow body": b"x" * 1_024,
 }
+_SLOW_INTERVAL_SECONDS = 0.1
 
 Fields = collections.abc.Iterable[tuple[str, str]]
 
@@ -76,6 +78,8 @@
         await raw.start_fields(500 if form == "failure" else 200, fields)
     while True:
         await raw.write(_FILLERS[form])
+        if form == "slow body":
+            await trio.sleep(_SLOW_INTERVAL_SECONDS)
 
 
 def _format_head(status: int, fields: Fields) -> bytes:
--- a/tests/features/endless_answers.feature
+++ b/tests/features/endless_answers.feature
@@ -15,6 +15,13 @@
       | body          |
       | failure       |
 
+  # Guards against waiting for an event as long as bytes arrive.
+  Scenario: A model request whose engines answer with bytes that never complete an event
+    Given a system on the platform
+    When the engines of a node's failure domain answer a stream with "slow body" without end
+    Then the answer has each event once and in order
+    And other requests were served at that node meanwhile
+
   # Guards against nodes that read an answer without end into memory.
   Scenario: Servers of a plain service answer without end
     Given a system on the platform
