--- a/standins/raw_answers.py
+++ b/standins/raw_answers.py
@@ -1,6 +1,7 @@
 """Answers written past the HTTP library: unframed, reset or without end."""
 
 import collections.abc
+import os
 import socket
 import struct
 import typing
@@ -18,7 +19,9 @@
     "interim heads": _INTERIM * (_FILLER_BYTES // len(_INTERIM)),
     "body": b"x" * _FILLER_BYTES,
     "failure": b"x" * _FILLER_BYTES,
+    "slow body": b"x" * 1_024,
 }
+_SLOW_INTERVAL_SECONDS = 0.1
 
 Fields = collections.abc.Iterable[tuple[str, str]]
 
@@ -55,7 +58,12 @@
     def reset(self) -> typing.NoReturn:
         """Reset the connection."""
         self._stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER)
-        self._stream.socket.close()
+        # The server would send the end of the stream before it closes the connection;
+        # it goes on with another socket that has ended.
+        ended, peer = socket.socketpair()
+        peer.close()
+        os.dup2(ended.fileno(), self._stream.socket.fileno())
+        ended.close()
         raise trio.BrokenResourceError("reset")
 
 
@@ -70,6 +78,8 @@
         await raw.start_fields(500 if form == "failure" else 200, fields)
     while True:
         await raw.write(_FILLERS[form])
+        if form == "slow body":
+            await trio.sleep(_SLOW_INTERVAL_SECONDS)
 
 
 def _format_head(status: int, fields: Fields) -> bytes:
