Count only complete events as the progress of a stream

A model request whose engine sent bytes that never completed an event ended with 504 at its deadline: each read restarted the stall time-outs, so that the stream never counted as stalled.

Only reads that complete an event are progress now, also for the first event and for the engine's prefill.

--- a/src/jujubepass/forwarding/stream_exchange.py
+++ b/src/jujubepass/forwarding/stream_exchange.py
@@ -284,10 +284,14 @@
             return
         splitter = events.EventSplitter()
         while data := await answer.receive():
+            found = splitter.feed(data)
+            # Bytes that complete no event are no progress, and may come without end.
+            if not found:
+                continue
             if not stream.has_begun:
                 self.choice.record_prefilled(stream.pipeline)
             stream.record_data()
-            await self._forward(splitter.feed(data), head, reply, progress, request)
+            await self._forward(found, head, reply, progress, request)
         if splitter.has_partial:
             raise PipelineFailedError("stream ended inside an event")
         if not reply.started:
