--- a/src/jujubepass/forwarding/stream_exchange.py
+++ b/src/jujubepass/forwarding/stream_exchange.py
@@ -316,12 +316,16 @@
             return
         splitter = events.EventSplitter()
         while data := await answer.receive():
+            found = splitter.feed(data)
+            # Bytes that complete no event are no progress, and may come without end.
+            if not found:
+                continue
             if not stream.has_begun:
                 self.choice.record_prefilled(stream.pipeline)
             stream.record_data()
             lasted_seconds = stream.last_data_at - stream.first_data_at
             self.guard.record_data(progress.parts, lasted_seconds=lasted_seconds)
-            await self._forward(splitter.feed(data), head, reply, progress, request)
+            await self._forward(found, head, reply, progress, request)
         if splitter.has_partial:
             raise PipelineFailedError("stream ended inside an event")
         self.guard.record_end(progress.parts, answer)
