--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -61,6 +61,12 @@
     When a bad part comes while the store is away
     Then soon after the store's return no node sends the part to engines
 
+  Scenario: Nodes that write the same row at once agree
+    Given 84 simulated nodes
+    When 30 requests a second with a bad part come for 4 seconds
+    Then some writes met others
+    And each node knows the ends in the row of the part, and no others
+
   Scenario: A part stays in quarantine when all nodes start again
     Given 9 simulated nodes
     When a bad part comes and all nodes start again after 10 seconds
--- a/tests/features/steps/quarantine_fleet_steps.py
+++ b/tests/features/steps/quarantine_fleet_steps.py
@@ -5,7 +5,7 @@
 import hypothesis.strategies
 import trio
 
-from jujubepass.forwarding import replies
+from jujubepass.forwarding import prompt_parts, replies
 from jujubepass.platform import wire
 from tests import quarantine_fleet, quarantine_store
 
@@ -230,6 +230,37 @@
     simulate(context, play)
 
 
+@behave.when("30 requests a second with a bad part come for 4 seconds")
+def step_many(context):
+    async def play(fleet, nursery):
+        await fleet.send(30.0, 4.0, quarantine_fleet.make_bad())
+        # All writes are done within a second without requests.
+        fleet.bad_parts.clear()
+        await trio.sleep(1.0)
+
+    simulate(context, play)
+
+
+@behave.then("some writes met others")
+def step_conflicts(context):
+    assert context.fleet.store.conflicts, "no write met another one"
+
+
+@behave.then("each node knows the ends in the row of the part, and no others")
+def step_agree(context):
+    stored = context.fleet.store.find_rows(quarantine_store.TABLE)["drafts/bad"]
+    ended = {tuple(each) for each in stored.value["ended"]}
+    assert len(ended) >= prompt_parts.MIN_ENDED_RUNS, ended
+    for node in context.fleet.nodes:
+        (record,) = (
+            each
+            for key, each in node.blackboard.prompts.records.items()
+            if key.part == "bad"
+        )
+        found = {(run.engine, run.started_at) for run in record.ended}
+        assert found == ended, (node.name, found ^ ended)
+
+
 @behave.when("a bad part comes and all nodes start again after 10 seconds")
 def step_restart(context):
     async def play(fleet, nursery):
