--- a/src/jujubepass/forwarding/service_exchange.py
+++ b/src/jujubepass/forwarding/service_exchange.py
@@ -134,19 +134,9 @@
         route = admitted.route
         while True:
             now = clocks.read_boot_clock()
-            # What may have run is completed as it was admitted.
-            if not progress.may_have_run:
-                checked = self.admission_control.admit(request, now)
-                if isinstance(checked, admission.Refusal):
-                    return checked
-            backend = self.choice.choose(admitted.service.name, progress.tried, now)
-            if backend is None:
-                end = self.choice.find_end_of_silence(admitted.service.name, now)
-                return _refuse_none_left(progress, end - now if end else None)
-            if admitted.deadline - now < _MIN_REMAINING_SECONDS:
-                return _refuse_expired(progress)
-            if progress.tried and not self.budgets[admitted.service.name].spend(now):
-                return _refuse_none_left(progress)
+            backend = self._choose(request, admitted, progress, now)
+            if isinstance(backend, admission.Refusal):
+                return backend
             progress.tried.add(backend.name)
             reply.record_attempt(backend.name)
             last = progress.runs + 1 >= route.max_attempts
@@ -167,6 +157,29 @@
                     return _refuse_none_left(progress)
                 self.count_retry(reasons.RetryReason.LOOKUP_FAILED)
 
+    def _choose(
+        self,
+        request: exchange.CallerRequest,
+        admitted: exchange.Admitted,
+        progress: _Progress,
+        now: float,
+    ) -> backends.Backend | admission.Refusal:
+        """Return the backend server for an attempt, or why it must not be sent."""
+        # What may have run is completed as it was admitted.
+        if not progress.may_have_run:
+            checked = self.admission_control.admit(request, now)
+            if isinstance(checked, admission.Refusal):
+                return checked
+        backend = self.choice.choose(admitted.service.name, progress.tried, now)
+        if backend is None:
+            end = self.choice.find_end_of_silence(admitted.service.name, now)
+            return _refuse_none_left(progress, end - now if end else None)
+        if admitted.deadline - now < _MIN_REMAINING_SECONDS:
+            return _refuse_expired(progress)
+        if progress.tried and not self.budgets[admitted.service.name].spend(now):
+            return _refuse_none_left(progress)
+        return backend
+
     def _may_retry(self, admitted: exchange.Admitted, progress: _Progress) -> bool:
         """Return whether another attempt would be sent now."""
         now = clocks.read_boot_clock()
@@ -230,6 +243,7 @@
         )
 
         async def forward(limit: _AttemptLimit) -> None:
+            """Send the attempt and forward its answer."""
             async with self.sender.open(request, attempt, backend.address) as start:
                 head, answer = start
                 body, is_complete = await _read_body(answer, _MAX_BUFFERED_BYTES)
--- a/src/jujubepass/forwarding/stream_exchange.py
+++ b/src/jujubepass/forwarding/stream_exchange.py
@@ -21,6 +21,7 @@
     replies,
     sending,
     stall_watch,
+    stream_progress,
     stream_refusals,
     stream_timeouts,
     suspicion,
@@ -34,37 +35,12 @@
 _PIPELINE_POLL_INTERVAL_SECONDS = 0.05
 # Margin for the first event and for batch steps shared with other requests.
 _PREDICTION_MARGIN = 1.2
-# Maximum number of refused attempts before the request itself is refused.
-_MAX_REFUSALS = 4
-# Delay after a refused attempt; it doubles with each refusal in a row. A request that
-# has not begun tries one other pipeline at once, as its first event is due soon.
-_MIN_REFUSED_DELAY_SECONDS = 0.05
-_MAX_REFUSED_DELAY_SECONDS = 0.8
 
 
 class PipelineFailedError(Exception):
     """Signal that an answer cannot continue on its pipeline."""
 
 
-@attrs.define(kw_only=True)
-class _Progress:
-    """Track the progress of one answer."""
-
-    last_id: str | None
-    deadline: float
-    parts: part_guard.RequestParts
-    events: int = 0
-    events_before_run: int = 0
-    runs: int = 0
-    fruitless_runs: int = 0
-    """Runs without a new event since the last one with any."""
-    refusals: int = 0
-    refusals_in_row: int = 0
-    avoided: set[ids.BackendServerId] = attrs.field(factory=set)
-    entries: dict[ids.BackendServerId, int] = attrs.field(factory=dict)
-    """First engines of this request's pipelines, with the engines' start times."""
-
-
 @attrs.define(kw_only=True)
 class StreamExchange:
     """Run a request on a pipeline, and resume after the last event on another."""
@@ -90,7 +66,7 @@
         parts = part_guard.RequestParts(
             service=admitted.service.name, parts=request.prompt_parts
         )
-        progress = _Progress(
+        progress = stream_progress.Progress(
             last_id=request.resume_after, deadline=admitted.deadline, parts=parts
         )
         self.budgets[admitted.service.name].count_attempt(request.arrived_at)
@@ -113,7 +89,7 @@
         request: exchange.CallerRequest,
         admitted: exchange.Admitted,
         reply: replies.Reply,
-        progress: _Progress,
+        progress: stream_progress.Progress,
     ) -> admission.Refusal | None:
         """Return why the answer is incomplete, or None if it is complete."""
         while True:
@@ -135,30 +111,20 @@
                 return None
             except sending.NotRunError as error:
                 self._record_refusal(request, pipeline, error, progress)
-                if progress.refusals >= _MAX_REFUSALS and not reply.started:
+                if not progress.has_refusals_left and not reply.started:
                     return self._make_refusal(stream_refusals.FULL, progress)
-                await trio.sleep(self._draw_delay(progress))
+                await trio.sleep(progress.draw_delay(self.random_source))
             except (sending.OutcomeUnknownError, PipelineFailedError) as error:
                 self._record_failure(request, pipeline, error, progress)
-                is_repeatable = admitted.route.is_repeatable
-                if not is_repeatable or progress.fruitless_runs >= _MAX_FRUITLESS_RUNS:
+                if not (admitted.route.is_repeatable and progress.has_runs_left):
                     return self._make_refusal(stream_refusals.OUTCOME_UNKNOWN, progress)
 
-    def _draw_delay(self, progress: _Progress) -> float:
-        """Return the delay after a refused attempt, in seconds."""
-        doublings = progress.refusals_in_row - (1 if progress.events else 2)
-        if doublings < 0:
-            return 0.0
-        seconds = _MIN_REFUSED_DELAY_SECONDS * 2.0**doublings
-        seconds = min(seconds, _MAX_REFUSED_DELAY_SECONDS)
-        return seconds * self.random_source.uniform(0.5, 1.0)
-
     def _check_attempt(
         self,
         request: exchange.CallerRequest,
         admitted: exchange.Admitted,
         pipeline: pipelines.Pipeline | None,
-        progress: _Progress,
+        progress: stream_progress.Progress,
     ) -> admission.Refusal | None:
         """Return why the attempt must not be sent now, or None."""
         now = clocks.read_boot_clock()
@@ -176,11 +142,11 @@
             return stream_refusals.BUDGET_SPENT
         return None
 
-    def _may_retry(self, admitted: exchange.Admitted, progress: _Progress) -> bool:
+    def _may_retry(
+        self, admitted: exchange.Admitted, progress: stream_progress.Progress
+    ) -> bool:
         """Return whether the request may run once more after the run in use."""
-        has_progressed = progress.events > progress.events_before_run
-        fruitless_runs = 0 if has_progressed else progress.fruitless_runs
-        if fruitless_runs + 1 >= _MAX_FRUITLESS_RUNS:
+        if not progress.would_have_runs_left():
             return False
         budget = self.budgets[admitted.service.name]
         return budget.predict_wait_seconds(clocks.read_boot_clock()) == 0.0
@@ -189,7 +155,7 @@
         self,
         request: exchange.CallerRequest,
         pipeline: pipelines.Pipeline,
-        progress: _Progress,
+        progress: stream_progress.Progress,
         now: float,
     ) -> bool:
         """Return whether this node would stop before a new answer ends."""
@@ -208,13 +174,13 @@
         return stream_refusals.refuse_silent(end - now)
 
     def _make_refusal(
-        self, refusal: admission.Refusal, progress: _Progress
+        self, refusal: admission.Refusal, progress: stream_progress.Progress
     ) -> admission.Refusal:
         """Return the refusal, or OUTCOME_UNKNOWN if an attempt has run."""
         return stream_refusals.OUTCOME_UNKNOWN if progress.runs else refusal
 
     async def _wait_for_pipeline(
-        self, admitted: exchange.Admitted, progress: _Progress
+        self, admitted: exchange.Admitted, progress: stream_progress.Progress
     ) -> pipelines.Pipeline | None:
         """Return a pipeline, or wait for the repair of one while it may be used."""
         wait_seconds = _PIPELINE_WAIT_SHARE * stream_timeouts.compute_caller_timeout(
@@ -241,7 +207,7 @@
             await trio.sleep(_PIPELINE_POLL_INTERVAL_SECONDS)
 
     def _find_entries(
-        self, admitted: exchange.Admitted, progress: _Progress
+        self, admitted: exchange.Admitted, progress: stream_progress.Progress
     ) -> set[ids.BackendServerId] | None:
         """Return the allowed first engines once the route's attempts are used up."""
         running = self.choice.filter_listed(progress.entries)
@@ -253,7 +219,7 @@
         admitted: exchange.Admitted,
         pipeline: pipelines.Pipeline,
         reply: replies.Reply,
-        progress: _Progress,
+        progress: stream_progress.Progress,
     ) -> None:
         """Run the rest of the answer on one pipeline; raises what ended it early."""
         first = pipeline.stages[0]
@@ -293,7 +259,7 @@
         attempt: exchange.Attempt,
         stream: watched_streams.WatchedStream,
         reply: replies.Reply,
-        progress: _Progress,
+        progress: stream_progress.Progress,
     ) -> None:
         address = stream.pipeline.stages[0].address
         async with self.sender.open(request, attempt, address) as (head, answer):
@@ -305,7 +271,7 @@
         answer: _http_client.StreamedAnswer,
         stream: watched_streams.WatchedStream,
         reply: replies.Reply,
-        progress: _Progress,
+        progress: stream_progress.Progress,
         request: exchange.CallerRequest,
     ) -> None:
         if head.status != _OK:
@@ -338,7 +304,7 @@
         found: list[events.Event],
         head: exchange.AnswerHead,
         reply: replies.Reply,
-        progress: _Progress,
+        progress: stream_progress.Progress,
         request: exchange.CallerRequest,
     ) -> None:
         new = [
@@ -358,11 +324,9 @@
         request: exchange.CallerRequest,
         pipeline: pipelines.Pipeline,
         error: sending.NotRunError,
-        progress: _Progress,
+        progress: stream_progress.Progress,
     ) -> None:
         """Avoid the engine that could not run its stage."""
-        progress.refusals += 1
-        progress.refusals_in_row += 1
         now = clocks.read_boot_clock()
         stage = pipeline.stages[0]
         reason = suspicion.SuspicionReason.UNREACHABLE
@@ -377,7 +341,7 @@
         elif error.has_ended:
             self.guard.record_refused_connection(progress.parts, stage.engine)
         self.suspects.suspect(stage.engine, reason, now)
-        progress.avoided.add(stage.engine)
+        progress.record_refusal(stage.engine)
         self.count_retry(reasons.RetryReason.ENGINE_FULL)
         detail = f"{stage.engine}: {error}"
         attempt_log.log_not_run(request, pipeline, detail, events=progress.events)
@@ -387,14 +351,10 @@
         request: exchange.CallerRequest,
         pipeline: pipelines.Pipeline,
         error: Exception,
-        progress: _Progress,
+        progress: stream_progress.Progress,
     ) -> None:
         """Avoid the suspected engines, or the whole pipeline if there are none."""
-        progress.runs += 1
-        if progress.events > progress.events_before_run:
-            progress.fruitless_runs = 0
-        progress.fruitless_runs += 1
-        progress.refusals_in_row = 0
+        progress.record_run()
         first = pipeline.stages[0].engine
         listed = self.choice.blackboard.backends.listed.get(first)
         if listed is not None:
@@ -411,12 +371,8 @@
             pipeline,
             str(error),
             events=progress.events,
-            run_events=progress.events - progress.events_before_run,
+            run_events=progress.run_events,
         )
 
 
 _OK = 200
-# Maximum runs of one request since its last event, including those whose engine has
-# ended. After this many lost pipelines, further runs would use up the retry budget of
-# other requests.
-_MAX_FRUITLESS_RUNS = 4
--- /dev/null
+++ b/src/jujubepass/forwarding/stream_progress.py
@@ -0,0 +1,81 @@
+"""Progress of one model request over its attempts."""
+
+import random
+
+import attrs
+
+from jujubepass import ids
+from jujubepass.forwarding import part_guard
+
+# Maximum number of refused attempts before the request itself is refused.
+_MAX_REFUSALS = 4
+# Maximum runs of one request since its last event, including those whose engine has
+# ended. After this many lost pipelines, further runs would use up the retry budget of
+# other requests.
+_MAX_FRUITLESS_RUNS = 4
+# Delay after a refused attempt; it doubles with each refusal in a row. A request that
+# has not begun tries one other pipeline at once, as its first event is due soon.
+_MIN_REFUSED_DELAY_SECONDS = 0.05
+_MAX_REFUSED_DELAY_SECONDS = 0.8
+
+
+@attrs.define(kw_only=True)
+class Progress:
+    """Track the progress of one answer."""
+
+    last_id: str | None
+    deadline: float
+    parts: part_guard.RequestParts
+    events: int = 0
+    events_before_run: int = 0
+    runs: int = 0
+    fruitless_runs: int = 0
+    """Runs without a new event since the last one with any."""
+    refusals: int = 0
+    refusals_in_row: int = 0
+    avoided: set[ids.BackendServerId] = attrs.field(factory=set)
+    entries: dict[ids.BackendServerId, int] = attrs.field(factory=dict)
+    """First engines of this request's pipelines, with the engines' start times."""
+
+    @property
+    def run_events(self) -> int:
+        """Return the number of events of the run in use."""
+        return self.events - self.events_before_run
+
+    @property
+    def has_runs_left(self) -> bool:
+        """Return whether the request may run again after the runs that broke."""
+        return self.fruitless_runs < _MAX_FRUITLESS_RUNS
+
+    @property
+    def has_refusals_left(self) -> bool:
+        """Return whether another attempt may follow the refused ones."""
+        return self.refusals < _MAX_REFUSALS
+
+    def would_have_runs_left(self) -> bool:
+        """Return whether the request may run again if the run in use broke now."""
+        return self._count_fruitless_runs() < _MAX_FRUITLESS_RUNS
+
+    def record_run(self) -> None:
+        """Record that the run in use broke."""
+        self.fruitless_runs = self._count_fruitless_runs()
+        self.runs += 1
+        self.refusals_in_row = 0
+
+    def record_refusal(self, engine: ids.BackendServerId) -> None:
+        """Record that an engine did not run its stage."""
+        self.refusals += 1
+        self.refusals_in_row += 1
+        self.avoided.add(engine)
+
+    def draw_delay(self, random_source: random.Random) -> float:
+        """Return the delay after a refused attempt, in seconds."""
+        doublings = self.refusals_in_row - (1 if self.events else 2)
+        if doublings < 0:
+            return 0.0
+        seconds = _MIN_REFUSED_DELAY_SECONDS * 2.0**doublings
+        seconds = min(seconds, _MAX_REFUSED_DELAY_SECONDS)
+        return seconds * random_source.uniform(0.5, 1.0)
+
+    def _count_fruitless_runs(self) -> int:
+        return 1 if self.run_events else self.fruitless_runs + 1
--- a/src/jujubepass/forwarding/watched_streams.py
+++ b/src/jujubepass/forwarding/watched_streams.py
@@ -118,8 +118,7 @@
         """Classify a stall by whether an engine of the pipeline is unavailable.
 
         Engines process prompts in order: if later streams from the same engine begin
-        first, the answer of this stream is lost. An answer that cannot be replaced by
-        that of another attempt is lost only if the run of its first engine has ended.
+        first, the answer of this stream is lost.
         """
         stall_seconds = now - self.last_data_at
         timeouts = self.timeouts
@@ -133,6 +132,7 @@
             if self.has_begun
             else timeouts.first_suspicious_seconds
         )
+        # Without another attempt, an answer is lost only if its engine's run has ended.
         if stall_seconds >= timeout and (has_ended or self.can_be_replaced()):
             return StallAction.ABORT
         if is_overtaken and not self.has_begun and stall_seconds >= suspicious_seconds:
