Recognize the end of an engine whose connection is refused or address reused

Cause: no end was ever confirmed there. trio wraps the errors of a connection in an exception group, which the check for a refused one did not look into; and an engine that comes back has another name there, so that no later start is listed under the old one. In tests, engines come back under their names.

Change: a refused connection is found within groups, and any later run that is listed at the address confirms the end of the one before.

The two new scenarios of quarantine failed before and pass.

--- a/src/jujubepass/forwarding/engine_ends.py
+++ b/src/jujubepass/forwarding/engine_ends.py
@@ -4,6 +4,7 @@
 
 from jujubepass import ids
 from jujubepass.forwarding import board, prompt_parts
+from jujubepass.transport import _http_client
 
 # Time in which the end of an engine is confirmed after a run on it broke.
 _CONFIRMATION_SECONDS = 10.0
@@ -17,6 +18,7 @@
 @attrs.define(kw_only=True)
 class _PossibleEnd:
     since: float
+    address: _http_client.Address | None
     confirmed_at: float | None = None
     depths: Depths = attrs.field(factory=dict)
 
@@ -49,14 +51,18 @@
         return depths
 
     def list_restarted(self) -> list[prompt_parts.EngineRun]:
-        """Return unconfirmed runs whose engines are listed with another start."""
-        found = []
-        for run, end in self._ends.items():
-            listed = self.area.listed.get(run.engine)
-            is_replaced = listed is not None and listed.started_at > run.started_at
-            if is_replaced and end.confirmed_at is None:
-                found.append(run)
-        return found
+        """Return unconfirmed runs whose addresses later runs are listed with."""
+        waiting = {
+            end.address: run
+            for run, end in self._ends.items()
+            if end.confirmed_at is None and end.address is not None
+        }
+        return [
+            waiting[each.address]
+            for each in self.area.listed.values()
+            if each.address in waiting
+            and each.started_at > waiting[each.address].started_at
+        ]
 
     def list_unconfirmed(self, now: float) -> list[ids.BackendServerId]:
         """Return engines whose possible end is to be confirmed by a probe."""
@@ -80,4 +86,8 @@
     def _find(self, run: prompt_parts.EngineRun, now: float) -> _PossibleEnd:
         while len(self._ends) >= _MAX_RUNS and run not in self._ends:
             del self._ends[next(iter(self._ends))]
-        return self._ends.setdefault(run, _PossibleEnd(since=now))
+        if run not in self._ends:
+            listed = self.area.listed.get(run.engine)
+            address = listed.address if listed is not None else None
+            self._ends[run] = _PossibleEnd(since=now, address=address)
+        return self._ends[run]
--- a/src/jujubepass/transport/_http_client.py
+++ b/src/jujubepass/transport/_http_client.py
@@ -358,8 +358,10 @@
     connection.receive_data(data)
 
 
-def _is_refused(error: BaseException) -> bool:
-    """Return whether a connection was refused; trio wraps the error of each address."""
-    return any(
-        isinstance(each, ConnectionRefusedError) for each in (error, error.__cause__)
-    )
+def _is_refused(error: BaseException | None) -> bool:
+    """Return whether a connection was refused; trio groups the errors by address."""
+    if isinstance(error, BaseExceptionGroup):
+        return all(map(_is_refused, error.exceptions))
+    if error is None or isinstance(error, ConnectionRefusedError):
+        return error is not None
+    return _is_refused(error.__cause__)
--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -99,6 +99,19 @@
     When a bad part comes and all nodes know it
     Then a request with it is refused at once with 503 and a retry time
 
+  # Guards against ends of engines that are never held against parts, as the refused
+  # connection is not recognized.
+  Scenario: A connection to an address without a listener is reported as refused
+    When a client connects to a port without a listener
+    Then the error says that nothing listens there
+
+  # Guards against ends of engines that are never held against parts, as the engine
+  # comes back under another name.
+  Scenario: Another engine at an address confirms the end of the one before
+    Given an engine on which a request broke
+    When an engine of another name is listed at its address
+    Then the end of the first one is confirmed
+
   Scenario: Rows of the part table are read as written, and bad ones are not used
     Then a suspected part is read as written
     And rows that hold no valid part are rejected
