--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -17,6 +17,7 @@
     When its request is served
     Then each broken attempt is logged with its parts and 1 event
 
+  # Guards against nodes that each learn alone which parts crash engines.
   Scenario Outline: A part that has ended five engines reaches no further ones from any node
     Given <nodes> simulated nodes
     When sound requests and 5 a second with a bad part come at any of them for <seconds> seconds
@@ -34,12 +35,14 @@
   Scenario: Any prompts, rates and orders of events lead to the same bound
     Then it holds for random systems with one or two bad parts
 
+  # Guards against refusing sound parts for ends that they did not cause.
   Scenario: Ends of engines under sound parts put none in quarantine for long
     Given 9 simulated nodes
     When sound requests come and 4 engines end together 3 times
     Then no sound part is in quarantine
     And sound requests begin as elsewhere
 
+  # Guards against holding broken connections against prompts.
   Scenario: Reset connections blame no part
     Given 9 simulated nodes
     When sound requests come and all connections are reset 5 times
@@ -67,6 +70,7 @@
     Then some writes met others
     And each node knows the ends in the row of the part, and no others
 
+  # Guards against knowledge that ends with the processes.
   Scenario: A part stays in quarantine when all nodes start again
     Given 9 simulated nodes
     When a bad part comes and all nodes start again after 10 seconds
@@ -89,6 +93,7 @@
     When a bad part comes once a second for 1500 seconds
     Then it was tried 3 times, each later than the one before
 
+  # Guards against one request that is repeated on engine after engine.
   Scenario: One request ends no more than two engines
     Given 9 simulated nodes
     When a single request with a bad part comes
