Bound the lines of tokens that an engine sends

An engine whose answer to an attempt is one line without end was read into memory for as long as it sent, with all that had come copied for each piece: the node's loop was kept busy.

Cause: the client of engines joins pieces until a line break comes. Answers, events and interim heads have bounds since the rule on bytes without end; lines did not.

Evidence: the new scenario failed before the change, as the attempt had not ended after 20 s.

A line over 256 KB ends the attempt as cut. Measured: the scenario passes three times, in 0.01 s each.

--- a/src/jujubepass/answers/_engine_client.py
+++ b/src/jujubepass/answers/_engine_client.py
@@ -16,6 +16,8 @@
 _CONFLICT = 409
 _POLL_TIMEOUT_SECONDS = 2.0
 _CANCEL_TIMEOUT_SECONDS = 2.0
+# A line has one token.
+_MAX_LINE_BYTES = 262_144
 _STAGE_FAILED = "stage_failed"
 _STAGE_REFUSALS = {
     "full": _answer_messages.AttemptFault.FULL,
@@ -91,6 +93,10 @@
         incomplete_line = b""
         while data := await answer.receive():
             *lines, incomplete_line = (incomplete_line + data).split(b"\n")
+            if len(incomplete_line) > _MAX_LINE_BYTES:
+                raise _http_client.InterruptedAnswerError(
+                    f"token line exceeds {_MAX_LINE_BYTES} bytes"
+                )
             try:
                 records = [json.loads(line) for line in lines if line]
                 ended = self._post_records(command, records)
--- a/tests/features/endless_answers.feature
+++ b/tests/features/endless_answers.feature
@@ -54,3 +54,10 @@
     When the store answers with each form without end for 2 seconds
     Then the node's memory has grown by less than 60 MB
     And when the store is back, each node serves again within 2.5 seconds
+
+  # Guards against nodes that read a line of tokens without end into memory.
+  Scenario: An engine answers an attempt with a line without end
+    Given an engine whose line of tokens has no end
+    When an attempt runs on it
+    Then the attempt is reported as cut
+    And less than 8 MB of the line were sent
