Reproduce a stream that is lost with a kept connection of its engine

A stream that may not be repeated is sent over a connection that its engine closes at that moment, without reading the request. The caller gets 502 (outcome unknown) for a request that never ran; one that may be repeated is answered by another run.

--- a/standins/path_engine.py
+++ b/standins/path_engine.py
@@ -5,6 +5,7 @@
 import os
 import time
 import typing
+import weakref
 
 import attrs
 import cappa
@@ -49,6 +50,8 @@
     """Whether answers have neither a length nor chunks."""
     reset_answer: float = 0
     """Resets of the connection in the middle of an unframed answer."""
+    drop_kept: float = 0
+    """Requests on kept connections that are closed instead, without a run."""
     endless_request: str = ""
     """Form of bytes without end in place of answers; see `raw_answers`."""
     endless_report: str = ""
@@ -95,10 +98,13 @@
         self._stalled: dict[str, str] = {}
         self._pipelines: dict[str, list[Stage]] = {}
         self._moves = 0
+        self._used_connections: weakref.WeakSet[trio.SocketStream] = weakref.WeakSet()
         self.server = _http_server.Server(handler=self.handle)
 
     async def handle(self, request: _http_server.Request, responder: Responder) -> None:
         """Serve one request."""
+        is_kept = responder._stream in self._used_connections
+        self._used_connections.add(responder._stream)
         if request.path == "/knobs":
             await knobs.serve_knobs(self.settings, request, responder)
         elif request.path == "/counts":
@@ -126,6 +132,8 @@
             layers = request.path.removeprefix("/part/")
             is_admitted = self._admit_stage(layers, request.headers["x-request-id"])
             await responder.send_json(200 if is_admitted else 503, {})
+        elif is_kept and self._draw_fault("drop_kept"):
+            raise trio.BrokenResourceError("idle limit reached")
         else:
             await self._serve(request, responder)
 
--- /dev/null
+++ b/tests/features/kept_connections.feature
@@ -0,0 +1,14 @@
+Feature: Kept connections that are closed as a request arrives
+  # Guards against losing a stream to a kept connection that its engine closes.
+  Scenario Outline: A stream that <rule> is answered though kept connections are closed
+    Given a system on the platform
+    And a route whose streams <rule>
+    And engines that close kept connections when the next stream arrives
+    When a caller requests a stream
+    Then the answer has each event once and in order
+    And the stream ran once
+
+    Examples:
+      | rule                |
+      | may be repeated     |
+      | may not be repeated |
