Open a connection for each stream that may not be repeated

Callers of streams that may not be repeated got 502 (outcome unknown) when the engine closed a kept connection as the request arrived. Nothing had run, but on a connection that was used before, a request without an answer cannot be told from one that ran.

Such streams now use a connection of their own, as bookings do: a failed connect proves that nothing was sent, and another engine is tried. Streams that may be repeated still share connections.

--- a/src/jujubepass/forwarding/exchange.py
+++ b/src/jujubepass/forwarding/exchange.py
@@ -46,7 +46,8 @@
     pipeline: pipelines.Pipeline | None = None
     resume_after: str | None = None
     fresh: bool = False
-    """Whether to open a new connection, as a failed connect proves nothing was sent."""
+    """Whether to open a new connection: a kept one may close under the request, and a
+    failed connect proves that nothing was sent."""
 
 
 class AnswerKind(enum.Enum):
--- a/src/jujubepass/forwarding/stream_exchange.py
+++ b/src/jujubepass/forwarding/stream_exchange.py
@@ -233,6 +233,7 @@
             remaining_seconds=progress.deadline - now,
             pipeline=pipeline,
             resume_after=progress.last_id,
+            fresh=not admitted.route.is_repeatable,
         )
         timeouts = stream_timeouts.make_stall_timeouts(admitted.route)
         watching = self.stalls.watch(
