--- a/tests/features/lost_stage.feature
+++ b/tests/features/lost_stage.feature
@@ -47,6 +47,13 @@
     When one of them has ended
     Then its next pipeline may begin anywhere
 
+  # Guards against a third engine for a request whose first one was missing in the list
+  # for a moment.
+  Scenario: An engine whose entry lapses during a run counts as one of the request's
+    Given a fleet of engines, planned and loaded
+    When a stream's engine loses its entry while its run breaks, and a second run breaks
+    Then its third run begins at one of these two engines
+
   Scenario: Engines keep layers that no other engine holds yet
     Then an engine with a new span keeps the layers that only it holds
     And old and ordered layers together never exceed what an engine can hold
