Count an engine as a request's even if its entry lapses during the run

A request whose first engine was missing in the list as its run broke, and came back afterwards, could begin at one engine more than its route allows: the engines to which its attempts are then bound were looked up in the list only at the break. They are now recorded as the attempt starts. An engine that has started anew meanwhile no longer counts with its new run, on which the request has not run.

--- a/src/jujubepass/forwarding/stream_exchange.py
+++ b/src/jujubepass/forwarding/stream_exchange.py
@@ -357,9 +357,10 @@
         """Avoid the suspected engines, or the whole pipeline if there are none."""
         progress.record_run()
         first = pipeline.stages[0].engine
-        listed = self.choice.blackboard.backends.listed.get(first)
-        if listed is not None:
-            progress.entries[first] = listed.started_at
+        # Its entry may have lapsed meanwhile, and may come back.
+        run = progress.parts.engine_runs.get(first)
+        if run is not None:
+            progress.entries[first] = run.started_at
         now = clocks.read_boot_clock()
         suspected = {
             name for name in pipeline.engines if self.suspects.is_suspected(name, now)
