--- /dev/null
+++ b/tests/features/steps/moved_streams_steps.py
@@ -0,0 +1,80 @@
+import behave
+import trio
+
+from jujubepass import ids
+from jujubepass.forwarding import (
+    evacuation,
+    probing,
+    stall_watch,
+    stream_timeouts,
+    suspicion,
+)
+from tests import small_fleet
+from tests.features.steps import quarantine_steps
+
+ORDER_SECONDS = 0.09
+
+
+class Mover:
+    """Take some time for each move, and count those at once."""
+
+    def __init__(self):
+        self.running = self.most = self.moves = 0
+
+    async def move(self, stream, avoided):
+        self.running += 1
+        self.moves += 1
+        self.most = max(self.most, self.running)
+        await trio.sleep(ORDER_SECONDS)
+        self.running -= 1
+        return True
+
+
+class Control:
+    """Leave requests for reports unanswered."""
+
+    async def read_report(self, engine):
+        await trio.sleep_forever()
+
+
+async def drain_during_stream(fleet, mover):
+    prober = probing.Prober(
+        blackboard=fleet.blackboard,
+        suspects=fleet.suspects,
+        control=Control(),
+        slowdowns=fleet.slowdowns,
+        signals=fleet.signals,
+    )
+    stalls = stall_watch.StallWatch(
+        blackboard=fleet.blackboard, suspects=fleet.suspects, prober=prober, mover=mover
+    )
+    leaving = evacuation.Evacuation(
+        blackboard=fleet.blackboard, stalls=stalls, mover=mover
+    )
+    pipeline = small_fleet.choose(fleet)
+    engine = pipeline.stages[-1].engine
+    fleet.blackboard.backends.draining_since[engine] = trio.current_time()
+    reason = suspicion.SuspicionReason.UNRESPONSIVE
+    fleet.suspects.suspect(engine, reason, trio.current_time())
+    timeouts = stream_timeouts.make_stall_timeouts(small_fleet.ROUTE)
+    with trio.move_on_after(0.5):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(stalls.run)
+            nursery.start_soon(leaving.run)
+            watching = stalls.watch(
+                pipeline, ids.RequestId("r"), timeouts, is_repeatable=True
+            )
+            with watching:
+                await trio.sleep_forever()
+
+
+@behave.when("an engine that a stream uses drains and becomes unresponsive")
+def step_drain(context):
+    context.mover = Mover()
+    quarantine_steps.run(lambda: drain_during_stream(context.fleet, context.mover))
+
+
+@behave.then("the stream was moved by one order at a time")
+def step_one_at_a_time(context):
+    assert context.mover.moves, "no move"
+    assert context.mover.most == 1, (context.mover.most, context.mover.moves)
