Move a stream on a draining engine by one order at a time

A stream on a draining engine got two orders at once if it was also stalled: the task that moves streams off draining engines did not mark them as moving, as the stall watch does. Which of the two paths the engine then uses is open, and a refusal of the second order ends a run that the first one has saved. The task now marks them, too.

--- a/src/jujubepass/forwarding/evacuation.py
+++ b/src/jujubepass/forwarding/evacuation.py
@@ -31,7 +31,18 @@
                 for stream in self.stalls.list_streams():
                     if self._is_due(stream, leaving):
                         self._tried_at[stream.request] = now
-                        nursery.start_soon(self.mover.move, stream, leaving)
+                        stream.is_moving = True
+                        nursery.start_soon(self._move, stream, leaving)
+
+    async def _move(
+        self,
+        stream: watched_streams.WatchedStream,
+        leaving: frozenset[ids.BackendServerId],
+    ) -> None:
+        try:
+            await self.mover.move(stream, leaving)
+        finally:
+            stream.is_moving = False
 
     def _is_due(
         self,
