Split the times of trials from the quarantine

When a trial is due and which prompts suit it are functions of a part's record now; the fields of a part's log lines are made where the record is defined. Decisions are unchanged.

--- /dev/null
+++ b/src/jujubepass/forwarding/part_trials.py
@@ -0,0 +1,34 @@
+"""Trials of parts of prompts: when they are due, and with which prompts."""
+
+import collections.abc
+
+from jujubepass.forwarding import prompt_parts
+
+# Times before the trials of a part, after which only an operator releases it. The
+# first is early, as a sound part may be in most prompts.
+TRIAL_SECONDS = (2.0, 20.0, 120.0)
+# A trial waits this long for a prompt whose other parts are not suspected as much.
+SUITABLE_SECONDS = 3.0
+
+
+def find_trial_time(record: prompt_parts.PartRecord, quarantined_at: float) -> float:
+    """Return when the next trial of a part is due."""
+    if record.row.trials >= len(TRIAL_SECONDS):
+        return float("inf")
+    since = max(quarantined_at, record.trials_seen_at)
+    return since + TRIAL_SECONDS[record.row.trials]
+
+
+def find_suitable_wait(
+    wait_seconds: float, others: collections.abc.Iterable[prompt_parts.PartRecord]
+) -> float:
+    """Return the time until a prompt may be used for a trial that is due after a time.
+
+    Its other parts may end an engine as well.
+    """
+    is_suspected = any(
+        len(each.ended) >= prompt_parts.MIN_ENDED_RUNS for each in others
+    )
+    if is_suspected and wait_seconds > -SUITABLE_SECONDS:
+        return max(wait_seconds, SUITABLE_SECONDS)
+    return wait_seconds
--- a/src/jujubepass/forwarding/prompt_parts.py
+++ b/src/jujubepass/forwarding/prompt_parts.py
@@ -109,3 +109,15 @@
 def make_absent_row(key: PartKey, trials: int = 0) -> SuspectedPart:
     """Return what stands for a row that does not exist."""
     return SuspectedPart(key=key, version=0, ended=frozenset(), depth=0, trials=trials)
+
+
+def describe(record: PartRecord) -> dict[str, str | int]:
+    """Return the fields of a part's log lines."""
+    key = record.row.key
+    return {
+        "service": key.service,
+        "part": key.part,
+        "ended": len(record.ended),
+        "backends": ",".join(sorted({run.engine for run in record.ended})),
+        "trials": record.row.trials,
+    }
--- a/src/jujubepass/forwarding/quarantine.py
+++ b/src/jujubepass/forwarding/quarantine.py
@@ -6,7 +6,14 @@
 import attrs
 
 from jujubepass import ids
-from jujubepass.forwarding import board, engine_ends, feeds, members, prompt_parts
+from jujubepass.forwarding import (
+    board,
+    engine_ends,
+    feeds,
+    members,
+    part_trials,
+    prompt_parts,
+)
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -15,11 +22,6 @@
 _PROOF_SECONDS = 60.0
 _MAX_PROOFS = 10_000
 _MAX_RECORDS = 5_000
-# Times before the trials of a part, after which only an operator releases it. The
-# first is early, as a sound part may be in most prompts.
-_TRIAL_SECONDS = (2.0, 20.0, 120.0)
-# A trial waits this long for a prompt whose other parts are not suspected as much.
-_SUITABLE_SECONDS = 3.0
 _REMOVAL_TURN_SECONDS = 0.1
 # Longest time that requests wait for the first read of the rows.
 _MAX_FIRST_READ_SECONDS = 1.0
@@ -179,7 +181,8 @@
         for key in found - area.quarantined.keys():
             area.quarantined[key] = now
             record = area.records[key]
-            _log_change("part of prompts quarantined", record)
+            extra = prompt_parts.describe(record)
+            _LOGGER.warning("part of prompts quarantined", extra=extra)
         for key in area.quarantined.keys() - found:
             del area.quarantined[key]
             _LOGGER.info(
@@ -204,32 +207,22 @@
 
         A time of 0.0 or less means that it may run once its trial was claimed.
         """
+        area = self.blackboard.prompts
         keys = self._list_quarantined(service, parts)
         if not keys:
             return None
         wait = max(self._find_trial_time(key) for key in keys) - now
         if len(keys) > 1:
             # A trial would not tell which of them is sound.
-            return max(wait, _TRIAL_SECONDS[-1])
-        if wait > -_SUITABLE_SECONDS and self._has_other_suspects(service, parts, now):
-            return max(wait, _SUITABLE_SECONDS)
-        return wait
-
-    def _has_other_suspects(
-        self,
-        service: ids.ServiceId,
-        parts: collections.abc.Iterable[ids.PromptPartId],
-        now: float,
-    ) -> bool:
-        """Return whether parts outside quarantine may end an engine as well."""
-        area = self.blackboard.prompts
-        return any(
-            len(record.ended) >= prompt_parts.MIN_ENDED_RUNS
-            and key not in area.quarantined
-            and not self._is_proven(key, now)
+            return max(wait, part_trials.TRIAL_SECONDS[-1])
+        others = [
+            record
             for part in parts
             if (record := area.records.get(key := _PartKey(service=service, part=part)))
-        )
+            and key not in keys
+            and not self._is_proven(key, now)
+        ]
+        return part_trials.find_suitable_wait(wait, others)
 
     def _list_quarantined(
         self,
@@ -241,11 +234,7 @@
 
     def _find_trial_time(self, key: _PartKey) -> float:
         area = self.blackboard.prompts
-        record = area.records[key]
-        if record.row.trials >= len(_TRIAL_SECONDS):
-            return float("inf")
-        since = max(area.quarantined[key], record.trials_seen_at)
-        return since + _TRIAL_SECONDS[record.row.trials]
+        return part_trials.find_trial_time(area.records[key], area.quarantined[key])
 
     def make_claim(
         self,
@@ -269,7 +258,8 @@
         self.trials += 1
         record = self.blackboard.prompts.records.get(key)
         if record is not None:
-            _log_change("trial of a part of prompts", record)
+            extra = prompt_parts.describe(record)
+            _LOGGER.warning("trial of a part of prompts", extra=extra)
 
     def list_writes(self, now: float) -> list[prompt_parts.PartWrite]:
         """Return the writes that are due, the gravest first."""
@@ -382,17 +372,3 @@
 
     def _remove(self, key: _PartKey) -> None:
         self.blackboard.prompts.records.pop(key, None)
-
-
-def _log_change(message: str, record: prompt_parts.PartRecord) -> None:
-    key = record.row.key
-    _LOGGER.warning(
-        message,
-        extra={
-            "service": key.service,
-            "part": key.part,
-            "ended": len(record.ended),
-            "backends": ",".join(sorted({run.engine for run in record.ended})),
-            "trials": record.row.trials,
-        },
-    )
