Use the trial of a part for another request if its own has not run

Callers of sound requests were refused as `prompt_quarantined` for 20 s longer than needed. A part that all prompts share may be in quarantine at a cold start, as it explains the ends of engines under two bad ones. Its first trial is due after 2 s, when many engines are still down. The request that had claimed it was refused by engines four times and answered as not run; the trial counted as made, and the next one was due 20 s later.

Traced: the claim at 2.41 s, its request refused as `engines_full` at 2.53 s, the next claim at 22.42 s.

A node keeps such a trial for its next request with the part. The number of requests that reach engines for trials is unchanged, as each claim still lets one request run.

--- a/src/jujubepass/forwarding/part_guard.py
+++ b/src/jujubepass/forwarding/part_guard.py
@@ -104,6 +104,12 @@
         request.has_trial = True
         return None
 
+    def return_trial(self, request: RequestParts) -> None:
+        """Return the trial of a request that was refused without a run."""
+        if request.has_trial and not request.runs:
+            now = clocks.read_boot_clock()
+            self.quarantine.return_trial(request.service, request.parts, now)
+
     def record_start(self, request: RequestParts, pipeline: pipelines.Pipeline) -> None:
         """Record which runs of engines an attempt uses."""
         listed = self.area.listed
--- a/src/jujubepass/forwarding/part_sharing.py
+++ b/src/jujubepass/forwarding/part_sharing.py
@@ -111,6 +111,9 @@
         parts: collections.abc.Iterable[ids.PromptPartId],
     ) -> bool:
         """Claim the trial of a part for one request; return whether it is its own."""
+        parts = tuple(parts)
+        if self.quarantine.take_returned_trial(service, parts):
+            return True
         now = clocks.read_boot_clock()
         write = self.quarantine.make_claim(service, parts, now)
         if write is None or not part_rows.is_storable(write.key):
--- a/src/jujubepass/forwarding/part_trials.py
+++ b/src/jujubepass/forwarding/part_trials.py
@@ -13,6 +13,8 @@
 
 def find_trial_time(record: prompt_parts.PartRecord, quarantined_at: float) -> float:
     """Return when the next trial of a part is due."""
+    if record.returned_at is not None:
+        return record.returned_at
     if record.row.trials >= len(TRIAL_SECONDS):
         return float("inf")
     since = max(quarantined_at, record.trials_seen_at)
--- a/src/jujubepass/forwarding/prompt_parts.py
+++ b/src/jujubepass/forwarding/prompt_parts.py
@@ -53,6 +53,8 @@
     depth: int
     changed_at: float
     trials_seen_at: float
+    returned_at: float | None = None
+    """Time at which a request returned a trial of this node that it did not use."""
     disproved_at: float | None = None
     """Time since which this node has seen a sound run of the part."""
     turn: int | None = None
--- a/src/jujubepass/forwarding/quarantine.py
+++ b/src/jujubepass/forwarding/quarantine.py
@@ -253,6 +253,29 @@
         row = attrs.evolve(prompt_parts.merge(record), trials=record.row.trials + 1)
         return prompt_parts.PartWrite(key=key, version=record.row.version, row=row)
 
+    def return_trial(
+        self,
+        service: ids.ServiceId,
+        parts: collections.abc.Iterable[ids.PromptPartId],
+        now: float,
+    ) -> None:
+        """Record that the request of a trial has not run, so that another one may."""
+        for key in self._list_quarantined(service, parts):
+            self.blackboard.prompts.records[key].returned_at = now
+
+    def take_returned_trial(
+        self,
+        service: ids.ServiceId,
+        parts: collections.abc.Iterable[ids.PromptPartId],
+    ) -> bool:
+        """Return whether a trial was returned to this node, which ends with that."""
+        keys = self._list_quarantined(service, parts)
+        if len(keys) != 1:
+            return False
+        record = self.blackboard.prompts.records[keys.pop()]
+        is_returned, record.returned_at = record.returned_at is not None, None
+        return is_returned
+
     def record_claim(self, key: _PartKey) -> None:
         """Record that this node has claimed a trial of a part."""
         self.trials += 1
@@ -349,6 +372,7 @@
         trials = max(row.trials, record.row.trials)
         if trials != record.row.trials:
             record.trials_seen_at = now
+            record.returned_at = None
         # A copy of the store may lack the newest trials.
         record.row = attrs.evolve(row, trials=trials)
         record.depth = max(record.depth, row.depth)
--- a/src/jujubepass/forwarding/stream_exchange.py
+++ b/src/jujubepass/forwarding/stream_exchange.py
@@ -73,6 +73,7 @@
         with clocks.move_on_at(admitted.deadline):
             refusal = await self._run(request, admitted, reply, progress)
             if refusal is not None:
+                self.guard.return_trial(parts)
                 await self._abort(refusal, reply)
             return
         reason = reasons.RefusalReason.DEADLINE_PASSED
--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -93,6 +93,12 @@
     When a bad part becomes sound while it is in quarantine
     Then it is released at all nodes by the next trial
 
+  # Guards against a trial that is spent, though engines refused to run its request.
+  Scenario: A trial whose request has not run is used for another one
+    Given 9 simulated nodes
+    When a part in quarantine becomes sound and all engines end as its trial is due
+    Then it is released at all nodes by the next trial
+
   # Guards against trials that end engines without end.
   Scenario: A part that stays bad is tried no more than three times
     Given 9 simulated nodes
--- a/tests/features/steps/quarantine_fleet_steps.py
+++ b/tests/features/steps/quarantine_fleet_steps.py
@@ -273,6 +273,29 @@
     assert 1 <= trials <= quarantine_fleet.ALLOWED_REQUESTS_AFTER, trials
 
 
+@behave.when(
+    "a part in quarantine becomes sound and all engines end as its trial is due"
+)
+def step_engines_end(context):
+    async def play(fleet, nursery):
+        # No sound request runs any more as the engines end.
+        send_sound(fleet, nursery, 3.0)
+        await trio.sleep(3.0)
+        nursery.start_soon(fleet.send, 5.0, 40.0, quarantine_fleet.make_bad())
+        while not all(each.list_quarantined() for each in fleet.nodes):
+            await trio.sleep(0.1)
+        fleet.bad_parts.clear()
+        # The first trial is due 2 s after the start of the quarantine, the next one
+        # 20 s later.
+        await trio.sleep(1.5)
+        for engine in fleet.engines.values():
+            if engine.is_up:
+                fleet.crash(engine)
+        await trio.sleep(12.0)
+
+    simulate(context, play)
+
+
 @behave.when("a bad part comes once a second for {seconds:g} seconds")
 def step_long(context, seconds):
     async def play(fleet, nursery):
