Prove that streams outlast moves that are carried out late

An order to move a stream that is not answered within 100 ms is given up, and may still be carried out. Streams that may be repeated then go on in another run, the others wait for the order.

--- a/standins/path_engine.py
+++ b/standins/path_engine.py
@@ -34,6 +34,8 @@
     work_seconds: float = 0.01
     refuse: float = 0
     refuse_move: float = 0
+    move_delay_seconds: float = 0.0
+    """Time after which orders to move are carried out, with or without their sender."""
     lose_answer: float = 0
     cut_event: float = 0
     fail: float = 0
@@ -198,7 +200,10 @@
 
     async def _order(self, order: dict[str, typing.Any], responder: Responder) -> None:
         if order["operation"] == "repath":
-            await self._move(order, responder)
+            seconds = self.settings.move_delay_seconds
+            with trio.CancelScope(shield=seconds > 0.0):
+                await trio.sleep(seconds)
+                await self._move(order, responder)
             return
         if order.get("precondition", self._orders) != self._orders:
             await responder.send_json(409, {})
--- a/tests/features/steps/moved_streams_steps.py
+++ b/tests/features/steps/moved_streams_steps.py
@@ -9,10 +9,12 @@
     stream_timeouts,
     suspicion,
 )
+from standins import processes
 from tests import small_fleet
-from tests.features.steps import quarantine_steps
+from tests.features.steps import accepted_requests_steps, quarantine_steps
 
 ORDER_SECONDS = 0.09
+LATE_SECONDS = 0.5
 
 
 class Mover:
@@ -78,3 +80,41 @@
 def step_one_at_a_time(context):
     assert context.mover.moves, "no move"
     assert context.mover.most == 1, (context.mover.most, context.mover.moves)
+
+
+@behave.given("engines that carry out moves half a second late")
+def step_late_moves(context):
+    for each in accepted_requests_steps.ENGINES:
+        port = context.system.ports[each.name]
+        processes.change_knobs(port, move_delay_seconds=LATE_SECONDS)
+
+
+@behave.then("the stream ran at most twice")
+def step_at_most_twice(context):
+    context.background.join()
+    assert context.system.count_runs(context.system.last_request) <= 2
+
+
+@behave.then("an order to move the stream was given up")
+def step_given_up(context):
+    context.background.join()
+    outcomes = [
+        line["outcome"]
+        for line in context.system.read_log("n1")
+        if line["message"] == "attempted to move a request"
+        and line["request"] == context.system.last_request
+    ]
+    assert any(each.startswith("unclear") for each in outcomes), outcomes
+
+
+@behave.then("the stream ran once and was moved")
+def step_moved(context):
+    system = context.system
+    assert system.count_runs(system.last_request) == 1
+    engines = [each.name for each in accepted_requests_steps.ENGINES]
+    moves = {
+        name: system.read_counts(name)["moves"]
+        for name in engines
+        if processes.can_connect(system.ports[name])
+    }
+    assert any(moves.values()), moves
