Reproduce a request that arrives as its listener stops

A request that the socket holds as the listener stops is read and discarded. One that arrives before the idle limit passes is served, even if the listener runs only later.

--- a/tests/features/kept_connections.feature
+++ b/tests/features/kept_connections.feature
@@ -12,3 +12,13 @@
       | rule                |
       | may be repeated     |
       | may not be repeated |
+
+  # Guards against dropping a request that arrived before its connection was closed.
+  Scenario Outline: A request that has arrived as <event> is answered
+    When a request arrives on a kept connection before the listener finds that <event>
+    Then the request on the kept connection is answered
+
+    Examples:
+      | event                    |
+      | the idle limit passes    |
+      | the listener is to stop  |
--- a/tests/features/steps/kept_connections_steps.py
+++ b/tests/features/steps/kept_connections_steps.py
@@ -1,11 +1,21 @@
+import socket
+import time
+
 import behave
+import trio
 
+from jujubepass.transport import _http_server
 from standins import processes
 from tests.features.steps import accepted_requests_steps
 
 EVENTS = 20
 # More than a request has attempts.
 DROPPED_REQUESTS = 100.0
+IDLE_SECONDS = 0.3
+SETTLING_SECONDS = 0.05
+ANSWER = b"HTTP/1.1 200"
+ANSWER_TIMEOUT_SECONDS = 2.0
+REQUEST = b"GET / HTTP/1.1\r\nhost: h\r\n\r\n"
 
 
 @behave.given("engines that close kept connections when the next stream arrives")
@@ -29,3 +39,55 @@
 def step_ran_once(context):
     context.background.join()
     assert context.system.count_runs(context.system.last_request) == 1
+
+
+def outlast_limit(server):
+    """Keep the listener from running until the idle limit has passed."""
+    time.sleep(2.0 * IDLE_SECONDS)
+
+
+EVENTS_BY_NAME = {
+    "the idle limit passes": outlast_limit,
+    "the listener is to stop": lambda server: server.stop(),
+}
+
+
+async def answer_request(request, responder):
+    await responder.send(200, b"")
+
+
+async def receive(connection):
+    with trio.move_on_after(ANSWER_TIMEOUT_SECONDS):
+        await trio.lowlevel.wait_readable(connection)
+        return connection.recv(65_536)
+    return b""
+
+
+async def send_before(happen):
+    """Return the answer to a request that is sent just before an event."""
+    limits = _http_server.ServerLimits(idle_timeout_seconds=IDLE_SECONDS)
+    server = _http_server.Server(handler=answer_request, limits=limits)
+    async with trio.open_nursery() as nursery:
+        port = await nursery.start(server.serve, processes.HOST, 0)
+        with socket.create_connection((processes.HOST, port)) as connection:
+            connection.sendall(REQUEST)
+            assert (await receive(connection)).startswith(ANSWER)
+            # The listener now waits for the next request.
+            await trio.sleep(SETTLING_SECONDS)
+            connection.sendall(REQUEST)
+            happen(server)
+            answer = await receive(connection)
+        nursery.cancel_scope.cancel()
+    return answer
+
+
+@behave.when(
+    "a request arrives on a kept connection before the listener finds that {event}"
+)
+def step_arrive(context, event):
+    context.answer = trio.run(send_before, EVENTS_BY_NAME[event])
+
+
+@behave.then("the request on the kept connection is answered")
+def step_answered(context):
+    assert context.answer.startswith(ANSWER), context.answer
