Serve a request that has arrived as its listener stops

A request on a kept connection was read and discarded without an answer if it arrived in the turn of the event loop in which the listener was stopped: the wait for input is cancelled then, whatever the socket holds. The socket is now checked once more.

--- a/src/jujubepass/transport/_http_server.py
+++ b/src/jujubepass/transport/_http_server.py
@@ -275,16 +275,17 @@
             if self._stopping.is_set():
                 idle.cancel()
             try:
-                while not connection.trailing_data[0]:
-                    data = await stream.receive_some(_RECEIVE_BUFFER_BYTES)
-                    connection.receive_data(bytes(data))
-                    break
+                if not connection.trailing_data[0]:
+                    await _receive_data(connection, stream)
             except trio.BrokenResourceError:
                 return None
             finally:
                 del self._idle_since[idle]
         if idle.cancelled_caught:
-            return None
+            # A request may have arrived at the same time.
+            if not stream.socket.is_readable():
+                return None
+            await _receive_data(connection, stream)
         with trio.move_on_after(self.limits.receive_timeout_seconds):
             event = await self._receive_event(connection, stream)
             return event if isinstance(event, h11.Request) else None
@@ -323,6 +324,11 @@
         raise _rejections.make_oversized_chunk(max_bytes)
 
 
+async def _receive_data(connection: h11.Connection, stream: trio.SocketStream) -> None:
+    data = await stream.receive_some(_RECEIVE_BUFFER_BYTES)
+    connection.receive_data(bytes(data))
+
+
 async def _watch_peer(
     connection: h11.Connection,
     stream: trio.SocketStream,
