--- a/tests/features/kept_connections.feature
+++ b/tests/features/kept_connections.feature
@@ -22,3 +22,14 @@
       | event                    |
       | the idle limit passes    |
       | the listener is to stop  |
+
+  # Guards against a node that exits while it receives a request.
+  Scenario Outline: A request that <arrival> is answered
+    Given a system on the platform
+    When a booking <arrival> on a kept connection
+    Then the request on the kept connection is answered
+
+    Examples:
+      | arrival                                     |
+      | is being received as the node stops         |
+      | arrives while the node is silent and stops  |
--- a/tests/features/steps/kept_connections_steps.py
+++ b/tests/features/steps/kept_connections_steps.py
@@ -5,14 +5,17 @@
 import trio
 
 from jujubepass.transport import _http_server
-from standins import processes
-from tests.features.steps import accepted_requests_steps
+from standins import forwarding_system, processes
+from tests.features.steps import accepted_requests_more_steps, accepted_requests_steps
 
 EVENTS = 20
 # More than a request has attempts.
 DROPPED_REQUESTS = 100.0
 IDLE_SECONDS = 0.3
 SETTLING_SECONDS = 0.05
+# The listener stops 3.2 s after SIGTERM.
+BEFORE_STOP_SECONDS = 2.9
+AROUND_STOP_SECONDS = 0.8
 ANSWER = b"HTTP/1.1 200"
 ANSWER_TIMEOUT_SECONDS = 2.0
 REQUEST = b"GET / HTTP/1.1\r\nhost: h\r\n\r\n"
@@ -91,3 +94,44 @@
 @behave.then("the request on the kept connection is answered")
 def step_answered(context):
     assert context.answer.startswith(ANSWER), context.answer
+
+
+def open_kept(context):
+    """Return a connection of n1 after a first answer on it."""
+    connection = accepted_requests_more_steps.connect(context)
+    path = forwarding_system.LOOKUP_PATH
+    connection.sendall(accepted_requests_more_steps.make_request("kept", "GET", path))
+    answer = accepted_requests_more_steps.receive_answers(connection, 1)
+    assert answer.startswith(ANSWER), answer
+    return connection
+
+
+def make_booking():
+    path = forwarding_system.BOOKING_PATH
+    return accepted_requests_more_steps.make_request("stop", "POST", path, b"x" * 100)
+
+
+@behave.when("a booking is being received as the node stops on a kept connection")
+def step_receiving(context):
+    connection = open_kept(context)
+    booking = make_booking()
+    context.system.processes.terminate("n1")
+    time.sleep(BEFORE_STOP_SECONDS)
+    connection.sendall(booking[:-50])
+    time.sleep(AROUND_STOP_SECONDS)
+    connection.sendall(booking[-50:])
+    context.answer = accepted_requests_more_steps.receive_answers(connection, 1)
+
+
+@behave.when(
+    "a booking arrives while the node is silent and stops on a kept connection"
+)
+def step_silent_node(context):
+    connection = open_kept(context)
+    context.system.processes.terminate("n1")
+    time.sleep(BEFORE_STOP_SECONDS)
+    context.system.processes.suspend("n1")
+    connection.sendall(make_booking())
+    time.sleep(AROUND_STOP_SECONDS)
+    context.system.processes.resume("n1")
+    context.answer = accepted_requests_more_steps.receive_answers(connection, 1)
