Let a stopped node receive and serve requests that are arriving

A node exits once its listener is stopped and no request is running. A request that had arrived or was being received, but was not running yet, was cut off without an answer, although seconds were left. The node now waits for open connections, within the same limit: those that are idle have been closed by then.

--- a/src/jujubepass/forwarding/node.py
+++ b/src/jujubepass/forwarding/node.py
@@ -319,7 +319,8 @@
         self.blackboard.abort_answers_at = end
         await trio.sleep(min(_BALANCER_REMOVAL_SECONDS, end - began))
         self._callers.stop()
-        while self._callers.running_requests and clocks.read_boot_clock() < end:
+        # Connections that are left serve a request, or receive one.
+        while self._callers.connections and clocks.read_boot_clock() < end:
             await trio.sleep(_DRAIN_POLL_INTERVAL_SECONDS)
         _LOGGER.info(
             "node drained",
