Let callers that read slowly take what has been received

A caller that stopped reading for 1.8 s inside an event received half of it, and then the next event of another run, in an answer that ended as complete. While a write to the caller waited, the stall watch saw no data, took the engine for silent, and cancelled the attempt and with it the write.

A stream is not checked while its caller has yet to take data. The deadline still ends it, and what is cut off then is followed by nothing.

--- a/src/jujubepass/forwarding/stall_watch.py
+++ b/src/jujubepass/forwarding/stall_watch.py
@@ -101,7 +101,7 @@
     def _check_stream(
         self, stream: watched_streams.WatchedStream, nursery: trio.Nursery
     ) -> None:
-        if stream.is_moving:
+        if stream.is_moving or stream.is_forwarding:
             return
         now = trio.current_time()
         unavailable = self._list_unavailable(stream)
@@ -160,6 +160,8 @@
         try:
             if await self.mover.move(stream, unavailable):
                 return
+            if stream.is_forwarding:
+                return
             if stream.can_be_replaced():
                 self._abort(stream, unavailable)
             else:
--- a/src/jujubepass/forwarding/stream_exchange.py
+++ b/src/jujubepass/forwarding/stream_exchange.py
@@ -279,6 +279,7 @@
             body = await answer.receive_all()
             if reply.started:
                 raise PipelineFailedError(f"answered {head.status} when resumed")
+            stream.is_forwarding = True
             await reply.send_complete(head, body.body)
             return
         splitter = events.EventSplitter()
@@ -292,9 +293,12 @@
             stream.record_data()
             lasted_seconds = stream.last_data_at - stream.first_data_at
             self.guard.record_data(progress.parts, lasted_seconds=lasted_seconds)
+            stream.is_forwarding = True
             await self._forward(found, head, reply, progress, request)
+            stream.record_forwarded()
         if splitter.has_partial:
             raise PipelineFailedError("stream ended inside an event")
+        stream.is_forwarding = True
         self.guard.record_end(progress.parts, answer)
         if not reply.started:
             await reply.start(head)
--- a/src/jujubepass/forwarding/watched_streams.py
+++ b/src/jujubepass/forwarding/watched_streams.py
@@ -57,6 +57,8 @@
     first_started_at: int = 0
     """Start time of the first engine's run at the start of the stream."""
     is_moving: bool = False
+    is_forwarding: bool = False
+    """Whether the caller has yet to take data, which must not be cut off."""
     move_not_before: float = float("-inf")
     """Time of trio's clock before which no further move is attempted."""
     is_repeatable: bool = True
@@ -74,6 +76,11 @@
         self.has_begun = True
         self.chunks += 1
 
+    def record_forwarded(self) -> None:
+        """Record that the caller took the data, and restart the stall time-outs."""
+        self.is_forwarding = False
+        self.last_data_at = trio.current_time()
+
     def record_move(self, pipeline: pipelines.Pipeline) -> None:
         """Record the new pipeline and restart the stall time-outs."""
         self.pipeline = pipeline
