Reproduce a stream that is cut off for a part of its prompt after a sound run

A stream has run well for longer than a bad part needs to end its engine. Other nodes put the part into quarantine meanwhile. When the run breaks, the answer is cut off.

--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -19,6 +19,13 @@
     When its request is served
     Then each broken attempt is logged with its parts and 1 event
 
+  # Guards against cutting off a stream that has run well for a part of its prompt that
+  # other nodes suspect meanwhile.
+  Scenario: A stream that has run well goes on although its part is in quarantine
+    Given a fleet of engines, planned and loaded
+    When a part of a stream that has run well is put into quarantine and the run breaks
+    Then the answer is completed by a second run
+
   # Guards against nodes that each learn alone which parts crash engines.
   Scenario Outline: A part that has ended five engines reaches no further ones from any node
     Given <nodes> simulated nodes
