Complete streams that have run well whatever part is in quarantine

A stream that had run for longer than a bad part of its prompt needs to end its engine was cut off at its next break if other nodes had put one of its parts into quarantine meanwhile. A request is now run again after a run that was sound itself. If that run breaks early, the quarantine holds for it as for the others.

--- a/src/jujubepass/forwarding/part_guard.py
+++ b/src/jujubepass/forwarding/part_guard.py
@@ -52,6 +52,8 @@
     """Runs of the engines of the pipeline in use."""
     is_proven: bool = False
     """Whether the run in use has outlasted the time in which a part crashes it."""
+    was_proven: bool = False
+    """Whether the last run that broke had outlasted that time."""
     unproven: set[prompt_parts.EngineRun] = attrs.field(factory=set)
     """Runs of engines on which the request broke before it was proven."""
     has_trial: bool = False
@@ -73,6 +75,9 @@
 
     def refuse(self, request: RequestParts, now: float) -> admission.Refusal | None:
         """Return the refusal of parts for which no trial is due, or None."""
+        # Its prompt has run well, whatever ended other engines meanwhile.
+        if request.was_proven:
+            return None
         if request.runs >= _MAX_SUSPECTED_RUNS and self._has_ended_engine(request, now):
             return stream_refusals.OUTCOME_UNKNOWN
         wait = self.quarantine.find_wait(request.service, request.parts, now)
@@ -95,7 +100,8 @@
         now = clocks.read_boot_clock()
         refusal = self.refuse(request, now)
         wait = self.quarantine.find_wait(request.service, request.parts, now)
-        if refusal is not None or wait is None or request.has_trial:
+        is_admitted = request.has_trial or request.was_proven
+        if refusal is not None or wait is None or is_admitted:
             return refusal
         if not has_pipeline:
             return None
@@ -143,6 +149,7 @@
     ) -> None:
         """Record that a run broke, for which one of these engines may have ended."""
         request.runs += 1
+        request.was_proven = request.is_proven
         if request.is_proven:
             return
         runs = {run for name, run in request.engine_runs.items() if name in engines}
