--- a/tests/features/accepted_requests_more.feature
+++ b/tests/features/accepted_requests_more.feature
@@ -20,6 +20,14 @@
     When all backend servers are silent during a lookup
     Then the lookup is answered with 200
 
+  # Guards against giving up a request that may have run because the next backend server
+  # was full for a moment.
+  Scenario: A lookup whose backend server is silent outlasts another one that is full
+    Given a system on the platform
+    And a backend server that refuses the next request
+    When the other backend server is silent during a lookup
+    Then the lookup is answered with 200
+
   # Guards against giving up a stream for a retry that the budget does not allow.
   Scenario: A stream without events or a retry in the budget outlasts a silence
     Given a system on the platform without spare retries
--- a/tests/features/steps/accepted_requests_more_steps.py
+++ b/tests/features/steps/accepted_requests_more_steps.py
@@ -37,6 +37,11 @@
     )
 
 
+@behave.given("a backend server that refuses the next request")
+def step_full(context):
+    processes.change_knobs(context.system.ports["s2"], refuse=1.0)
+
+
 @behave.given("a route whose lookups have {attempts:d} attempts")
 def step_attempts(context, attempts):
     configuration = forwarding_system.make_configuration(3)
