Let a lookup that may have run wait for servers that were full

A lookup whose server was silent was given up after 0.45 s for an attempt at another one. If that one was full, no server was left that had not been tried, and the caller got 502 although most of its time was left.

Such a lookup now waits for the time in which a full server processes a part of its queue, and may be sent to any server again, within the attempts of its route, the retry budget and its deadline. Requests that have not run are refused at once as before.

--- a/src/jujubepass/forwarding/service_exchange.py
+++ b/src/jujubepass/forwarding/service_exchange.py
@@ -91,6 +91,11 @@
     may_have_run: bool = False
     full: bool = False
 
+    def reset(self) -> None:
+        """Allow attempts at backend servers that were tried before."""
+        self.tried.clear()
+        self.full = False
+
 
 @attrs.define(kw_only=True)
 class ServiceExchange:
@@ -136,7 +141,11 @@
             now = clocks.read_boot_clock()
             backend = self._choose(request, admitted, progress, now)
             if isinstance(backend, admission.Refusal):
-                return backend
+                if not _may_wait(admitted, progress, now):
+                    return backend
+                progress.reset()
+                await trio.sleep(_FULL_RETRY_SECONDS)
+                continue
             progress.tried.add(backend.name)
             reply.record_attempt(backend.name)
             last = progress.runs + 1 >= route.max_attempts
@@ -176,7 +185,8 @@
             return _refuse_none_left(progress, end - now if end else None)
         if admitted.deadline - now < _MIN_REMAINING_SECONDS:
             return _refuse_expired(progress)
-        if progress.tried and not self.budgets[admitted.service.name].spend(now):
+        is_retry = progress.may_have_run or bool(progress.tried)
+        if is_retry and not self.budgets[admitted.service.name].spend(now):
             return _refuse_none_left(progress)
         return backend
 
@@ -303,6 +313,17 @@
                 scope.cancel()
 
 
+def _may_wait(admitted: exchange.Admitted, progress: _Progress, now: float) -> bool:
+    """Return whether a request that may have run waits for servers that were full."""
+    seconds = _FULL_RETRY_SECONDS + _MIN_REMAINING_SECONDS
+    return (
+        progress.may_have_run
+        and progress.full
+        and admitted.route.is_repeatable
+        and admitted.deadline - now >= seconds
+    )
+
+
 def _never() -> bool:
     return False
 
