Leave the trial of a part to the prompt that is least suspected

Callers of sound requests were refused as `prompt_quarantined` for 20 s and more after a cold start at which two parts crashed engines.

Cause: the first part of all prompts explained the ends under both, and was in quarantine alone. Its trial waited up to 3 s for a prompt without other suspected parts; since nothing was proven yet, there was none, and the trial went to any prompt, mostly to one that ended an engine. The next trial was due 20 s later.

A prompt now leaves the trial to others for one second for each ended run of its most suspected other part from the third one on, on all nodes alike.

--- a/src/jujubepass/forwarding/part_trials.py
+++ b/src/jujubepass/forwarding/part_trials.py
@@ -7,8 +7,9 @@
 # Times before the trials of a part, after which only an operator releases it. The
 # first is early, as a sound part may be in most prompts.
 TRIAL_SECONDS = (2.0, 20.0, 120.0)
-# A trial waits this long for a prompt whose other parts are not suspected as much.
-SUITABLE_SECONDS = 3.0
+# A prompt with another suspected part leaves the trial to others for this long, times
+# the ended runs of that part from `MIN_ENDED_RUNS` on.
+_DEFERRAL_SECONDS = 1.0
 
 
 def find_trial_time(record: prompt_parts.PartRecord, quarantined_at: float) -> float:
@@ -28,9 +29,7 @@
 
     Its other parts may end an engine as well.
     """
-    is_suspected = any(
-        len(each.ended) >= prompt_parts.MIN_ENDED_RUNS for each in others
-    )
-    if is_suspected and wait_seconds > -SUITABLE_SECONDS:
-        return max(wait_seconds, SUITABLE_SECONDS)
-    return wait_seconds
+    ended = max((len(each.ended) for each in others), default=0)
+    if ended < prompt_parts.MIN_ENDED_RUNS:
+        return wait_seconds
+    return wait_seconds + _DEFERRAL_SECONDS * (ended - prompt_parts.MIN_ENDED_RUNS + 1)
--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -105,6 +105,17 @@
     Given 9 simulated nodes
     When a part in quarantine becomes sound and all engines end as its trial is due
     Then it is released at all nodes by the next trial
+  # Guards against a sound part that is in the prompts of two bad ones, taken for them.
+  Scenario: Two parts that explain all ends are blamed before one that explains most
+    Given 8 ends under each of two parts, and 9 of them under a third one
+    Then the first two are in quarantine
+
+  # Guards against trials of a sound part that are all spent on prompts with a bad one.
+  Scenario: The trial of a part goes to the prompt whose other parts are least suspected
+    Given 6 ends under a part, 5 of them under a second one and 3 under a third one
+    Then a prompt with none of the others may be tried 2 seconds later
+    And a prompt with the third one 1 second after that
+    And a prompt with the second one 2 seconds after that
 
   # Guards against trials that end engines without end.
   Scenario: A part that stays bad is tried no more than three times
--- a/tests/features/steps/quarantine_steps.py
+++ b/tests/features/steps/quarantine_steps.py
@@ -17,6 +17,7 @@
     exchange,
     part_rows,
     prompt_parts,
+    quarantine,
     replies,
     sending,
     stream_exchange,
@@ -206,6 +207,70 @@
         assert (line.run_events, line.events) == (1, number), line.__dict__
 
 
+@behave.given("8 ends under each of two parts, and 9 of them under a third one")
+def step_two_bad(context):
+    common = (*range(6), 8, 9, 10)
+    context.records = [
+        make_record(part, numbers)
+        for part, numbers in (("a", range(8)), ("b", range(8, 16)), ("c", common))
+    ]
+
+
+def make_record(part, numbers):
+    key = prompt_parts.PartKey(service="drafts", part=part)
+    ended = {prompt_parts.EngineRun(engine=f"e{n}", started_at=1): 1.0 for n in numbers}
+    return prompt_parts.PartRecord(
+        row=prompt_parts.make_absent_row(key),
+        ended=ended,
+        depth=1,
+        changed_at=1.0,
+        trials_seen_at=1.0,
+    )
+
+
+@behave.then("the first two are in quarantine")
+def step_blamed(context):
+    found = prompt_parts.find_culprits(context.records)
+    assert {key.part for key in found} == {"a", "b"}, found
+
+
+@behave.given(
+    "6 ends under a part, 5 of them under a second one and 3 under a third one"
+)
+def step_ends(context):
+    blackboard = small_fleet.make_planned_fleet().blackboard
+    context.quarantine = quarantine.Quarantine(blackboard=blackboard)
+    for number in range(6):
+        run = prompt_parts.EngineRun(engine=f"e{number}", started_at=1)
+        parts = ["first", *["second"] * (number < 5), *["third"] * (number < 3)]
+        context.quarantine.record_break("drafts", parts, [run], 1.0)
+        context.quarantine.record_end(run.engine, run.started_at, 1.0)
+    context.known_at = 1.0
+    found = {key.part for key in blackboard.prompts.quarantined}
+    assert found == {"first"}, found
+
+
+def find_trial(context, *parts):
+    """Return when a prompt with these parts may be tried, after the ends are known."""
+    wait = context.quarantine.find_wait("drafts", parts, context.known_at)
+    return round(wait, 3)
+
+
+@behave.then("a prompt with none of the others may be tried 2 seconds later")
+def step_no_others(context):
+    assert find_trial(context, "first", "new") == 2.0
+
+
+@behave.then("a prompt with the third one 1 second after that")
+def step_third(context):
+    assert find_trial(context, "first", "third") == 3.0
+
+
+@behave.then("a prompt with the second one 2 seconds after that")
+def step_second(context):
+    assert find_trial(context, "first", "third", "second") == 5.0
+
+
 def make_suspected():
     key = prompt_parts.PartKey(service="drafts", part="a/b")
     ended = {prompt_parts.EngineRun(engine=f"e{n}", started_at=n) for n in range(5)}
