Blame the fewest parts that explain the most ends of engines

Requests with two parts that both crash engines reached engines up to nine times more often than allowed after a cold start.

Cause: parts were chosen one after the other by their number of ended runs. As soon as the part that all prompts share was proven to be sound, a sound part that was in prompts with either of the two came first, and too few ends were left for the two themselves until engines had ended once more.

Explanations now begin with each of the most suspected parts in turn, and the one that explains the most ends with the fewest parts is used.

--- a/src/jujubepass/forwarding/prompt_parts.py
+++ b/src/jujubepass/forwarding/prompt_parts.py
@@ -9,6 +9,9 @@
 MIN_ENDED_RUNS = 3
 """Ended runs of engines from which on a part is in quarantine."""
 
+# Of more suspected parts, each of the first ones begins an explanation.
+_MAX_EXPLANATIONS = 16
+
 
 @attrs.frozen(kw_only=True)
 class PartKey:
@@ -78,27 +81,53 @@
 def find_culprits(
     records: collections.abc.Iterable[PartRecord],
 ) -> set[PartKey]:
-    """Return the fewest parts that explain the ended runs, each enough of them.
+    """Return the fewest parts that explain the most ended runs, each enough of them.
 
     Of two parts with as many ended runs, the deeper one is in fewer prompts.
     """
-    found: set[PartKey] = set()
-    left = [
-        (set(each.ended), each.depth, each.row.key)
+    suspects = [
+        _Suspect(runs=frozenset(each.ended), depth=each.depth, key=each.row.key)
         for each in records
         if len(each.ended) >= MIN_ENDED_RUNS
     ]
-    while left:
-        ended, _, key = max(
-            left, key=lambda each: (len(each[0]), each[1], str(each[2]))
-        )
-        found.add(key)
+    suspects.sort(key=_Suspect.rank, reverse=True)
+    explanations = [_explain(first, suspects) for first in suspects[:_MAX_EXPLANATIONS]]
+    best = max(explanations, key=_rate_explanation, default=[])
+    return {each.key for each in best}
+
+
+@attrs.frozen(kw_only=True)
+class _Suspect:
+    """Describe the ended runs of a part that no other part explains."""
+
+    runs: frozenset[EngineRun]
+    depth: int
+    key: PartKey
+
+    def rank(self) -> tuple[int, int, str]:
+        """Return a sort key that grows with the suspicion."""
+        return len(self.runs), self.depth, str(self.key)
+
+
+def _explain(first: _Suspect, suspects: list[_Suspect]) -> list[_Suspect]:
+    """Return this part and the most suspected ones for the runs that are left."""
+    found = [first]
+    left = suspects
+    while True:
+        explained, chosen = found[-1].runs, found[-1].key
         left = [
-            (rest, depth, other)
-            for runs, depth, other in left
-            if other != key and len(rest := runs - ended) >= MIN_ENDED_RUNS
+            attrs.evolve(each, runs=rest)
+            for each in left
+            if each.key != chosen
+            and len(rest := each.runs - explained) >= MIN_ENDED_RUNS
         ]
-    return found
+        if not left:
+            return found
+        found.append(max(left, key=_Suspect.rank))
+
+
+def _rate_explanation(found: list[_Suspect]) -> tuple[int, int]:
+    return sum(len(each.runs) for each in found), -len(found)
 
 
 def merge(record: PartRecord) -> SuspectedPart:
