--- a/src/jujubepass/forwarding/stream_exchange.py
+++ b/src/jujubepass/forwarding/stream_exchange.py
@@ -73,6 +73,7 @@
         with clocks.move_on_at(admitted.deadline):
             refusal = await self._run(request, admitted, reply, progress)
             if refusal is not None:
+                self.guard.return_trial(parts)
                 await self._abort(refusal, reply)
             return
         reason = reasons.RefusalReason.DEADLINE_PASSED
@@ -279,6 +280,7 @@
             body = await answer.receive_all()
             if reply.started:
                 raise PipelineFailedError(f"answered {head.status} when resumed")
+            stream.is_forwarding = True
             await reply.send_complete(head, body.body)
             return
         splitter = events.EventSplitter()
@@ -292,9 +294,12 @@
             stream.record_data()
             lasted_seconds = stream.last_data_at - stream.first_data_at
             self.guard.record_data(progress.parts, lasted_seconds=lasted_seconds)
+            stream.is_forwarding = True
             await self._forward(found, head, reply, progress, request)
+            stream.record_forwarded()
         if splitter.has_partial:
             raise PipelineFailedError("stream ended inside an event")
+        stream.is_forwarding = True
         self.guard.record_end(progress.parts, answer)
         if not reply.started:
             await reply.start(head)
--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -19,6 +19,13 @@
     When its request is served
     Then each broken attempt is logged with its parts and 1 event
 
+  # Guards against cutting off a stream that has run well for a part of its prompt that
+  # other nodes suspect meanwhile.
+  Scenario: A stream that has run well goes on although its part is in quarantine
+    Given a fleet of engines, planned and loaded
+    When a part of a stream that has run well is put into quarantine and the run breaks
+    Then the answer is completed by a second run
+
   # Guards against nodes that each learn alone which parts crash engines.
   Scenario Outline: A part that has ended five engines reaches no further ones from any node
     Given <nodes> simulated nodes
@@ -93,6 +100,23 @@
     When a bad part becomes sound while it is in quarantine
     Then it is released at all nodes by the next trial
 
+  # Guards against a trial that is spent, though engines refused to run its request.
+  Scenario: A trial whose request has not run is used for another one
+    Given 9 simulated nodes
+    When a part in quarantine becomes sound and all engines end as its trial is due
+    Then it is released at all nodes by the next trial
+  # Guards against a sound part that is in the prompts of two bad ones, taken for them.
+  Scenario: Two parts that explain all ends are blamed before one that explains most
+    Given 8 ends under each of two parts, and 9 of them under a third one
+    Then the first two are in quarantine
+
+  # Guards against trials of a sound part that are all spent on prompts with a bad one.
+  Scenario: The trial of a part goes to the prompt whose other parts are least suspected
+    Given 6 ends under a part, 5 of them under a second one and 3 under a third one
+    Then a prompt with none of the others may be tried 2 seconds later
+    And a prompt with the third one 1 second after that
+    And a prompt with the second one 2 seconds after that
+
   # Guards against trials that end engines without end.
   Scenario: A part that stays bad is tried no more than three times
     Given 9 simulated nodes
