Reproduce an engine that breaks streams off because it was suspended

The stand-in's stall time-out is as long as the silences of the tests. A stand-in that is suspended inside a check of its stages breaks the stream off as it resumes. This failed beside other loads: once in accepted_requests (a stream that may not be repeated, and whose first engine is silent for a second), whose log was not kept, and once in 17 further runs of that scenario, where the node's log says that the engine closed the connection 1.1 s after the request.

--- a/tests/features/standins.feature
+++ b/tests/features/standins.feature
@@ -83,3 +83,10 @@
     And a call with key "k1" and fencing number 5 runs
     And the outcome of "k1" is "run"
     And key "k1" ran once
+
+  # Guards against engines that break a stream off because they were suspended themselves.
+  Scenario: An engine that is suspended while it checks a stage does not stall
+    When an engine of a pipeline is suspended for 1.2 seconds inside a check of its stages
+    Then it goes on with the stream
+    When a stage of the pipeline is missing
+    Then it breaks the stream off within 2 seconds
