Do not count a suspension of the stand-in engine as a stall

The time-out for a missing stage was one of the clock, and passed while the stand-in was suspended. It is now the sum of the times of its checks, each bounded; an engine whose stage is missing breaks its streams off after a second as before.

--- a/standins/path_engine.py
+++ b/standins/path_engine.py
@@ -18,6 +18,7 @@
 _EVENT_INTERVAL_SECONDS = 0.02
 _STALL_TIMEOUT_SECONDS = 1.0
 _STAGE_CHECK_TIMEOUT_SECONDS = 0.2
+_MAX_CHECK_SECONDS = 0.25
 _CRASH_DELAY_SECONDS = 0.06
 
 Responder = _http_server.Responder
@@ -374,15 +375,21 @@
 
     async def _wait_for_pipeline(self, request_id: str) -> None:
         """Stall while a stage is missing; close the connection after the time-out."""
+        stalled_seconds = 0.0
         try:
-            with trio.fail_after(_STALL_TIMEOUT_SECONDS):
-                while missing := await self._find_missing_stage(
+            while stalled_seconds < _STALL_TIMEOUT_SECONDS:
+                began_at = time.monotonic()
+                missing = await self._find_missing_stage(
                     self._pipelines[request_id], request_id
-                ):
-                    self._stalled[request_id] = missing
-                    await trio.sleep(_EVENT_INTERVAL_SECONDS)
-        except trio.TooSlowError as error:
-            raise trio.BrokenResourceError from error
+                )
+                if missing is None:
+                    return
+                self._stalled[request_id] = missing
+                await trio.sleep(_EVENT_INTERVAL_SECONDS)
+                # Time in which this process was suspended is no stall.
+                seconds = time.monotonic() - began_at
+                stalled_seconds += min(seconds, _MAX_CHECK_SECONDS)
+            raise trio.BrokenResourceError("stalled")
         finally:
             self._stalled.pop(request_id, None)
 
