Send bookings to silent servers only once these are listed

silent_servers failed twice beside other loads: the second booking of a scenario did not run. The entries of both servers lapse in a silence of a second or more, and a booking that comes before they are listed again is refused with 503 as not run, which is true.

Each booking is now sent once a lookup is answered; what it has to go through, and its answer, are unchanged.

--- a/tests/features/steps/silent_servers_steps.py
+++ b/tests/features/steps/silent_servers_steps.py
@@ -79,7 +79,13 @@
     return context.system.send_request("n1", "GET", forwarding_system.LOOKUP_PATH)
 
 
+def wait_for_servers(context):
+    """Wait until servers whose entries lapsed in a silence are listed again."""
+    processes.wait_for(lambda: send_lookup(context).status == 200, "listed servers")
+
+
 def silence_before(context, *, adds_route):
+    wait_for_servers(context)
     with contextlib.ExitStack() as stack:
         silent = threading.Thread(
             target=lambda: silence(context, SERVERS, adds_route=adds_route)
@@ -91,6 +97,7 @@
 
 
 def silence_during(context, *, adds_route):
+    wait_for_servers(context)
     for name in SERVERS:
         processes.change_knobs(context.system.ports[name], work_seconds=RUN_SECONDS)
     with send_in_background(context, lambda: send_booking(context)):
