--- a/tests/features/steps/store_eras_steps.py
+++ b/tests/features/steps/store_eras_steps.py
@@ -18,7 +18,7 @@
 )
 from jujubepass.platform import eras
 from standins import forwarding_system, processes
-from tests import relay_fleet, small_fleet
+from tests import relay_store, small_fleet
 
 LOST_ENGINES = ("e3", "f2")
 
@@ -283,7 +283,7 @@
         announcer = announcing.Announcer(
             blackboard=area,
             controller=members.MemberController(blackboard=area),
-            table=relay_fleet.MemberTable(store=relay_fleet.Store(), node=ReadyNode()),
+            table=relay_store.MemberTable(store=relay_store.Store(), node=ReadyNode()),
             feed=context.feed,
             wait_for_era=pass_at_once,
         )
--- a/tests/quarantine_fleet.py
+++ b/tests/quarantine_fleet.py
@@ -33,7 +33,7 @@
 from tests import (
     quarantine_engines,
     quarantine_store,
-    relay_fleet,
+    relay_store,
     small_fleet,
 )
 
@@ -143,7 +143,7 @@
         )
 
     def _make_follower(self):
-        rows = relay_fleet.StoreFeed(
+        rows = relay_store.StoreFeed(
             store=self.fleet.store, node=self, table=quarantine_store.TABLE
         )
         return following.Follower(
--- a/tests/quarantine_store.py
+++ b/tests/quarantine_store.py
@@ -2,7 +2,7 @@
 
 from jujubepass.forwarding import feeds, part_rows
 from jujubepass.storage import _store_messages
-from tests import relay_fleet
+from tests import relay_store
 
 TABLE = "prompts"
 
@@ -43,7 +43,7 @@
         )
 
 
-class Store(relay_fleet.Store):
+class Store(relay_store.Store):
     """Keep the rows, and count conflicts."""
 
     conflicts = 0
