Run the table of suspected parts through the relay in simulated nodes

The simulated nodes of `relay` relayed three tables and the nodes' rows only.

They now follow the table with the wait of the real node. Each node's rows are compared with the store's at the version that it was told.

--- a/tests/quarantine_store.py
+++ b/tests/quarantine_store.py
@@ -15,7 +15,7 @@
 
     async def transact(self, command):
         try:
-            await self.store.serve(self.node)
+            await self.store.serve(self.node, TABLE)
         except feeds.FeedError as error:
             return _store_messages.TransactionUnsent(
                 operation=command.operation, detail=str(error)
@@ -48,11 +48,6 @@
 
     conflicts = 0
 
-    def find_rows(self, table):
-        """Return the rows that exist by their keys."""
-        latest = {row.key: row for row in self.tables[table]}
-        return {key: row for key, row in latest.items() if row.value is not None}
-
 
 def decode_part(key, version, value):
     try:
--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -25,8 +25,9 @@
 from tests import relay_store
 
 PLANS_WAIT_SECONDS = 20.0
+PROMPTS_WAIT_SECONDS = 20.0
 HOP_SECONDS = 0.0005
-FEEDS = ("configuration", "backends", "plans")
+FEEDS = ("configuration", "backends", "plans", "prompts")
 # Times in which changes must apply on the users' platforms, by the number of nodes.
 BOUNDS_MILLISECONDS = {9: 2_000, 84: 3_000, 195: 4_000, 700: 4_000}
 DEFAULT_BOUND_MILLISECONDS = 2_000
@@ -55,6 +56,9 @@
         self.era = 0
         self.confirmed_at = float("-inf")
         self.faults = []
+        self.prompts = {}
+        self.prompt_versions = []
+        """Times at which rows of prompts were applied, with the store's version."""
         self._thawed = trio.Event()
 
     async def run(self, start_delay):
@@ -113,13 +117,15 @@
             "configuration": self.relay.find_configuration_wait,
             "backends": self.relay.find_backends_wait,
             "plans": lambda: PLANS_WAIT_SECONDS,
+            "prompts": lambda: PROMPTS_WAIT_SECONDS,
         }
+        apply = {"configuration": self._apply, "prompts": self._apply_prompts}
         return [
             following.Follower(
                 name=name,
                 feed=self._decode(name, lambda key, version, value: value),
                 find_wait=find_wait,
-                apply=self._apply if name == "configuration" else lambda *_: None,
+                apply=apply.get(name, lambda *_: None),
             )
             for name, find_wait in waits.items()
         ]
@@ -141,6 +147,24 @@
                 f"{self.name}: {found} at {changes.confirmed_at:.3f}, was {oldest}"
             )
 
+    def _apply_prompts(self, changes, now):
+        if changes.is_complete:
+            self.prompts = {}
+        self.prompts |= changes.items
+        self.prompt_versions.append((trio.current_time(), changes.version))
+        found = {key: row for key, row in self.prompts.items() if row is not None}
+        rows = self.fleet.store.find_rows("prompts", changes.version)
+        stored = {key: row.value for key, row in rows.items()}
+        if changes.era == self.fleet.store.era and found != stored:
+            self.faults.append(
+                f"{self.name}: parts {found} at {changes.version}, were {stored}"
+            )
+
+    def find_prompt_time(self, version):
+        """Return when the row of a version was applied."""
+        times = (at for at, each in self.prompt_versions if each >= version)
+        return next(times, float("inf"))
+
     async def ask(self, address, data, timeout_seconds):
         """Carry a query to another node, as links.Transport."""
         await trio.sleep(HOP_SECONDS)
@@ -192,6 +216,8 @@
         ]
         self.domains = domains
         self.worst_age = 0.0
+        self.prompt_writes = []
+        """Times at which rows of prompts were written, with their versions."""
         self._versions = itertools.count(1)
 
     def start(self, nursery, *, within_seconds=0.3):
@@ -203,6 +229,19 @@
     def configure(self):
         self.store.write("configuration", "config", next(self._versions))
 
+    def write_prompt(self, key, value):
+        """Write the row of a suspected part; a value of None deletes it."""
+        self.store.write("prompts", key, value)
+        self.prompt_writes.append((trio.current_time(), self.store.version))
+
+    def find_worst_delay(self, nodes):
+        """Return the longest time until any of these nodes had a written row."""
+        return max(
+            (node.find_prompt_time(version) - written_at, node.name, written_at)
+            for written_at, version in self.prompt_writes
+            for node in nodes
+        )
+
     async def run(self, seconds, *, watched=None):
         """Run for some seconds and record the greatest age of the configuration."""
         end = trio.current_time() + seconds
@@ -227,8 +266,10 @@
             if not each.is_killed and each.configuration != newest
         ]
 
-    def count_calls(self):
-        return self.store.count_calls(self.measured_from, self.measured_until)
+    def count_calls(self, table=None):
+        return self.store.count_calls(
+            self.measured_from, self.measured_until, table=table
+        )
 
     def list_faults(self):
         return [fault for node in self.nodes for fault in node.faults]
--- a/tests/relay_store.py
+++ b/tests/relay_store.py
@@ -3,6 +3,7 @@
 import bisect
 import collections
 
+import attrs
 import trio
 
 from jujubepass.forwarding import feeds
@@ -11,6 +12,15 @@
 ANSWER_SECONDS = 0.004
 
 
+@attrs.frozen(kw_only=True)
+class Call:
+    """Describe a call to the store."""
+
+    at: float
+    node: str
+    table: str
+
+
 class Store:
     """Keep rows of tables with versions from one counter, and count calls."""
 
@@ -65,8 +75,13 @@
             is_complete=is_complete,
         )
 
-    async def serve(self, node):
-        self.calls.append((trio.current_time(), node.name))
+    def find_rows(self, table, version=float("inf")):
+        """Return the rows that existed at a version by their keys."""
+        latest = {row.key: row for row in self.tables[table] if row.version <= version}
+        return {key: row for key, row in latest.items() if row.value is not None}
+
+    async def serve(self, node, table):
+        self.calls.append(Call(at=trio.current_time(), node=node.name, table=table))
         await trio.sleep(ANSWER_SECONDS)
         await node.wait_while_frozen()
         if not self.is_available or node.name in self.refused:
@@ -81,11 +96,14 @@
         rows = self.tables[table]
         return bool(rows) and rows[-1].version > after
 
-    def count_calls(self, start, end):
-        return sum(start <= time < end for time, _ in self.calls)
+    def count_calls(self, start, end, *, table=None):
+        return sum(
+            start <= call.at < end and table in (None, call.table)
+            for call in self.calls
+        )
 
     def find_busiest_second(self):
-        times = [time for time, _ in self.calls]
+        times = [call.at for call in self.calls]
         return max(
             bisect.bisect_left(times, start + 1.0) - number
             for number, start in enumerate(times)
@@ -99,11 +117,11 @@
         self._store, self._node, self._table = store, node, table
 
     async def read(self):
-        await self._store.serve(self._node)
+        await self._store.serve(self._node, self._table)
         return self._store.make_changes(self._table, 0, is_complete=True)
 
     async def follow(self, after, wait_seconds, *, era=0):
-        await self._store.serve(self._node)
+        await self._store.serve(self._node, self._table)
         if era != self._store.era or after > self._store.version:
             raise feeds.HistoryLostError("era ended")
         await self._store.wait_for_change(self._table, after, wait_seconds)
@@ -122,7 +140,7 @@
 
     async def transact(self, command):
         try:
-            await self._store.serve(self._node)
+            await self._store.serve(self._node, "members")
         except feeds.FeedError as error:
             return _store_messages.TransactionUnsent(
                 operation=command.operation, detail=str(error)
