Try a part with the prompts whose other parts are suspected least first

Callers of sound requests were refused as `prompt_quarantined` for some 20 s longer than needed. At a cold start with two bad parts, the part that all prompts share explains most ends and is the only one in quarantine. Its trial waited 3 s for a prompt without other suspects. As all parts were suspected, no prompt was suitable; then any was, most held a bad part, the engine of the trial ended, and the next trial was due 20 s later.

Traced: the trial at 5.48 s went to a prompt with a bad part and ended an engine.

Within the 3 s more and more ends are allowed to the other parts of the prompt, up to those of the part to be tried, so that prompts with bad parts are suitable last.

--- a/src/jujubepass/forwarding/part_trials.py
+++ b/src/jujubepass/forwarding/part_trials.py
@@ -7,7 +7,7 @@
 # Times before the trials of a part, after which only an operator releases it. The
 # first is early, as a sound part may be in most prompts.
 TRIAL_SECONDS = (2.0, 20.0, 120.0)
-# A trial waits this long for a prompt whose other parts are not suspected as much.
+# A trial waits up to this long for a prompt whose other parts are less suspected.
 SUITABLE_SECONDS = 3.0
 
 
@@ -22,15 +22,18 @@
 
 
 def find_suitable_wait(
-    wait_seconds: float, others: collections.abc.Iterable[prompt_parts.PartRecord]
+    wait_seconds: float,
+    record: prompt_parts.PartRecord,
+    others: collections.abc.Iterable[prompt_parts.PartRecord],
 ) -> float:
     """Return the time until a prompt may be used for a trial that is due after a time.
 
-    Its other parts may end an engine as well.
+    Its other parts may end an engine as well. At a cold start those of sound prompts
+    are suspected too, but less than the bad ones, which are therefore allowed last.
     """
-    is_suspected = any(
-        len(each.ended) >= prompt_parts.MIN_ENDED_RUNS for each in others
-    )
-    if is_suspected and wait_seconds > -SUITABLE_SECONDS:
+    least, most = prompt_parts.MIN_ENDED_RUNS, len(record.ended)
+    late_share = max(0.0, -wait_seconds) / SUITABLE_SECONDS
+    found = max((len(each.ended) for each in others), default=0)
+    if late_share < 1.0 and found >= least + late_share * (most - least):
         return max(wait_seconds, SUITABLE_SECONDS)
     return wait_seconds
--- a/src/jujubepass/forwarding/quarantine.py
+++ b/src/jujubepass/forwarding/quarantine.py
@@ -222,7 +222,8 @@
             and key not in keys
             and not self._is_proven(key, now)
         ]
-        return part_trials.find_suitable_wait(wait, others)
+        (key,) = keys
+        return part_trials.find_suitable_wait(wait, area.records[key], others)
 
     def _list_quarantined(
         self,
--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -93,6 +93,12 @@
     When a bad part becomes sound while it is in quarantine
     Then it is released at all nodes by the next trial
 
+  # Guards against a trial of a sound part that goes to a prompt with a bad one, as the
+  # other parts of sound prompts are suspected too at a cold start.
+  Scenario: A trial goes to the prompts whose other parts are suspected least
+    Given a part that all prompts share, in quarantine for ends under two bad parts
+    Then a trial is due for sound prompts before it is due for those with bad parts
+
   # Guards against a trial that is spent, though engines refused to run its request.
   Scenario: A trial whose request has not run is used for another one
     Given 9 simulated nodes
--- a/tests/features/steps/quarantine_ends_steps.py
+++ b/tests/features/steps/quarantine_ends_steps.py
@@ -3,7 +3,7 @@
 import trio
 
 from jujubepass import ids
-from jujubepass.forwarding import board, engine_ends, prompt_parts
+from jujubepass.forwarding import board, engine_ends, prompt_parts, quarantine
 from jujubepass.transport import _http_client
 from standins import processes
 from tests import small_fleet
@@ -55,3 +55,53 @@
 @behave.then("the end of the first one is confirmed")
 def step_confirmed(context):
     assert context.ends.list_restarted() == [context.run]
+
+
+def record_ends(context, count, parts):
+    """Record the ends of some engines under requests with these parts."""
+    names = tuple(map(ids.PromptPartId, parts))
+    for _ in range(count):
+        context.ended += 1
+        name = ids.BackendServerId(f"e{context.ended}")
+        run = prompt_parts.EngineRun(engine=name, started_at=1)
+        context.quarantine.record_break(small_fleet.SERVICE, names, [run], 1.0)
+        context.quarantine.record_end(name, 1, 1.0)
+
+
+def find_wait(context, parts, now):
+    names = tuple(map(ids.PromptPartId, parts))
+    return context.quarantine.find_wait(small_fleet.SERVICE, names, now)
+
+
+@behave.given(
+    "a part that all prompts share, in quarantine for ends under two bad parts"
+)
+def step_shared(context):
+    context.ended = 0
+    context.quarantine = quarantine.Quarantine(
+        blackboard=board.Blackboard(
+            node=ids.NodeId("n1"), failure_domain=ids.FailureDomainId("centro")
+        )
+    )
+    # Three engines ran a sound request as well.
+    record_ends(context, 3, ("shared", "sound", "bad-1"))
+    record_ends(context, 4, ("shared", "bad-1"))
+    record_ends(context, 7, ("shared", "bad-2"))
+    found = {each.part for each in context.quarantine.blackboard.prompts.quarantined}
+    assert found == {"shared"}, found
+
+
+@behave.then(
+    "a trial is due for sound prompts before it is due for those with bad parts"
+)
+def step_due_order(context):
+    # The trial is due 2 s after the start of the quarantine.
+    for late_seconds, parts, is_due in (
+        (0.1, ("shared", "new"), True),
+        (1.0, ("shared", "sound"), True),
+        (1.0, ("shared", "sound", "bad-1"), False),
+        (1.0, ("shared", "bad-2"), False),
+        (3.1, ("shared", "bad-2"), True),
+    ):
+        wait = find_wait(context, parts, 3.0 + late_seconds)
+        assert (wait <= 0.0) is is_due, (late_seconds, parts, wait)
