Count up to 64 ends of engines for a part

No more than 16 ends were kept for a part. More engines than that end within half a second there, so that sound parts that are in many bad prompts reach 16 as well. Of equals the deeper one, or the last by name, is blamed; the bad one counted as explained, ran again, and no further end was recorded under it. Rows are read with up to 64 ends, which are kept now.

--- a/src/jujubepass/forwarding/quarantine.py
+++ b/src/jujubepass/forwarding/quarantine.py
@@ -17,8 +17,8 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-# More add nothing to a decision.
-_MAX_ENDED_RUNS = 16
+# As many as a row holds; of parts with more, none counts as the worse one.
+_MAX_ENDED_RUNS = 64
 _PROOF_SECONDS = 60.0
 _MAX_PROOFS = 10_000
 _MAX_RECORDS = 5_000
--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -105,6 +105,17 @@
     When a part in quarantine becomes sound and all engines end as its trial is due
     Then it is released at all nodes by the next trial
 
+  # Guards against a bad part that counts as little as a sound one that shares many ends.
+  Scenario Outline: A part under which more engines ended than under another one is blamed
+    When <ends> engines end under a bad part, <shared> of them with a sound one
+    Then only the bad part is in quarantine
+
+    Examples:
+      | ends | shared |
+      | 5    | 4      |
+      | 18   | 16     |
+      | 40   | 38     |
+
   # Guards against trials that end engines without end.
   Scenario: A part that stays bad is tried no more than three times
     Given 9 simulated nodes
--- a/tests/features/steps/quarantine_ends_steps.py
+++ b/tests/features/steps/quarantine_ends_steps.py
@@ -73,22 +73,29 @@
     return context.quarantine.find_wait(small_fleet.SERVICE, names, now)
 
 
-@behave.given(
-    "a part that all prompts share, in quarantine for ends under two bad parts"
-)
-def step_shared(context):
+def start_quarantine(context):
     context.ended = 0
     context.quarantine = quarantine.Quarantine(
         blackboard=board.Blackboard(
             node=ids.NodeId("n1"), failure_domain=ids.FailureDomainId("centro")
         )
     )
+
+
+def list_quarantined(context):
+    return {each.part for each in context.quarantine.blackboard.prompts.quarantined}
+
+
+@behave.given(
+    "a part that all prompts share, in quarantine for ends under two bad parts"
+)
+def step_shared(context):
+    start_quarantine(context)
     # Three engines ran a sound request as well.
     record_ends(context, 3, ("shared", "sound", "bad-1"))
     record_ends(context, 4, ("shared", "bad-1"))
     record_ends(context, 7, ("shared", "bad-2"))
-    found = {each.part for each in context.quarantine.blackboard.prompts.quarantined}
-    assert found == {"shared"}, found
+    assert list_quarantined(context) == {"shared"}, list_quarantined(context)
 
 
 @behave.then(
@@ -105,3 +112,17 @@
     ):
         wait = find_wait(context, parts, 3.0 + late_seconds)
         assert (wait <= 0.0) is is_due, (late_seconds, parts, wait)
+
+
+@behave.when(
+    "{ends:d} engines end under a bad part, {shared:d} of them with a sound one"
+)
+def step_many_ends(context, ends, shared):
+    start_quarantine(context)
+    record_ends(context, shared, ("bad", "sound"))
+    record_ends(context, ends - shared, ("bad", "other"))
+
+
+@behave.then("only the bad part is in quarantine")
+def step_only_bad(context):
+    assert list_quarantined(context) == {"bad"}, list_quarantined(context)
