--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -116,6 +116,17 @@
     Given 8 ends under each of two parts, and 9 of them under a third one
     Then the first two are in quarantine
 
+  # Guards against a bad part that counts as little as a sound one that shares many ends.
+  Scenario Outline: A part under which more engines ended than under another one is blamed
+    When <ends> engines end under a bad part, <shared> of them with a sound one
+    Then only the bad part is in quarantine
+
+    Examples:
+      | ends | shared |
+      | 5    | 4      |
+      | 18   | 16     |
+      | 40   | 38     |
+
   # Guards against trials that end engines without end.
   Scenario: A part that stays bad is tried no more than three times
     Given 9 simulated nodes
--- a/tests/features/steps/quarantine_random_steps.py
+++ b/tests/features/steps/quarantine_random_steps.py
@@ -75,10 +75,10 @@
 
 
 @behave.then(
-    "it holds for two bad parts among few sound requests from the start on, with seed"
-    " {seed:d}"
+    "it holds for two bad parts, each {rate:g} times a second, among few sound requests"
+    " from the start on, with seed {seed:d}"
 )
-def step_cold(context, seed):
+def step_cold(context, rate, seed):
     failures = []
 
     # Hypothesis seeds the order of tasks.
@@ -89,7 +89,7 @@
         system = quarantine_trials.System(
             seed=seed,
             bad_parts=("bad-0", "bad-1"),
-            rate=20.0,
+            rate=rate,
             sound_rate=4.0,
             warm_seconds=0.0,
         )
