--- a/src/jujubepass/forwarding/quarantine.py
+++ b/src/jujubepass/forwarding/quarantine.py
@@ -17,8 +17,8 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-# More add nothing to a decision.
-_MAX_ENDED_RUNS = 16
+# As many as a row holds; of parts with more, none counts as the worse one.
+_MAX_ENDED_RUNS = 64
 _PROOF_SECONDS = 60.0
 _MAX_PROOFS = 10_000
 _MAX_RECORDS = 5_000
@@ -222,7 +222,8 @@
             and key not in keys
             and not self._is_proven(key, now)
         ]
-        return part_trials.find_suitable_wait(wait, others)
+        (key,) = keys
+        return part_trials.find_suitable_wait(wait, area.records[key], others)
 
     def _list_quarantined(
         self,
--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -100,6 +100,12 @@
     When a bad part becomes sound while it is in quarantine
     Then it is released at all nodes by the next trial
 
+  # Guards against a trial of a sound part that goes to a prompt with a bad one, as the
+  # other parts of sound prompts are suspected too at a cold start.
+  Scenario: A trial goes to the prompts whose other parts are suspected least
+    Given a part that all prompts share, in quarantine for ends under two bad parts
+    Then a trial is due for sound prompts before it is due for those with bad parts
+
   # Guards against a trial that is spent, though engines refused to run its request.
   Scenario: A trial whose request has not run is used for another one
     Given 9 simulated nodes
@@ -110,12 +116,16 @@
     Given 8 ends under each of two parts, and 9 of them under a third one
     Then the first two are in quarantine
 
-  # Guards against trials of a sound part that are all spent on prompts with a bad one.
-  Scenario: The trial of a part goes to the prompt whose other parts are least suspected
-    Given 6 ends under a part, 5 of them under a second one and 3 under a third one
-    Then a prompt with none of the others may be tried 2 seconds later
-    And a prompt with the third one 1 second after that
-    And a prompt with the second one 2 seconds after that
+  # Guards against a bad part that counts as little as a sound one that shares many ends.
+  Scenario Outline: A part under which more engines ended than under another one is blamed
+    When <ends> engines end under a bad part, <shared> of them with a sound one
+    Then only the bad part is in quarantine
+
+    Examples:
+      | ends | shared |
+      | 5    | 4      |
+      | 18   | 16     |
+      | 40   | 38     |
 
   # Guards against trials that end engines without end.
   Scenario: A part that stays bad is tried no more than three times
--- a/tests/quarantine_store.py
+++ b/tests/quarantine_store.py
@@ -2,7 +2,7 @@
 
 from jujubepass.forwarding import feeds, part_rows
 from jujubepass.storage import _store_messages
-from tests import relay_fleet
+from tests import relay_store
 
 TABLE = "prompts"
 
@@ -15,7 +15,7 @@
 
     async def transact(self, command):
         try:
-            await self.store.serve(self.node)
+            await self.store.serve(self.node, TABLE)
         except feeds.FeedError as error:
             return _store_messages.TransactionUnsent(
                 operation=command.operation, detail=str(error)
@@ -43,16 +43,11 @@
         )
 
 
-class Store(relay_fleet.Store):
+class Store(relay_store.Store):
     """Keep the rows, and count conflicts."""
 
     conflicts = 0
 
-    def find_rows(self, table):
-        """Return the rows that exist by their keys."""
-        latest = {row.key: row for row in self.tables[table]}
-        return {key: row for key, row in latest.items() if row.value is not None}
-
 
 def decode_part(key, version, value):
     try:
