Count the renewals of node processes over a renewal's interval

Traced: nodes that start together renew their rows for the first time after a quarter to the whole of 15 s, and every 15 s or a little more from then on. All 24 writes lie within 11 of 15 s, so that the average of 1.6 a second is exceeded in between. Each node keeps to one write in 10 s, which is what the step requires.

The step counts writes over 20 s at the same rate; reads as before. Nodes that renew each 8 s would fail it.

--- a/tests/features/steps/relay_process_steps.py
+++ b/tests/features/steps/relay_process_steps.py
@@ -7,6 +7,8 @@
 DOMAINS = 2
 NODES = 24
 IDLE_SECONDS = 6.0
+# Nodes that start together renew their rows in a part of the interval between renewals.
+RENEWALS_SECONDS = 20.0
 # Until each node has read the rows of the others.
 SETTLE_SECONDS = 20.0
 
@@ -66,9 +68,12 @@
 def step_idle_rate(context, rate, interval):
     (reads, writes), began = count_calls(context.system), time.monotonic()
     time.sleep(IDLE_SECONDS)
-    reads_now, writes_now = count_calls(context.system)
+    reads_now, _ = count_calls(context.system)
     seconds = time.monotonic() - began
     assert reads_now - reads <= rate * DOMAINS * seconds, reads_now - reads
+    time.sleep(RENEWALS_SECONDS - IDLE_SECONDS)
+    _, writes_now = count_calls(context.system)
+    seconds = time.monotonic() - began
     assert writes_now - writes <= NODES * seconds / interval, writes_now - writes
 
 
