Blame one part before two that explain a few more ends together

Found by reading, not seen by callers: with ends of engines for other reasons beside a bad part, two sound parts that were in all its prompts between them could be blamed instead of it, and sound requests refused.

Cause: explanations were compared by the ends that they explain alone, so that one more end was worth another part.

An explanation with one more part now has to explain five more ends.

--- a/src/jujubepass/forwarding/prompt_parts.py
+++ b/src/jujubepass/forwarding/prompt_parts.py
@@ -11,6 +11,9 @@
 
 # Of more suspected parts, each of the first ones begins an explanation.
 _MAX_EXPLANATIONS = 16
+# An explanation with one more part has to explain this many more ended runs. Some end
+# for other reasons, and two sound parts may be in all prompts that they broke.
+_MIN_RUNS_PER_PART = 5
 
 
 @attrs.frozen(kw_only=True)
@@ -81,7 +84,7 @@
 def find_culprits(
     records: collections.abc.Iterable[PartRecord],
 ) -> set[PartKey]:
-    """Return the fewest parts that explain the most ended runs, each enough of them.
+    """Return few parts that explain most ended runs, each enough of them.
 
     Of two parts with as many ended runs, the deeper one is in fewer prompts.
     """
@@ -126,8 +129,9 @@
         found.append(max(left, key=_Suspect.rank))
 
 
-def _rate_explanation(found: list[_Suspect]) -> tuple[int, int]:
-    return sum(len(each.runs) for each in found), -len(found)
+def _rate_explanation(found: list[_Suspect]) -> int:
+    explained = sum(len(each.runs) for each in found)
+    return explained - _MIN_RUNS_PER_PART * len(found)
 
 
 def merge(record: PartRecord) -> SuspectedPart:
--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -116,6 +116,12 @@
     Given 8 ends under each of two parts, and 9 of them under a third one
     Then the first two are in quarantine
 
+  # Guards against two sound parts that are blamed together for ends under a bad part and
+  # for others.
+  Scenario: A part is blamed before two that explain a few more ends together
+    Given 10 ends under a part, and half of them under each of two that have 2 other ends
+    Then only the first part is in quarantine
+
   # Guards against a bad part that counts as little as a sound one that shares many ends.
   Scenario Outline: A part under which more engines ended than under another one is blamed
     When <ends> engines end under a bad part, <shared> of them with a sound one
--- a/tests/features/steps/quarantine_steps.py
+++ b/tests/features/steps/quarantine_steps.py
@@ -215,6 +215,17 @@
     ]
 
 
+@behave.given(
+    "10 ends under a part, and half of them under each of two that have 2 other ends"
+)
+def step_other_ends(context):
+    context.records = [
+        make_record("a", range(10)),
+        make_record("b", (*range(5), 10, 11)),
+        make_record("c", (*range(5, 10), 12, 13)),
+    ]
+
+
 def make_record(part, numbers):
     key = prompt_parts.PartKey(service="drafts", part=part)
     ended = {prompt_parts.EngineRun(engine=f"e{n}", started_at=1): 1.0 for n in numbers}
@@ -227,6 +238,12 @@
     )
 
 
+@behave.then("only the first part is in quarantine")
+def step_blamed_alone(context):
+    found = prompt_parts.find_culprits(context.records)
+    assert {key.part for key in found} == {"a"}, found
+
+
 @behave.then("the first two are in quarantine")
 def step_blamed(context):
     found = prompt_parts.find_culprits(context.records)
