Tell repeats of a request apart from others in the log of broken attempts

Callers saw lookups and bookings refused, as servers ended one after the other. The log names a request by its id, which is new each time that it comes, so that a request that ends servers cannot be told from others that run there.

--- a/src/jujubepass/forwarding/service_exchange.py
+++ b/src/jujubepass/forwarding/service_exchange.py
@@ -22,6 +22,7 @@
     suspicion,
 )
 from jujubepass.limits import _retry_budget
+from jujubepass.quarantine import fingerprints
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -36,13 +37,19 @@
 _ABSENT_RETRY_SECONDS = 1.0
 _FIRST_FAILING_STATUS = 500
 
+# Alias, because a field has the same name as the module.
+_Fingerprints = fingerprints.Fingerprints
+
 
 @attrs.define(kw_only=True)
 class _Progress:
     """Track the attempts of one request."""
 
+    identity: fingerprints.Identity
     tried: set[ids.BackendServerId] = attrs.field(factory=set)
     runs: int = 0
+    began_at: float = 0.0
+    """Boot-clock time at which the attempt in use began."""
     may_have_run: bool = False
     full: bool = False
 
@@ -68,6 +75,7 @@
     suspects: suspicion.Suspects
     budgets: collections.defaultdict[ids.ServiceId, _retry_budget.RetryBudget]
     count_retry: collections.abc.Callable[[reasons.RetryReason], None]
+    fingerprints: _Fingerprints = attrs.field(factory=_Fingerprints)
 
     async def serve(
         self,
@@ -76,7 +84,15 @@
         reply: replies.Reply,
     ) -> None:
         """Serve one request before its deadline."""
-        progress = _Progress()
+        account = admitted.account
+        progress = _Progress(
+            identity=fingerprints.Identity(
+                host=request.host,
+                target=request.target,
+                account=account.name if account is not None else "",
+                body=request.body,
+            )
+        )
         budget = self.budgets[admitted.service.name]
         budget.count_attempt(request.arrived_at)
         with clocks.move_on_at(admitted.deadline):
@@ -108,6 +124,7 @@
                 await trio.sleep(_FULL_RETRY_SECONDS)
                 continue
             progress.tried.add(backend.name)
+            progress.began_at = now
             reply.record_attempt(backend.name)
             last = progress.runs + 1 >= route.max_attempts
             may_retry = attempt_limit.never
@@ -252,7 +269,17 @@
         if not isinstance(error, sending.FailureResponseError):
             reason = suspicion.SuspicionReason.INTERRUPTED
             self.suspects.suspect(backend.name, reason, clocks.read_boot_clock())
-        _log_attempt(request, backend, "unclear", str(error))
+        _LOGGER.info(
+            "attempt ended",
+            extra={
+                "request": request.request_id,
+                "request_digest": self.fingerprints.make_digest(progress.identity),
+                "backend": backend.name,
+                "outcome": "unclear",
+                "seconds": round(clocks.read_boot_clock() - progress.began_at, 3),
+                "detail": str(error),
+            },
+        )
 
     def _record_not_run(
         self,
@@ -375,20 +402,3 @@
     return admission.Refusal(
         reason=reasons.RefusalReason.BACKEND_LIMITED, retry_after_seconds=seconds
     )
-
-
-def _log_attempt(
-    request: exchange.CallerRequest,
-    backend: backends.Backend,
-    outcome: str,
-    detail: str,
-) -> None:
-    _LOGGER.info(
-        "attempt ended",
-        extra={
-            "request": request.request_id,
-            "backend": backend.name,
-            "outcome": outcome,
-            "detail": detail,
-        },
-    )
--- /dev/null
+++ b/src/jujubepass/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Quarantine of what ends one backend server after the other."""
