--- a/standins/forwarding_system.py
+++ b/standins/forwarding_system.py
@@ -18,6 +18,7 @@
 STREAM_PATH = "/drafts/new"
 BOOKING_PATH = "/visits/new"
 LOOKUP_PATH = "/history/7"
+OPEN_LOOKUP_PATH = "/opening-hours/7"
 _SHOWN_LOG_LINES = 40
 _SETTINGS_VARIABLE = "JUJUBEPASS_SETTINGS"
 
@@ -101,6 +102,16 @@
             "service": PLAIN_SERVICE,
             "maxAttempts": 2,
         },
+        {
+            **common,
+            "name": "opening-hours",
+            "prefix": "/opening-hours/",
+            "kind": "idempotent",
+            "timeoutMs": 1_200,
+            "service": PLAIN_SERVICE,
+            "maxAttempts": 2,
+            "anonymous": True,
+        },
     ]
 
 
--- a/standins/path_engine.py
+++ b/standins/path_engine.py
@@ -51,8 +51,11 @@
     """Value of Server-Limit in answers; empty for none."""
     crash_part: str = ""
     """Part of a prompt on which each answer crashes the process; empty for none."""
+    crash_requests: list[list[str]] = attrs.field(factory=list)
+    """Path, client account and body of requests that crash each process that begins to
+    run them."""
     crash_events: int = 0
-    """Events that such an answer has before the crash."""
+    """Events that an answer has before its request crashes the process."""
     crash_restart: str = ""
     """Whether the engine starts again under another name after a crash, and what
     connections to its address meet meanwhile: `refused` or `unanswered`."""
@@ -320,7 +323,7 @@
 
     async def _serve(self, request: _http_server.Request, responder: Responder) -> None:
         request_id = request.headers["x-request-id"]
-        if self._names_crash_part(request):
+        if self._crashes(request):
             _log("arrival", request_id)
         self._record_arrival(request_id)
         self._record_answer(request_id)
@@ -350,6 +353,8 @@
     ) -> None:
         request_id, own = request.headers["x-request-id"], self._arguments.name
         self._runs[request_id] += 1
+        if self._crashes(request):
+            await self._crash(request_id)
         await trio.sleep(self.settings.work_seconds)
         if self._draw_fault("lose_answer"):
             raise trio.BrokenResourceError
@@ -401,8 +406,10 @@
         await responder.start_fields(200, fields)
         tokens = int(request.headers["x-token-count"].partition(",")[2])
         last = int(request.headers.get("last-event-id", 0))
-        if self._names_crash_part(request):
-            await self._crash(request_id, responder, last)
+        if self._crashes(request):
+            for number in range(last + 1, last + 1 + self.settings.crash_events):
+                await responder.write(_format_event(request_id, number))
+            await self._crash(request_id)
         self._pipelines[request_id] = stages
         try:
             await self._write_events(request_id, responder, last, tokens // 2)
@@ -410,15 +417,18 @@
             del self._pipelines[request_id]
         await responder.finish()
 
-    def _names_crash_part(self, request: _http_server.Request) -> bool:
+    def _crashes(self, request: _http_server.Request) -> bool:
+        """Return whether a request crashes each process that begins to run it."""
         parts = request.headers.get("x-prompt-prefix", "").split(",")
         names = {each.partition(":")[0] for each in parts}
-        return bool(self.settings.crash_part) and self.settings.crash_part in names
-
-    async def _crash(self, request_id: str, responder: Responder, last: int) -> None:
-        """End the process after the start of an answer."""
-        for number in range(last + 1, last + 1 + self.settings.crash_events):
-            await responder.write(_format_event(request_id, number))
+        if self.settings.crash_part and self.settings.crash_part in names:
+            return True
+        account = request.headers.get("x-tenant", "")
+        identity = [request.path, account, request.body.decode()]
+        return identity in self.settings.crash_requests
+
+    async def _crash(self, request_id: str) -> None:
+        """End the process, and start it again if the settings say so."""
         await trio.sleep(_CRASH_DELAY_SECONDS)
         _log("crash", request_id)
         if self.settings.crash_restart:
