--- a/src/jujubepass/forwarding/adapters.py
+++ b/src/jujubepass/forwarding/adapters.py
@@ -12,10 +12,13 @@
     feeds,
     members,
     plans,
-    prompt_parts,
 )
+from jujubepass.quarantine import suspects
 from jujubepass.storage import _table_client
 
+# Alias, because a field has the same name as the module.
+_Suspect = suspects.Suspect
+
 
 @attrs.frozen(kw_only=True)
 class Adapter:
@@ -29,7 +32,8 @@
     plans: feeds.DecodedFeed[plans.Plan]
     member_table: _table_client.Table
     members: feeds.DecodedFeed[members.Member]
-    prompt_table: _table_client.Table
-    prompts: feeds.DecodedFeed[prompt_parts.SuspectedPart]
+    suspect_table: _table_client.Table
+    secret_table: _table_client.Table
+    suspects: feeds.DecodedFeed[_Suspect]
     count_eras: collections.abc.Callable[[], collections.abc.Mapping[str, int]]
     """Return how often the store's era changed, and was missing or invalid."""
--- a/src/jujubepass/forwarding/board.py
+++ b/src/jujubepass/forwarding/board.py
@@ -11,9 +11,9 @@
     backends,
     declarations,
     plans,
-    prompt_parts,
     settings,
 )
+from jujubepass.quarantine import suspects
 
 if typing.TYPE_CHECKING:
     from jujubepass.forwarding import members
@@ -92,14 +92,12 @@
 
 
 @attrs.define(kw_only=True)
-class PromptArea:
-    """Store suspected parts of prompts; written by the quarantine."""
+class QuarantineArea:
+    """Store what is suspected of ending servers; written by the quarantine."""
 
-    records: dict[prompt_parts.PartKey, prompt_parts.PartRecord] = attrs.field(
-        factory=dict
-    )
-    quarantined: dict[prompt_parts.PartKey, float] = attrs.field(factory=dict)
-    """Parts in quarantine, with the boot-clock time since which they are."""
+    records: dict[suspects.Key, suspects.Record] = attrs.field(factory=dict)
+    quarantined: dict[suspects.Key, float] = attrs.field(factory=dict)
+    """Suspects in quarantine, with the boot-clock time since which they are."""
     is_initialized: bool = False
 
 
@@ -122,4 +120,4 @@
     backends: BackendArea = attrs.field(factory=BackendArea)
     plans: PlanArea = attrs.field(factory=PlanArea)
     members: MemberArea = attrs.field(factory=MemberArea)
-    prompts: PromptArea = attrs.field(factory=PromptArea)
+    quarantine: QuarantineArea = attrs.field(factory=QuarantineArea)
--- a/src/jujubepass/forwarding/engine_controllers.py
+++ b/src/jujubepass/forwarding/engine_controllers.py
@@ -15,13 +15,10 @@
     homes,
     moves,
     ordering,
-    part_guard,
-    part_sharing,
     permit_home,
     permits,
     pipeline_claims,
     probing,
-    quarantine,
     request_limits,
     server_signals,
     silences,
@@ -29,15 +26,15 @@
     stall_watch,
     suspicion,
 )
+from jujubepass.quarantine import controller, guard, sharing
 from jujubepass.storage import _table_client
 
 # Aliases, because fields have the same names as the modules.
 _BackendController = backend_list.BackendController
 _Evacuation = evacuation.Evacuation
-_PartGuard = part_guard.PartGuard
-_PartSharing = part_sharing.PartSharing
+_Guard = guard.Guard
 _Permits = permits.Permits
-_Quarantine = quarantine.Quarantine
+_Sharing = sharing.Sharing
 _Silences = silences.Silences
 
 
@@ -53,11 +50,12 @@
     suspects: suspicion.Suspects
     control: engines.EngineControl
     backend_list: _BackendController
-    prompt_table: _table_client.Table
+    suspect_table: _table_client.Table
+    secret_table: _table_client.Table
     permit_transport: HomeTransport
-    quarantine: _Quarantine = attrs.field(init=False)
-    part_sharing: _PartSharing = attrs.field(init=False)
-    part_guard: _PartGuard = attrs.field(init=False)
+    quarantine: controller.Quarantine = attrs.field(init=False)
+    sharing: _Sharing = attrs.field(init=False)
+    guard: _Guard = attrs.field(init=False)
     silences: _Silences = attrs.field(init=False)
     limits: request_limits.RequestLimits = attrs.field(init=False)
     permits: _Permits = attrs.field(init=False)
@@ -82,7 +80,7 @@
             silences=self.silences,
             limits=self.limits,
         )
-        self.quarantine = quarantine.Quarantine(blackboard=self.blackboard)
+        self.quarantine = controller.Quarantine(blackboard=self.blackboard)
         self.prober = probing.Prober(
             blackboard=self.blackboard,
             suspects=self.suspects,
@@ -102,7 +100,7 @@
             blackboard=self.blackboard, control=self.control, silences=self.silences
         )
         self._watch_streams()
-        self._watch_parts()
+        self._share_suspects()
 
     def _make_permits(self, node_demand: demand.Demand) -> _Permits:
         leases = home_leases.HomeLeases(
@@ -134,19 +132,20 @@
             blackboard=self.blackboard, stalls=self.stalls, mover=mover
         )
 
-    def _watch_parts(self) -> None:
-        self.part_sharing = part_sharing.PartSharing(
+    def _share_suspects(self) -> None:
+        self.sharing = sharing.Sharing(
             blackboard=self.blackboard,
             quarantine=self.quarantine,
-            table=self.prompt_table,
+            table=self.suspect_table,
+            secret_table=self.secret_table,
             schedule_probe=self.stalls.schedule_probe,
         )
-        self.part_guard = part_guard.PartGuard(
+        self.guard = guard.Guard(
             area=self.blackboard.backends,
             quarantine=self.quarantine,
-            trials=self.part_sharing,
+            trials=self.sharing,
             schedule_probe=self.stalls.schedule_probe,
         )
         self.claims = pipeline_claims.PipelineClaims(
-            choice=self.choice, permits=self.permits, guard=self.part_guard
+            choice=self.choice, permits=self.permits, guard=self.guard
         )
--- a/src/jujubepass/forwarding/engines.py
+++ b/src/jujubepass/forwarding/engines.py
@@ -61,6 +61,9 @@
     async def read_report(self, engine: backends.Backend) -> EngineReport:
         """Read an engine's report."""
 
+    async def check_listening(self, server: backends.Backend) -> None:
+        """Check that something listens at a server's address."""
+
     async def order_span(
         self,
         engine: backends.Backend,
--- a/src/jujubepass/forwarding/metrics_page.py
+++ b/src/jujubepass/forwarding/metrics_page.py
@@ -12,19 +12,18 @@
     engine_choice,
     members,
     ordering,
-    quarantine,
     server_signals,
 )
 from jujubepass.forwarding import measures as node_measures
 from jujubepass.forwarding import permits as node_permits
 from jujubepass.limits import _retry_budget
+from jujubepass.quarantine import controller, suspects
 from jujubepass.relay import assembly
 from jujubepass.telemetry import _metric_registry
 from jujubepass.transport import _http_client
 
 # Alias, because an argument has the same name as the module.
 _Permits = node_permits.Permits
-_Quarantine = quarantine.Quarantine
 
 
 @attrs.frozen(kw_only=True)
@@ -47,7 +46,7 @@
     relay: assembly.Relay,
     signals: server_signals.ServerSignals,
     permits: _Permits,
-    quarantine: _Quarantine,
+    quarantine: controller.Quarantine,
     count_eras: collections.abc.Callable[[], collections.abc.Mapping[str, int]],
     count_unreadable: collections.abc.Callable[[], collections.abc.Mapping[str, int]],
 ) -> MetricsPage:
@@ -60,7 +59,7 @@
     _add_calls(registry, client, orders, choice)
     _add_signals(registry, signals)
     _add_permits(registry, permits)
-    _add_prompts(registry, quarantine)
+    _add_suspects(registry, quarantine)
     _add_relay(registry, relay)
     _add_store(registry, count_unreadable, count_eras)
     _add_budgets(registry, budgets)
@@ -197,33 +196,50 @@
     return {str(name): count for name, count in counts.items()}
 
 
-def _add_prompts(registry: _metric_registry.Registry, quarantine: _Quarantine) -> None:
-    area = quarantine.blackboard.prompts
-    for name, description, read in (
-        ("prompt_parts_suspected", "Suspected.", lambda: len(area.records)),
-        ("prompt_parts_quarantined", "In quarantine.", lambda: len(area.quarantined)),
+def _add_suspects(
+    registry: _metric_registry.Registry, quarantine: controller.Quarantine
+) -> None:
+    area = quarantine.blackboard.quarantine
+    for name, kind in (
+        ("prompt_parts", suspects.PartKey),
+        ("requests", suspects.RequestKey),
     ):
-        registry.add_gauge(name, description, read)
+        for state, description, keys in (
+            ("suspected", "Suspected.", area.records.keys()),
+            ("quarantined", "In quarantine.", area.quarantined.keys()),
+        ):
+            registry.add_gauge(
+                f"{name}_{state}",
+                description,
+                functools.partial(_count_keys, keys, kind),
+            )
     for name, description, count in (
         (
             "prompt_part_suspicions",
-            "Ends of engines held against parts of prompts by this node's requests.",
+            "Ends of servers held against parts and requests by this node.",
             lambda: quarantine.suspicions,
         ),
         (
             "prompt_part_trials",
-            "Requests let through to try a part in quarantine.",
+            "Requests let through to try a part or request in quarantine.",
             lambda: quarantine.trials,
         ),
         (
             "prompt_part_removals",
-            "Rows of suspected parts removed after a sound run or a long time.",
+            "Rows of suspects removed after a sound run or a long time.",
             lambda: quarantine.removals,
         ),
     ):
         registry.add_counter(name, description, count)
 
 
+def _count_keys(
+    keys: collections.abc.Iterable[suspects.Key],
+    kind: type[suspects.PartKey] | type[suspects.RequestKey],
+) -> int:
+    return sum(isinstance(key, kind) for key in keys)
+
+
 def _add_relay(registry: _metric_registry.Registry, relay: assembly.Relay) -> None:
     for name, description, label, read in (
         ("store_reads", "Reads of the store's feeds.", "feed", relay.count_reads),
--- a/src/jujubepass/forwarding/moves.py
+++ b/src/jujubepass/forwarding/moves.py
@@ -40,6 +40,9 @@
         avoided: frozenset[ids.BackendServerId],
     ) -> bool:
         """Replace engines of a stream's pipeline; return whether it was moved."""
+        if not stream.may_move():
+            _log_move(stream, avoided, "in quarantine")
+            return False
         first = stream.pipeline.stages[0]
         engine = self.blackboard.backends.listed.get(first.engine)
         pipeline = self._find_pipeline(stream, avoided)
--- a/src/jujubepass/forwarding/node.py
+++ b/src/jujubepass/forwarding/node.py
@@ -48,7 +48,7 @@
 
 # Maximum wait for changes of plans. An outdated plan only makes a pipeline fail once.
 _MAX_PLANS_WAIT_SECONDS = 20.0
-_MAX_PROMPTS_WAIT_SECONDS = 20.0
+_MAX_SUSPECTS_WAIT_SECONDS = 20.0
 # Interval after changes of the list, as engines register one by one during a start. All
 # nodes together read it at this rate, but each soon enough to use a draining engine for
 # another second and keep to the two in which it may receive requests.
@@ -114,7 +114,8 @@
             suspects=self.suspects,
             control=self.adapter.control,
             backend_list=self._backend_list,
-            prompt_table=self.adapter.prompt_table,
+            suspect_table=self.adapter.suspect_table,
+            secret_table=self.adapter.secret_table,
             permit_transport=permit_links.HttpTransport(client=self.client),
         )
         self._node_server = permit_links.NodeServer(
@@ -133,7 +134,7 @@
                 "backends": adapter.backends.rows,
                 "plans": adapter.plans.rows,
                 "members": adapter.members.rows,
-                "prompts": adapter.prompts.rows,
+                "prompts": adapter.suspects.rows,
             },
             transport=links.HttpTransport(client=self.client),
             address=self.settings.listen.relay,
@@ -191,10 +192,10 @@
             find_wait=lambda: _MAX_PLANS_WAIT_SECONDS,
             apply=self._planning.apply,
         )
-        self._prompts = following.Follower(
+        self._suspect_rows = following.Follower(
             name="prompts",
-            feed=self._relay_rows("prompts", self.adapter.prompts),
-            find_wait=lambda: _MAX_PROMPTS_WAIT_SECONDS,
+            feed=self._relay_rows("prompts", self.adapter.suspects),
+            find_wait=lambda: _MAX_SUSPECTS_WAIT_SECONDS,
             apply=self._engines.quarantine.apply,
         )
 
@@ -228,6 +229,7 @@
                     silences=self._engines.silences,
                 ),
                 permits=self._engines.permits,
+                guard=self._engines.guard,
                 suspects=self.suspects,
                 budgets=self._budgets,
                 count_retry=self.measures.count_retry,
@@ -239,7 +241,7 @@
                 claims=self._engines.claims,
                 suspects=self.suspects,
                 stalls=self._engines.stalls,
-                guard=self._engines.part_guard,
+                guard=self._engines.guard,
                 budgets=self._budgets,
                 count_retry=self.measures.count_retry,
                 observe_first_event=self.measures.observe_first_event,
@@ -271,7 +273,7 @@
                     self._configuration,
                     self._backends,
                     self._plans,
-                    self._prompts,
+                    self._suspect_rows,
                 ):
                     nursery.start_soon(tasks.run_with_restarts, follower.run)
                 for task in (
@@ -279,7 +281,7 @@
                     self._relay.link.run,
                     self._engines.permits.run,
                     self._planning.run,
-                    self._engines.part_sharing.run,
+                    self._engines.sharing.run,
                     self._engines.orders.run,
                     self._engines.stalls.run,
                     self._engines.prober.run,
--- a/src/jujubepass/forwarding/pipeline_claims.py
+++ b/src/jujubepass/forwarding/pipeline_claims.py
@@ -12,13 +12,16 @@
     declarations,
     engine_choice,
     exchange,
-    part_guard,
     permits,
     pipelines,
     stream_progress,
     stream_refusals,
     stream_timeouts,
 )
+from jujubepass.quarantine import guard
+
+# Alias, because a field has the same name as the module.
+_Guard = guard.Guard
 
 # Share of the stall time-out that a request waits for the repair of a pipeline.
 _PIPELINE_WAIT_SHARE = 0.6
@@ -31,7 +34,7 @@
 
     choice: engine_choice.EngineChoice
     permits: permits.Permits
-    guard: part_guard.PartGuard
+    guard: _Guard
 
     async def wait_for_pipeline(
         self, admitted: exchange.Admitted, progress: stream_progress.Progress
@@ -43,9 +46,9 @@
         until = clocks.read_boot_clock() + wait_seconds
         while True:
             now = clocks.read_boot_clock()
-            if self.guard.refuse(progress.parts, now) is not None:
+            if self.guard.refuse(progress.guarded, now) is not None:
                 return None
-            if now < until and not self.guard.is_ready(progress.parts, now):
+            if now < until and not self.guard.is_ready(now):
                 await trio.sleep(_PIPELINE_POLL_INTERVAL_SECONDS)
                 continue
             service = admitted.service
--- a/src/jujubepass/forwarding/probing.py
+++ b/src/jujubepass/forwarding/probing.py
@@ -8,6 +8,7 @@
 
 from jujubepass import ids
 from jujubepass.forwarding import (
+    backends,
     board,
     clocks,
     engines,
@@ -151,9 +152,16 @@
         return self.signals.silences.is_closed(name, clocks.read_boot_clock())
 
     async def probe(self, name: ids.BackendServerId) -> None:
-        """Probe an engine; suspect it, or those for which its requests wait."""
+        """Probe an engine; suspect it, or those for which its requests wait.
+
+        Of a plain service's server, only the end of its run is told.
+        """
         if self._is_closed(name):
             return
+        backend = self.blackboard.backends.listed.get(name)
+        if backend is not None and not self._is_engine(backend):
+            await self._check_listening(backend)
+            return
         report = await self._read_report(name, _REPORT_TIMEOUT_SECONDS)
         record = self._probe_records.get(name)
         if record is not None:
@@ -228,6 +236,27 @@
         self.slowdowns.record_slowdown(name, report.slowdown, clocks.read_boot_clock())
         return report
 
+    def _is_engine(self, backend: backends.Backend) -> bool:
+        declared = self.blackboard.configuration.declarations
+        service = declared.services.get(backend.service) if declared else None
+        return service is None or service.model is not None
+
+    async def _check_listening(self, backend: backends.Backend) -> None:
+        """Record the end of a server's run if nothing listens at its address."""
+        record = self._probe_records.setdefault(backend.name, _ProbeRecord(at=0.0))
+        record.at = trio.current_time()
+        try:
+            with trio.fail_after(_REPORT_TIMEOUT_SECONDS):
+                await self.control.check_listening(backend)
+        except engines.EngineEndedError:
+            now = clocks.read_boot_clock()
+            self.on_run_ended(backend.name, backend.started_at, now)
+        except (engines.EngineError, trio.TooSlowError) as error:
+            _LOGGER.info(
+                "server did not accept a connection",
+                extra={"backend": backend.name, "detail": str(error)},
+            )
+
     async def _check_stalled(self, report: engines.EngineReport) -> None:
         """Suspect the engines that stalled requests wait for, and probe them."""
         addresses = {address for _, address in report.stalled}
--- a/src/jujubepass/forwarding/replies.py
+++ b/src/jujubepass/forwarding/replies.py
@@ -31,6 +31,9 @@
     reasons.RefusalReason.PROMPT_QUARANTINED: (
         "Engines ended under requests with a part of this prompt."
     ),
+    reasons.RefusalReason.REQUEST_QUARANTINED: (
+        "It was not run: backend servers ended under the same request."
+    ),
     reasons.RefusalReason.DEADLINE_UNREACHABLE: "The time left is too short.",
     reasons.RefusalReason.DEADLINE_PASSED: "No answer came in time; it may have run.",
     reasons.RefusalReason.OUTCOME_UNKNOWN: "The answer was lost; it may have run.",
--- a/src/jujubepass/forwarding/service_exchange.py
+++ b/src/jujubepass/forwarding/service_exchange.py
@@ -19,10 +19,11 @@
     replies,
     sending,
     service_choice,
+    service_progress,
     suspicion,
 )
 from jujubepass.limits import _retry_budget
-from jujubepass.quarantine import fingerprints
+from jujubepass.quarantine import guard
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -31,37 +32,11 @@
 _MAX_BUFFERED_BYTES = 65_536
 # Minimum time left for a first attempt; with less the answer would be too late.
 _MIN_REMAINING_SECONDS = 0.02
-# Time in which a full backend server processes a part of its queue.
-_FULL_RETRY_SECONDS = 0.3
-# Time in which the list shows a replacement for a failed backend server.
-_ABSENT_RETRY_SECONDS = 1.0
 _FIRST_FAILING_STATUS = 500
+_READY_POLL_INTERVAL_SECONDS = 0.05
 
 # Alias, because a field has the same name as the module.
-_Fingerprints = fingerprints.Fingerprints
-
-
-@attrs.define(kw_only=True)
-class _Progress:
-    """Track the attempts of one request."""
-
-    identity: fingerprints.Identity
-    tried: set[ids.BackendServerId] = attrs.field(factory=set)
-    runs: int = 0
-    began_at: float = 0.0
-    """Boot-clock time at which the attempt in use began."""
-    may_have_run: bool = False
-    full: bool = False
-
-    @property
-    def is_retry(self) -> bool:
-        """Return whether the request has been sent before."""
-        return self.may_have_run or bool(self.tried)
-
-    def reset(self) -> None:
-        """Allow attempts at backend servers that were tried before."""
-        self.tried.clear()
-        self.full = False
+_Guard = guard.Guard
 
 
 @attrs.define(kw_only=True)
@@ -72,10 +47,10 @@
     admission_control: admission.Admission
     choice: service_choice.ServiceChoice
     permits: permits.Permits
+    guard: _Guard
     suspects: suspicion.Suspects
     budgets: collections.defaultdict[ids.ServiceId, _retry_budget.RetryBudget]
     count_retry: collections.abc.Callable[[reasons.RetryReason], None]
-    fingerprints: _Fingerprints = attrs.field(factory=_Fingerprints)
 
     async def serve(
         self,
@@ -84,44 +59,37 @@
         reply: replies.Reply,
     ) -> None:
         """Serve one request before its deadline."""
-        account = admitted.account
-        progress = _Progress(
-            identity=fingerprints.Identity(
-                host=request.host,
-                target=request.target,
-                account=account.name if account is not None else "",
-                body=request.body,
-            )
-        )
+        progress = service_progress.Progress(guarded=guard.track(request, admitted))
         budget = self.budgets[admitted.service.name]
         budget.count_attempt(request.arrived_at)
         with clocks.move_on_at(admitted.deadline):
             refusal = await self._try_each(request, admitted, reply, progress)
             if refusal is not None:
+                self.guard.return_trial(progress.guarded)
                 await reply.refuse(refusal)
             return
         if reply.started:
             reply.abort(reasons.RefusalReason.DEADLINE_PASSED)
         else:
-            await reply.refuse(_refuse_expired(progress))
+            await reply.refuse(progress.refuse_expired())
 
     async def _try_each(
         self,
         request: exchange.CallerRequest,
         admitted: exchange.Admitted,
         reply: replies.Reply,
-        progress: _Progress,
+        progress: service_progress.Progress,
     ) -> admission.Refusal | None:
         """Return why the request was not served, or None if it was."""
         route = admitted.route
         while True:
-            backend = await self._claim_backend(request, admitted, progress)
+            backend = await self._choose_backend(request, admitted, progress)
             now = clocks.read_boot_clock()
             if isinstance(backend, admission.Refusal):
                 if not _may_wait(admitted, progress, now):
                     return backend
                 progress.reset()
-                await trio.sleep(_FULL_RETRY_SECONDS)
+                await trio.sleep(service_progress.FULL_RETRY_SECONDS)
                 continue
             progress.tried.add(backend.name)
             progress.began_at = now
@@ -131,7 +99,9 @@
             if route.is_repeatable and not last:
                 may_retry = functools.partial(self._may_retry, admitted, progress)
             try:
-                await self._send(request, admitted, backend, reply, may_retry)
+                with self.guard.watch(progress.guarded, (backend.name,)):
+                    await self._send(request, admitted, backend, reply, may_retry)
+                self.guard.record_proof(progress.guarded)
                 return None
             except sending.NotRunError as error:
                 self._record_not_run(backend, error, progress, now)
@@ -141,14 +111,32 @@
                     reply.abort(reasons.RefusalReason.OUTCOME_UNKNOWN)
                     return None
                 if not route.is_repeatable or last:
-                    return _refuse_none_left(progress)
+                    return progress.refuse_none_left()
                 self.count_retry(reasons.RetryReason.LOOKUP_FAILED)
 
+    async def _choose_backend(
+        self,
+        request: exchange.CallerRequest,
+        admitted: exchange.Admitted,
+        progress: service_progress.Progress,
+    ) -> backends.Backend | admission.Refusal:
+        """Return a backend server that may run the request, or why there is none."""
+        while not self.guard.is_ready(clocks.read_boot_clock()):
+            await trio.sleep(_READY_POLL_INTERVAL_SECONDS)
+        refusal = self.guard.refuse(progress.guarded, clocks.read_boot_clock())
+        if refusal is not None:
+            return progress.make_refusal(refusal)
+        backend = await self._claim_backend(request, admitted, progress)
+        if isinstance(backend, admission.Refusal):
+            return backend
+        refusal = await self.guard.claim(progress.guarded, has_server=True)
+        return backend if refusal is None else progress.make_refusal(refusal)
+
     async def _claim_backend(
         self,
         request: exchange.CallerRequest,
         admitted: exchange.Admitted,
-        progress: _Progress,
+        progress: service_progress.Progress,
     ) -> backends.Backend | admission.Refusal:
         """Return a backend server that takes the request now, or why there is none."""
         waits: dict[ids.BackendServerId, float] = {}
@@ -173,13 +161,13 @@
         if waits:
             return await self._wait_for_permit(request, admitted, progress, waits)
         end = self.choice.find_end_of_silence(admitted.service.name, now)
-        return _refuse_none_left(progress, end - now if end else None)
+        return progress.refuse_none_left(end - now if end else None)
 
     async def _wait_for_permit(
         self,
         request: exchange.CallerRequest,
         admitted: exchange.Admitted,
-        progress: _Progress,
+        progress: service_progress.Progress,
         waits: collections.abc.Mapping[ids.BackendServerId, float],
     ) -> backends.Backend | admission.Refusal:
         """Wait for the first permit where no server takes a request at once."""
@@ -193,21 +181,21 @@
         )
         if not claim.is_granted:
             now = clocks.read_boot_clock()
-            return _refuse_limited(progress, self.permits.assign_return(name, now))
+            return progress.refuse_limited(self.permits.assign_return(name, now))
         return self._confirm(request, admitted, progress, name)
 
     def _confirm(
         self,
         request: exchange.CallerRequest,
         admitted: exchange.Admitted,
-        progress: _Progress,
+        progress: service_progress.Progress,
         name: ids.BackendServerId,
     ) -> backends.Backend | admission.Refusal:
         """Return a server with a permit if the request may still be sent to it."""
         now = clocks.read_boot_clock()
         backend = self.choice.find_open(admitted.service.name, name, now)
         if backend is None:
-            return _refuse_none_left(progress)
+            return progress.refuse_none_left()
         return (
             self._check_admission(request, progress, now)
             or self._check_bounds(admitted, progress, now)
@@ -216,7 +204,10 @@
         )
 
     def _check_admission(
-        self, request: exchange.CallerRequest, progress: _Progress, now: float
+        self,
+        request: exchange.CallerRequest,
+        progress: service_progress.Progress,
+        now: float,
     ) -> admission.Refusal | None:
         """Return why a request that has not run is no longer admitted, or None."""
         # What may have run is completed as it was admitted.
@@ -226,27 +217,32 @@
         return checked if isinstance(checked, admission.Refusal) else None
 
     def _check_bounds(
-        self, admitted: exchange.Admitted, progress: _Progress, now: float
+        self,
+        admitted: exchange.Admitted,
+        progress: service_progress.Progress,
+        now: float,
     ) -> admission.Refusal | None:
         """Return why time or retries do not suffice for an attempt, or None."""
         if admitted.deadline - now < _MIN_REMAINING_SECONDS:
-            return _refuse_expired(progress)
+            return progress.refuse_expired()
         budget = self.budgets[admitted.service.name]
         if progress.is_retry and budget.predict_wait_seconds(now) > 0.0:
             budget.spend(now)
-            return _refuse_none_left(progress)
+            return progress.refuse_none_left()
         return None
 
     def _spend_retry(
-        self, admitted: exchange.Admitted, progress: _Progress
+        self, admitted: exchange.Admitted, progress: service_progress.Progress
     ) -> admission.Refusal | None:
         """Spend a retry if the attempt is one; return the refusal if there is none."""
         now = clocks.read_boot_clock()
         if progress.is_retry and not self.budgets[admitted.service.name].spend(now):
-            return _refuse_none_left(progress)
+            return progress.refuse_none_left()
         return None
 
-    def _may_retry(self, admitted: exchange.Admitted, progress: _Progress) -> bool:
+    def _may_retry(
+        self, admitted: exchange.Admitted, progress: service_progress.Progress
+    ) -> bool:
         """Return whether another attempt would be sent now."""
         now = clocks.read_boot_clock()
         service = admitted.service.name
@@ -262,18 +258,21 @@
         request: exchange.CallerRequest,
         backend: backends.Backend,
         error: sending.OutcomeUnknownError,
-        progress: _Progress,
+        progress: service_progress.Progress,
     ) -> None:
         progress.may_have_run = True
         progress.runs += 1
-        if not isinstance(error, sending.FailureResponseError):
+        if isinstance(error, sending.FailureResponseError):
+            self.guard.record_proof(progress.guarded)
+        else:
+            self.guard.record_break(progress.guarded, {backend.name})
             reason = suspicion.SuspicionReason.INTERRUPTED
             self.suspects.suspect(backend.name, reason, clocks.read_boot_clock())
         _LOGGER.info(
             "attempt ended",
             extra={
                 "request": request.request_id,
-                "request_digest": self.fingerprints.make_digest(progress.identity),
+                "request_digest": self.guard.find_digest(progress.guarded),
                 "backend": backend.name,
                 "outcome": "unclear",
                 "seconds": round(clocks.read_boot_clock() - progress.began_at, 3),
@@ -285,12 +284,14 @@
         self,
         backend: backends.Backend,
         error: sending.NotRunError,
-        progress: _Progress,
+        progress: service_progress.Progress,
         now: float,
     ) -> None:
         if error.head is None:
             reason = suspicion.SuspicionReason.UNREACHABLE
             self.suspects.suspect(backend.name, reason, now)
+            if error.has_ended:
+                self.guard.record_refused_connection(progress.guarded, backend.name)
             self.count_retry(reasons.RetryReason.CONNECT_FAILED)
         else:
             progress.full = True
@@ -340,9 +341,11 @@
         self.suspects.clear(backend.name)
 
 
-def _may_wait(admitted: exchange.Admitted, progress: _Progress, now: float) -> bool:
+def _may_wait(
+    admitted: exchange.Admitted, progress: service_progress.Progress, now: float
+) -> bool:
     """Return whether a request that may have run waits for servers that were full."""
-    seconds = _FULL_RETRY_SECONDS + _MIN_REMAINING_SECONDS
+    seconds = service_progress.FULL_RETRY_SECONDS + _MIN_REMAINING_SECONDS
     return (
         progress.may_have_run
         and progress.full
@@ -370,35 +373,3 @@
     while chunk := await answer.receive():  # type: ignore[attr-defined]
         await reply.write(chunk)
     await reply.finish()
-
-
-def _refuse_expired(progress: _Progress) -> admission.Refusal:
-    if progress.may_have_run or progress.tried:
-        return admission.Refusal(reason=reasons.RefusalReason.DEADLINE_PASSED)
-    return admission.Refusal(
-        reason=reasons.RefusalReason.DEADLINE_UNREACHABLE,
-        retry_after_seconds=_FULL_RETRY_SECONDS,
-    )
-
-
-def _refuse_none_left(
-    progress: _Progress, silence_seconds: float | None = None
-) -> admission.Refusal:
-    if progress.may_have_run:
-        return admission.Refusal(reason=reasons.RefusalReason.OUTCOME_UNKNOWN)
-    seconds = _ABSENT_RETRY_SECONDS
-    if silence_seconds is not None:
-        seconds = max(_FULL_RETRY_SECONDS, silence_seconds)
-    elif progress.full:
-        seconds = _FULL_RETRY_SECONDS
-    return admission.Refusal(
-        reason=reasons.RefusalReason.BACKEND_UNAVAILABLE, retry_after_seconds=seconds
-    )
-
-
-def _refuse_limited(progress: _Progress, seconds: float) -> admission.Refusal:
-    if progress.may_have_run:
-        return admission.Refusal(reason=reasons.RefusalReason.OUTCOME_UNKNOWN)
-    return admission.Refusal(
-        reason=reasons.RefusalReason.BACKEND_LIMITED, retry_after_seconds=seconds
-    )
--- /dev/null
+++ b/src/jujubepass/forwarding/service_progress.py
@@ -0,0 +1,74 @@
+"""Progress of a request to a plain service, and refusals that follow from it."""
+
+import attrs
+
+from jujubepass import ids, reasons
+from jujubepass.forwarding import admission
+from jujubepass.quarantine import guard
+
+FULL_RETRY_SECONDS = 0.3
+"""Time in which a full backend server processes a part of its queue."""
+# Time in which the list shows a replacement for a failed backend server.
+_ABSENT_RETRY_SECONDS = 1.0
+
+
+@attrs.define(kw_only=True)
+class Progress:
+    """Track the attempts of one request."""
+
+    guarded: guard.GuardedRequest
+    tried: set[ids.BackendServerId] = attrs.field(factory=set)
+    runs: int = 0
+    began_at: float = 0.0
+    """Boot-clock time at which the attempt in use began."""
+    may_have_run: bool = False
+    full: bool = False
+
+    @property
+    def is_retry(self) -> bool:
+        """Return whether the request has been sent before."""
+        return self.may_have_run or bool(self.tried)
+
+    def make_refusal(self, refusal: admission.Refusal) -> admission.Refusal:
+        """Return the refusal, or OUTCOME_UNKNOWN if the request may have run."""
+        if self.may_have_run:
+            return admission.Refusal(reason=reasons.RefusalReason.OUTCOME_UNKNOWN)
+        return refusal
+
+    def reset(self) -> None:
+        """Allow attempts at backend servers that were tried before."""
+        self.tried.clear()
+        self.full = False
+
+    def refuse_expired(self) -> admission.Refusal:
+        """Return the refusal when the time left does not suffice."""
+        if self.may_have_run or self.tried:
+            return admission.Refusal(reason=reasons.RefusalReason.DEADLINE_PASSED)
+        return admission.Refusal(
+            reason=reasons.RefusalReason.DEADLINE_UNREACHABLE,
+            retry_after_seconds=FULL_RETRY_SECONDS,
+        )
+
+    def refuse_none_left(
+        self, silence_seconds: float | None = None
+    ) -> admission.Refusal:
+        """Return the refusal when no server takes the request now."""
+        if self.may_have_run:
+            return admission.Refusal(reason=reasons.RefusalReason.OUTCOME_UNKNOWN)
+        seconds = _ABSENT_RETRY_SECONDS
+        if silence_seconds is not None:
+            seconds = max(FULL_RETRY_SECONDS, silence_seconds)
+        elif self.full:
+            seconds = FULL_RETRY_SECONDS
+        return admission.Refusal(
+            reason=reasons.RefusalReason.BACKEND_UNAVAILABLE,
+            retry_after_seconds=seconds,
+        )
+
+    def refuse_limited(self, seconds: float) -> admission.Refusal:
+        """Return the refusal while the servers take no more requests a second."""
+        if self.may_have_run:
+            return admission.Refusal(reason=reasons.RefusalReason.OUTCOME_UNKNOWN)
+        return admission.Refusal(
+            reason=reasons.RefusalReason.BACKEND_LIMITED, retry_after_seconds=seconds
+        )
--- a/src/jujubepass/forwarding/stream_exchange.py
+++ b/src/jujubepass/forwarding/stream_exchange.py
@@ -2,6 +2,7 @@
 
 import collections
 import collections.abc
+import contextlib
 import functools
 import random
 
@@ -16,7 +17,6 @@
     engine_choice,
     events,
     exchange,
-    part_guard,
     pipeline_claims,
     pipelines,
     replies,
@@ -29,8 +29,12 @@
     watched_streams,
 )
 from jujubepass.limits import _retry_budget
+from jujubepass.quarantine import guard
 from jujubepass.transport import _http_client
 
+# Alias, because a field has the same name as the module.
+_Guard = guard.Guard
+
 _PIPELINE_POLL_INTERVAL_SECONDS = 0.05
 # Margin for the first event and for batch steps shared with other requests.
 _PREDICTION_MARGIN = 1.2
@@ -50,7 +54,7 @@
     claims: pipeline_claims.PipelineClaims
     suspects: suspicion.Suspects
     stalls: stall_watch.StallWatch
-    guard: part_guard.PartGuard
+    guard: _Guard
     budgets: collections.defaultdict[ids.ServiceId, _retry_budget.RetryBudget]
     count_retry: collections.abc.Callable[[reasons.RetryReason], None]
     observe_first_event: collections.abc.Callable[[float], None]
@@ -63,17 +67,16 @@
         reply: replies.Reply,
     ) -> None:
         """Serve one request before its deadline."""
-        parts = part_guard.RequestParts(
-            service=admitted.service.name, parts=request.prompt_parts
-        )
         progress = stream_progress.Progress(
-            last_id=request.resume_after, deadline=admitted.deadline, parts=parts
+            last_id=request.resume_after,
+            deadline=admitted.deadline,
+            guarded=guard.track(request, admitted),
         )
         self.budgets[admitted.service.name].count_attempt(request.arrived_at)
         with clocks.move_on_at(admitted.deadline):
             refusal = await self._run(request, admitted, reply, progress)
             if refusal is not None:
-                self.guard.return_trial(parts)
+                self.guard.return_trial(progress.guarded)
                 await self._abort(refusal, reply)
             return
         reason = reasons.RefusalReason.DEADLINE_PASSED
@@ -123,7 +126,7 @@
         """Return a pipeline that takes the request now, or why there is none."""
         while True:
             found = await self.claims.wait_for_pipeline(admitted, progress)
-            refusal = await self.guard.claim(progress.parts, has_pipeline=bool(found))
+            refusal = await self.guard.claim(progress.guarded, has_server=bool(found))
             if refusal is None:
                 refusal = self._check_attempt(request, admitted, found, progress)
             if refusal is not None or found is None:
@@ -205,7 +208,6 @@
         """Run the rest of the answer on one pipeline; raises what ended it early."""
         first = pipeline.stages[0]
         progress.events_before_run = progress.events
-        self.guard.record_start(progress.parts, pipeline)
         now = clocks.read_boot_clock()
         attempt = exchange.Attempt(
             backend=first.engine,
@@ -216,25 +218,41 @@
             resume_after=progress.last_id,
             fresh=not admitted.route.is_repeatable,
         )
-        timeouts = stream_timeouts.make_stall_timeouts(admitted.route)
-        watching = self.stalls.watch(
-            pipeline,
-            request.request_id,
-            timeouts,
-            is_repeatable=admitted.route.is_repeatable,
-        )
         reply.record_attempt(first.engine)
-        with watching as stream:
-            stream.may_retry = functools.partial(self._may_retry, admitted, progress)
+        with self._watch(request, admitted, pipeline, progress) as stream:
             self.choice.record_start(pipeline)
             try:
-                await self._relay(request, attempt, stream, reply, progress)
+                with self.guard.watch(
+                    progress.guarded, pipeline.engines, scope=stream.scope
+                ):
+                    await self._relay(request, attempt, stream, reply, progress)
             finally:
                 # The stream may have moved to another pipeline in the meantime.
                 self.choice.record_end(stream.pipeline, was_prefilled=stream.has_begun)
         if stream.scope.cancelled_caught:
             raise PipelineFailedError(stream.reason)
 
+    @contextlib.contextmanager
+    def _watch(
+        self,
+        request: exchange.CallerRequest,
+        admitted: exchange.Admitted,
+        pipeline: pipelines.Pipeline,
+        progress: stream_progress.Progress,
+    ) -> collections.abc.Iterator[watched_streams.WatchedStream]:
+        """Watch an attempt for stalls, which may move it or end it early."""
+        watching = self.stalls.watch(
+            pipeline,
+            request.request_id,
+            stream_timeouts.make_stall_timeouts(admitted.route),
+            is_repeatable=admitted.route.is_repeatable,
+        )
+        with watching as stream:
+            stream.may_retry = functools.partial(self._may_retry, admitted, progress)
+            stream.may_move = functools.partial(self.guard.may_move, progress.guarded)
+            stream.on_move = functools.partial(self.guard.record_move, progress.guarded)
+            yield stream
+
     async def _relay(
         self,
         request: exchange.CallerRequest,
@@ -273,14 +291,14 @@
                 self.choice.record_prefilled(stream.pipeline)
             stream.record_data()
             lasted_seconds = stream.last_data_at - stream.first_data_at
-            self.guard.record_data(progress.parts, lasted_seconds=lasted_seconds)
+            self.guard.record_data(progress.guarded, lasted_seconds=lasted_seconds)
             stream.is_forwarding = True
             await self._forward(found, head, reply, progress, request)
             stream.record_forwarded()
         if splitter.has_partial:
             raise PipelineFailedError("stream ended inside an event")
         stream.is_forwarding = True
-        self.guard.record_end(progress.parts, answer)
+        self.guard.record_end(progress.guarded, answer)
         if not reply.started:
             await reply.start(head)
         await reply.finish()
@@ -325,7 +343,7 @@
             # The engine may also be dead; its report shows that.
             self.stalls.schedule_probe(stage.engine)
         elif error.has_ended:
-            self.guard.record_refused_connection(progress.parts, stage.engine)
+            self.guard.record_refused_connection(progress.guarded, stage.engine)
         self.suspects.suspect(stage.engine, reason, now)
         progress.record_refusal(stage.engine)
         self.count_retry(reasons.RetryReason.ENGINE_FULL)
@@ -343,14 +361,14 @@
         progress.record_run()
         first = pipeline.stages[0].engine
         # Its entry may have lapsed meanwhile, and may come back.
-        run = progress.parts.engine_runs.get(first)
+        run = progress.guarded.server_runs.get(first)
         if run is not None:
             progress.entries[first] = run.started_at
         now = clocks.read_boot_clock()
         suspected = {
             name for name in pipeline.engines if self.suspects.is_suspected(name, now)
         }
-        self.guard.record_break(progress.parts, {first} | suspected)
+        self.guard.record_break(progress.guarded, {first} | suspected)
         progress.avoided |= suspected or pipeline.engines
         self.count_retry(reasons.RetryReason.STREAM_CUT)
         attempt_log.log_broken(
--- a/src/jujubepass/forwarding/stream_progress.py
+++ b/src/jujubepass/forwarding/stream_progress.py
@@ -5,7 +5,7 @@
 import attrs
 
 from jujubepass import ids
-from jujubepass.forwarding import part_guard
+from jujubepass.quarantine import guard
 
 # Maximum number of refused attempts before the request itself is refused.
 _MAX_REFUSALS = 4
@@ -25,7 +25,7 @@
 
     last_id: str | None
     deadline: float
-    parts: part_guard.RequestParts
+    guarded: guard.GuardedRequest
     events: int = 0
     events_before_run: int = 0
     runs: int = 0
--- a/src/jujubepass/forwarding/stream_refusals.py
+++ b/src/jujubepass/forwarding/stream_refusals.py
@@ -7,8 +7,6 @@
 
 _PIPELINE_RETRY_SECONDS = 1.5
 _FULL_RETRY_SECONDS = 0.5
-_MIN_QUARANTINE_RETRY_SECONDS = 1.0
-_MAX_QUARANTINE_RETRY_SECONDS = 30.0
 # Retry time of a request that another node can serve while this one stops.
 _STOP_RETRY_SECONDS = 0.05
 
@@ -38,15 +36,6 @@
     return refusal is not None and refusal.reason in _TEMPORARY_REASONS
 
 
-def refuse_quarantined(seconds: float) -> admission.Refusal:
-    """Return the refusal of a prompt with a part in quarantine for some seconds."""
-    wait_seconds = max(_MIN_QUARANTINE_RETRY_SECONDS, seconds)
-    return admission.Refusal(
-        reason=reasons.RefusalReason.PROMPT_QUARANTINED,
-        retry_after_seconds=min(wait_seconds, _MAX_QUARANTINE_RETRY_SECONDS),
-    )
-
-
 def refuse_silent(seconds: float) -> admission.Refusal:
     """Return the refusal while engines ask for no requests for some seconds."""
     return attrs.evolve(
--- a/src/jujubepass/forwarding/watched_streams.py
+++ b/src/jujubepass/forwarding/watched_streams.py
@@ -64,6 +64,13 @@
     is_repeatable: bool = True
     may_retry: collections.abc.Callable[[], bool] = lambda: True
     """Return whether another attempt would be sent after this one."""
+    may_move: collections.abc.Callable[[], bool] = lambda: True
+    """Return whether the request may go on at other engines."""
+    on_move: collections.abc.Callable[
+        [collections.abc.Set[ids.BackendServerId], frozenset[ids.BackendServerId]],
+        None,
+    ] = lambda left, engines: None
+    """Record the engines that a move left, and those of the new pipeline."""
     chunks: int = 0
     began_at: float = attrs.field(factory=trio.current_time)
     first_data_at: float = 0.0
@@ -83,6 +90,7 @@
 
     def record_move(self, pipeline: pipelines.Pipeline) -> None:
         """Record the new pipeline and restart the stall time-outs."""
+        self.on_move(self.pipeline.engines - pipeline.engines, pipeline.engines)
         self.pipeline = pipeline
         self.last_data_at = trio.current_time()
 
--- a/src/jujubepass/platform/assembly.py
+++ b/src/jujubepass/platform/assembly.py
@@ -11,13 +11,12 @@
     member_rows,
     members,
     node,
-    part_rows,
     plan_rows,
     plans,
-    prompt_parts,
     settings,
 )
 from jujubepass.platform import backends, configuration, engines, store, wire
+from jujubepass.quarantine import rows, suspects
 from jujubepass.telemetry import _log_output, _logs
 from jujubepass.transport import _http_client
 
@@ -71,10 +70,11 @@
             rows=store.TableFeed(store=store_client, table=store.MEMBER_TABLE),
             decode=_decode_member,
         ),
-        prompt_table=store.StoreTable(store=store_client, name=store.PROMPT_TABLE),
-        prompts=feeds.DecodedFeed(
-            rows=store.TableFeed(store=store_client, table=store.PROMPT_TABLE),
-            decode=_decode_part,
+        suspect_table=store.StoreTable(store=store_client, name=store.SUSPECT_TABLE),
+        secret_table=store.StoreTable(store=store_client, name=store.SECRET_TABLE),
+        suspects=feeds.DecodedFeed(
+            rows=store.TableFeed(store=store_client, table=store.SUSPECT_TABLE),
+            decode=_decode_suspect,
         ),
         count_eras=store_client.eras.count,
     )
@@ -94,10 +94,8 @@
         raise feeds.UnreadableRowError(str(error)) from error
 
 
-def _decode_part(
-    key: str, version: int, value: typing.Any
-) -> prompt_parts.SuspectedPart:
+def _decode_suspect(key: str, version: int, value: typing.Any) -> suspects.Suspect:
     try:
-        return part_rows.read_part(key, version, value)
-    except part_rows.PartRowError as error:
+        return rows.read_suspect(key, version, value)
+    except rows.SuspectRowError as error:
         raise feeds.UnreadableRowError(str(error)) from error
--- a/src/jujubepass/platform/engines.py
+++ b/src/jujubepass/platform/engines.py
@@ -63,6 +63,15 @@
         except (_http_client.ClientError, KeyError, TypeError, ValueError) as error:
             raise engines.EngineError(f"cannot read report: {error!r}") from error
 
+    async def check_listening(self, server: backends.Backend) -> None:
+        """Check that something listens at a server's address."""
+        try:
+            await self.client.check_connection(server.address)
+        except _http_client.RefusedConnectionError as error:
+            raise engines.EngineEndedError(f"cannot connect: {error!r}") from error
+        except _http_client.ClientError as error:
+            raise engines.EngineError(f"cannot connect: {error!r}") from error
+
     async def order_span(
         self,
         engine: backends.Backend,
--- a/src/jujubepass/platform/store.py
+++ b/src/jujubepass/platform/store.py
@@ -25,8 +25,11 @@
 """Table of the plans; only the product writes it."""
 MEMBER_TABLE = "jujubepass-nodes"
 """Table of the nodes; only the product writes it."""
-PROMPT_TABLE = "jujubepass-prompts"
-"""Table of suspected parts of prompts; only the product and operators write it."""
+SUSPECT_TABLE = "jujubepass-prompts"
+"""Table of suspected parts of prompts, and of suspected requests since they share it;
+only the product and operators write it."""
+SECRET_TABLE = "jujubepass-secrets"
+"""Table of the secret for digests of requests; only the product writes it."""
 # A page of rows has up to 1 MB of values, which base64 and JSON enlarge.
 _MAX_ANSWER_BYTES = 4 * 1_048_576
 # The store normally answers within 4 ms. On its slowest day it took 67 times as long;
--- a/src/jujubepass/forwarding/engine_ends.py
+++ b/src/jujubepass/quarantine/ends.py
@@ -1,56 +1,71 @@
-"""Ends of engines, each held against parts only once it is confirmed."""
+"""Ends of servers, each held against suspects only once it is confirmed."""
+
+import collections.abc
 
 import attrs
 
 from jujubepass import ids
-from jujubepass.forwarding import board, prompt_parts
+from jujubepass.forwarding import board
+from jujubepass.quarantine import suspects
 from jujubepass.transport import _http_client
 
-# Time in which the end of an engine is confirmed after a run on it broke.
+# Time in which the end of a server is confirmed after a run on it broke.
 _CONFIRMATION_SECONDS = 10.0
 _PROBING_SECONDS = 2.0
 _MAX_RUNS = 1_000
+_MAX_SUSPECTS_PER_RUN = 500
 
-Depths = dict[prompt_parts.PartKey, int]
-"""Parts with their index in the prompt."""
+Depths = dict[suspects.Key, int]
+"""Suspects, parts with their index in the prompt."""
 
 
 @attrs.define(kw_only=True)
 class _PossibleEnd:
     since: float
     address: _http_client.Address | None
+    is_probed: bool = False
     confirmed_at: float | None = None
     depths: Depths = attrs.field(factory=dict)
 
 
 @attrs.define(kw_only=True)
-class EngineEnds:
-    """Collect parts on runs of engines that may have ended, until that is known."""
+class ServerEnds:
+    """Collect suspects of runs of servers that may have ended, until that is known."""
 
     area: board.BackendArea
-    _ends: dict[prompt_parts.EngineRun, _PossibleEnd] = attrs.field(
+    _ends: dict[suspects.ServerRun, _PossibleEnd] = attrs.field(
         factory=dict, init=False
     )
 
     def record_break(
-        self, run: prompt_parts.EngineRun, depths: Depths, now: float
+        self,
+        run: suspects.ServerRun,
+        depths: Depths,
+        now: float,
+        *,
+        is_probed: bool = True,
     ) -> Depths:
-        """Record a request that broke on a run; return its parts if that has ended."""
+        """Record a request that broke on a run; return its suspects if that has ended.
+
+        Without probes, only what is learned otherwise confirms the end.
+        """
         end = self._find(run, now)
         if end.confirmed_at is not None:
             return depths
-        end.depths |= depths
+        end.is_probed |= is_probed
+        if len(end.depths) < _MAX_SUSPECTS_PER_RUN:
+            end.depths |= depths
         return {}
 
-    def confirm(self, run: prompt_parts.EngineRun, now: float) -> Depths:
-        """Record that a run has ended; return the parts that may have ended it."""
+    def confirm(self, run: suspects.ServerRun, now: float) -> Depths:
+        """Record that a run has ended; return the suspects that may have ended it."""
         end = self._find(run, now)
         if end.confirmed_at is None:
             end.confirmed_at = now
         depths, end.depths = end.depths, {}
         return depths
 
-    def list_restarted(self) -> list[prompt_parts.EngineRun]:
+    def list_restarted(self) -> list[suspects.ServerRun]:
         """Return unconfirmed runs whose addresses later runs are listed with."""
         waiting = {
             end.address: run
@@ -65,29 +80,40 @@
         ]
 
     def list_unconfirmed(self, now: float) -> list[ids.BackendServerId]:
-        """Return engines whose possible end is to be confirmed by a probe."""
+        """Return servers whose possible end is to be confirmed by a probe."""
         return [
-            run.engine
+            run.server
             for run, end in self._ends.items()
-            if end.confirmed_at is None and now - end.since <= _PROBING_SECONDS
+            if end.is_probed
+            and end.confirmed_at is None
+            and now - end.since <= _PROBING_SECONDS
         ]
 
+    def rename(
+        self, changed: collections.abc.Mapping[suspects.Key, suspects.Key]
+    ) -> None:
+        """Replace the keys of suspects that have changed."""
+        for end in self._ends.values():
+            end.depths = {
+                changed.get(key, key): depth for key, depth in end.depths.items()
+            }
+
     def remove_old(self, now: float) -> None:
         """Remove ends that are confirmed, or were not confirmed, for long enough."""
         for run, end in list(self._ends.items()):
             if now - (end.confirmed_at or end.since) > _CONFIRMATION_SECONDS:
                 del self._ends[run]
 
-    def has_ended(self, run: prompt_parts.EngineRun) -> bool:
+    def has_ended(self, run: suspects.ServerRun) -> bool:
         """Return whether the end of a run was confirmed of late."""
         end = self._ends.get(run)
         return end is not None and end.confirmed_at is not None
 
-    def _find(self, run: prompt_parts.EngineRun, now: float) -> _PossibleEnd:
+    def _find(self, run: suspects.ServerRun, now: float) -> _PossibleEnd:
         while len(self._ends) >= _MAX_RUNS and run not in self._ends:
             del self._ends[next(iter(self._ends))]
         if run not in self._ends:
-            listed = self.area.listed.get(run.engine)
+            listed = self.area.listed.get(run.server)
             address = listed.address if listed is not None else None
             self._ends[run] = _PossibleEnd(since=now, address=address)
         return self._ends[run]
--- a/src/jujubepass/quarantine/fingerprints.py
+++ b/src/jujubepass/quarantine/fingerprints.py
@@ -1,5 +1,10 @@
-"""Digests that identify requests, and cannot be guessed back without a secret."""
+"""Digests that identify requests, and cannot be guessed back without a secret.
 
+The secret is that of all nodes. It stands in the store apart from the rows of suspects,
+and is written when it is first needed.
+"""
+
+import collections.abc
 import hashlib
 import hmac
 import secrets
@@ -7,9 +12,11 @@
 import attrs
 
 from jujubepass import ids
+from jujubepass.quarantine import suspects
 
 SECRET_BYTES = 32
 _DIGEST_BYTES = 16
+_MAX_REMEMBERED = 10_000
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -38,12 +45,42 @@
 
 @attrs.define(kw_only=True)
 class Fingerprints:
-    """Make digests of requests that are comparable under one secret."""
+    """Make the keys of requests under the secret that all nodes share."""
 
     secret: bytes = attrs.field(factory=lambda: secrets.token_bytes(SECRET_BYTES))
+    """Proposed by this node until it is shared."""
+    is_shared: bool = False
+    _digests: dict[suspects.RequestKey, bytes] = attrs.field(factory=dict, init=False)
+    """Digests of remembered requests, of which another secret makes other keys."""
+
+    def make_key(self, identity: Identity) -> suspects.RequestKey:
+        """Return a request's key."""
+        return self._make_key(identity.compute_digest())
+
+    def remember(self, identity: Identity) -> suspects.RequestKey:
+        """Return a request's key, and keep what a change of the secret needs."""
+        key = self.make_key(identity)
+        self._digests.pop(key, None)
+        self._digests[key] = identity.compute_digest()
+        while len(self._digests) > _MAX_REMEMBERED:
+            del self._digests[next(iter(self._digests))]
+        return key
+
+    def adopt(
+        self, secret: bytes
+    ) -> collections.abc.Mapping[suspects.Key, suspects.Key]:
+        """Use the shared secret; return the new keys of remembered requests."""
+        self.is_shared = True
+        if secret == self.secret:
+            return {}
+        self.secret = secret
+        before, self._digests = self._digests, {}
+        changed: dict[suspects.Key, suspects.Key] = {}
+        for old, digest in before.items():
+            changed[old] = key = self._make_key(digest)
+            self._digests[key] = digest
+        return changed
 
-    def make_digest(self, identity: Identity) -> ids.RequestDigest:
-        """Return a request's digest under the secret."""
-        digest = identity.compute_digest()
+    def _make_key(self, digest: bytes) -> suspects.RequestKey:
         found = hmac.digest(self.secret, digest, hashlib.sha256)[:_DIGEST_BYTES]
-        return ids.RequestDigest(found.hex())
+        return suspects.RequestKey(digest=ids.RequestDigest(found.hex()))
--- a/src/jujubepass/transport/_http_client.py
+++ b/src/jujubepass/transport/_http_client.py
@@ -260,6 +260,11 @@
             stream.socket.close()
         return None
 
+    async def check_connection(self, address: Address) -> None:
+        """Open and close a connection; raises NotSentError."""
+        stream = await self._connect(address)
+        stream.socket.close()
+
     async def _connect(self, address: Address) -> trio.SocketStream:
         try:
             with trio.fail_after(self._connect_timeout_seconds):
--- a/standins/forwarding_system.py
+++ b/standins/forwarding_system.py
@@ -303,7 +303,8 @@
             node,
             "POST",
             STREAM_PATH,
-            body=b"prompt",
+            # Each prompt is another one, even with the same shared parts.
+            body=f"prompt {self._requests}".encode(),
             headers=parameters,
             request_timeout_seconds=request_timeout_seconds,
         )
--- a/tests/features/steps/proven_streams_steps.py
+++ b/tests/features/steps/proven_streams_steps.py
@@ -4,7 +4,8 @@
 import trio
 
 from jujubepass import ids
-from jujubepass.forwarding import exchange, feeds, prompt_parts, sending
+from jujubepass.forwarding import exchange, feeds, sending
+from jujubepass.quarantine import suspects
 from tests import small_fleet
 from tests.features.steps import quarantine_steps
 
@@ -51,16 +52,16 @@
 
 def put_in_quarantine(quarantine):
     """Read a row in which other nodes hold enough ended runs against the part."""
-    key = prompt_parts.PartKey(service=small_fleet.SERVICE, part=ids.PromptPartId(PART))
+    key = suspects.PartKey(service=small_fleet.SERVICE, part=ids.PromptPartId(PART))
     ended = frozenset(
-        prompt_parts.EngineRun(engine=ids.BackendServerId(f"gone-{each}"), started_at=1)
-        for each in range(prompt_parts.MIN_ENDED_RUNS)
+        suspects.ServerRun(server=ids.BackendServerId(f"gone-{each}"), started_at=1)
+        for each in range(suspects.MIN_ENDED_RUNS)
     )
-    row = prompt_parts.SuspectedPart(key=key, version=1, ended=ended, depth=0)
+    row = suspects.Suspect(key=key, version=1, ended=ended, depth=0)
     now = trio.current_time()
     changes = feeds.Changes(items={str(key): row}, version=1, confirmed_at=now)
     quarantine.apply(changes, now)
-    assert key in quarantine.blackboard.prompts.quarantined
+    assert key in quarantine.blackboard.quarantine.quarantined
 
 
 @behave.when(
--- a/tests/features/steps/quarantine_ends_steps.py
+++ b/tests/features/steps/quarantine_ends_steps.py
@@ -3,7 +3,9 @@
 import trio
 
 from jujubepass import ids
-from jujubepass.forwarding import board, engine_ends, prompt_parts, quarantine
+from jujubepass.forwarding import board
+from jujubepass.quarantine import controller, suspects
+from jujubepass.quarantine import ends as server_ends
 from jujubepass.transport import _http_client
 from standins import processes
 from tests import small_fleet
@@ -34,9 +36,9 @@
     context.area = board.BackendArea()
     context.engine = small_fleet.make_engines()[0]
     context.area.listed[context.engine.name] = context.engine
-    context.ends = engine_ends.EngineEnds(area=context.area)
-    context.run = prompt_parts.EngineRun(
-        engine=context.engine.name, started_at=context.engine.started_at
+    context.ends = server_ends.ServerEnds(area=context.area)
+    context.run = suspects.ServerRun(
+        server=context.engine.name, started_at=context.engine.started_at
     )
     context.ends.record_break(context.run, {}, 1.0)
     assert context.ends.list_restarted() == []
@@ -59,23 +61,27 @@
 
 def record_ends(context, count, parts):
     """Record the ends of some engines under requests with these parts."""
-    names = tuple(map(ids.PromptPartId, parts))
+    keys = make_keys(parts)
     for _ in range(count):
         context.ended += 1
         name = ids.BackendServerId(f"e{context.ended}")
-        run = prompt_parts.EngineRun(engine=name, started_at=1)
-        context.quarantine.record_break(small_fleet.SERVICE, names, [run], 1.0)
+        run = suspects.ServerRun(server=name, started_at=1)
+        context.quarantine.record_break(keys, [run], 1.0)
         context.quarantine.record_end(name, 1, 1.0)
 
 
-def find_wait(context, parts, now):
+def make_keys(parts):
     names = tuple(map(ids.PromptPartId, parts))
-    return context.quarantine.find_wait(small_fleet.SERVICE, names, now)
+    return suspects.list_part_keys(small_fleet.SERVICE, names)
+
+
+def find_wait(context, parts, now):
+    return context.quarantine.find_wait(make_keys(parts), now)
 
 
 def start_quarantine(context):
     context.ended = 0
-    context.quarantine = quarantine.Quarantine(
+    context.quarantine = controller.Quarantine(
         blackboard=board.Blackboard(
             node=ids.NodeId("n1"), failure_domain=ids.FailureDomainId("centro")
         )
@@ -83,7 +89,7 @@
 
 
 def list_quarantined(context):
-    return {each.part for each in context.quarantine.blackboard.prompts.quarantined}
+    return {each.part for each in context.quarantine.blackboard.quarantine.quarantined}
 
 
 @behave.given(
--- a/tests/features/steps/quarantine_fleet_steps.py
+++ b/tests/features/steps/quarantine_fleet_steps.py
@@ -3,9 +3,10 @@
 import behave
 import trio
 
-from jujubepass.forwarding import prompt_parts, replies
+from jujubepass.forwarding import replies
 from jujubepass.platform import wire
-from tests import quarantine_fleet, quarantine_store
+from jujubepass.quarantine import suspects
+from tests import quarantine_callers, quarantine_fleet, quarantine_store
 
 
 @behave.given("{count:d} simulated nodes")
@@ -29,7 +30,7 @@
 
 
 def send_sound(fleet, nursery, seconds, rate=15.0, nodes=None):
-    draw = quarantine_fleet.draw_sound
+    draw = quarantine_callers.draw_sound
     nursery.start_soon(fleet.send, rate, seconds, draw, nodes)
 
 
@@ -43,7 +44,7 @@
     async def play(fleet, nursery):
         send_sound(fleet, nursery, seconds + 3.0)
         await trio.sleep(3.0)
-        await fleet.send(rate, seconds, quarantine_fleet.make_bad())
+        await fleet.send(rate, seconds, quarantine_callers.make_bad())
 
     simulate(context, play)
 
@@ -138,7 +139,9 @@
 @behave.then("no part is suspected")
 def step_none_suspected(context):
     for node in context.fleet.nodes:
-        assert not node.blackboard.prompts.records, node.blackboard.prompts.records
+        assert not node.blackboard.quarantine.records, (
+            node.blackboard.quarantine.records
+        )
     assert not context.fleet.store.find_rows(quarantine_store.TABLE)
 
 
@@ -148,7 +151,7 @@
         send_sound(fleet, nursery, 40.0)
         await trio.sleep(3.0)
         fleet.store.refused.add(fleet.nodes[0].name)
-        nursery.start_soon(fleet.send, 5.0, 30.0, quarantine_fleet.make_bad())
+        nursery.start_soon(fleet.send, 5.0, 30.0, quarantine_callers.make_bad())
         await trio.sleep(15.0)
         fleet.store.refused.clear()
         context.returned = trio.current_time()
@@ -184,7 +187,7 @@
         send_sound(fleet, nursery, 40.0)
         await trio.sleep(3.0)
         fleet.store.is_available = False
-        nursery.start_soon(fleet.send, 5.0, 30.0, quarantine_fleet.make_bad())
+        nursery.start_soon(fleet.send, 5.0, 30.0, quarantine_callers.make_bad())
         await trio.sleep(10.0)
         fleet.store.is_available = True
         context.returned = trio.current_time()
@@ -196,7 +199,7 @@
 @behave.when("30 requests a second with a bad part come for 4 seconds")
 def step_many(context):
     async def play(fleet, nursery):
-        await fleet.send(30.0, 4.0, quarantine_fleet.make_bad())
+        await fleet.send(30.0, 4.0, quarantine_callers.make_bad())
         # All writes are done within a second without requests.
         fleet.bad_parts.clear()
         await trio.sleep(1.0)
@@ -213,14 +216,14 @@
 def step_agree(context):
     stored = context.fleet.store.find_rows(quarantine_store.TABLE)["drafts/bad"]
     ended = {tuple(each) for each in stored.value["ended"]}
-    assert len(ended) >= prompt_parts.MIN_ENDED_RUNS, ended
+    assert len(ended) >= suspects.MIN_ENDED_RUNS, ended
     for node in context.fleet.nodes:
         (record,) = (
             each
-            for key, each in node.blackboard.prompts.records.items()
-            if key.part == "bad"
+            for key, each in node.blackboard.quarantine.records.items()
+            if getattr(key, "part", None) == "bad"
         )
-        found = {(run.engine, run.started_at) for run in record.ended}
+        found = {(run.server, run.started_at) for run in record.ended}
         assert found == ended, (node.name, found ^ ended)
 
 
@@ -229,7 +232,7 @@
     async def play(fleet, nursery):
         send_sound(fleet, nursery, 26.0)
         await trio.sleep(3.0)
-        nursery.start_soon(fleet.send, 5.0, 23.0, quarantine_fleet.make_bad())
+        nursery.start_soon(fleet.send, 5.0, 23.0, quarantine_callers.make_bad())
         await trio.sleep(10.0)
         fleet.restart_nodes()
         await trio.sleep(15.0)
@@ -242,10 +245,10 @@
     async def play(fleet, nursery):
         fleet.bad_parts.clear()
         send_sound(fleet, nursery, 100.0, 5.0)
-        await fleet.send(5.0, 5.0, quarantine_fleet.make_bad())
+        await fleet.send(5.0, 5.0, quarantine_callers.make_bad())
         await trio.sleep(64.0)
         fleet.bad_parts.add("bad")
-        await fleet.send(5.0, 20.0, quarantine_fleet.make_bad())
+        await fleet.send(5.0, 20.0, quarantine_callers.make_bad())
 
     simulate(context, play)
 
@@ -254,7 +257,7 @@
 def step_becomes_sound(context):
     async def play(fleet, nursery):
         send_sound(fleet, nursery, 60.0)
-        nursery.start_soon(fleet.send, 5.0, 60.0, quarantine_fleet.make_bad())
+        nursery.start_soon(fleet.send, 5.0, 60.0, quarantine_callers.make_bad())
         await trio.sleep(10.0)
         assert all(each.list_quarantined() for each in fleet.nodes)
         fleet.bad_parts.clear()
@@ -268,7 +271,7 @@
 def step_released(context):
     for node in context.fleet.nodes:
         found = node.list_quarantined()
-        assert not found, (node.name, found, node.blackboard.prompts.records)
+        assert not found, (node.name, found, node.blackboard.quarantine.records)
     trials = sum(each.quarantine.trials for each in context.fleet.nodes)
     assert 1 <= trials <= quarantine_fleet.ALLOWED_REQUESTS_AFTER, trials
 
@@ -281,7 +284,7 @@
         # No sound request runs any more as the engines end.
         send_sound(fleet, nursery, 3.0)
         await trio.sleep(3.0)
-        nursery.start_soon(fleet.send, 5.0, 40.0, quarantine_fleet.make_bad())
+        nursery.start_soon(fleet.send, 5.0, 40.0, quarantine_callers.make_bad())
         while not all(each.list_quarantined() for each in fleet.nodes):
             await trio.sleep(0.1)
         fleet.bad_parts.clear()
@@ -299,7 +302,7 @@
 @behave.when("a bad part comes once a second for {seconds:g} seconds")
 def step_long(context, seconds):
     async def play(fleet, nursery):
-        await fleet.send(1.0, seconds, quarantine_fleet.make_bad())
+        await fleet.send(1.0, seconds, quarantine_callers.make_bad())
 
     simulate(context, play)
 
@@ -322,11 +325,13 @@
 def step_single(context):
     async def play(fleet, nursery):
         node = fleet.nodes[0]
-        request = fleet._make_request(quarantine_fleet.make_bad()(fleet.random_source))
+        request = fleet._make_request(
+            quarantine_callers.make_bad()(fleet.random_source)
+        )
         reply = replies.Reply(
             request=request,
             wire=wire.HttpWire(),
-            responder=quarantine_fleet.Responder(),
+            responder=quarantine_callers.Responder(),
         )
         await fleet._serve(node, request, reply)
         context.reply = reply
@@ -343,13 +348,13 @@
 @behave.when("a bad part comes and all nodes know it")
 def step_known(context):
     async def play(fleet, nursery):
-        await fleet.send(5.0, 10.0, quarantine_fleet.make_bad())
+        await fleet.send(5.0, 10.0, quarantine_callers.make_bad())
         assert all(each.list_quarantined() for each in fleet.nodes)
         arrived = len(fleet.arrivals)
         context.refusals = []
         for node in fleet.nodes:
             request = fleet._make_request(("system", "bad", "new"))
-            responder = quarantine_fleet.Responder()
+            responder = quarantine_callers.Responder()
             reply = replies.Reply(
                 request=request, wire=wire.HttpWire(), responder=responder
             )
--- a/tests/features/steps/quarantine_steps.py
+++ b/tests/features/steps/quarantine_steps.py
@@ -15,14 +15,13 @@
     admission,
     clocks,
     exchange,
-    part_rows,
-    prompt_parts,
     replies,
     sending,
     stream_exchange,
 )
 from jujubepass.limits import _retry_budget
 from jujubepass.platform import wire
+from jujubepass.quarantine import rows, suspects
 from jujubepass.transport import _http_server
 from tests import small_fleet
 
@@ -139,17 +138,17 @@
 
 def make_streams(fleet, sender, **others):
     unlimited = _retry_budget.RetryBudgetBounds(capacity=1e9)
-    guard = small_fleet.make_guard(fleet.blackboard)
+    own_guard = small_fleet.make_guard(fleet.blackboard)
     return stream_exchange.StreamExchange(
         sender=sender,
         admission_control=admission.Admission(blackboard=fleet.blackboard),
         choice=fleet.choice,
         claims=small_fleet.make_claims(
-            fleet.blackboard, fleet.choice, guard, fleet.limits
+            fleet.blackboard, fleet.choice, own_guard, fleet.limits
         ),
         suspects=fleet.suspects,
         stalls=Stalls(),
-        guard=guard,
+        guard=own_guard,
         budgets=collections.defaultdict(
             lambda: _retry_budget.RetryBudget(bounds=unlimited)
         ),
@@ -231,10 +230,10 @@
 
 
 def make_record(part, numbers):
-    key = prompt_parts.PartKey(service="drafts", part=part)
-    ended = {prompt_parts.EngineRun(engine=f"e{n}", started_at=1): 1.0 for n in numbers}
-    return prompt_parts.PartRecord(
-        row=prompt_parts.make_absent_row(key),
+    key = suspects.PartKey(service="drafts", part=part)
+    ended = {suspects.ServerRun(server=f"e{n}", started_at=1): 1.0 for n in numbers}
+    return suspects.Record(
+        row=suspects.make_absent_row(key),
         ended=ended,
         depth=1,
         changed_at=1.0,
@@ -244,20 +243,20 @@
 
 @behave.then("only the first part is in quarantine")
 def step_blamed_alone(context):
-    found = prompt_parts.find_culprits(context.records)
+    found = suspects.find_culprits(context.records)
     assert {key.part for key in found} == {"a"}, found
 
 
 @behave.then("the first two are in quarantine")
 def step_blamed(context):
-    found = prompt_parts.find_culprits(context.records)
+    found = suspects.find_culprits(context.records)
     assert {key.part for key in found} == {"a", "b"}, found
 
 
 def make_suspected():
-    key = prompt_parts.PartKey(service="drafts", part="a/b")
-    ended = {prompt_parts.EngineRun(engine=f"e{n}", started_at=n) for n in range(5)}
-    return prompt_parts.SuspectedPart(
+    key = suspects.PartKey(service="drafts", part="a/b")
+    ended = {suspects.ServerRun(server=f"e{n}", started_at=n) for n in range(5)}
+    return suspects.Suspect(
         key=key, version=7, ended=frozenset(ended), depth=3, trials=2
     )
 
@@ -265,11 +264,11 @@
 @behave.then("a suspected part is read as written")
 def step_rows(context):
     row = make_suspected()
-    write = prompt_parts.PartWrite(key=row.key, version=7, row=row)
-    command = part_rows.write_parts("o", [write])
+    write = suspects.SuspectWrite(key=row.key, version=7, row=row)
+    command = rows.write_suspects("o", [write])
     assert [(c.key, c.version) for c in command.conditions] == [("drafts/a/b", 7)]
     value = json.loads(json.dumps(command.writes[0].value))
-    assert part_rows.read_part("drafts/a/b", 7, value) == row
+    assert rows.read_suspect("drafts/a/b", 7, value) == row
 
 
 @behave.then("rows that hold no valid part are rejected")
@@ -283,7 +282,7 @@
     bad += [("drafts/a", {**sound, "ended": [["e1"]]})]
     for key, value in bad:
         try:
-            found = part_rows.read_part(key, 1, value)
-        except part_rows.PartRowError:
+            found = rows.read_suspect(key, 1, value)
+        except rows.SuspectRowError:
             continue
         raise AssertionError((key, value, found))
--- a/tests/quarantine_engines.py
+++ b/tests/quarantine_engines.py
@@ -11,12 +11,15 @@
 
 EVENT_SECONDS = 0.1
 EVENTS = 20
+WORK_SECONDS = 0.045
+SLOTS = 6
 
 
 class Engine:
     """Crash under some parts, and come back with a new start."""
 
-    def __init__(self, *, number):
+    def __init__(self, *, number, service=small_fleet.SERVICE):
+        self.service = service
         self.name = ids.BackendServerId(f"e{number}")
         self.address = _http_client.Address(host="10.0.0.1", port=8_000 + number)
         self.started_at = 1
@@ -25,12 +28,13 @@
     def describe(self):
         return backends.Backend(
             name=self.name,
-            service=small_fleet.SERVICE,
+            service=self.service,
             address=self.address,
             failure_domain=ids.FailureDomainId("centro"),
             state=backends.BackendState.READY,
             started_at=self.started_at,
             held=backends.Span(first=0, end=small_fleet.MODEL.layers),
+            slots=SLOTS,
         )
 
 
@@ -55,6 +59,31 @@
         return f"id: {self.left.pop(0)}\ndata: x\n\n".encode()
 
 
+class PlainAnswer:
+    """Deliver the answer of a plain service while its server lives."""
+
+    def __init__(self, *, fleet, engine, crashes):
+        self.fleet, self.engine = fleet, engine
+        self.crashes = crashes
+        self.started_at = engine.started_at
+        self.resets = fleet.resets
+        self.left = [b"answer"]
+
+    async def receive(self):
+        if not self.left:
+            return b""
+        await trio.sleep(WORK_SECONDS)
+        # A request that crashes its server has no answer before.
+        while self.crashes and self.is_same():
+            await trio.sleep(WORK_SECONDS)
+        if not self.is_same() or self.resets != self.fleet.resets:
+            raise sending.OutcomeUnknownError("connection broke")
+        return self.left.pop()
+
+    def is_same(self):
+        return self.engine.is_up and self.engine.started_at == self.started_at
+
+
 class Sender:
     """Send a node's attempts to the simulated engines."""
 
@@ -71,6 +100,10 @@
             raise sending.NotRunError(detail="connection refused", has_ended=True)
         self.fleet.record_arrival(request, engine, self.node)
         head = exchange.AnswerHead(kind=exchange.AnswerKind.RAN, status=200, fields=())
+        if attempt.pipeline is None:
+            crashes = self.fleet.find_cause(request) is not None
+            yield head, PlainAnswer(fleet=self.fleet, engine=engine, crashes=crashes)
+            return
         first = 1 + int(attempt.resume_after or 0)
         yield head, Answer(fleet=self.fleet, engine=engine, first=first)
 
@@ -97,6 +130,9 @@
             queued=0,
         )
 
+    async def check_listening(self, server):
+        await self.read_report(server)
+
 
 class Choice:
     """Choose any engine that is not avoided, as a pipeline of its own."""
@@ -111,7 +147,8 @@
         found = [
             each
             for each in self.blackboard.backends.listed.values()
-            if each.name not in avoided
+            if each.service == service.name
+            and each.name not in avoided
             and (entries is None or each.name in entries)
             and each.name not in closed
             and not self.node.suspects.is_suspected(each.name, now)
--- a/tests/quarantine_fleet.py
+++ b/tests/quarantine_fleet.py
@@ -16,10 +16,7 @@
     exchange,
     feeds,
     following,
-    part_guard,
-    part_sharing,
     probing,
-    quarantine,
     replies,
     request_limits,
     server_signals,
@@ -30,7 +27,9 @@
 )
 from jujubepass.limits import _retry_budget
 from jujubepass.platform import wire
+from jujubepass.quarantine import controller, guard, sharing, suspects
 from tests import (
+    quarantine_callers,
     quarantine_engines,
     quarantine_records,
     quarantine_store,
@@ -47,8 +46,6 @@
 CONTACT_SECONDS = 3.0
 ALLOWED_ENDS = 5
 ALLOWED_REQUESTS_AFTER = 3
-FIRST_PART = "system"
-COMMON_PARTS = tuple(f"common-{number}" for number in range(12))
 
 
 def run_simulation(function):
@@ -83,10 +80,14 @@
         with trio.CancelScope() as scope:
             self.serving.add(scope)
             try:
-                await self.streams.serve(request, admitted, reply)
+                await self.find_exchange(admitted).serve(request, admitted, reply)
             finally:
                 self.serving.discard(scope)
 
+    def find_exchange(self, admitted):
+        """Return what handles a request."""
+        return self.streams
+
     async def wait_while_frozen(self):
         pass
 
@@ -107,7 +108,7 @@
         self.blackboard.members.nodes = self.fleet.node_names
         self.list = backend_list.BackendController(area=self.blackboard.backends)
         self.suspects = suspicion.Suspects()
-        self.quarantine = quarantine.Quarantine(blackboard=self.blackboard)
+        self.quarantine = controller.Quarantine(blackboard=self.blackboard)
         silent = silences.Silences(area=self.blackboard.backends)
         self.prober = probing.Prober(
             blackboard=self.blackboard,
@@ -123,10 +124,13 @@
             on_run_ended=self.quarantine.record_end,
         )
         stalls = quarantine_engines.Stalls(node=self)
-        self.sharing = part_sharing.PartSharing(
+        self.sharing = sharing.Sharing(
             blackboard=self.blackboard,
             quarantine=self.quarantine,
             table=quarantine_store.Table(store=self.fleet.store, node=self),
+            secret_table=quarantine_store.Table(
+                store=self.fleet.store, node=self, name=quarantine_store.SECRET_TABLE
+            ),
             schedule_probe=stalls.schedule_probe,
             random_source=self.random_source,
         )
@@ -136,7 +140,7 @@
     def _make_streams(self, stalls):
         unlimited = _retry_budget.RetryBudgetBounds(capacity=1e9)
         choice = quarantine_engines.Choice(node=self, random_source=self.random_source)
-        guard = part_guard.PartGuard(
+        own_guard = guard.Guard(
             area=self.blackboard.backends,
             quarantine=self.quarantine,
             trials=self.sharing,
@@ -146,10 +150,10 @@
             sender=quarantine_engines.Sender(fleet=self.fleet, node=self),
             admission_control=admission.Admission(blackboard=self.blackboard),
             choice=choice,
-            claims=small_fleet.make_claims(self.blackboard, choice, guard),
+            claims=small_fleet.make_claims(self.blackboard, choice, own_guard),
             suspects=self.suspects,
             stalls=stalls,
-            guard=guard,
+            guard=own_guard,
             budgets=collections.defaultdict(
                 lambda: _retry_budget.RetryBudget(bounds=unlimited)
             ),
@@ -177,28 +181,16 @@
             self.suspects.clear(self.blackboard.backends.restarted.pop())
 
     def list_quarantined(self):
-        return {each.part for each in self.blackboard.prompts.quarantined}
-
-
-class Responder:
-    """Accept an answer without a connection."""
+        """Return the parts in quarantine."""
+        return {each.part for each in self._list_keys(suspects.PartKey)}
 
-    started = False
-    retry_after_seconds = None
+    def list_quarantined_requests(self):
+        """Return the digests of the requests in quarantine."""
+        return {each.digest for each in self._list_keys(suspects.RequestKey)}
 
-    async def start_fields(self, status, fields):
-        self.started = True
-
-    async def write(self, data):
-        assert self.started
-
-    async def finish(self):
-        assert self.started
-
-    async def send_problem(
-        self, status, code, detail, *, retry_after_seconds=None, fields=()
-    ):
-        self.retry_after_seconds = retry_after_seconds
+    def _list_keys(self, kind):
+        found = self.blackboard.quarantine.quarantined
+        return [each for each in found if isinstance(each, kind)]
 
 
 class Fleet:
@@ -214,12 +206,17 @@
         self.ends = []
         self.outcomes = []
         self.numbers = iter(range(1, 10**9))
-        found = (quarantine_engines.Engine(number=number) for number in range(ENGINES))
-        self.engines = {each.name: each for each in found}
+        self.engines = {each.name: each for each in self.make_engines()}
         self.node_names = frozenset(ids.NodeId(f"n{n}") for n in range(count))
-        self.nodes = [Node(fleet=self, number=number) for number in range(count)]
+        self.nodes = [self.make_node(number) for number in range(count)]
         self.nursery = None
 
+    def make_engines(self):
+        return [quarantine_engines.Engine(number=number) for number in range(ENGINES)]
+
+    def make_node(self, number):
+        return Node(fleet=self, number=number)
+
     async def start(self, nursery):
         self.nursery = nursery
         for node in self.nodes:
@@ -240,10 +237,16 @@
             node=node.name,
             engine=engine.name,
             started_at=engine.started_at,
+            cause=self.find_cause(request),
         )
         self.arrivals.append(arrival)
-        if bad := self.bad_parts.intersection(parts):
-            self.nursery.start_soon(self._crash_after, engine, sorted(bad)[0])
+        if arrival.cause is not None:
+            self.nursery.start_soon(self._crash_after, engine, arrival.cause)
+
+    def find_cause(self, request):
+        """Return what crashes the engines that run a request, or None."""
+        bad = self.bad_parts.intersection(request.prompt_parts)
+        return min(bad, default=None)
 
     async def _crash_after(self, engine, part):
         started_at = engine.started_at
@@ -291,12 +294,13 @@
 
     async def _call(self, parts, nodes):
         """Send a request, and repeat it elsewhere as callers may."""
+        body = f"prompt {next(self.numbers)}"
         for number in range(3):
             node = self.random_source.choice(nodes)
             if not node.is_running:
                 continue
-            request = self._make_request(parts)
-            responder = Responder()
+            request = self._make_request(parts, body)
+            responder = quarantine_callers.Responder()
             reply = replies.Reply(
                 request=request, wire=wire.HttpWire(), responder=responder
             )
@@ -314,10 +318,11 @@
                 return
             await trio.sleep(min(7.0, responder.retry_after_seconds or 0.0))
 
-    def _make_request(self, parts):
+    def _make_request(self, parts, body=""):
         now = clocks.read_boot_clock()
+        number = next(self.numbers)
         return exchange.CallerRequest(
-            request_id=ids.RequestId(f"r{next(self.numbers)}"),
+            request_id=ids.RequestId(f"r{number}"),
             host=small_fleet.ROUTE.host,
             method="POST",
             target="/drafts/new",
@@ -327,7 +332,7 @@
             resume_after=None,
             max_answer_tokens=10,
             fields=(),
-            body=b"",
+            body=(body or f"prompt {number}").encode(),
             prompt_parts=tuple(map(ids.PromptPartId, parts)),
         )
 
@@ -369,18 +374,3 @@
         """Return the sound parts that any node keeps in quarantine."""
         found = set().union(*(each.list_quarantined() for each in self.nodes))
         return found - self.bad_parts
-
-
-def draw_sound(random_source):
-    return (FIRST_PART, *random_source.sample(COMMON_PARTS, 2))
-
-
-def make_bad(part="bad"):
-    """Return a source of prompts with a part at any place but the first."""
-
-    def draw(random_source):
-        others = [*random_source.sample(COMMON_PARTS, 2), part]
-        random_source.shuffle(others)
-        return (FIRST_PART, *others)
-
-    return draw
--- a/tests/quarantine_records.py
+++ b/tests/quarantine_records.py
@@ -12,11 +12,13 @@
     node: str
     engine: str
     started_at: int
+    cause: str | None
+    """What crashes the engine; None of a sound request."""
 
 
 @attrs.frozen(kw_only=True)
 class End:
-    """Describe the end of an engine under a part."""
+    """Describe the end of an engine under a part, or under a request."""
 
     at: float
     part: str
--- a/tests/quarantine_store.py
+++ b/tests/quarantine_store.py
@@ -1,26 +1,45 @@
-"""The table of suspected parts in a simulated store."""
+"""The tables of suspects and of their secret in a simulated store."""
 
-from jujubepass.forwarding import feeds, part_rows
+from jujubepass.forwarding import feeds
+from jujubepass.quarantine import rows
 from jujubepass.storage import _store_messages
 from tests import relay_store
 
 TABLE = "prompts"
+SECRET_TABLE = "secrets"
 
 
 class Table:
     """Run conditional transactions on the simulated store."""
 
-    def __init__(self, *, store, node):
-        self.store, self.node = store, node
+    def __init__(self, *, store, node, name=TABLE):
+        self.store, self.node, self.name = store, node, name
+
+    async def read(self, command):
+        try:
+            await self.store.serve(self.node, self.name)
+        except feeds.FeedError as error:
+            return _store_messages.ReadFailed(
+                operation=command.operation, detail=str(error)
+            )
+        found = self.store.find_rows(self.name)
+        read = {
+            key: _store_messages.VersionedRow(
+                key=key, version=found[key].version, value=found[key].value
+            )
+            for key in command.keys
+            if key in found
+        }
+        return _store_messages.RowsRead(operation=command.operation, rows=read)
 
     async def transact(self, command):
         try:
-            await self.store.serve(self.node, TABLE)
+            await self.store.serve(self.node, self.name)
         except feeds.FeedError as error:
             return _store_messages.TransactionUnsent(
                 operation=command.operation, detail=str(error)
             )
-        current = self.store.find_rows(TABLE)
+        current = self.store.find_rows(self.name)
         conflicts = [
             _store_messages.VersionedRow(
                 key=each.key, version=found.version, value=found.value
@@ -36,7 +55,7 @@
             )
         versions = {}
         for write in command.writes:
-            self.store.write(TABLE, write.key, write.value)
+            self.store.write(self.name, write.key, write.value)
             versions[write.key] = self.store.version if write.value is not None else 0
         return _store_messages.Transacted(
             operation=command.operation, versions=versions
@@ -51,6 +70,6 @@
 
 def decode_part(key, version, value):
     try:
-        return part_rows.read_part(key, version, value)
-    except part_rows.PartRowError as error:
+        return rows.read_suspect(key, version, value)
+    except rows.SuspectRowError as error:
         raise feeds.UnreadableRowError(str(error)) from error
--- a/tests/quarantine_trials.py
+++ b/tests/quarantine_trials.py
@@ -7,7 +7,7 @@
 import attrs
 import trio
 
-from tests import quarantine_fleet
+from tests import quarantine_callers, quarantine_fleet
 
 SECONDS = 36.0
 # Disturbances end early enough for all nodes to be in touch again.
@@ -80,11 +80,11 @@
 class Trial:
     """Run one system, and check what it promises of nodes in touch."""
 
+    allowed_ends = quarantine_fleet.ALLOWED_ENDS
+
     def __init__(self, *, system: System):
         self.system = system
-        self.fleet = quarantine_fleet.Fleet(
-            count=system.nodes, seed=system.seed, bad_parts=system.bad_parts
-        )
+        self.fleet = self.make_fleet()
         self.disturbed: list[Disturbed] = []
         self.ended_at = 0.0
         self._refusals: list[set[str]] = []
@@ -93,18 +93,35 @@
     def run(self):
         quarantine_fleet.run_simulation(self._run)
 
+    def make_fleet(self) -> quarantine_fleet.Fleet:
+        """Return the fleet of the system."""
+        return quarantine_fleet.Fleet(
+            count=self.system.nodes,
+            seed=self.system.seed,
+            bad_parts=self.system.bad_parts,
+        )
+
+    def list_causes(self) -> list[str]:
+        """Return what crashes engines in the system."""
+        return list(self.system.bad_parts)
+
+    async def start_load(self, nursery: trio.Nursery):
+        """Start to send sound requests, and later those that crash engines."""
+        system, fleet = self.system, self.fleet
+        draw = quarantine_callers.draw_sound
+        nursery.start_soon(fleet.send, system.sound_rate, SECONDS + 4.0, draw)
+        await trio.sleep(system.warm_seconds)
+        for part in system.bad_parts:
+            draw = quarantine_callers.make_bad(part)
+            nursery.start_soon(fleet.send, system.rate, SECONDS, draw)
+
     async def _run(self):
         system, fleet = self.system, self.fleet
         async with trio.open_nursery() as nursery:
             await fleet.start(nursery)
             for each in system.disturbances:
                 nursery.start_soon(self._disturb, each)
-            draw = quarantine_fleet.draw_sound
-            nursery.start_soon(fleet.send, system.sound_rate, SECONDS + 4.0, draw)
-            await trio.sleep(system.warm_seconds)
-            for part in system.bad_parts:
-                draw = quarantine_fleet.make_bad(part)
-                nursery.start_soon(fleet.send, system.rate, SECONDS, draw)
+            await self.start_load(nursery)
             await trio.sleep(SECONDS)
             self.ended_at = trio.current_time()
             nursery.cancel_scope.cancel()
@@ -203,14 +220,14 @@
             min(
                 self._find_shared_at(arrival.node, end.at)
                 for arrival in self.fleet.arrivals
-                if part in arrival.parts
+                if arrival.cause == part
                 and (arrival.engine, arrival.started_at) == (end.engine, end.started_at)
                 and arrival.at <= end.at
             )
             for end in self.fleet.ends
             if end.part == part
         )
-        allowed = quarantine_fleet.ALLOWED_ENDS
+        allowed = self.allowed_ends
         return times[allowed - 1] if len(times) >= allowed else float("inf")
 
     def list_late(self, part: str, deadline: float):
@@ -218,7 +235,7 @@
         return [
             each
             for each in self.fleet.arrivals
-            if part in each.parts
+            if each.cause == part
             and each.at > deadline
             and self.is_in_touch(each.node, each.at)
         ]
@@ -228,7 +245,7 @@
         found = [
             f"{part}: {len(late)} arrivals after {deadline:.2f} s: "
             + ", ".join(f"{each.node} at {each.at:.2f}" for each in late[:8])
-            for part in self.system.bad_parts
+            for part in self.list_causes()
             if len(late := self.list_late(part, deadline := self.find_deadline(part)))
             > quarantine_fleet.ALLOWED_REQUESTS_AFTER
         ]
@@ -239,13 +256,13 @@
 
     def _list_refusals(self) -> list[str]:
         """Return whether too few sound requests began after the time of recovery."""
-        deadlines = [self.find_deadline(part) for part in self.system.bad_parts]
+        deadlines = [self.find_deadline(part) for part in self.list_causes()]
         start = max(deadlines) + quarantine_fleet.CONTACT_SECONDS
         begun = [
             each.has_begun
             for each in self.fleet.outcomes
             if start <= each.at
-            and not self.fleet.bad_parts.intersection(each.parts)
+            and not set(self.list_causes()).intersection(each.parts)
             and self.is_in_touch(each.node, each.at)
         ]
         if len(begun) < MIN_SOUND_REQUESTS:
--- a/tests/small_fleet.py
+++ b/tests/small_fleet.py
@@ -14,13 +14,11 @@
     feeds,
     home_leases,
     homes,
-    part_guard,
     permit_home,
     permits,
     pipeline_claims,
     planner,
     plans,
-    quarantine,
     request_limits,
     server_signals,
     silences,
@@ -28,6 +26,7 @@
     suspicion,
     watched_streams,
 )
+from jujubepass.quarantine import controller, guard
 from jujubepass.transport import _http_client
 
 SERVICE = ids.ServiceId("drafts")
@@ -244,14 +243,14 @@
 class NoTrials:
     """Claim no trial."""
 
-    async def claim_trial(self, service, parts):
+    async def claim_trial(self, keys):
         return False
 
 
 def make_guard(blackboard):
-    return part_guard.PartGuard(
+    return guard.Guard(
         area=blackboard.backends,
-        quarantine=quarantine.Quarantine(blackboard=blackboard),
+        quarantine=controller.Quarantine(blackboard=blackboard),
         trials=NoTrials(),
         schedule_probe=lambda engine: None,
     )
@@ -272,9 +271,9 @@
     )
 
 
-def make_claims(blackboard, choice, guard, limits=None):
+def make_claims(blackboard, choice, own_guard, limits=None):
     return pipeline_claims.PipelineClaims(
-        choice=choice, permits=make_permits(blackboard, limits), guard=guard
+        choice=choice, permits=make_permits(blackboard, limits), guard=own_guard
     )
 
 
