Let an odd entry of another writer cost itself alone

Operators of similar systems saw nodes end, or stop following the list, for one entry that is deeply nested, has a number too large or a port out of range. Errors of some conversions (OverflowError, RecursionError, AttributeError) were not expected and ended the task that reads, values such as infinite slots, spans that end before they begin and times that are no numbers came through, and one odd row kept a transaction from all others.

One module decodes numbers, texts and JSON within bounds, and all readers use it: rows of servers, configuration, nodes, plans and suspects, the store's answers and eras, reports of engines, header fields of answers and callers, ids of events, messages between nodes.

--- a/src/jujubepass/answers/_engine_client.py
+++ b/src/jujubepass/answers/_engine_client.py
@@ -7,7 +7,7 @@
 import attrs
 import trio
 
-from jujubepass import ids
+from jujubepass import _decoding, ids
 from jujubepass.answers import _answer_messages
 from jujubepass.backends import _backend_messages
 from jujubepass.transport import _http_client
@@ -100,7 +100,7 @@
             try:
                 records = [json.loads(line) for line in lines if line]
                 ended = self._post_records(command, records)
-            except (ValueError, KeyError, TypeError) as error:
+            except _decoding.MALFORMED_ERRORS as error:
                 raise _http_client.InterruptedAnswerError(
                     f"malformed token line: {error}"
                 ) from error
@@ -237,7 +237,7 @@
                 "GET", address, "/load", timeout_seconds=timeout_seconds
             )
             report = _decode_load(engine, answer.read_json())
-        except (_http_client.ClientError, KeyError, TypeError, ValueError) as error:
+        except (_http_client.ClientError, *_decoding.MALFORMED_ERRORS) as error:
             self.post(
                 _backend_messages.LoadUnanswered(engine=engine, detail=str(error))
             )
@@ -262,7 +262,7 @@
                 for event in payload["events"]
             )
             next_sequence = int(payload["next"])
-        except (_http_client.ClientError, KeyError, TypeError, ValueError):
+        except (_http_client.ClientError, *_decoding.MALFORMED_ERRORS):
             # The load poll detects engines that do not answer.
             return
         if events:
--- a/src/jujubepass/forwarding/events.py
+++ b/src/jujubepass/forwarding/events.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from jujubepass import _decoding
 from jujubepass.transport import _http_client
 
 # An event has about two tokens.
@@ -63,6 +64,7 @@
     """Return whether an event follows the last one that was forwarded."""
     if last is None or not identity:
         return True
-    if identity.isdigit() and last.isdigit():
-        return int(identity) > int(last)
+    number, last_number = map(_decoding.parse_digits, (identity, last))
+    if number is not None and last_number is not None:
+        return number > last_number
     return identity != last
--- a/src/jujubepass/forwarding/member_rows.py
+++ b/src/jujubepass/forwarding/member_rows.py
@@ -2,13 +2,14 @@
 
 import typing
 
-from jujubepass import ids
+from jujubepass import _decoding, ids
 from jujubepass.forwarding import members
 from jujubepass.storage import _store_messages
 from jujubepass.transport import _http_client
 
 # A row that was not renewed for this many of its intervals may no longer count.
 _KNOWN_RENEWALS = 2.0
+_MIN_RENEWAL_SECONDS, _MAX_RENEWAL_SECONDS = 1e-3, 3_600.0
 
 
 class MemberRowError(Exception):
@@ -21,19 +22,27 @@
         return members.Member(
             node=ids.NodeId(key),
             version=version,
-            failure_domain=ids.FailureDomainId(str(value["failure_domain"])),
-            renewal_seconds=float(value["renewal_seconds"]),
+            failure_domain=ids.FailureDomainId(
+                _decoding.read_text(value["failure_domain"])
+            ),
+            renewal_seconds=_decoding.read_number(
+                value["renewal_seconds"],
+                minimum=_MIN_RENEWAL_SECONDS,
+                maximum=_MAX_RENEWAL_SECONDS,
+            ),
             address=_read_address(value.get("address")),
-            token=str(value.get("token") or ""),
+            token=_decoding.read_text(value.get("token") or ""),
             since=read_since(value),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise MemberRowError(f"{key!r} contains no valid node: {error!r}") from error
+    except _decoding.MALFORMED_ERRORS as error:
+        raise MemberRowError(
+            f"{key!r} contains no valid node: {error!r:.100}"
+        ) from error
 
 
 def read_since(value: typing.Any) -> float:
     """Parse when a node joined; older nodes do not say, and are known to all."""
-    return float(value.get("since") or 0.0)
+    return _decoding.read_number(value.get("since") or 0.0)
 
 
 def find_joined_at(row: _store_messages.VersionedRow, wall_now: float) -> float:
@@ -43,16 +52,20 @@
     """
     try:
         since = read_since(row.value)
-        unrenewed_seconds = wall_now - float(row.value["renewed_at"])
-        longest_seconds = _KNOWN_RENEWALS * float(row.value["renewal_seconds"])
-    except (KeyError, TypeError, ValueError, AttributeError):
+        renewed_at = _decoding.read_number(row.value["renewed_at"])
+        unrenewed_seconds = wall_now - renewed_at
+        renewal_seconds = _decoding.read_number(row.value["renewal_seconds"])
+        longest_seconds = _KNOWN_RENEWALS * renewal_seconds
+    except _decoding.MALFORMED_ERRORS:
         return wall_now
     return since if unrenewed_seconds <= longest_seconds else wall_now
 
 
 def _read_address(text: typing.Any) -> _http_client.Address | None:
     """Parse where a node answers queries; older nodes name no address."""
-    return None if text is None else _http_client.parse_address(text)
+    if text is None:
+        return None
+    return _http_client.parse_address(_decoding.read_text(text))
 
 
 def write_member(
--- a/src/jujubepass/forwarding/plan_rows.py
+++ b/src/jujubepass/forwarding/plan_rows.py
@@ -5,11 +5,13 @@
 
 import attrs
 
-from jujubepass import ids
+from jujubepass import _decoding, ids
 from jujubepass.forwarding import backends, plans
 from jujubepass.storage import _store_messages
 
 _PREFIX = "plan/"
+# Of layers and of chains.
+_MAX_NUMBER = 100_000
 
 
 class PlanRowError(Exception):
@@ -29,26 +31,32 @@
         return plans.Plan(
             service=ids.ServiceId(key.removeprefix(_PREFIX)),
             version=version,
-            revision=int(value["revision"]),
-            author=ids.NodeId(value["author"]),
+            revision=_decoding.read_integer(value["revision"]),
+            author=ids.NodeId(_decoding.read_text(value["author"])),
             placements={
                 ids.BackendServerId(name): _read_placement(placement)
                 for name, placement in value["placements"].items()
             },
             excluded={
-                ids.BackendServerId(name): int(started_at)
+                ids.BackendServerId(name): _decoding.read_integer(started_at)
                 for name, started_at in value["excluded"].items()
             },
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise PlanRowError(f"{key!r} contains no valid plan: {error!r}") from error
+    except _decoding.MALFORMED_ERRORS as error:
+        raise PlanRowError(f"{key!r} contains no valid plan: {error!r:.100}") from error
 
 
 def _read_placement(value: collections.abc.Sequence[int]) -> plans.Placement:
-    first, end, chain = value
+    first, end, chain = map(_read_small, value)
+    if end < first:
+        raise ValueError("a span that ends before it begins")
     return plans.Placement(span=backends.Span(first=first, end=end), chain=chain)
 
 
+def _read_small(value: typing.Any) -> int:
+    return _decoding.read_integer(value, maximum=_MAX_NUMBER)
+
+
 def write_plan(
     operation: _store_messages.OperationId, plan: plans.Plan
 ) -> _store_messages.Transact:
--- a/src/jujubepass/membership/_vm_client.py
+++ b/src/jujubepass/membership/_vm_client.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from jujubepass import ids
+from jujubepass import _decoding, ids
 from jujubepass.backends import _backend_messages
 from jujubepass.transport import _http_client
 
@@ -51,7 +51,7 @@
             if answer.status != _NOT_MODIFIED:
                 self._store_list(answer)
             age = float(answer.headers.get("age", self._age_seconds))
-        except (_http_client.ClientError, KeyError, TypeError, ValueError) as error:
+        except (_http_client.ClientError, *_decoding.MALFORMED_ERRORS) as error:
             self.post(_backend_messages.VmsUnlisted(detail=str(error)))
             return
         self.post(_backend_messages.VmsListed(vms=self._vms, age_seconds=age))
@@ -70,7 +70,7 @@
                 continue
             try:
                 parsed[name] = (row, _read_vm(row))
-            except (KeyError, TypeError, ValueError) as error:
+            except _decoding.MALFORMED_ERRORS as error:
                 rejected.add(name)
                 if name not in self._rejected:
                     _LOGGER.warning("invalid VM %s in list skipped: %r", name, error)
--- a/src/jujubepass/orders/_order_client.py
+++ b/src/jujubepass/orders/_order_client.py
@@ -7,7 +7,7 @@
 import attrs
 import trio
 
-from jujubepass import ids
+from jujubepass import _decoding, ids
 from jujubepass.orders import _order_area, _order_messages
 from jujubepass.transport import _http_client
 
@@ -42,7 +42,7 @@
                 actual=_read_deployment(found["actual"]),
                 loading=bool(found.get("loading", False)),
             )
-        except (_http_client.ClientError, KeyError, TypeError, ValueError):
+        except (_http_client.ClientError, *_decoding.MALFORMED_ERRORS):
             self.post(_order_messages.EngineStateUnread(engine=engine))
             return
         self.post(event)
--- a/src/jujubepass/platform/backends.py
+++ b/src/jujubepass/platform/backends.py
@@ -2,10 +2,12 @@
 
 import typing
 
-from jujubepass import ids
+from jujubepass import _decoding, ids
 from jujubepass.forwarding import backends, feeds
 from jujubepass.transport import _http_client
 
+_MAX_SLOTS = 1_000_000
+_MAX_LAYERS = 100_000
 _BACKEND_STATES = {
     "ready": backends.BackendState.READY,
     "draining": backends.BackendState.DRAINING,
@@ -17,18 +19,20 @@
     try:
         return backends.Backend(
             name=ids.BackendServerId(key),
-            service=ids.ServiceId(_check_string(value["service"])),
-            address=_http_client.parse_address(_check_string(value["address"])),
-            failure_domain=ids.FailureDomainId(_check_string(value["zone"])),
+            service=ids.ServiceId(_decoding.read_text(value["service"])),
+            address=_http_client.parse_address(_decoding.read_text(value["address"])),
+            failure_domain=ids.FailureDomainId(_decoding.read_text(value["zone"])),
             state=_BACKEND_STATES[value["state"]],
-            slots=int(value.get("slots") or 1),
-            started_at=int(value.get("born") or 0),
-            accelerator=_check_string(value.get("kind") or ""),
+            slots=_decoding.read_integer(
+                value.get("slots") or 1, minimum=1, maximum=_MAX_SLOTS
+            ),
+            started_at=_decoding.read_integer(value.get("born") or 0),
+            accelerator=_decoding.read_text(value.get("kind") or ""),
             held=read_span(value.get("layers")),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except _decoding.MALFORMED_ERRORS as error:
         raise feeds.UnreadableRowError(
-            f"invalid backend server entry: {error!r}"
+            f"invalid backend server entry: {error!r:.100}"
         ) from error
 
 
@@ -36,11 +40,7 @@
     """Decode the span that an engine holds; None if it holds no layers."""
     if value is None:
         return None
+    first = _decoding.read_integer(value["from"], maximum=_MAX_LAYERS)
     # "to" is exclusive.
-    return backends.Span(first=int(value["from"]), end=int(value["to"]))
-
-
-def _check_string(value: typing.Any) -> str:
-    if not isinstance(value, str):
-        raise TypeError(f"{value!r} is not a string")
-    return value
+    end = _decoding.read_integer(value["to"], minimum=first, maximum=_MAX_LAYERS)
+    return backends.Span(first=first, end=end)
--- a/src/jujubepass/platform/configuration.py
+++ b/src/jujubepass/platform/configuration.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from jujubepass import ids
+from jujubepass import _decoding, ids
 from jujubepass.forwarding import declarations, feeds
 
 _REPEAT_POLICIES = {
@@ -22,8 +22,10 @@
     """Decode the whole configuration; raises feeds.UnreadableRowError."""
     try:
         return _decode_configuration(value)
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise feeds.UnreadableRowError(f"invalid configuration: {error!r}") from error
+    except _decoding.MALFORMED_ERRORS as error:
+        raise feeds.UnreadableRowError(
+            f"invalid configuration: {error!r:.100}"
+        ) from error
 
 
 def _decode_configuration(value: _Json) -> declarations.Declarations:
--- a/src/jujubepass/platform/engines.py
+++ b/src/jujubepass/platform/engines.py
@@ -2,17 +2,21 @@
 
 import collections.abc
 import json
+import logging
 import typing
 
 import attrs
 
-from jujubepass import ids
+from jujubepass import _decoding, ids
 from jujubepass.forwarding import backends, engines, pipelines
 from jujubepass.platform import backends as entries
 from jujubepass.platform import headers, wire
 from jujubepass.transport import _http_client
 
+_LOGGER = logging.getLogger(__name__)
+
 _REQUEST_TIMEOUT_SECONDS = 0.5
+_MIN_SLOWDOWN, _MAX_SLOWDOWN = 1e-3, 1e6
 _MAX_ANSWER_BYTES = 1_048_576
 _OK = 200
 _ACCEPTED = 202
@@ -60,8 +64,8 @@
             )
         except _http_client.RefusedConnectionError as error:
             raise engines.EngineEndedError(f"cannot read report: {error!r}") from error
-        except (_http_client.ClientError, KeyError, TypeError, ValueError) as error:
-            raise engines.EngineError(f"cannot read report: {error!r}") from error
+        except (_http_client.ClientError, *_decoding.MALFORMED_ERRORS) as error:
+            raise engines.EngineError(f"cannot read report: {error!r:.200}") from error
 
     async def check_listening(self, server: backends.Backend) -> None:
         """Check that something listens at a server's address."""
@@ -139,17 +143,32 @@
 
 def _decode_report(value: typing.Any) -> engines.EngineReport:
     return engines.EngineReport(
-        started_at=int(value.get("born") or 0),
+        started_at=_decoding.read_integer(value.get("born") or 0),
         held=entries.read_span(value.get("layers")),
         is_busy=bool(value["busy"]),
         # In a report, "seqNo" counts orders. In the list of backend servers, it counts
         # heartbeats.
-        orders_begun=int(value["seqNo"]),
-        running=int(value.get("running") or 0),
-        queued=int(value.get("queued") or 0),
-        slowdown=float(value.get("pace") or 1.0),
-        stalled=tuple(
-            (ids.RequestId(each["id"]), _http_client.parse_address(each["address"]))
-            for each in value.get("stalled") or ()
+        orders_begun=_decoding.read_integer(value["seqNo"]),
+        running=_decoding.read_integer(value.get("running") or 0),
+        queued=_decoding.read_integer(value.get("queued") or 0),
+        slowdown=_decoding.read_number(
+            value.get("pace") or 1.0, minimum=_MIN_SLOWDOWN, maximum=_MAX_SLOWDOWN
         ),
+        stalled=tuple(_read_stalled(value.get("stalled") or ())),
     )
+
+
+def _read_stalled(
+    value: collections.abc.Iterable[typing.Any],
+) -> collections.abc.Iterator[tuple[ids.RequestId, _http_client.Address]]:
+    """Yield the stalled requests that can be read."""
+    for each in value:
+        try:
+            request = ids.RequestId(_decoding.read_text(each["id"]))
+            address = _http_client.parse_address(_decoding.read_text(each["address"]))
+        except _decoding.MALFORMED_ERRORS as error:
+            _LOGGER.warning(
+                "unreadable entry in a report", extra={"detail": repr(error)[:100]}
+            )
+            continue
+        yield request, address
--- a/src/jujubepass/platform/eras.py
+++ b/src/jujubepass/platform/eras.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from jujubepass import _decoding
+
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -28,10 +30,10 @@
         """
         if text is None and not self._is_known:
             return self.era
-        if text is None or not (text.isascii() and text.isdigit()):
+        era = _decoding.parse_digits(text)
+        if era is None:
             self._reject("answer of the store without a readable era", text)
             return self.era
-        era = int(text)
         if era < self.era:
             self._reject("answer of an earlier era of the store", text)
             raise OutdatedEraError(f"answer of era {era} in era {self.era}")
--- a/src/jujubepass/platform/store.py
+++ b/src/jujubepass/platform/store.py
@@ -2,6 +2,7 @@
 
 import base64
 import collections.abc
+import contextlib
 import json
 import logging
 import typing
@@ -9,6 +10,7 @@
 
 import attrs
 
+from jujubepass import _decoding
 from jujubepass.forwarding import clocks, feeds
 from jujubepass.platform import eras, headers
 from jujubepass.storage import _object_client, _store_messages, _transaction_failures
@@ -210,8 +212,8 @@
         value = None
         if not row.get("deleted"):
             try:
-                value = json.loads(base64.b64decode(row["value"]))
-            except (ValueError, KeyError, TypeError) as error:
+                value = _decoding.load_json(base64.b64decode(row["value"]))
+            except _decoding.MALFORMED_ERRORS as error:
                 _LOGGER.warning(
                     "row is not JSON",
                     extra={
@@ -351,5 +353,9 @@
 
 
 def _decode_versioned_row(row: typing.Any) -> _store_messages.VersionedRow:
-    value = json.loads(base64.b64decode(row["value"])) if row.get("value") else {}
+    value = {}
+    if row.get("value"):
+        # An odd row has a version, under which it can be replaced.
+        with contextlib.suppress(*_decoding.MALFORMED_ERRORS):
+            value = _decoding.load_json(base64.b64decode(row["value"]))
     return _store_messages.VersionedRow(key=row["key"], version=row["ver"], value=value)
--- a/src/jujubepass/platform/wire.py
+++ b/src/jujubepass/platform/wire.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from jujubepass import ids
+from jujubepass import _decoding, ids
 from jujubepass.forwarding import exchange, pipelines
 from jujubepass.platform import headers
 from jujubepass.transport import _http_client, _http_server
@@ -211,15 +211,13 @@
 
 def _parse_milliseconds(text: str | None) -> float | None:
     """Parse milliseconds into seconds; None if the text is missing or not a number."""
-    if text is None or not text.isdigit():
-        return None
-    return int(text) / 1_000.0
+    milliseconds = _decoding.parse_digits(text)
+    return None if milliseconds is None else milliseconds / 1_000.0
 
 
 def _parse_max_answer_tokens(text: str | None) -> int:
     """Return the number after the comma; 0 if there is none."""
-    number = (text or "").partition(",")[2].strip()
-    return int(number) if number.isdigit() else 0
+    return _decoding.parse_digits((text or "").partition(",")[2].strip()) or 0
 
 
 def _parse_prompt_parts(text: str | None) -> tuple[ids.PromptPartId, ...]:
--- a/src/jujubepass/quarantine/rows.py
+++ b/src/jujubepass/quarantine/rows.py
@@ -4,14 +4,13 @@
 import re
 import typing
 
-from jujubepass import ids
+from jujubepass import _decoding, ids
 from jujubepass.quarantine import suspects
 from jujubepass.storage import _store_messages
 
 _MAX_KEY_BYTES = 200
 _MAX_ENDED_RUNS = 64
 _REQUEST_DIGEST = re.compile(r"[0-9a-f]{32}", re.ASCII)
-_MAX_NUMBER = 2**53
 
 
 class SuspectRowError(Exception):
@@ -31,12 +30,12 @@
             key=found_key,
             version=version,
             ended=frozenset(map(_read_run, value["ended"][:_MAX_ENDED_RUNS])),
-            depth=_read_number(value["depth"]),
-            trials=_read_number(value["trials"]),
+            depth=_decoding.read_integer(value["depth"]),
+            trials=_decoding.read_integer(value["trials"]),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except _decoding.MALFORMED_ERRORS as error:
         raise SuspectRowError(
-            f"{key!r} contains no valid suspect: {error!r}"
+            f"{key!r} contains no valid suspect: {error!r:.100}"
         ) from error
 
 
@@ -56,17 +55,11 @@
 def _read_run(value: typing.Any) -> suspects.ServerRun:
     server, started_at = value
     return suspects.ServerRun(
-        server=ids.BackendServerId(str(server)), started_at=_read_number(started_at)
+        server=ids.BackendServerId(_decoding.read_text(server)),
+        started_at=_decoding.read_integer(started_at),
     )
 
 
-def _read_number(value: typing.Any) -> int:
-    """Return a number if it is a whole one that a node may have written."""
-    if type(value) is not int or not 0 <= value <= _MAX_NUMBER:
-        raise ValueError("not a whole number in range")
-    return value
-
-
 def write_suspects(
     operation: _store_messages.OperationId,
     writes: collections.abc.Iterable[suspects.SuspectWrite],
--- a/src/jujubepass/quarantine/sharing.py
+++ b/src/jujubepass/quarantine/sharing.py
@@ -159,7 +159,7 @@
         by_name = {str(each.key): each.key for each in writes}
         for row in outcome.rows:
             if row.key in by_name:
-                found = _read_row(by_name[row.key], row) if row.value else None
+                found = _read_row(by_name[row.key], row) if row.version else None
                 self.quarantine.install_conflict(by_name[row.key], found, now)
         return True
 
--- a/src/jujubepass/relay/codec.py
+++ b/src/jujubepass/relay/codec.py
@@ -7,15 +7,21 @@
 import hashlib
 import hmac
 import json
+import logging
 import typing
 
 import attrs
 
+from jujubepass import _decoding
 from jujubepass.forwarding import feeds
 
+_LOGGER = logging.getLogger(__name__)
+
 _MAC_BYTES = 32
 # JSON has no infinity, which is the age of rows that are missing.
 _MAX_AGE_SECONDS = 1e9
+# Each table is checked by itself.
+_MAX_DEPTH = 1_000
 
 
 class MessageError(Exception):
@@ -78,19 +84,19 @@
         return Query(
             nonce=str(nonce),
             node=str(node),
-            row_age_seconds=float(row_age_seconds),
-            wait_seconds=float(wait_seconds),
+            row_age_seconds=_decoding.read_number(row_age_seconds),
+            wait_seconds=_decoding.read_number(wait_seconds),
             positions={
                 str(name): Position(
-                    version=_read_optional(int, version),
-                    era=int(era),
-                    confirmed_at=_read_optional(float, confirmed_at),
+                    version=_read_optional(_decoding.read_integer, version),
+                    era=_decoding.read_integer(era),
+                    confirmed_at=_read_optional(_read_time, confirmed_at),
                 )
                 for name, (version, era, confirmed_at) in positions.items()
             },
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise MessageError(f"invalid query: {error!r}") from error
+    except _decoding.MALFORMED_ERRORS as error:
+        raise MessageError(f"invalid query: {error!r:.200}") from error
 
 
 def write_report(report: Report, token: str) -> bytes:
@@ -119,29 +125,51 @@
             raise MessageError("report for another query")
         return Report(
             nonce=nonce,
-            now=float(now),
-            changes={str(name): _read_changes(each) for name, each in changes.items()},
+            now=_read_time(now),
+            changes=dict(_read_tables(changes)),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise MessageError(f"invalid report: {error!r}") from error
+    except _decoding.MALFORMED_ERRORS as error:
+        raise MessageError(f"invalid report: {error!r:.200}") from error
+
+
+def _read_tables(
+    value: typing.Any,
+) -> collections.abc.Iterator[tuple[str, feeds.RowChanges]]:
+    """Yield the tables that can be read; of another one, nothing is confirmed."""
+    for name, changes in value.items():
+        try:
+            yield str(name), _read_changes(changes)
+        except _decoding.MALFORMED_ERRORS as error:
+            _LOGGER.warning(
+                "unreadable table in a node's report",
+                extra={"feed": str(name)[:80], "detail": repr(error)[:200]},
+            )
 
 
 def _read_changes(value: typing.Any) -> feeds.RowChanges:
     rows, version, era, confirmed_at, is_complete, origin, hops = value
     return feeds.RowChanges(
         rows=tuple(
-            feeds.Row(key=str(key), version=int(row_version), value=row_value)
+            feeds.Row(
+                key=_decoding.read_text(key),
+                version=_decoding.read_integer(row_version),
+                value=None if _decoding.is_too_deep(row_value) else row_value,
+            )
             for key, row_version, row_value in rows
         ),
-        version=int(version),
-        era=int(era),
-        confirmed_at=float(confirmed_at),
+        version=_decoding.read_integer(version),
+        era=_decoding.read_integer(era),
+        confirmed_at=_read_time(confirmed_at),
         is_complete=is_complete is True,
-        origin=str(origin),
-        hops=int(hops),
+        origin=_decoding.read_text(origin),
+        hops=_decoding.read_integer(hops),
     )
 
 
+def _read_time(value: typing.Any) -> float:
+    return _decoding.read_number(value, minimum=-_MAX_AGE_SECONDS)
+
+
 _Number = typing.TypeVar("_Number")
 
 
@@ -163,7 +191,7 @@
     if not hmac.compare_digest(mac, _sign(message, token)):
         raise MessageError("the MAC does not match")
     try:
-        return json.loads(message)
+        return _decoding.load_json(message, max_depth=_MAX_DEPTH)
     except ValueError as error:
         raise MessageError(f"not JSON: {error}") from error
 
--- a/src/jujubepass/relay/permit_links.py
+++ b/src/jujubepass/relay/permit_links.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from jujubepass import ids
+from jujubepass import _decoding, ids
 from jujubepass.forwarding import clocks, home_leases, members, permit_home, permits
 from jujubepass.relay import codec
 from jujubepass.transport import _http_client, _http_server
@@ -143,15 +143,15 @@
             raise codec.MessageError(f"query for {len(waits)} requests")
         return permit_home.Query(
             node=ids.NodeId(str(node)),
-            server=(ids.BackendServerId(str(name)), int(started_at)),
+            server=(ids.BackendServerId(str(name)), _decoding.read_integer(started_at)),
             failure_domain=ids.FailureDomainId(str(domain)),
             requests_per_second=_read_rate(rate),
-            limit_age_seconds=_read_number(age),
-            waits=tuple(_read_number(each) for each in waits),
-            streams=int(streams),
+            limit_age_seconds=_decoding.read_number(age),
+            waits=tuple(_decoding.read_number(each) for each in waits),
+            streams=_decoding.read_integer(streams),
         ), str(nonce)
-    except (TypeError, ValueError) as error:
-        raise codec.MessageError(f"invalid query: {error!r}") from error
+    except _decoding.MALFORMED_ERRORS as error:
+        raise codec.MessageError(f"invalid query: {error!r:.200}") from error
 
 
 def write_reply(reply: permit_home.Reply, nonce: str, token: str) -> bytes:
@@ -172,17 +172,19 @@
             raise codec.MessageError("reply to another query")
         return permit_home.Reply(
             requests_per_second=_read_rate(rate),
-            limit_age_seconds=_read_number(age),
+            limit_age_seconds=_decoding.read_number(age),
             delays=tuple(
-                None if each is None else _read_number(each) for each in delays
+                None if each is None else _decoding.read_number(each) for each in delays
             ),
-            free_seconds=_read_number(free_seconds),
-            askers=int(askers),
-            mean_streams=None if mean_streams is None else _read_number(mean_streams),
+            free_seconds=_decoding.read_number(free_seconds),
+            askers=_decoding.read_integer(askers),
+            mean_streams=None
+            if mean_streams is None
+            else _decoding.read_number(mean_streams),
             leader=None if leader is None else ids.NodeId(str(leader)),
         )
-    except (TypeError, ValueError) as error:
-        raise codec.MessageError(f"invalid reply: {error!r}") from error
+    except _decoding.MALFORMED_ERRORS as error:
+        raise codec.MessageError(f"invalid reply: {error!r:.200}") from error
 
 
 def write_vote_request(
@@ -201,11 +203,13 @@
         nonce, node, name, started_at, domain = value
         return home_leases.VoteRequest(
             node=ids.NodeId(str(node)),
-            server=(ids.BackendServerId(str(name)), int(started_at)),
+            server=(ids.BackendServerId(str(name)), _decoding.read_integer(started_at)),
             failure_domain=ids.FailureDomainId(str(domain)),
         ), str(nonce)
-    except (TypeError, ValueError) as error:
-        raise codec.MessageError(f"invalid request for a vote: {error!r}") from error
+    except _decoding.MALFORMED_ERRORS as error:
+        raise codec.MessageError(
+            f"invalid request for a vote: {error!r:.200}"
+        ) from error
 
 
 def read_vote(data: bytes, nonce: str, token: str) -> home_leases.Vote:
@@ -216,8 +220,8 @@
         if found_nonce != nonce:
             raise codec.MessageError("reply to another request for a vote")
         return home_leases.Vote(vote)
-    except (TypeError, ValueError) as error:
-        raise codec.MessageError(f"invalid vote: {error!r}") from error
+    except _decoding.MALFORMED_ERRORS as error:
+        raise codec.MessageError(f"invalid vote: {error!r:.200}") from error
 
 
 def _write_rate(requests_per_second: float) -> float | None:
@@ -226,11 +230,4 @@
 
 
 def _read_rate(value: typing.Any) -> float:
-    return math.inf if value is None else _read_number(value)
-
-
-def _read_number(value: typing.Any) -> float:
-    number = float(value)
-    if not math.isfinite(number) or number < 0.0:
-        raise ValueError(f"{value!r} is out of range")
-    return number
+    return math.inf if value is None else _decoding.read_number(value)
--- a/src/jujubepass/storage/_table_client.py
+++ b/src/jujubepass/storage/_table_client.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from jujubepass import _decoding
 from jujubepass.storage import _store_messages, _transaction_failures
 from jujubepass.transport import _http_client
 
@@ -68,7 +69,7 @@
                 return _store_messages.TransactionConflicted(
                     operation=operation, rows=rows
                 )
-        except (_http_client.ClientError, KeyError, TypeError) as error:
+        except (_http_client.ClientError, *_decoding.MALFORMED_ERRORS) as error:
             return _transaction_failures.classify_error(operation, error)
         return _transaction_failures.classify_status(
             operation,
@@ -86,7 +87,7 @@
                 found = answer.read_json()["rows"]
                 rows = {key: _parse_row({"key": key, **found[key]}) for key in found}
                 return _store_messages.RowsRead(operation=command.operation, rows=rows)
-        except (_http_client.ClientError, KeyError, TypeError) as error:
+        except (_http_client.ClientError, *_decoding.MALFORMED_ERRORS) as error:
             return _store_messages.ReadFailed(
                 operation=command.operation, detail=str(error)
             )
@@ -115,7 +116,7 @@
                 return _store_messages.RowsRead(
                     operation=command.operation, rows=rows, more=found["more"]
                 )
-        except (_http_client.ClientError, KeyError, TypeError) as error:
+        except (_http_client.ClientError, *_decoding.MALFORMED_ERRORS) as error:
             return _store_messages.ReadFailed(
                 operation=command.operation, detail=str(error)
             )
--- a/src/jujubepass/transport/_http_client.py
+++ b/src/jujubepass/transport/_http_client.py
@@ -3,7 +3,6 @@
 import collections
 import collections.abc
 import contextlib
-import json
 import re
 import typing
 
@@ -11,6 +10,7 @@
 import h11
 import trio
 
+from jujubepass import _decoding
 from jujubepass.transport import _socket_io
 
 _MAX_IDLE_CONNECTIONS_PER_ADDRESS = 64
@@ -19,9 +19,14 @@
 _MAX_REQUESTED_BODY_BYTES = 16 * _MAX_BODY_BYTES
 # Maximum number of interim responses before an answer.
 _MAX_INTERIM_RESPONSES = 16
+# Answers are not passed on, which would recurse.
+_MAX_JSON_DEPTH = 1_000
 # A server that counts in whole seconds may close up to this much early.
 _KEEP_ALIVE_MARGIN_SECONDS = 0.5
-_KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d+)")
+_KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=([0-9]{1,9})", re.ASCII)
+_HOST = re.compile(r"[0-9A-Za-z:_-]{1,63}(\.[0-9A-Za-z_-]{1,63}){0,9}", re.ASCII)
+_PORT = re.compile(r"[0-9]{1,5}", re.ASCII)
+_MAX_PORT = 65_535
 
 Fields = collections.abc.Sequence[tuple[str, str]]
 """Header fields in order; names may repeat."""
@@ -63,9 +68,10 @@
 
 def parse_address(text: str) -> Address:
     """Parse `host:port`; raise ValueError if the text has another form."""
-    host, separator, port = text.rpartition(":")
-    if not separator or not host or not port.isdigit() or int(port) > 65_535:
-        raise ValueError(f"{text!r} is not host:port, such as 127.0.0.1:8080")
+    host, _, port = text.rpartition(":")
+    is_valid = _HOST.fullmatch(host) and _PORT.fullmatch(port)
+    if not is_valid or not 0 < int(port) <= _MAX_PORT:
+        raise ValueError(f"{text[:80]!r} is not host:port, such as 127.0.0.1:8080")
     return Address(host=host, port=int(port))
 
 
@@ -80,7 +86,7 @@
     def read_json(self) -> typing.Any:
         """Parse the body; raise InterruptedAnswerError if it is not JSON."""
         try:
-            return json.loads(self.body)
+            return _decoding.load_json(self.body, max_depth=_MAX_JSON_DEPTH)
         except ValueError as error:
             raise InterruptedAnswerError(f"answer is not JSON: {error}") from error
 
@@ -271,7 +277,8 @@
                 stream = await trio.open_tcp_stream(address.host, address.port)
                 self.opened_connections += 1
                 return stream
-        except (OSError, trio.TooSlowError) as error:
+        # Other errors are those of names that cannot be looked up.
+        except (OSError, ValueError, OverflowError, trio.TooSlowError) as error:
             detail = f"cannot connect to {address}: {error}"
             if _is_refused(error):
                 raise RefusedConnectionError(detail) from error
--- a/src/jujubepass/transport/_peer_codec.py
+++ b/src/jujubepass/transport/_peer_codec.py
@@ -5,6 +5,7 @@
 import thrift.protocol.TCompactProtocol
 import thrift.transport.TTransport
 
+from jujubepass import _decoding
 from jujubepass.configuration import _configuration_codec, _configuration_messages
 from jujubepass.generated.peer import ttypes
 from jujubepass.limits import _share_codec, _share_messages
@@ -68,7 +69,7 @@
 ) -> _configuration_messages.PeerEvent | None:
     try:
         return _configuration_codec.read_message(message)
-    except (TypeError, ValueError, AttributeError) as error:
+    except _decoding.MALFORMED_ERRORS as error:
         raise PeerCodecError(
             f"configuration message with an invalid field: {error}"
         ) from error
@@ -84,6 +85,6 @@
         raise PeerCodecError("peer message sets no field that this node knows")
     try:
         heartbeat = _membership_codec.read_heartbeat(message.heartbeat)
-    except (TypeError, ValueError, AttributeError) as error:
+    except _decoding.MALFORMED_ERRORS as error:
         raise PeerCodecError(f"heartbeat with an invalid field: {error}") from error
     return _membership_messages.HeartbeatReceived(heartbeat=heartbeat)
