Take no late refusal on a kept connection for that of the request in progress

Operators of similar systems saw callers told "not run, try again" for requests that an engine had run or was running. A lookup was refused with 503 though it ran at two servers, a stream though it ran at three; with the id of the earlier request, the refusal was recognized but for one of the same request.

Cause: an answer without an id counted as that of the last request on its connection, and a request that is sent to a server again could find the late refusal of its own first attempt. An answer without the request's id now counts on a new connection only; on a kept one the outcome is unknown. A request that its server got before is sent on a new connection.

Simulated nodes of fleet_size have read the rows of suspects now, as streams wait for them whatever their prompts; a check of delays failed for that.

--- a/src/jujubepass/forwarding/exchange.py
+++ b/src/jujubepass/forwarding/exchange.py
@@ -46,8 +46,8 @@
     pipeline: pipelines.Pipeline | None = None
     resume_after: str | None = None
     fresh: bool = False
-    """Whether to open a new connection: a kept one may close under the request, and a
-    failed connect proves that nothing was sent."""
+    """Whether to open a new connection: a kept one may close under the request or have
+    a late answer to it, and a failed connect proves that nothing was sent."""
 
 
 class AnswerKind(enum.Enum):
@@ -105,9 +105,12 @@
         """Return the header fields of a request to a backend server."""
 
     def read_answer(
-        self, request: CallerRequest, status: int, fields: Fields
+        self, request: CallerRequest, status: int, fields: Fields, *, is_first: bool
     ) -> AnswerHead:
-        """Parse and classify the start of a backend server's answer."""
+        """Parse and classify the start of a backend server's answer.
+
+        Only the first answer on a connection surely is that of its last request.
+        """
 
     def write_refusal(self, request: CallerRequest) -> Fields:
         """Return the header fields of an answer that the node produces itself."""
--- a/src/jujubepass/forwarding/sending.py
+++ b/src/jujubepass/forwarding/sending.py
@@ -75,7 +75,9 @@
                 fresh=attempt.fresh,
                 once=True,
             ) as answer:
-                head = self.wire.read_answer(request, answer.status, answer.fields)
+                head = self.wire.read_answer(
+                    request, answer.status, answer.fields, is_first=answer.is_first
+                )
                 if head.kind is not exchange.AnswerKind.MISMATCHED:
                     self.signals.record(attempt.backend, started_at, head)
                 _check_run(head)
--- a/src/jujubepass/forwarding/service_exchange.py
+++ b/src/jujubepass/forwarding/service_exchange.py
@@ -91,16 +91,16 @@
                 progress.reset()
                 await trio.sleep(service_progress.FULL_RETRY_SECONDS)
                 continue
-            progress.tried.add(backend.name)
+            is_again = progress.record_attempt(backend.name)
             progress.began_at = now
             reply.record_attempt(backend.name)
             last = progress.runs + 1 >= route.max_attempts
-            may_retry = attempt_limit.never
-            if route.is_repeatable and not last:
-                may_retry = functools.partial(self._may_retry, admitted, progress)
+            may_retry = self._make_retry_check(admitted, progress, last=last)
             try:
                 with self.guard.watch(progress.guarded, (backend.name,)):
-                    await self._send(request, admitted, backend, reply, may_retry)
+                    await self._send(
+                        request, admitted, backend, reply, may_retry, is_again=is_again
+                    )
                 self.guard.record_proof(progress.guarded)
                 return None
             except sending.NotRunError as error:
@@ -240,6 +240,18 @@
             return progress.refuse_none_left()
         return None
 
+    def _make_retry_check(
+        self,
+        admitted: exchange.Admitted,
+        progress: service_progress.Progress,
+        *,
+        last: bool,
+    ) -> collections.abc.Callable[[], bool]:
+        """Return what tells whether another attempt may follow the next one."""
+        if last or not admitted.route.is_repeatable:
+            return attempt_limit.never
+        return functools.partial(self._may_retry, admitted, progress)
+
     def _may_retry(
         self, admitted: exchange.Admitted, progress: service_progress.Progress
     ) -> bool:
@@ -308,6 +320,8 @@
         backend: backends.Backend,
         reply: replies.Reply,
         may_retry: collections.abc.Callable[[], bool],
+        *,
+        is_again: bool,
     ) -> None:
         """Send one attempt and forward its answer; raises sending.AttemptError."""
         now = clocks.read_boot_clock()
@@ -317,7 +331,7 @@
             account=account.name if account else None,
             priority=admitted.priority,
             remaining_seconds=admitted.deadline - now,
-            fresh=not admitted.route.is_repeatable,
+            fresh=not admitted.route.is_repeatable or is_again,
         )
 
         async def forward(limit: attempt_limit.AttemptLimit) -> None:
--- a/src/jujubepass/forwarding/service_progress.py
+++ b/src/jujubepass/forwarding/service_progress.py
@@ -18,6 +18,8 @@
 
     guarded: guard.GuardedRequest
     tried: set[ids.BackendServerId] = attrs.field(factory=set)
+    sent_to: set[ids.BackendServerId] = attrs.field(factory=set)
+    """Servers of all attempts, those that may be tried again too."""
     runs: int = 0
     began_at: float = 0.0
     """Boot-clock time at which the attempt in use began."""
@@ -35,6 +37,13 @@
             return admission.Refusal(reason=reasons.RefusalReason.OUTCOME_UNKNOWN)
         return refusal
 
+    def record_attempt(self, name: ids.BackendServerId) -> bool:
+        """Record an attempt; return whether the server got the request before."""
+        is_again = name in self.sent_to
+        self.tried.add(name)
+        self.sent_to.add(name)
+        return is_again
+
     def reset(self) -> None:
         """Allow attempts at backend servers that were tried before."""
         self.tried.clear()
--- a/src/jujubepass/forwarding/stream_exchange.py
+++ b/src/jujubepass/forwarding/stream_exchange.py
@@ -216,8 +216,9 @@
             remaining_seconds=progress.deadline - now,
             pipeline=pipeline,
             resume_after=progress.last_id,
-            fresh=not admitted.route.is_repeatable,
+            fresh=not admitted.route.is_repeatable or first.engine in progress.sent_to,
         )
+        progress.sent_to.add(first.engine)
         reply.record_attempt(first.engine)
         with self._watch(request, admitted, pipeline, progress) as stream:
             self.choice.record_start(pipeline)
--- a/src/jujubepass/forwarding/stream_progress.py
+++ b/src/jujubepass/forwarding/stream_progress.py
@@ -34,6 +34,8 @@
     refusals: int = 0
     refusals_in_row: int = 0
     avoided: set[ids.BackendServerId] = attrs.field(factory=set)
+    sent_to: set[ids.BackendServerId] = attrs.field(factory=set)
+    """First engines of all attempts."""
     entries: dict[ids.BackendServerId, int] = attrs.field(factory=dict)
     """First engines of this request's pipelines, with the engines' start times."""
 
--- a/src/jujubepass/platform/wire.py
+++ b/src/jujubepass/platform/wire.py
@@ -100,12 +100,17 @@
         return fields
 
     def read_answer(
-        self, request: exchange.CallerRequest, status: int, fields: exchange.Fields
+        self,
+        request: exchange.CallerRequest,
+        status: int,
+        fields: exchange.Fields,
+        *,
+        is_first: bool,
     ) -> exchange.AnswerHead:
         """Parse and classify the start of a backend server's answer."""
         headers_by_name = dict(fields)
         at_fault = headers_by_name.get(headers.AT_FAULT)
-        kind = _classify_answer(request, status, headers_by_name)
+        kind = _classify_answer(request, status, headers_by_name, is_first=is_first)
         return exchange.AnswerHead(
             kind=kind,
             status=status,
@@ -173,9 +178,16 @@
 
 
 def _classify_answer(
-    request: exchange.CallerRequest, status: int, headers_by_name: dict[str, str]
+    request: exchange.CallerRequest,
+    status: int,
+    headers_by_name: dict[str, str],
+    *,
+    is_first: bool,
 ) -> exchange.AnswerKind:
     echoed_request_id = headers_by_name.get(headers.REQUEST_ID)
+    if echoed_request_id is None and not is_first:
+        # It may be an answer to an earlier request on the connection that came late.
+        return exchange.AnswerKind.MISMATCHED
     if echoed_request_id is not None and echoed_request_id != request.request_id:
         return exchange.AnswerKind.MISMATCHED
     if status == _MISDIRECTED:
--- a/src/jujubepass/transport/_http_client.py
+++ b/src/jujubepass/transport/_http_client.py
@@ -101,6 +101,7 @@
         "_stream",
         "fields",
         "headers",
+        "is_first",
         "status",
     )
 
@@ -110,11 +111,14 @@
         connection: h11.Connection,
         stream: trio.SocketStream,
         head: h11.Response,
+        is_first: bool,
     ) -> None:
         self._connection = connection
         self._stream = stream
         self._ended = False
         self._drained = False
+        self.is_first = is_first
+        """Whether no other request was sent on the connection before."""
         self.status = head.status_code
         self.fields = [(k.decode(), v.decode("latin-1")) for k, v in head.headers]
         self.headers = dict(self.fields)
@@ -220,9 +224,13 @@
         have closed that connection, unless `fresh` or `once` is set.
         """
         data = _build_request(method, address, path, body, headers or {})
-        stream, connection, head = await self._exchange(address, data, fresh, once)
+        stream, connection, head, is_first = await self._exchange(
+            address, data, fresh, once
+        )
         try:
-            yield StreamedAnswer(connection=connection, stream=stream, head=head)
+            yield StreamedAnswer(
+                connection=connection, stream=stream, head=head, is_first=is_first
+            )
         finally:
             # A connection opened for one request is not pooled: servers count idle
             # connections too.
@@ -237,7 +245,7 @@
         data: tuple[h11.Request, bytes],
         fresh: bool,
         once: bool,
-    ) -> tuple[trio.SocketStream, h11.Connection, h11.Response]:
+    ) -> tuple[trio.SocketStream, h11.Connection, h11.Response, bool]:
         while True:
             idle = None if fresh else self._pop_idle(address)
             pooled = idle is not None
@@ -245,7 +253,7 @@
             connection = h11.Connection(h11.CLIENT)
             try:
                 head = await _send_and_receive_head(stream, connection, data)
-                return stream, connection, head
+                return stream, connection, head, not pooled
             except InterruptedAnswerError:
                 await trio.aclose_forcefully(stream)
                 if once or not pooled:
--- a/standins/path_engine.py
+++ b/standins/path_engine.py
@@ -63,8 +63,15 @@
     """Whether answers have neither a length nor chunks."""
     reset_answer: float = 0
     """Resets of the connection in the middle of an unframed answer."""
+    resume_errors: float = 0
+    """Streams to be resumed that are answered with an error instead."""
+    resume_error: str = ""
+    """Form of that error; see `raw_answers.write_error`."""
     drop_kept: float = 0
     """Requests on kept connections that are closed instead, without a run."""
+    late_refusal: str = ""
+    """Whether a refusal comes once more as a request runs on a kept connection: `with
+    its id`, `without an id` or, if empty, not at all."""
     endless_request: str = ""
     """Form of bytes without end in place of answers; see `raw_answers`."""
     endless_report: str = ""
@@ -136,6 +143,7 @@
         self._pipelines: dict[str, list[Stage]] = {}
         self._moves = 0
         self._used_connections: weakref.WeakSet[trio.SocketStream] = weakref.WeakSet()
+        self._last_refused = ""
         self._previous = arguments.previous
         self._listeners: list[trio.SocketListener] = []
         self.server = Server(handler=self.handle)
@@ -187,7 +195,7 @@
         elif is_kept and self._draw_fault("drop_kept"):
             raise trio.BrokenResourceError("idle limit reached")
         else:
-            await self._serve(request, responder)
+            await self._serve(request, responder, is_kept)
 
     def _is_expected(self, request: _http_server.Request) -> bool:
         """Return whether a request is for this engine, not for one before it."""
@@ -321,7 +329,9 @@
         setattr(self.settings, knob, knob_value)
         return happens
 
-    async def _serve(self, request: _http_server.Request, responder: Responder) -> None:
+    async def _serve(
+        self, request: _http_server.Request, responder: Responder, is_kept: bool
+    ) -> None:
         request_id = request.headers["x-request-id"]
         if self._crashes(request):
             _log("arrival", request_id)
@@ -331,7 +341,11 @@
         if not self._is_expected(request) or self.settings.pretend_other:
             await responder.send_fields(421, echo, b"")
             return
+        if self.settings.late_refusal and is_kept and self._last_refused:
+            await self._refuse_late(request_id, responder)
+            return
         if self._draw_fault("refuse"):
+            self._last_refused = request_id
             self._refused += 1
             self._refused_at.append(time.time())
             refusal = [*echo, *self._list_signals(503), ("x-not-executed", "1")]
@@ -345,6 +359,18 @@
             return
         await self._serve_plain(request, responder, echo)
 
+    async def _refuse_late(self, request_id: str, responder: Responder) -> None:
+        """Run a request, and write an earlier refusal before its answer."""
+        self._runs[request_id] += 1
+        fields = [("x-not-executed", "1"), ("content-length", "0")]
+        if self.settings.late_refusal == "with its id":
+            fields.append(("x-request-id", self._last_refused))
+        raw = raw_answers.UnframedResponder(responder=responder)
+        await raw.start_fields(503, fields)
+        # The request still runs as the refusal is read.
+        await trio.sleep(self.settings.work_seconds)
+        raise trio.BrokenResourceError("answered twice")
+
     async def _serve_plain(
         self,
         request: _http_server.Request,
@@ -402,6 +428,11 @@
             return
         self._runs[request_id] += 1
         fields = [*echo, ("x-server-seal", self._arguments.name)]
+        if "last-event-id" in request.headers and self._draw_fault("resume_errors"):
+            event = _format_event(request_id, int(request.headers["last-event-id"]) + 1)
+            form = self.settings.resume_error
+            await raw_answers.write_error(responder, form, fields, event)
+            return
         fields.append(("content-type", "text/event-stream"))
         await responder.start_fields(200, fields)
         tokens = int(request.headers["x-token-count"].partition(",")[2])
--- a/standins/raw_answers.py
+++ b/standins/raw_answers.py
@@ -82,6 +82,47 @@
             await trio.sleep(_SLOW_INTERVAL_SECONDS)
 
 
+_ERROR_EVENT = b"event: error\ndata: engine failed\n\n"
+_ERROR_TEXT = b"engine failed\n\n"
+
+
+async def write_error(
+    responder: _http_server.Responder,
+    form: str,
+    fields: list[tuple[str, str]],
+    event: bytes,
+) -> None:
+    """Answer with an error in some form; `event` is the one that would come next."""
+    raw = UnframedResponder(responder=responder)
+    head = _format_head(500, [("content-length", str(len(_ERROR_TEXT)))])
+    bodies = {
+        "an event without an id": _ERROR_EVENT,
+        "an event after the next one": event + _ERROR_EVENT,
+        "a head in its events": head + _ERROR_TEXT,
+        "a head after the next event": event + head + _ERROR_TEXT,
+        "a text in place of events": _ERROR_TEXT,
+        "a text without an end": _ERROR_TEXT.strip(),
+    }
+    texts = {"a text with status 200": _ERROR_TEXT, "nothing with status 200": b""}
+    if form in bodies:
+        events_type = ("content-type", "text/event-stream")
+        await responder.start_fields(200, [*fields, events_type])
+        await responder.write(bodies[form])
+        await responder.finish()
+    elif form in texts:
+        text_type = ("content-type", "text/plain")
+        await responder.send_fields(200, [*fields, text_type], texts[form])
+    elif form.startswith("status "):
+        await responder.send_fields(int(form.split()[1]), fields, _ERROR_TEXT)
+    elif form == "a status and no body":
+        await responder.send_fields(500, fields, b"")
+    elif form == "a body without end":
+        await write_endless(responder, "failure", fields)
+    else:
+        await raw.write(_ERROR_TEXT)
+        raise trio.BrokenResourceError("ended by an error")
+
+
 def _format_head(status: int, fields: Fields) -> bytes:
     lines = [f"HTTP/1.1 {status} X", *(f"{name}: {value}" for name, value in fields)]
     return "\r\n".join([*lines, "", ""]).encode()
--- a/tests/features/steps/odd_entries_steps.py
+++ b/tests/features/steps/odd_entries_steps.py
@@ -204,7 +204,7 @@
         for status in (200, 421, 503):
             for name in ("retry-after", "server-limit", "at-server", "server-leaving"):
                 fields = (("x-request-id", request.request_id), (name, text))
-                wire.HttpWire().read_answer(request, status, fields)
+                wire.HttpWire().read_answer(request, status, fields, is_first=False)
         for name in ("keep-alive", "content-length", "store-era", "content-type"):
             check_answer(f"{name}: {text}")
             check_answer(f"{name}: timeout={text}")
--- a/tests/features/steps/request_limits_steps.py
+++ b/tests/features/steps/request_limits_steps.py
@@ -200,7 +200,7 @@
 def name_limit(context, *texts, status=200):
     fields = [("x-request-id", "r"), ("x-server-seal", "s")]
     fields += [("server-limit", text) for text in texts]
-    head = wire.HttpWire().read_answer(REQUEST, status, tuple(fields))
+    head = wire.HttpWire().read_answer(REQUEST, status, tuple(fields), is_first=False)
     if head.limit is not None:
         context.limits.record(SERVER_RUN, head.limit, context.now)
 
--- a/tests/features/steps/server_signals_steps.py
+++ b/tests/features/steps/server_signals_steps.py
@@ -35,7 +35,7 @@
 
 def read_head(status, *fields):
     return wire.HttpWire().read_answer(
-        REQUEST, status, (("x-request-id", "r"), *fields)
+        REQUEST, status, (("x-request-id", "r"), *fields), is_first=False
     )
 
 
--- a/tests/small_fleet.py
+++ b/tests/small_fleet.py
@@ -248,6 +248,8 @@
 
 
 def make_guard(blackboard):
+    # The rows of suspects were read, as those of the list were.
+    blackboard.quarantine.is_initialized = True
     return guard.Guard(
         area=blackboard.backends,
         quarantine=controller.Quarantine(blackboard=blackboard),
