Keep errors of the next engine out of a stream that has begun

Operators of similar systems found an error's text, at times its whole head, in the middle of streams, or streams that ended as if they were complete. A text of status 200, events without ids and heads of answers among the events came into the stream, and an answer of status 200 without events ended it after 5 of 20 events.

Cause: an answer of status 200 was taken for the rest of the stream whatever its content type, and an event without an id for a new one. A resumed answer must now have the status and the content type of the first; an event without an id ends that run, as its events have ids; and an end without a further event counts only if no run was cut inside an event and a second engine says the same. An answer with another status is not read to its end any more.

--- a/src/jujubepass/forwarding/events.py
+++ b/src/jujubepass/forwarding/events.py
@@ -23,6 +23,12 @@
     identity: str
     data: bytes
 
+    @property
+    def is_comment(self) -> bool:
+        """Return whether all lines of the event are comments, which clients ignore."""
+        lines = self.data.splitlines()
+        return all(not line or line.startswith(b":") for line in lines)
+
 
 @attrs.define(kw_only=True)
 class EventSplitter:
--- a/src/jujubepass/forwarding/stream_exchange.py
+++ b/src/jujubepass/forwarding/stream_exchange.py
@@ -40,10 +40,6 @@
 _PREDICTION_MARGIN = 1.2
 
 
-class PipelineFailedError(Exception):
-    """Signal that an answer cannot continue on its pipeline."""
-
-
 @attrs.define(kw_only=True)
 class StreamExchange:
     """Run a request on a pipeline, and resume after the last event on another."""
@@ -112,7 +108,10 @@
                 if not progress.has_refusals_left and not reply.started:
                     return self._make_refusal(stream_refusals.FULL, progress)
                 await trio.sleep(progress.draw_delay(self.random_source))
-            except (sending.OutcomeUnknownError, PipelineFailedError) as error:
+            except (
+                sending.OutcomeUnknownError,
+                stream_progress.PipelineFailedError,
+            ) as error:
                 self._record_failure(request, pipeline, error, progress)
                 if not (admitted.route.is_repeatable and progress.has_runs_left):
                     return self._make_refusal(stream_refusals.OUTCOME_UNKNOWN, progress)
@@ -231,7 +230,7 @@
                 # The stream may have moved to another pipeline in the meantime.
                 self.choice.record_end(stream.pipeline, was_prefilled=stream.has_begun)
         if stream.scope.cancelled_caught:
-            raise PipelineFailedError(stream.reason)
+            raise stream_progress.PipelineFailedError(stream.reason)
 
     @contextlib.contextmanager
     def _watch(
@@ -275,18 +274,19 @@
         progress: stream_progress.Progress,
         request: exchange.CallerRequest,
     ) -> None:
+        if reply.started:
+            progress.check_resumed(head.status, answer.headers)
         if head.status != _OK:
             body = await answer.receive_all()
-            if reply.started:
-                raise PipelineFailedError(f"answered {head.status} when resumed")
             stream.is_forwarding = True
             await reply.send_complete(head, body.body)
             return
-        splitter = events.EventSplitter()
+        progress.content_type = stream_progress.read_content_type(answer.headers)
+        splitter = progress.splitter = events.EventSplitter()
         while data := await answer.receive():
-            found = splitter.feed(data)
+            found, fault = progress.select_events(splitter.feed(data))
             # Bytes that complete no event are no progress, and may come without end.
-            if not found:
+            if not found and fault is None:
                 continue
             if not stream.has_begun:
                 self.choice.record_prefilled(stream.pipeline)
@@ -296,8 +296,9 @@
             stream.is_forwarding = True
             await self._forward(found, head, reply, progress, request)
             stream.record_forwarded()
-        if splitter.has_partial:
-            raise PipelineFailedError("stream ended inside an event")
+            if fault is not None:
+                raise fault
+        progress.check_end()
         stream.is_forwarding = True
         self.guard.record_end(progress.guarded, answer)
         if not reply.started:
--- a/src/jujubepass/forwarding/stream_progress.py
+++ b/src/jujubepass/forwarding/stream_progress.py
@@ -1,10 +1,12 @@
 """Progress of one model request over its attempts."""
 
+import collections.abc
 import random
 
 import attrs
 
 from jujubepass import ids
+from jujubepass.forwarding import events
 from jujubepass.quarantine import guard
 
 # Maximum number of refused attempts before the request itself is refused.
@@ -19,6 +21,20 @@
 _MAX_REFUSED_DELAY_SECONDS = 0.8
 
 
+# Aliases, because a field has the same name as the module.
+_Event = events.Event
+_EventSplitter = events.EventSplitter
+
+_OK = 200
+# Runs that end without a further event before the answer counts as complete: an engine
+# that fails may end its answer so.
+_MIN_EMPTY_RUNS = 2
+
+
+class PipelineFailedError(Exception):
+    """Signal that an answer cannot continue on its pipeline."""
+
+
 @attrs.define(kw_only=True)
 class Progress:
     """Track the progress of one answer."""
@@ -39,6 +55,15 @@
     entries: dict[ids.BackendServerId, int] = attrs.field(factory=dict)
     """First engines of this request's pipelines, with the engines' start times."""
 
+    content_type: str = ""
+    """Content type of the run that the answer began with, and of each further one."""
+    splitter: _EventSplitter | None = None
+    """Splitter of the run in use, or of the last one."""
+    is_cut: bool = False
+    """Whether a run ended inside an event, so that there is a further one."""
+    empty_runs: int = 0
+    """Runs that ended well without a further event of an answer that has begun."""
+
     @property
     def run_events(self) -> int:
         """Return the number of events of the run in use."""
@@ -67,8 +92,51 @@
         """Record that the run in use broke."""
         self.fruitless_runs = self._count_fruitless_runs()
         self.runs += 1
+        if self.run_events:
+            self.is_cut = False
+        if self.splitter is not None:
+            self.is_cut |= self.splitter.has_partial
+            self.splitter = None
         self.refusals_in_row = 0
 
+    def check_resumed(
+        self, status: int, headers: collections.abc.Mapping[str, str]
+    ) -> None:
+        """Raise PipelineFailedError unless an answer may go on with these headers.
+
+        The body of an error must not get into an answer that has begun.
+        """
+        if status != _OK:
+            raise PipelineFailedError(f"answered {status} when resumed")
+        content_type = read_content_type(headers)
+        if content_type != self.content_type:
+            raise PipelineFailedError(f"resumed with content type {content_type!r:.80}")
+
+    def select_events(
+        self, found: list[_Event]
+    ) -> tuple[list[_Event], PipelineFailedError | None]:
+        """Return the events before one that cannot be of a resumed answer, if any.
+
+        In an answer whose events have ids, one without is an error of the engine.
+        """
+        if not self.events_before_run or self.last_id is None:
+            return found, None
+        for number, each in enumerate(found):
+            if not each.identity and not each.is_comment:
+                error = PipelineFailedError("event without an id in a resumed answer")
+                return found[:number], error
+        return found, None
+
+    def check_end(self) -> None:
+        """Raise PipelineFailedError if the run in use has ended too early."""
+        if self.splitter is not None and self.splitter.has_partial:
+            raise PipelineFailedError("stream ended inside an event")
+        if not self.events_before_run or self.run_events:
+            return
+        self.empty_runs += 1
+        if self.is_cut or self.empty_runs < _MIN_EMPTY_RUNS:
+            raise PipelineFailedError("resumed answer without a further event")
+
     def record_refusal(self, engine: ids.BackendServerId) -> None:
         """Record that an engine did not run its stage."""
         self.refusals += 1
@@ -86,3 +154,8 @@
 
     def _count_fruitless_runs(self) -> int:
         return 1 if self.run_events else self.fruitless_runs + 1
+
+
+def read_content_type(headers: collections.abc.Mapping[str, str]) -> str:
+    """Return the content type in header fields without its parameters."""
+    return headers.get("content-type", "").partition(";")[0].strip().lower()
--- a/standins/path_engine.py
+++ b/standins/path_engine.py
@@ -63,6 +63,8 @@
     """Whether answers have neither a length nor chunks."""
     reset_answer: float = 0
     """Resets of the connection in the middle of an unframed answer."""
+    cut_after: int = 0
+    """Events after which a stream from its start on is cut; 0 for none."""
     resume_errors: float = 0
     """Streams to be resumed that are answered with an error instead."""
     resume_error: str = ""
@@ -491,6 +493,10 @@
         for number in range(last + 1, events + 1):
             await self._wait_for_pipeline(request_id)
             event = _format_event(request_id, number)
+            is_cut = self.settings.cut_after and not last
+            if is_cut and number > self.settings.cut_after:
+                await responder.write(event[: len(event) // 2])
+                raise trio.BrokenResourceError
             if self._draw_fault("cut_event"):
                 await responder.write(event[: len(event) // 2])
                 raise trio.BrokenResourceError
--- a/standins/raw_answers.py
+++ b/standins/raw_answers.py
@@ -102,6 +102,7 @@
         "a head after the next event": event + head + _ERROR_TEXT,
         "a text in place of events": _ERROR_TEXT,
         "a text without an end": _ERROR_TEXT.strip(),
+        "no further event": b"",
     }
     texts = {"a text with status 200": _ERROR_TEXT, "nothing with status 200": b""}
     if form in bodies:
