--- a/src/jujubepass/forwarding/admission.py
+++ b/src/jujubepass/forwarding/admission.py
@@ -73,6 +73,13 @@
         age = now - self.blackboard.configuration.confirmed_at
         return age > _MAX_KEYED_AGE_SHARE * bound_seconds
 
+    def find_account(
+        self, request: exchange.CallerRequest
+    ) -> declarations.Account | None:
+        """Return the account of a request's key by the configuration in force."""
+        declared = self.blackboard.configuration.declarations
+        return declared.accounts.get(request.key or "") if declared else None
+
     def _decide(
         self,
         request: exchange.CallerRequest,
--- a/src/jujubepass/forwarding/forwarder.py
+++ b/src/jujubepass/forwarding/forwarder.py
@@ -15,8 +15,12 @@
     service_exchange,
     stream_exchange,
 )
+from jujubepass.quarantine import guard
 from jujubepass.transport import _http_server
 
+# Alias, because a field has the same name as the module.
+_Guard = guard.Guard
+
 _LOGGER = logging.getLogger(__name__)
 
 # Time limit for reading the configuration again before a refusal.
@@ -32,6 +36,7 @@
     admission_control: admission.Admission
     services: service_exchange.ServiceExchange
     streams: stream_exchange.StreamExchange
+    guard: _Guard
     measures: measures.Measures
     refresh_configuration: collections.abc.Callable[
         [float], collections.abc.Awaitable[None]
@@ -52,7 +57,10 @@
         found = self.admission_control.admit(caller_request, clocks.read_boot_clock())
         try:
             if isinstance(found, admission.Refusal):
-                await reply.refuse(found)
+                account = self.admission_control.find_account(caller_request)
+                await reply.refuse(
+                    self.guard.withhold_retry(caller_request, account, found)
+                )
             elif found.service.model is not None:
                 self.blackboard.is_cold_start = False
                 await self.streams.serve(caller_request, found, reply)
--- a/src/jujubepass/forwarding/node.py
+++ b/src/jujubepass/forwarding/node.py
@@ -246,6 +246,7 @@
                 count_retry=self.measures.count_retry,
                 observe_first_event=self.measures.observe_first_event,
             ),
+            guard=self._engines.guard,
             measures=self.measures,
             refresh_configuration=self._refresh_configuration,
         )
--- a/src/jujubepass/quarantine/guard.py
+++ b/src/jujubepass/quarantine/guard.py
@@ -8,7 +8,14 @@
 import trio
 
 from jujubepass import ids, reasons
-from jujubepass.forwarding import admission, backends, board, clocks, exchange
+from jujubepass.forwarding import (
+    admission,
+    backends,
+    board,
+    clocks,
+    declarations,
+    exchange,
+)
 from jujubepass.quarantine import controller, fingerprints, suspects
 from jujubepass.transport import _http_client
 
@@ -53,18 +60,24 @@
     """Whether the request may run once in spite of the quarantine."""
 
 
+def identify(
+    request: exchange.CallerRequest, account: declarations.Account | None
+) -> fingerprints.Identity:
+    """Return what identifies a request of an account."""
+    return fingerprints.Identity(
+        host=request.host,
+        target=request.target,
+        account=account.name if account is not None else "",
+        body=request.body,
+    )
+
+
 def track(
     request: exchange.CallerRequest, admitted: exchange.Admitted
 ) -> GuardedRequest:
     """Return what the guard tracks of an admitted request."""
-    account = admitted.account
     return GuardedRequest(
-        identity=fingerprints.Identity(
-            host=request.host,
-            target=request.target,
-            account=account.name if account is not None else "",
-            body=request.body,
-        ),
+        identity=identify(request, admitted.account),
         parts=suspects.list_part_keys(admitted.service.name, request.prompt_parts),
     )
 
@@ -96,6 +109,21 @@
             return self._make_refusal(request, wait)
         return None
 
+    def withhold_retry(
+        self,
+        request: exchange.CallerRequest,
+        account: declarations.Account | None,
+        refusal: admission.Refusal,
+    ) -> admission.Refusal:
+        """Return a refusal without a time to retry if the request is in quarantine."""
+        area = self.quarantine.blackboard.quarantine
+        if refusal.retry_after_seconds is None or not area.quarantined:
+            return refusal
+        key = self.quarantine.fingerprints.make_key(identify(request, account))
+        if key not in area.quarantined:
+            return refusal
+        return attrs.evolve(refusal, retry_after_seconds=None)
+
     def _find_wait(self, request: GuardedRequest, now: float) -> float | None:
         if not self.quarantine.blackboard.quarantine.quarantined:
             return None
--- a/tests/features/crashing_requests_fleet.feature
+++ b/tests/features/crashing_requests_fleet.feature
@@ -79,3 +79,9 @@
     Then its row has neither its path, nor its body, nor a digest without the secret
     And the secret is not among the rows of suspects
     And it is refused at once as not run, without a time to retry
+
+  # Guards against inviting a request again that would only meet the quarantine.
+  Scenario: A request in quarantine is refused without a time to retry whatever the reason
+    Given 9 simulated nodes with plain servers
+    When a lookup that crashes servers is known to all nodes and they lose the store
+    Then their refusals of it have no time to retry, and those of others have one
--- a/tests/features/steps/crashing_requests_fleet_steps.py
+++ b/tests/features/steps/crashing_requests_fleet_steps.py
@@ -1,13 +1,14 @@
 """Steps for simulated nodes and servers that some requests crash."""
 
+import functools
 import hashlib
 import json
 
 import behave
 import trio
 
-from jujubepass import ids
-from jujubepass.forwarding import clocks
+from jujubepass import ids, reasons
+from jujubepass.forwarding import admission, clocks
 from jujubepass.quarantine import fingerprints, guard, sharing, suspects
 from tests import crashing_fleet, quarantine_fleet, quarantine_store
 
@@ -356,3 +357,34 @@
         assert (reply.status, reply.reason) == (503, QUARANTINED), reply
         assert responder.retry_after_seconds is None, responder
         assert seconds < 0.05, seconds
+
+
+@behave.when(
+    "a lookup that crashes servers is known to all nodes and they lose the store"
+)
+def step_known_and_lost(context):
+    async def play(fleet, nursery):
+        await send(fleet, 4.0, 10.0, LOOKUP)
+        assert all(each.list_quarantined_requests() for each in fleet.nodes)
+
+    simulate(context, play, LOOKUP)
+
+
+@behave.then("their refusals of it have no time to retry, and those of others have one")
+def step_withheld(context):
+    stale = admission.Refusal(
+        reason=reasons.RefusalReason.CONFIGURATION_STALE, retry_after_seconds=0.5
+    )
+    for node in context.fleet.nodes:
+        control = node.services.admission_control
+        for call, expected in ((LOOKUP, None), (crashing_fleet.POPULAR, 0.5)):
+            request = quarantine_fleet.run_simulation(
+                functools.partial(make_request, context.fleet, call)
+            )
+            account = control.find_account(request)
+            refusal = node.services.guard.withhold_retry(request, account, stale)
+            assert refusal.retry_after_seconds == expected, (node.name, call, refusal)
+
+
+async def make_request(fleet, call):
+    return fleet._make_request(call)
