Check that answers without end are asked for before they are closed

The scenario of interim heads failed once beside other load, as no connection was closed in 20 s. The stand-in logged such an answer only at its end, so that a connection that stays open and a stream that used the other failure domain's engines looked the same. It logs the beginning as well now; the stream is sent again until an engine of the domain was asked, and each answer that has begun must have ended.

--- a/standins/path_engine.py
+++ b/standins/path_engine.py
@@ -220,6 +220,7 @@
         request_id = request.headers.get("x-request-id", "")
         fields = [("x-request-id", request_id), ("x-server-seal", "seal")]
         began_at = time.monotonic()
+        _log("endless begun", request_id)
         try:
             await raw_answers.write_endless(responder, form, fields)
         finally:
--- a/tests/features/steps/endless_answers_steps.py
+++ b/tests/features/steps/endless_answers_steps.py
@@ -15,6 +15,7 @@
 MEGABYTE = 1_000_000
 OTHERS_INTERVAL_SECONDS = 0.1
 MIN_OTHERS = 5
+MAX_STREAMS = 10
 # The time limit of the routes to the plain service, and a margin.
 MAX_PLAIN_SECONDS = 1.2 + 0.3
 MAX_OTHER_SECONDS = 1.0
@@ -72,13 +73,13 @@
     return 0
 
 
-def list_endless(context, names):
-    """Return the log lines of bytes without end that ended, by their server."""
+def list_endless(context, names, message="endless"):
+    """Return the log lines of bytes without end that ended, or have begun."""
     return [
         line
         for name in names
         for line in context.system.read_log(name)
-        if line["message"] == "endless"
+        if line["message"] == message
     ]
 
 
@@ -96,10 +97,14 @@
             context.answers.append(context.system.request_stream("n1", EVENTS))
 
     context.answers = []
-    context.background = threading.Thread(target=run)
     with send_lookups(context, "n1"):
-        context.background.start()
-        context.background.join()
+        for _ in range(MAX_STREAMS):
+            context.background = threading.Thread(target=run)
+            context.background.start()
+            context.background.join()
+            # The node may suspect those engines, and use the other domain's meanwhile.
+            if list_endless(context, ENGINES, "endless begun"):
+                break
         time.sleep(1.0)
 
 
@@ -166,10 +171,13 @@
 @behave.then("the {kind} connections were closed within {seconds:d} seconds")
 def step_closed(context, kind, seconds):
     names = ENGINES if kind == "engines'" else SERVERS
-    lines = processes.wait_for(
-        lambda: list_endless(context, names), "a connection that was closed"
+    begun = list_endless(context, names, "endless begun")
+    assert begun, "no server was asked"
+    processes.wait_for(
+        lambda: len(list_endless(context, names)) >= len(begun),
+        f"{len(begun)} connections that were closed",
     )
-    for line in lines:
+    for line in list_endless(context, names):
         assert line["seconds"] < seconds, line
 
 
