Spend the trial of a suspect once its request has reached a server

While servers were full, a request in quarantine reached them 333 times after the bound, with 9 simulated nodes, and requests with a bad part 52 times: the trial that a server refused was given back, as its request had not run, and the next request claimed it at once. 3 sends are allowed, whether they run or not. Now only a trial whose request has reached no server is given back.

--- a/src/jujubepass/forwarding/service_exchange.py
+++ b/src/jujubepass/forwarding/service_exchange.py
@@ -306,6 +306,7 @@
                 self.guard.record_refused_connection(progress.guarded, backend.name)
             self.count_retry(reasons.RetryReason.CONNECT_FAILED)
         else:
+            self.guard.record_refusal(progress.guarded)
             progress.full = True
             self.count_retry(reasons.RetryReason.CALL_REFUSED)
         _LOGGER.info(
--- a/src/jujubepass/forwarding/stream_exchange.py
+++ b/src/jujubepass/forwarding/stream_exchange.py
@@ -337,6 +337,7 @@
         stage = pipeline.stages[0]
         reason = suspicion.SuspicionReason.UNREACHABLE
         if error.head is not None:
+            self.guard.record_refusal(progress.guarded)
             at_fault = error.head.at_fault
             reason = suspicion.SuspicionReason.FULL
             stage = next(
--- a/src/jujubepass/quarantine/guard.py
+++ b/src/jujubepass/quarantine/guard.py
@@ -58,6 +58,8 @@
     """Runs of servers on which the request broke before it was proven."""
     has_trial: bool = False
     """Whether the request may run once in spite of the quarantine."""
+    is_trial_spent: bool = False
+    """Whether the trial's request has run, or reached a server that refused it."""
 
 
 def identify(
@@ -103,9 +105,9 @@
         if self._has_ended_servers(request, now):
             return _OUTCOME_UNKNOWN
         wait = self._find_wait(request, now)
-        if wait is None or (request.has_trial and not request.runs):
+        if wait is None or (request.has_trial and not request.is_trial_spent):
             return None
-        if wait > 0.0 or request.runs:
+        if wait > 0.0 or request.runs or request.is_trial_spent:
             return self._make_refusal(request, wait)
         return None
 
@@ -179,7 +181,7 @@
 
     def return_trial(self, request: GuardedRequest) -> None:
         """Return the trial of a request that was refused without a run."""
-        if request.has_trial and not request.runs:
+        if request.has_trial and not request.is_trial_spent:
             now = clocks.read_boot_clock()
             self.quarantine.return_trial(self._list_keys(request), now)
 
@@ -271,10 +273,15 @@
     ) -> None:
         """Record that a run broke, for which one of these servers may have ended."""
         request.runs += 1
+        request.is_trial_spent = request.has_trial
         request.was_proven = request.is_proven
         if not request.is_proven:
             self._report_break(request, servers)
 
+    def record_refusal(self, request: GuardedRequest) -> None:
+        """Record that a server refused a request, which has reached it all the same."""
+        request.is_trial_spent = request.has_trial
+
     def _report_break(
         self,
         request: GuardedRequest,
--- a/tests/features/crashing_requests_fleet.feature
+++ b/tests/features/crashing_requests_fleet.feature
@@ -108,3 +108,10 @@
   Scenario: Thousands of suspects are decided on in a short time
     When 5000 requests are suspected, 500 of them for three ends and 50 parts as well
     Then a decision takes less than 0.1 seconds of processor time
+
+  # Guards against a trial that reaches server after server, as they refuse it.
+  Scenario: A trial of a request that servers refuse is not sent to others
+    Given 9 simulated nodes with plain servers
+    When all servers are full as a lookup that crashes servers is in quarantine
+    Then later than 3 seconds after its third crash it reached no more than 3 servers
+    And each trial has reached one server
--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -168,3 +168,9 @@
   Scenario: Rows of the part table are read as written, and bad ones are not used
     Then a suspected part is read as written
     And rows that hold no valid part are rejected
+
+  # Guards against a trial that is used for request after request, as engines refuse them.
+  Scenario: A trial of a part that engines refuse is not used for another request
+    Given 9 simulated nodes
+    When all engines are full as a bad part is in quarantine
+    Then 3 seconds after the fifth end no more than 3 requests with the bad part reach engines
--- a/tests/features/steps/crashing_requests_guard_steps.py
+++ b/tests/features/steps/crashing_requests_guard_steps.py
@@ -190,3 +190,25 @@
 def step_decided(context):
     assert context.found >= 450, context.found
     assert context.seconds < MAX_DECISION_SECONDS, context.seconds
+
+
+@behave.when("all servers are full as a lookup that crashes servers is in quarantine")
+def step_full(context):
+    async def play(fleet, nursery):
+        nursery.start_soon(crashing_requests_fleet_steps.send, fleet, 4.0, 60.0, LOOKUP)
+        await trio.sleep(1.0)
+        while not all(each.list_quarantined_requests() for each in fleet.nodes):
+            await trio.sleep(0.1)
+        fleet.is_full = True
+        context.full_since = trio.current_time()
+        await trio.sleep(50.0)
+
+    crashing_requests_fleet_steps.simulate(context, play, LOOKUP)
+
+
+@behave.then("each trial has reached one server")
+def step_one_each(context):
+    fleet = context.fleet
+    trials = sum(each.quarantine.trials for each in fleet.nodes)
+    reached = [each for each in fleet.arrivals if each.at >= context.full_since]
+    assert 1 <= len(reached) <= trials, (len(reached), trials)
--- a/tests/features/steps/quarantine_fleet_steps.py
+++ b/tests/features/steps/quarantine_fleet_steps.py
@@ -372,3 +372,15 @@
         assert (reply.status, reply.reason) == (503, "prompt_quarantined"), reply
         assert 1.0 <= responder.retry_after_seconds <= 30.0, responder
         assert seconds < 0.05, seconds
+
+
+@behave.when("all engines are full as a bad part is in quarantine")
+def step_full(context):
+    async def play(fleet, nursery):
+        nursery.start_soon(fleet.send, 5.0, 60.0, quarantine_callers.make_bad())
+        while not all(each.list_quarantined() for each in fleet.nodes):
+            await trio.sleep(0.1)
+        fleet.is_full = True
+        await trio.sleep(50.0)
+
+    simulate(context, play)
--- a/tests/quarantine_engines.py
+++ b/tests/quarantine_engines.py
@@ -99,6 +99,11 @@
         if not engine.is_up:
             raise sending.NotRunError(detail="connection refused", has_ended=True)
         self.fleet.record_arrival(request, engine, self.node)
+        if self.fleet.is_full:
+            head = exchange.AnswerHead(
+                kind=exchange.AnswerKind.NOT_RUN, status=503, fields=()
+            )
+            raise sending.NotRunError(detail="full", head=head)
         head = exchange.AnswerHead(kind=exchange.AnswerKind.RAN, status=200, fields=())
         if attempt.pipeline is None:
             crashes = self.fleet.find_cause(request) is not None
--- a/tests/quarantine_fleet.py
+++ b/tests/quarantine_fleet.py
@@ -202,6 +202,7 @@
         self.store = quarantine_store.Store()
         self.bad_parts = set(bad_parts)
         self.resets = 0
+        self.is_full = False
         self.arrivals = []
         self.ends = []
         self.outcomes = []
@@ -240,7 +241,7 @@
             cause=self.find_cause(request),
         )
         self.arrivals.append(arrival)
-        if arrival.cause is not None:
+        if arrival.cause is not None and not self.is_full:
             self.nursery.start_soon(self._crash_after, engine, arrival.cause)
 
     def find_cause(self, request):
