Read plans that leave engines outside the chains

Since the reader of plans rejects the number -1, which stands for an engine outside the chains, so that nodes kept the plan from before the loss; the tests' sound plan had none, and stand-ins have too few engines for spares. The age of rows in a query between nodes may be just below zero again, too.

--- a/src/jujubepass/forwarding/plan_rows.py
+++ b/src/jujubepass/forwarding/plan_rows.py
@@ -47,16 +47,14 @@
 
 
 def _read_placement(value: collections.abc.Sequence[int]) -> plans.Placement:
-    first, end, chain = map(_read_small, value)
-    if end < first:
-        raise ValueError("a span that ends before it begins")
+    first, end, chain = value
+    first = _decoding.read_integer(first, maximum=_MAX_NUMBER)
+    end = _decoding.read_integer(end, minimum=first, maximum=_MAX_NUMBER)
+    # Engines outside the chains have the number -1.
+    chain = _decoding.read_integer(chain, minimum=-1, maximum=_MAX_NUMBER)
     return plans.Placement(span=backends.Span(first=first, end=end), chain=chain)
 
 
-def _read_small(value: typing.Any) -> int:
-    return _decoding.read_integer(value, maximum=_MAX_NUMBER)
-
-
 def write_plan(
     operation: _store_messages.OperationId, plan: plans.Plan
 ) -> _store_messages.Transact:
--- a/src/jujubepass/relay/codec.py
+++ b/src/jujubepass/relay/codec.py
@@ -84,7 +84,7 @@
         return Query(
             nonce=str(nonce),
             node=str(node),
-            row_age_seconds=_decoding.read_number(row_age_seconds),
+            row_age_seconds=_read_time(row_age_seconds),
             wait_seconds=_decoding.read_number(wait_seconds),
             positions={
                 str(name): Position(
