--- a/src/jujubepass/forwarding/stream_exchange.py
+++ b/src/jujubepass/forwarding/stream_exchange.py
@@ -275,13 +275,13 @@
         request: exchange.CallerRequest,
     ) -> None:
         if reply.started:
-            progress.check_resumed(head.status, answer.headers)
+            progress.check_resumed(head)
         if head.status != _OK:
             body = await answer.receive_all()
             stream.is_forwarding = True
             await reply.send_complete(head, body.body)
             return
-        progress.content_type = stream_progress.read_content_type(answer.headers)
+        progress.content_type = stream_progress.read_content_type(head)
         splitter = progress.splitter = events.EventSplitter()
         while data := await answer.receive():
             found, fault = progress.select_events(splitter.feed(data))
--- a/src/jujubepass/forwarding/stream_progress.py
+++ b/src/jujubepass/forwarding/stream_progress.py
@@ -1,12 +1,11 @@
 """Progress of one model request over its attempts."""
 
-import collections.abc
 import random
 
 import attrs
 
 from jujubepass import ids
-from jujubepass.forwarding import events
+from jujubepass.forwarding import events, exchange
 from jujubepass.quarantine import guard
 
 # Maximum number of refused attempts before the request itself is refused.
@@ -99,16 +98,14 @@
             self.splitter = None
         self.refusals_in_row = 0
 
-    def check_resumed(
-        self, status: int, headers: collections.abc.Mapping[str, str]
-    ) -> None:
-        """Raise PipelineFailedError unless an answer may go on with these headers.
+    def check_resumed(self, head: exchange.AnswerHead) -> None:
+        """Raise PipelineFailedError unless an answer may go on with one of this start.
 
         The body of an error must not get into an answer that has begun.
         """
-        if status != _OK:
-            raise PipelineFailedError(f"answered {status} when resumed")
-        content_type = read_content_type(headers)
+        if head.status != _OK:
+            raise PipelineFailedError(f"answered {head.status} when resumed")
+        content_type = read_content_type(head)
         if content_type != self.content_type:
             raise PipelineFailedError(f"resumed with content type {content_type!r:.80}")
 
@@ -156,6 +153,7 @@
         return 1 if self.run_events else self.fruitless_runs + 1
 
 
-def read_content_type(headers: collections.abc.Mapping[str, str]) -> str:
-    """Return the content type in header fields without its parameters."""
-    return headers.get("content-type", "").partition(";")[0].strip().lower()
+def read_content_type(head: exchange.AnswerHead) -> str:
+    """Return the content type of an answer without its parameters."""
+    content_type = dict(head.fields).get("content-type", "")
+    return content_type.partition(";")[0].strip().lower()
--- a/src/jujubepass/platform/backends.py
+++ b/src/jujubepass/platform/backends.py
@@ -20,7 +20,7 @@
         return backends.Backend(
             name=ids.BackendServerId(key),
             service=ids.ServiceId(_decoding.read_text(value["service"])),
-            address=_http_client.parse_address(_decoding.read_text(value["address"])),
+            address=_read_address(value["address"]),
             failure_domain=ids.FailureDomainId(_decoding.read_text(value["zone"])),
             state=_BACKEND_STATES[value["state"]],
             slots=_decoding.read_integer(
@@ -36,6 +36,13 @@
         ) from error
 
 
+def _read_address(value: typing.Any) -> _http_client.Address:
+    address = _http_client.parse_address(_decoding.read_text(value))
+    if not address.port:
+        raise ValueError("no server listens at port 0")
+    return address
+
+
 def read_span(value: typing.Any) -> backends.Span | None:
     """Decode the span that an engine holds; None if it holds no layers."""
     if value is None:
--- a/src/jujubepass/transport/_http_client.py
+++ b/src/jujubepass/transport/_http_client.py
@@ -70,7 +70,7 @@
     """Parse `host:port`; raise ValueError if the text has another form."""
     host, _, port = text.rpartition(":")
     is_valid = _HOST.fullmatch(host) and _PORT.fullmatch(port)
-    if not is_valid or not 0 < int(port) <= _MAX_PORT:
+    if not is_valid or int(port) > _MAX_PORT:
         raise ValueError(f"{text[:80]!r} is not host:port, such as 127.0.0.1:8080")
     return Address(host=host, port=int(port))
 
