--- a/review/4/case.py
+++ b/review/4/case.py
@@ -5,7 +5,6 @@
 import pathlib
 import random
 import sys
-import tempfile
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent.parent))
@@ -140,18 +139,5 @@
     return 1 if is_broken else 0
 
 
-def main():
-    """Run the case; return the exit code."""
-    record = fleet.Record(pathlib.Path(__file__).with_name("record.txt"))
-    try:
-        with tempfile.TemporaryDirectory() as folder:
-            return asyncio.run(play(folder, record))
-    except (fleet.CannotRunError, OSError) as error:
-        print(f"cannot run: {error}")
-        return 2
-    finally:
-        record.close()
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(fleet.run_case(play, __file__))
--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -11,12 +11,15 @@
 import signal
 import socket
 import sys
+import tempfile
 import time
 import tomllib
+from itertools import repeat
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 _READY_TIMEOUT_SECONDS = 20.0
-_METRICS_PORT = 9464
+_PORTS = {"front": 8227, "ready": 8220, "metrics": 9464, "internal": 7340}
+_TAKEN_HOSTS = set()
 BOUNDS = {
     **{"contactMs": 3000, "drainMs": 2000, "graceS": 8, "lossSlackMs": 200},
     **{"configApplyMs": 2000, "strictRevoke": True, "revokeMs": 5000},
@@ -61,16 +64,28 @@
 
 
 def pick_host():
-    """Return a loopback address at which the fixed metrics port is free."""
+    """Return a loopback address at which the ports of a node are free."""
     for _ in range(50):
         host = f"127.{random.randint(60, 250)}.{random.randint(1, 250)}.1"
-        with socket.socket() as probe:
-            with contextlib.suppress(OSError):
-                probe.bind((host, _METRICS_PORT))
-                return host
+        if host not in _TAKEN_HOSTS and all(
+            map(is_free, repeat(host), _PORTS.values())
+        ):
+            _TAKEN_HOSTS.add(host)
+            return host
     raise CannotRunError("no loopback address is free")
 
 
+def is_free(host, port):
+    """Return whether nothing listens at an address."""
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind((host, port))
+        except OSError:
+            return False
+    return True
+
+
 class Node:
     """Run one node, and start it again after each end as the platform does."""
 
@@ -78,8 +93,8 @@
         self.name = name
         self.zone = zone
         self.host = pick_host()
-        self.front = (self.host, 8227)
-        self.ready = (self.host, 8220)
+        self.front = (self.host, _PORTS["front"])
+        self.ready = (self.host, _PORTS["ready"])
         self.ends = []
         """Ends that nobody caused, as (time, exit code)."""
         self._store_address = store_address
@@ -101,7 +116,7 @@
                 "front": f"{self.host}:{self.front[1]}",
                 "ready": f"{self.host}:{self.ready[1]}",
             },
-            "internalPorts": [7340, 7355],
+            "internalPorts": [_PORTS["internal"], 7355],
             "platform": {"address": self._store_address},
         }
         self.settings = pathlib.Path(self._folder) / f"{self.name}.ini"
@@ -195,3 +210,24 @@
     def close(self):
         """Write the record."""
         self._path.write_text("\n".join([*self._lines, ""]), encoding="utf-8")
+
+
+def run_case(play, case):
+    """Run a case in a temporary folder; return the exit code."""
+    record = Record(pathlib.Path(case).with_name("record.txt"))
+    try:
+        with tempfile.TemporaryDirectory() as folder:
+            return asyncio.run(_play_until_stopped(play, folder, record))
+    except (CannotRunError, OSError, asyncio.CancelledError) as error:
+        print(f"cannot run: {error!r}")
+        return 2
+    finally:
+        record.close()
+
+
+async def _play_until_stopped(play, folder, record):
+    # A case that is terminated ends the processes that it started, too.
+    loop, task = asyncio.get_running_loop(), asyncio.current_task()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, task.cancel)
+    return await play(folder, record)
