--- a/review/2/case.py
+++ b/review/2/case.py
@@ -4,6 +4,7 @@
 import os
 import pathlib
 import sys
+import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent.parent))
 
@@ -13,8 +14,11 @@
 _ZONES = ("uy-sur-centro", "uy-sur-este")
 # Within maxBodyBytes of the configuration, 4,194,304.
 _LONG_BODY_BYTES = 4_000_000
-_REQUESTS = 60
-# One in twenty answers breaks off, as in the site file (garble, unframed: x = 0.05).
+# Spans in which one of the two servers (a share of 0.5) breaks off one in twenty of its
+# answers, as in the site file (garble, unframed: x = 0.05, for_s = 5).
+_SPANS = 3
+_SPAN_SECONDS = 5.0
+_CALM_SECONDS = 1.0
 _BROKEN_EVERY = 20
 _WAIT_SECONDS = 0.1
 
@@ -22,8 +26,9 @@
 class EarlyServer(service.PlainServer):
     """Answer before the body was read, without a length; some answers are reset."""
 
+    is_faulty = False
     answered = 0
-    """Answers of all servers."""
+    """Answers while the server was faulty."""
 
     async def answer(self, head, reader, writer):
         """Run one request; the connection ends with its answer."""
@@ -37,8 +42,8 @@
         lines = ["HTTP/1.1 200 OK"]
         lines += [f"{name}: {value}" for name, value in self.seal(fields)]
         writer.write("\r\n".join([*lines, "", ""]).encode())
-        EarlyServer.answered += 1
-        if _IS_TROUBLED and EarlyServer.answered % _BROKEN_EVERY == 0:
+        self.answered += self.is_faulty
+        if self.is_faulty and self.answered % _BROKEN_EVERY == 0:
             writer.write(body[: len(body) // 2])
             await writer.drain()
             await asyncio.sleep(_WAIT_SECONDS)
@@ -76,6 +81,22 @@
         await http.close(writer)
 
 
+async def judge(node, number, servers, record):
+    """Send a request; return whether its answer is whole, mixed or failed."""
+    identity = f"{number:016x}"
+    answer = await send(node, identity, record)
+    bodies = [each.answers.get(identity) for each in servers]
+    if answer is None or answer.status >= 300:
+        outcome, shown = "failed", answer.status if answer is not None else "no answer"
+    elif answer.body in bodies and answer.get("x-server-seal"):
+        outcome, shown = "whole", "200 whole"
+    else:
+        expected = next(len(each) for each in bodies if each is not None)
+        outcome, shown = "mixed", f"200 MIXED: {len(answer.body)} of {expected} bytes"
+    record.write("answered", request=identity, outcome=shown)
+    return outcome
+
+
 async def play(folder, record):
     """Send the requests one after the other; return the exit code."""
     rows = store.Store()
@@ -89,7 +110,7 @@
     for each in servers:
         await each.start()
     nodes = [fleet.Node(f"edge-{zone}-1", zone, address, folder) for zone in _ZONES]
-    whole, mixed, failed = 0, 0, 0
+    outcomes = []
     try:
         for each in nodes:
             await each.start()
@@ -97,24 +118,20 @@
             await each.wait_until_ready()
         # By then the limits of the configuration are in force.
         await asyncio.sleep(1.0)
-        for number in range(_REQUESTS):
-            identity = f"{number:016x}"
-            answer = await send(nodes[number % len(nodes)], identity, record)
-            bodies = [each.answers.get(identity) for each in servers]
-            if answer is None or answer.status >= 300:
-                failed += 1
-                outcome = answer.status if answer is not None else "no answer"
-            elif answer.body in bodies and answer.get("x-server-seal"):
-                whole += 1
-                outcome = "200 whole"
-            else:
-                mixed += 1
-                expected = next(len(each) for each in bodies if each is not None)
-                outcome = f"200 MIXED: {len(answer.body)} of {expected} bytes"
-            record.write("answered", request=identity, outcome=outcome)
+        number = 0
+        for _ in range(_SPANS):
+            servers[0].is_faulty = _IS_TROUBLED
+            end = time.monotonic() + _SPAN_SECONDS
+            while time.monotonic() < end:
+                number += 1
+                node = nodes[number % len(nodes)]
+                outcomes.append(await judge(node, number, servers, record))
+            servers[0].is_faulty = False
+            await asyncio.sleep(_CALM_SECONDS)
     finally:
         for each in nodes:
             await each.stop()
+    whole, mixed, failed = map(outcomes.count, ("whole", "mixed", "failed"))
     line = f"whole {whole}, success with another body {mixed}, failed {failed}"
     record.write(line)
     print(line)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -46,6 +46,7 @@
         async with asyncio.timeout(22.0):
             reader, writer = await asyncio.open_connection(*node.front)
             body = f"prompt {identity}".encode()
+            record.write("sent", request=identity, parts=len(parts) + 1)
             writer.write(http.write_request("POST", target, fields, body))
             head = await http.read_head(reader)
             if head is not None:
--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -18,6 +18,8 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 _READY_TIMEOUT_SECONDS = 20.0
+# A case ends within 120 s, whatever happens.
+_LONGEST_SECONDS = 110.0
 _PORTS = {"front": 8227, "ready": 8220, "metrics": 9464, "internal": 7340}
 _TAKEN_HOSTS = set()
 BOUNDS = {
@@ -103,6 +105,7 @@
         self._is_first = True
         self._is_ending = False
         self._process = None
+        self._launching = None
         self._task = None
 
     def _write_settings(self):
@@ -128,6 +131,11 @@
         self._task = asyncio.create_task(self._keep_running())
 
     async def _launch(self):
+        # A process that is being started must be known to `stop`.
+        self._launching = asyncio.create_task(self._spawn())
+        await asyncio.shield(self._launching)
+
+    async def _spawn(self):
         self._write_settings()
         self._is_first = False
         python = [sys.executable, *self._command[1:]]
@@ -183,6 +191,8 @@
         self._is_ending = True
         if self._task is not None:
             self._task.cancel()
+        if self._launching is not None:
+            await asyncio.gather(self._launching, return_exceptions=True)
         if self._process is not None and self._process.returncode is None:
             self.send_signal(signal.SIGCONT)
             self.send_signal(signal.SIGKILL)
@@ -218,7 +228,7 @@
     try:
         with tempfile.TemporaryDirectory() as folder:
             return asyncio.run(_play_until_stopped(play, folder, record))
-    except (CannotRunError, OSError, asyncio.CancelledError) as error:
+    except (Exception, asyncio.CancelledError) as error:
         print(f"cannot run: {error!r}")
         return 2
     finally:
@@ -230,4 +240,5 @@
     loop, task = asyncio.get_running_loop(), asyncio.current_task()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, task.cancel)
-    return await play(folder, record)
+    async with asyncio.timeout(_LONGEST_SECONDS):
+        return await play(folder, record)
