Keep errors of one connection from ending the node

Callers saw requests on kept connections that were never answered: a node process ended whenever a client reset a new connection before its accept, while the process was suspended, or sent an invalid or oversized HEAD request.

Cause: the task of a connection runs in the nursery of its listener. OSError of getpeername, LocalProtocolError of a rejection with a body for HEAD, and a BrokenResourceError that a nursery had wrapped in an ExceptionGroup passed through it.

The task of a connection is a boundary now, in the HTTP listeners and in that for other nodes; the known errors are handled where they arise.

--- a/src/jujubepass/transport/_http_server.py
+++ b/src/jujubepass/transport/_http_server.py
@@ -66,6 +66,8 @@
         self._running_refusals = 0
         self.connections = 0
         self.refused_connections = 0
+        self.failed_connections = 0
+        """Connections that an unexpected error has ended."""
         self.running_requests = 0
 
     @property
@@ -119,14 +121,22 @@
             scope.cancel()
 
     async def _serve_connection(self, stream: trio.SocketStream) -> None:
-        if self.connections >= self.limits.connections:
-            await self._refuse_connection(stream)
-            return
-        self.connections += 1
+        """Serve one connection; its errors must not end the listener or the node."""
         try:
-            await self._serve_requests(stream)
+            if self.connections >= self.limits.connections:
+                await self._refuse_connection(stream)
+            else:
+                await self._serve_accepted(stream)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             _LOGGER.debug("peer closed the connection")
+        except Exception:
+            self.failed_connections += 1
+            _LOGGER.exception("connection failed")
+
+    async def _serve_accepted(self, stream: trio.SocketStream) -> None:
+        self.connections += 1
+        try:
+            await self._serve_requests(stream)
         finally:
             self.connections -= 1
             deadline = trio.current_time() + _CLOSE_TIMEOUT_SECONDS
@@ -171,19 +181,18 @@
     async def _serve_requests(self, stream: trio.SocketStream) -> None:
         # The limit in force is checked with each event instead.
         connection = h11.Connection(h11.SERVER, max_incomplete_event_size=sys.maxsize)
-        peer = str(stream.socket.getpeername()[0])
+        peer = _find_peer(stream)
         while True:
             responder = Responder(
                 connection=connection, stream=stream, closing=self._is_closing
             )
             try:
-                request = await self._receive(connection, stream, peer)
+                request = await self._receive(connection, stream, peer, responder)
             except _rejections.RejectedInputError as error:
                 await _reject(connection, responder, error)
                 return
             if request is None:
                 return
-            responder.omits_body = request.method == "HEAD"
             self.running_requests += 1
             try:
                 await self._handle(request, responder, connection, stream)
@@ -226,11 +235,17 @@
             nursery.cancel_scope.cancel()
 
     async def _receive(
-        self, connection: h11.Connection, stream: trio.SocketStream, peer: str
+        self,
+        connection: h11.Connection,
+        stream: trio.SocketStream,
+        peer: str,
+        responder: Responder,
     ) -> Request | None:
         head = await self._receive_head(connection, stream)
         if head is None:
             return None
+        # A rejection of the rest of the request is an answer to HEAD, too.
+        responder.omits_body = head.method == b"HEAD"
         if head.method == b"CONNECT":
             raise _rejections.UNSUPPORTED_TUNNEL
         fields = tuple((k.decode(), v.decode("latin-1")) for k, v in head.headers)
@@ -317,6 +332,14 @@
             connection.receive_data(bytes(data))
 
 
+def _find_peer(stream: trio.SocketStream) -> str:
+    """Return the peer's address; raises trio.BrokenResourceError."""
+    try:
+        return str(stream.socket.getpeername()[0])
+    except OSError as error:
+        raise trio.BrokenResourceError(f"reset before the accept: {error}") from error
+
+
 def _check_chunk(connection: h11.Connection, max_bytes: int) -> None:
     """Reject a chunk by its announced size, before waiting for its data."""
     announced = _CHUNK_SIZE.match(connection.trailing_data[0])
@@ -355,8 +378,12 @@
     error: _rejections.RejectedInputError,
 ) -> None:
     can_answer = connection.our_state in (h11.IDLE, h11.SEND_RESPONSE)
-    if can_answer and not responder.started:
+    if not can_answer or responder.started:
+        return
+    try:
         await responder.send_problem(error.status, error.code, error.detail)
+    except (trio.BrokenResourceError, trio.ClosedResourceError):
+        _LOGGER.debug("connection broke before its rejection was sent")
 
 
 async def _send_too_many_connections(responder: Responder, limit: int) -> None:
--- a/src/jujubepass/transport/_peers.py
+++ b/src/jujubepass/transport/_peers.py
@@ -85,6 +85,9 @@
             _LOGGER.warning("peer connection refused: %s", error)
         except (trio.BrokenResourceError, trio.TooSlowError):
             _LOGGER.debug("peer connection broke")
+        except Exception:
+            # Errors of one connection must not end the listener.
+            _LOGGER.exception("peer connection failed")
         finally:
             self._connections -= 1
             stream.socket.close()
