Treat the end of a connection whose write failed as an error

Callers saw status 200 with half of a booking's body, framed as whole; a long stream that was reset at event 10 of 40 ended as complete.

Cause: a server may answer before it has read a long body. Its reset makes the write of the rest fail, which takes the pending error from the socket; a later read returns no data, as at an orderly end. The client ignored failed writes, so that answers with neither a length nor chunks counted as complete.

The client tracks failed writes and reads of a connection. After one, its end is an error, and it is not pooled.

--- a/src/jujubepass/transport/_http_client.py
+++ b/src/jujubepass/transport/_http_client.py
@@ -98,7 +98,6 @@
         "_connection",
         "_drained",
         "_ended",
-        "_stream",
         "fields",
         "headers",
         "is_first",
@@ -108,13 +107,11 @@
     def __init__(
         self,
         *,
-        connection: h11.Connection,
-        stream: trio.SocketStream,
+        connection: "_Connection",
         head: h11.Response,
         is_first: bool,
     ) -> None:
         self._connection = connection
-        self._stream = stream
         self._ended = False
         self._drained = False
         self.is_first = is_first
@@ -128,9 +125,9 @@
         received = b""
         while not self._ended:
             if self._drained:
-                await _receive(self._connection, self._stream)
+                await self._connection.receive()
                 self._drained = False
-            event = _read_event(self._connection)
+            event = self._connection.read_event()
             if isinstance(event, h11.Data):
                 received = received + event.data if received else bytes(event.data)
             elif event is h11.NEED_DATA:
@@ -224,20 +221,16 @@
         have closed that connection, unless `fresh` or `once` is set.
         """
         data = _build_request(method, address, path, body, headers or {})
-        stream, connection, head, is_first = await self._exchange(
-            address, data, fresh, once
-        )
+        connection, head, is_first = await self._exchange(address, data, fresh, once)
         try:
-            yield StreamedAnswer(
-                connection=connection, stream=stream, head=head, is_first=is_first
-            )
+            yield StreamedAnswer(connection=connection, head=head, is_first=is_first)
         finally:
             # A connection opened for one request is not pooled: servers count idle
             # connections too.
             if fresh:
-                stream.socket.close()
+                connection.stream.socket.close()
             else:
-                self._release(address, stream, connection, head)
+                self._release(address, connection, head)
 
     async def _exchange(
         self,
@@ -245,15 +238,15 @@
         data: tuple[h11.Request, bytes],
         fresh: bool,
         once: bool,
-    ) -> tuple[trio.SocketStream, h11.Connection, h11.Response, bool]:
+    ) -> "tuple[_Connection, h11.Response, bool]":
         while True:
             idle = None if fresh else self._pop_idle(address)
             pooled = idle is not None
             stream = idle or await self._connect(address)
-            connection = h11.Connection(h11.CLIENT)
+            connection = _Connection(stream=stream)
             try:
-                head = await _send_and_receive_head(stream, connection, data)
-                return stream, connection, head, not pooled
+                head = await _send_and_receive_head(connection, data)
+                return connection, head, not pooled
             except InterruptedAnswerError:
                 await trio.aclose_forcefully(stream)
                 if once or not pooled:
@@ -295,20 +288,70 @@
     def _release(
         self,
         address: Address,
-        stream: trio.SocketStream,
-        connection: h11.Connection,
+        connection: "_Connection",
         head: h11.Response,
     ) -> None:
         idle = self._idle[address]
-        reusable = connection.our_state is h11.DONE
-        reusable = reusable and connection.their_state is h11.DONE
-        # Bytes after a complete answer belong to no request.
-        reusable = reusable and not connection.trailing_data[0]
-        if reusable and len(idle) < _MAX_IDLE_CONNECTIONS_PER_ADDRESS:
+        can_pool = len(idle) < _MAX_IDLE_CONNECTIONS_PER_ADDRESS
+        if connection.is_reusable() and can_pool:
             until = trio.current_time() + _read_keep_alive_seconds(head)
-            idle.append(_PooledConnection(stream=stream, usable_until=until))
+            idle.append(_PooledConnection(stream=connection.stream, usable_until=until))
         else:
-            stream.socket.close()
+            connection.stream.socket.close()
+
+
+@attrs.define(kw_only=True)
+class _Connection:
+    """Carry one request and its answer over a connection."""
+
+    stream: trio.SocketStream
+    _protocol: h11.Connection = attrs.field(
+        factory=lambda: h11.Connection(h11.CLIENT), init=False
+    )
+    _is_broken: bool = attrs.field(default=False, init=False)
+    """Whether a write or read has failed. The socket reports a reset only once: what
+    is read afterwards ends as if the server had closed the connection in order."""
+
+    async def send(self, request: tuple[h11.Request, bytes]) -> None:
+        """Send a request, as far as the server takes it."""
+        head, body = request
+        data = (self._protocol.send(head) or b"") + (
+            self._protocol.send(h11.Data(data=body)) or b""
+        )
+        data += self._protocol.send(h11.EndOfMessage()) or b""
+        try:
+            await self.stream.send_all(data)
+        except trio.BrokenResourceError:
+            # A server that refuses a request early may close before reading all of it.
+            self._is_broken = True
+
+    async def receive(self) -> None:
+        """Wait for data of the answer; raises InterruptedAnswerError."""
+        try:
+            data = await _socket_io.receive(self.stream)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            self._is_broken = True
+            raise InterruptedAnswerError(f"connection broke: {error}") from error
+        if self._is_broken and not data:
+            raise InterruptedAnswerError("connection broke before the answer's end")
+        self._protocol.receive_data(data)
+
+    def read_event(self) -> object:
+        """Return the next event of what has been received."""
+        try:
+            return self._protocol.next_event()
+        except h11.RemoteProtocolError as error:
+            raise InterruptedAnswerError(f"answer broke off: {error}") from error
+
+    def is_reusable(self) -> bool:
+        """Return whether another request may be sent on the connection."""
+        return (
+            not self._is_broken
+            and self._protocol.our_state is h11.DONE
+            and self._protocol.their_state is h11.DONE
+            # Bytes after a complete answer belong to no request.
+            and not self._protocol.trailing_data[0]
+        )
 
 
 def _read_keep_alive_seconds(head: h11.Response) -> float:
@@ -337,25 +380,16 @@
 
 
 async def _send_and_receive_head(
-    stream: trio.SocketStream,
-    connection: h11.Connection,
-    request: tuple[h11.Request, bytes],
+    connection: _Connection, request: tuple[h11.Request, bytes]
 ) -> h11.Response:
-    head, body = request
-    data = (connection.send(head) or b"") + (
-        connection.send(h11.Data(data=body)) or b""
-    )
-    data += connection.send(h11.EndOfMessage()) or b""
-    # A server that refuses a request early may close before reading all of it.
-    with contextlib.suppress(trio.BrokenResourceError):
-        await stream.send_all(data)
+    await connection.send(request)
     interim_responses = 0
     while interim_responses <= _MAX_INTERIM_RESPONSES:
-        event = _read_event(connection)
+        event = connection.read_event()
         if isinstance(event, h11.Response):
             return event
         if event is h11.NEED_DATA:
-            await _receive(connection, stream)
+            await connection.receive()
         elif isinstance(event, h11.InformationalResponse):
             interim_responses += 1
         else:
@@ -363,21 +397,6 @@
     raise InterruptedAnswerError(f"over {_MAX_INTERIM_RESPONSES} interim responses")
 
 
-def _read_event(connection: h11.Connection) -> object:
-    try:
-        return connection.next_event()
-    except h11.RemoteProtocolError as error:
-        raise InterruptedAnswerError(f"answer broke off: {error}") from error
-
-
-async def _receive(connection: h11.Connection, stream: trio.SocketStream) -> None:
-    try:
-        data = await _socket_io.receive(stream)
-    except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
-        raise InterruptedAnswerError(f"connection broke: {error}") from error
-    connection.receive_data(data)
-
-
 def _is_refused(error: BaseException | None) -> bool:
     """Return whether a connection was refused; trio groups the errors by address."""
     if isinstance(error, BaseExceptionGroup):
--- a/src/jujubepass/transport/_http_server.py
+++ b/src/jujubepass/transport/_http_server.py
@@ -1,9 +1,12 @@
 """HTTP/1.1 server on h11 and trio with limits on its input."""
 
 import collections.abc
+import contextlib
 import functools
 import logging
 import re
+import socket
+import struct
 import sys
 import typing
 
@@ -21,6 +24,10 @@
 # The end of the previous chunk, then a size with as many digits as h11 accepts.
 _CHUNK_SIZE = re.compile(rb"[\r\n]{0,2}([0-9A-Fa-f]{1,20})[;\r\n]")
 
+_VERSIONS_WITHOUT_CHUNKS = (b"1.0", b"0.9")
+# Close with a reset instead of an orderly end.
+_LINGER_NONE = struct.pack("ii", 1, 0)
+
 Responder = _http_responder.Responder
 
 
@@ -198,6 +205,8 @@
                 await self._handle(request, responder, connection, stream)
             finally:
                 self.running_requests -= 1
+                if _ends_with_connection(connection):
+                    _reset(stream)
             if connection.our_state is not h11.DONE:
                 return
             if connection.their_state is not h11.DONE:
@@ -332,6 +341,19 @@
             connection.receive_data(bytes(data))
 
 
+def _ends_with_connection(connection: h11.Connection) -> bool:
+    """Return whether only the connection's end will end the answer being sent."""
+    is_old = connection.their_http_version in _VERSIONS_WITHOUT_CHUNKS
+    return is_old and connection.our_state in (h11.SEND_BODY, h11.ERROR)
+
+
+def _reset(stream: trio.SocketStream) -> None:
+    """Close a connection so that its answer does not look complete."""
+    with contextlib.suppress(OSError):
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_NONE)
+    stream.socket.close()
+
+
 def _find_peer(stream: trio.SocketStream) -> str:
     """Return the peer's address; raises trio.BrokenResourceError."""
     try:
--- a/standins/path_engine.py
+++ b/standins/path_engine.py
@@ -1,6 +1,7 @@
 """Stand-in for engines of forwarding pipelines and for plain services."""
 
 import collections
+import collections.abc
 import json
 import os
 import socket
@@ -11,6 +12,7 @@
 
 import attrs
 import cappa
+import h11
 import trio
 
 from jujubepass.transport import _http_client, _http_server
@@ -22,6 +24,10 @@
 _STAGE_CHECK_TIMEOUT_SECONDS = 0.2
 _MAX_CHECK_SECONDS = 0.25
 _CRASH_DELAY_SECONDS = 0.06
+_MAX_BODY_BYTES = 16_777_216
+# More than the sockets of a loopback connection take.
+_LONG_BODY_BYTES = 8_000_000
+_EARLY_EVENTS = 10
 
 Responder = _http_server.Responder
 LayerSpan = tuple[int, int]
@@ -63,6 +69,8 @@
     """Whether answers have neither a length nor chunks."""
     reset_answer: float = 0
     """Resets of the connection in the middle of an unframed answer."""
+    early_reset: float = 0
+    """Long requests that are answered before their body was read, and then reset."""
     cut_after: int = 0
     """Events after which a stream from its start on is cut; 0 for none."""
     resume_errors: float = 0
@@ -104,6 +112,22 @@
 class Server(_http_server.Server):
     """Serve a listener that may outlast the process."""
 
+    answer_early: (
+        collections.abc.Callable[
+            [h11.Request, trio.SocketStream], collections.abc.Awaitable[None]
+        ]
+        | None
+    ) = None
+    """May answer a request and end its connection before the body is read."""
+
+    async def _receive_head(
+        self, connection: h11.Connection, stream: trio.SocketStream
+    ) -> h11.Request | None:
+        head = await super()._receive_head(connection, stream)
+        if head is not None and self.answer_early is not None:
+            await self.answer_early(head, stream)
+        return head
+
     async def open_listeners(self, arguments: Arguments) -> list[trio.SocketListener]:
         """Return the inherited listener, or open a new one."""
         if arguments.listener is None:
@@ -148,7 +172,9 @@
         self._last_refused = ""
         self._previous = arguments.previous
         self._listeners: list[trio.SocketListener] = []
-        self.server = Server(handler=self.handle)
+        limits = _http_server.ServerLimits(body_bytes=_MAX_BODY_BYTES)
+        self.server = Server(handler=self.handle, limits=limits)
+        self.server.answer_early = self._answer_early
 
     async def serve(self) -> None:
         """Accept connections until cancelled."""
@@ -199,6 +225,21 @@
         else:
             await self._serve(request, responder, is_kept)
 
+    async def _answer_early(self, head: h11.Request, stream: trio.SocketStream) -> None:
+        """Answer a long request with its first events and a reset, if so set."""
+        headers = {name.decode(): value.decode() for name, value in head.headers}
+        is_long = int(headers.get("content-length", "0")) >= _LONG_BODY_BYTES
+        if not is_long or not self._draw_fault("early_reset"):
+            return
+        request_id = headers["x-request-id"]
+        self._runs[request_id] += 1
+        fields = [("x-request-id", request_id), ("x-server-seal", self._arguments.name)]
+        fields.append(("content-type", "text/event-stream"))
+        last = int(headers.get("last-event-id", 0))
+        numbers = range(last + 1, last + 1 + _EARLY_EVENTS)
+        events = b"".join(_format_event(request_id, number) for number in numbers)
+        await raw_answers.write_and_reset(stream, fields, events)
+
     def _is_expected(self, request: _http_server.Request) -> bool:
         """Return whether a request is for this engine, not for one before it."""
         own = self._arguments.name
--- a/standins/raw_answers.py
+++ b/standins/raw_answers.py
@@ -22,6 +22,7 @@
     "slow body": b"x" * 1_024,
 }
 _SLOW_INTERVAL_SECONDS = 0.1
+_RESET_DELAY_SECONDS = 0.1
 
 Fields = collections.abc.Iterable[tuple[str, str]]
 
@@ -57,14 +58,29 @@
 
     def reset(self) -> typing.NoReturn:
         """Reset the connection."""
-        self._stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER)
-        # The server would send the end of the stream before it closes the connection;
-        # it goes on with another socket that has ended.
-        ended, peer = socket.socketpair()
-        peer.close()
-        os.dup2(ended.fileno(), self._stream.socket.fileno())
-        ended.close()
-        raise trio.BrokenResourceError("reset")
+        reset_connection(self._stream)
+
+
+def reset_connection(stream: trio.SocketStream) -> typing.NoReturn:
+    """Reset a connection that a server will close."""
+    stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER)
+    # The server would send the end of the stream before it closes the connection; it
+    # goes on with another socket that has ended.
+    ended, peer = socket.socketpair()
+    peer.close()
+    os.dup2(ended.fileno(), stream.socket.fileno())
+    ended.close()
+    raise trio.BrokenResourceError("reset")
+
+
+async def write_and_reset(
+    stream: trio.SocketStream, fields: Fields, body: bytes
+) -> typing.NoReturn:
+    """Answer without a length before the request was read, then reset."""
+    await stream.send_all(_format_head(200, fields) + body)
+    # What has arrived before the reset stays readable at the other end.
+    await trio.sleep(_RESET_DELAY_SECONDS)
+    reset_connection(stream)
 
 
 async def write_endless(
--- a/tests/features/connection_errors.feature
+++ b/tests/features/connection_errors.feature
@@ -26,3 +26,16 @@
   Scenario: A listener for other nodes outlives handshakes that are reset or malformed
     When other nodes reset or garble their handshakes
     Then the listener takes messages of a node that holds the key
+
+  # Guards against an aborted answer that looks complete without chunks or a length.
+  Scenario Outline: A caller that speaks <version> learns that its answer is <state>
+    When a listener's answer to a caller that speaks <version> is <state>
+    Then the caller finds that it is <state>
+
+    Examples:
+      | version  | state      |
+      | HTTP/1.0 | aborted    |
+      | HTTP/1.0 | failed     |
+      | HTTP/1.0 | complete   |
+      | HTTP/1.1 | aborted    |
+      | HTTP/1.1 | complete   |
--- a/tests/features/steps/connection_errors_steps.py
+++ b/tests/features/steps/connection_errors_steps.py
@@ -224,3 +224,52 @@
 @behave.then("the listener takes messages of a node that holds the key")
 def step_taken(context):
     assert context.received == [b"news"], context.received
+
+
+@behave.when("a listener's answer to a caller that speaks {version} is {state}")
+def step_answer(context, version, state):
+    async def handle(request, responder):
+        """Stream an answer that ends as the scenario says."""
+        await responder.start_fields(200, [("x-server-seal", "seal")])
+        await responder.write(b"begun ")
+        await trio.sleep(0.1)
+        if state == "failed":
+            raise ValueError("expected by the test")
+        if state == "complete":
+            await responder.write(b"ended")
+            await responder.finish()
+
+    async def run():
+        """Serve one caller; return what it receives, and whether that was reset."""
+        server = _http_server.Server(handler=handle)
+        async with trio.open_nursery() as nursery:
+            port = await nursery.start(server.serve, processes.HOST, 0)
+            found = await trio.to_thread.run_sync(receive_raw, port, version)
+            nursery.cancel_scope.cancel()
+        return found
+
+    context.found = trio.run(run)
+
+
+def receive_raw(port, version):
+    received = b""
+    with socket.create_connection((processes.HOST, port), TIMEOUT_SECONDS) as sent:
+        sent.sendall(
+            f"GET / {version}\r\nhost: a\r\nconnection: close\r\n\r\n".encode()
+        )
+        try:
+            while data := sent.recv(65_536):
+                received += data
+        except ConnectionResetError:
+            return received, True
+    return received, False
+
+
+@behave.then("the caller finds that it is {state}")
+def step_found(context, state):
+    received, is_reset = context.found
+    has_last_chunk = received.endswith(b"\r\n0\r\n\r\n")
+    is_chunked = b"chunked" in received
+    is_complete = has_last_chunk if is_chunked else not is_reset
+    assert b"begun" in received, context.found
+    assert is_complete == (state == "complete"), context.found
--- a/tests/features/unframed_answers.feature
+++ b/tests/features/unframed_answers.feature
@@ -40,3 +40,37 @@
       | fault                   |
       | is reset                |
       | ends inside an event    |
+
+  # Guards against the end of an answer that follows a reset while its request is sent.
+  Scenario Outline: A <form> answer that is reset while its request is sent is not complete
+    When a server answers a long request early in the form <form> and resets it
+    Then reading the answer fails, at once and as a stream, also when it is read again
+
+    Examples:
+      | form                  |
+      | HTTP/1.0              |
+      | HTTP/1.1              |
+      | Connection: close     |
+      | chunked               |
+      | with a length         |
+
+  # Guards against taking each early answer for an interrupted one.
+  Scenario Outline: A <form> answer that is whole while its request is sent is complete
+    When a server answers a long request early in the form <form> and reads on
+    Then the answer is complete, at once and as a stream
+
+    Examples:
+      | form                  |
+      | HTTP/1.0              |
+      | HTTP/1.1              |
+      | Connection: close     |
+      | chunked               |
+      | with a length         |
+
+  # Guards against a success with half a body, and a stream with a fourth of its events.
+  Scenario: Long requests whose early answers are reset
+    Given a system on the platform
+    And a configuration that takes long requests
+    When each server answers its next long request early and resets it
+    Then a long booking has ended with 502 and ran once
+    And a long stream has each event once and in order, and ran more than once
