Suspect all parts of a prompt, whatever their number and names

Callers saw streams break each time that a part beyond the 64th of a prompt, or one with a long name, crashed an engine: 25 to 32 such requests reached engines later than contactMs after the fifth crash.

Cause: bounds on cost exempted parts without a trace: 64 parts, names of 100 characters, all parts of a prompt with a malformed entry; then 500 suspects of an end, the oldest of 5,000 records, 2,000 shared suspects, keys over 200 bytes.

--- a/src/jujubepass/platform/wire.py
+++ b/src/jujubepass/platform/wire.py
@@ -34,8 +34,6 @@
     )
 )
 _MAX_PRIORITY = 9
-_MAX_PROMPT_PARTS = 64
-_MAX_PROMPT_PART_LENGTH = 100
 _MISDIRECTED = 421
 _UNAVAILABLE = 503
 # A caller concludes from these statuses that the request has not run.
@@ -233,16 +231,19 @@
 
 
 def _parse_prompt_parts(text: str | None) -> tuple[ids.PromptPartId, ...]:
-    """Return the parts of a prompt but the last; empty if the list is malformed."""
+    """Return the parts of a prompt but the last.
+
+    A malformed entry stands for a part as well: engines may read it, and crash on it.
+    Only the size of the header limits the number of parts and the length of a name.
+    """
     found = []
-    for part in (text or "").split(","):
-        name, separator, tokens = part.strip().partition(":")
-        if not separator or not name or not tokens.strip().isdigit():
-            return ()
-        if len(name) > _MAX_PROMPT_PART_LENGTH:
-            return ()
-        found.append(ids.PromptPartId(name))
-    return tuple(found[:-1][:_MAX_PROMPT_PARTS])
+    for entry in (text or "").split(","):
+        name, _, tokens = entry.strip().rpartition(":")
+        if not tokens.strip().isdigit():
+            name = entry.strip()
+        if name:
+            found.append(ids.PromptPartId(name))
+    return tuple(found[:-1])
 
 
 def _parse_address(text: str) -> _http_client.Address | None:
--- a/src/jujubepass/quarantine/controller.py
+++ b/src/jujubepass/quarantine/controller.py
@@ -18,13 +18,14 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-# With this many records, those with a single ended run are no longer written.
-_MAX_SHARED_RECORDS = 2_000
 _REMOVAL_TURN_SECONDS = 0.1
 # Longest time that requests wait for the first read of the rows.
 _MAX_FIRST_READ_SECONDS = 1.0
 _FORGET_TURN_SECONDS = 30.0
-_MAX_ROWS_PER_WRITE = 20
+# A transaction of the store holds a condition and a write for each row.
+_MAX_ROWS_PER_WRITE = 50
+# Further suspects of an end are logged by their number.
+_MAX_LOGGED_SUSPECTS = 64
 # Proofs lose their force with time, which no event shows.
 _DECISION_INTERVAL_SECONDS = 1.0
 
@@ -54,7 +55,8 @@
     """Time at which the last end of a server was confirmed."""
 
     def __attrs_post_init__(self) -> None:
-        self.ends = ends.ServerEnds(area=self.blackboard.backends)
+        area = self.blackboard.quarantine
+        self.ends = ends.ServerEnds(area=self.blackboard.backends, known=area.records)
         self._records = records.Records(area=self.blackboard.quarantine)
 
     def record_break(
@@ -72,6 +74,7 @@
         depths = {
             key: depth if isinstance(key, suspects.PartKey) else 0
             for depth, key in enumerate(keys)
+            if not self._is_proven(key, now)
         }
         for run in runs:
             found = self.ends.record_break(run, depths, now, is_probed=is_probed)
@@ -93,20 +96,35 @@
 
     def _blame(self, run: _ServerRun, depths: dict[_Key, int], now: float) -> None:
         """Hold the end of a run against suspects, unless they are proven."""
-        for key, depth in depths.items():
+        area = self.blackboard.quarantine
+        # New records may take the place of those with as few ends.
+        keys = sorted(depths, key=lambda key: key not in area.records)
+        logged = 0
+        for key in keys:
             if self._is_proven(key, now):
                 continue
             record = self._records.find(key, now)
-            record.depth = max(record.depth, depth)
+            record.depth = max(record.depth, depths[key])
             if run in record.ended or len(record.ended) >= records.MAX_ENDED_RUNS:
                 continue
             record.ended[run] = record.changed_at = now
             self.suspicions += 1
+            logged += 1
+            if logged > _MAX_LOGGED_SUSPECTS:
+                continue
             extra = {"backend": run.server, "ended": len(record.ended)}
             _LOGGER.info(
                 "end of a server held against a suspect",
                 extra={**key.describe(), **extra},
             )
+        if logged > _MAX_LOGGED_SUSPECTS:
+            _LOGGER.info(
+                "end of a server held against further suspects",
+                extra={
+                    "backend": run.server,
+                    "suspects": logged - _MAX_LOGGED_SUSPECTS,
+                },
+            )
         if depths:
             self._decide(now)
 
@@ -273,7 +291,7 @@
         if is_request and not self.fingerprints.is_shared:
             return False
         known = len(self.blackboard.quarantine.records)
-        return len(record.ended) > 1 or known < _MAX_SHARED_RECORDS
+        return len(record.ended) > 1 or known < records.MAX_SHARED_RECORDS
 
     def _is_removal_due(self, key: _Key, record: suspects.Record, now: float) -> bool:
         """Return whether it is this node's turn to remove a row."""
@@ -282,7 +300,7 @@
             if key in self.blackboard.quarantine.quarantined:
                 return False
             since, turn_seconds = (
-                record.changed_at + records.FORGET_SECONDS,
+                self._records.find_end_of_record(record),
                 _FORGET_TURN_SECONDS,
             )
         if not record.row.version or now < since:
--- a/src/jujubepass/quarantine/ends.py
+++ b/src/jujubepass/quarantine/ends.py
@@ -1,6 +1,7 @@
 """Ends of servers, each held against suspects only once it is confirmed."""
 
 import collections.abc
+import random
 
 import attrs
 
@@ -13,7 +14,9 @@
 _CONFIRMATION_SECONDS = 10.0
 _PROBING_SECONDS = 2.0
 _MAX_RUNS = 1_000
-_MAX_SUSPECTS_PER_RUN = 500
+# Suspects of all unconfirmed ends.
+_MAX_SUSPECTS = 50_000
+_MAX_CHOSEN_SUSPECTS = 64
 
 Depths = dict[suspects.Key, int]
 """Suspects, parts with their index in the prompt."""
@@ -33,6 +36,9 @@
     """Collect suspects of runs of servers that may have ended, until that is known."""
 
     area: board.BackendArea
+    known: collections.abc.Container[suspects.Key]
+    """Suspects of earlier ends."""
+    random_source: random.Random = attrs.field(factory=random.Random)
     _ends: dict[suspects.ServerRun, _PossibleEnd] = attrs.field(
         factory=dict, init=False
     )
@@ -53,10 +59,25 @@
         if end.confirmed_at is not None:
             return depths
         end.is_probed |= is_probed
-        if len(end.depths) < _MAX_SUSPECTS_PER_RUN:
-            end.depths |= depths
+        if self._count_suspects() + len(depths) > _MAX_SUSPECTS:
+            depths = self._choose(depths)
+        end.depths |= depths
         return {}
 
+    def _choose(self, depths: Depths) -> Depths:
+        """Return those that are suspected already, and some others by chance."""
+        others = [key for key in depths if key not in self.known]
+        count = min(len(others), _MAX_CHOSEN_SUSPECTS)
+        chosen = set(self.random_source.sample(others, count))
+        return {
+            key: depth
+            for key, depth in depths.items()
+            if key in self.known or key in chosen
+        }
+
+    def _count_suspects(self) -> int:
+        return sum(len(each.depths) for each in self._ends.values())
+
     def confirm(self, run: suspects.ServerRun, now: float) -> Depths:
         """Record that a run has ended; return the suspects that may have ended it."""
         end = self._find(run, now)
--- a/src/jujubepass/quarantine/records.py
+++ b/src/jujubepass/quarantine/records.py
@@ -1,5 +1,7 @@
 """Records of suspects, as rows and this node's own requests tell of them."""
 
+import random
+
 import attrs
 
 from jujubepass.forwarding import board
@@ -10,6 +12,12 @@
 FORGET_SECONDS = 600.0
 """Time after which a suspect that is not in quarantine is forgotten."""
 _MAX_RECORDS = 5_000
+MAX_SHARED_RECORDS = 2_000
+"""Number from which on suspects with a single end are no longer written."""
+# From this number on, suspects with a single end make room for new ones early.
+_CROWDED_RECORDS = 1_000
+_CROWDED_FORGET_SECONDS = 20.0
+_DROPPED_RECORDS = 500
 
 
 @attrs.frozen(kw_only=True)
@@ -17,12 +25,14 @@
     """Keep the records of the quarantine's area."""
 
     area: board.QuarantineArea
+    random_source: random.Random = attrs.field(factory=random.Random)
 
     def find(self, key: suspects.Key, now: float) -> suspects.Record:
         """Return the record of a suspect, a new one if there is none."""
         records = self.area.records
         if key not in records:
-            self._drop_oldest()
+            if len(records) >= _MAX_RECORDS:
+                self._drop_least_suspected()
             records[key] = suspects.Record(
                 row=suspects.make_absent_row(key),
                 ended={},
@@ -32,22 +42,41 @@
             )
         return records[key]
 
-    def _drop_oldest(self) -> None:
+    def _drop_least_suspected(self) -> None:
+        """Drop some records with the fewest ends, those without a row first.
+
+        What ends servers again and again soon has more ends than the suspects that
+        come with it. Chance decides among equals, as the suspects of one end may be
+        more than there is room for, in the same order each time.
+        """
         area = self.area
-        if len(area.records) < _MAX_RECORDS:
-            return
-        oldest = next(
-            (key for key in area.records if key not in area.quarantined), None
-        )
-        if oldest is not None:
-            del area.records[oldest]
+        found = [key for key in area.records if key not in area.quarantined]
+        self.random_source.shuffle(found)
+        found.sort(key=self._rank)
+        for key in found[:_DROPPED_RECORDS]:
+            del area.records[key]
+
+    def _rank(self, key: suspects.Key) -> tuple[int, bool]:
+        record = self.area.records[key]
+        return len(record.ended), record.row.version > 0
+
+    def find_end_of_record(self, record: suspects.Record) -> float:
+        """Return when a suspect is forgotten unless it is in quarantine."""
+        is_crowded = len(self.area.records) >= _CROWDED_RECORDS
+        if is_crowded and len(record.ended) <= 1:
+            return record.changed_at + _CROWDED_FORGET_SECONDS
+        return record.changed_at + FORGET_SECONDS
 
     def forget_unwritten(self, now: float) -> None:
         """Drop records that are old and have no row."""
         area = self.area
-        for key, record in list(area.records.items()):
-            is_old = now - record.changed_at >= FORGET_SECONDS
-            if not record.row.version and is_old and key not in area.quarantined:
+        old = [
+            key
+            for key, record in area.records.items()
+            if not record.row.version and now >= self.find_end_of_record(record)
+        ]
+        for key in old:
+            if key not in area.quarantined:
                 self.remove(key)
 
     def install(self, row: suspects.Suspect, now: float) -> None:
--- a/src/jujubepass/quarantine/rows.py
+++ b/src/jujubepass/quarantine/rows.py
@@ -8,7 +8,6 @@
 from jujubepass.quarantine import suspects
 from jujubepass.storage import _store_messages
 
-_MAX_KEY_BYTES = 200
 _MAX_ENDED_RUNS = 64
 _REQUEST_DIGEST = re.compile(r"[0-9a-f]{32}", re.ASCII)
 
@@ -17,11 +16,6 @@
     """Signal that a row contains no valid suspect."""
 
 
-def is_storable(key: suspects.Key) -> bool:
-    """Return whether the store takes rows with a suspect's key."""
-    return len(str(key).encode(errors="replace")) <= _MAX_KEY_BYTES
-
-
 def read_suspect(key: str, version: int, value: typing.Any) -> suspects.Suspect:
     """Parse a suspect from its row; raises SuspectRowError."""
     found_key = _read_key(key)
--- a/src/jujubepass/quarantine/sharing.py
+++ b/src/jujubepass/quarantine/sharing.py
@@ -128,7 +128,7 @@
 
     def _list_writes(self) -> list[suspects.SuspectWrite]:
         writes = self.quarantine.list_writes(clocks.read_boot_clock())
-        return [each for each in writes if rows.is_storable(each.key)]
+        return [each for each in writes if suspects.is_storable(each.key)]
 
     async def _write_due(self) -> None:
         await self._wait_for_turn(_WRITES_PER_SECOND)
@@ -185,7 +185,7 @@
         """Return whether other nodes would know of a trial."""
         if isinstance(key, suspects.RequestKey):
             return self.quarantine.fingerprints.is_shared
-        return rows.is_storable(key)
+        return suspects.is_storable(key)
 
 
 def _read_secret(row: _store_messages.VersionedRow) -> bytes | None:
--- a/src/jujubepass/quarantine/suspects.py
+++ b/src/jujubepass/quarantine/suspects.py
@@ -1,6 +1,7 @@
 """Suspects: requests and parts of prompts under which backend servers have ended."""
 
 import collections.abc
+import hashlib
 
 import attrs
 
@@ -9,6 +10,9 @@
 MIN_ENDED_RUNS = 3
 """Ended runs of servers from which on a suspect is in quarantine."""
 
+_MAX_KEY_BYTES = 200
+_MAX_BYTES_PER_CHARACTER = 4
+
 # Of more suspects, the first ones are considered, and fewer begin an explanation. The
 # time to find one grows with the square of their number.
 _MAX_CANDIDATES = 64
@@ -55,7 +59,24 @@
     service: ids.ServiceId, parts: collections.abc.Iterable[ids.PromptPartId]
 ) -> tuple[PartKey, ...]:
     """Return the keys of the parts of a prompt, in order."""
-    return tuple(PartKey(service=service, part=part) for part in parts)
+    return tuple(_make_part_key(service, part) for part in parts)
+
+
+def is_storable(key: Key) -> bool:
+    """Return whether the store takes rows with a suspect's key."""
+    text = str(key)
+    if len(text) * _MAX_BYTES_PER_CHARACTER <= _MAX_KEY_BYTES:
+        return True
+    return len(text.encode(errors="replace")) <= _MAX_KEY_BYTES
+
+
+def _make_part_key(service: ids.ServiceId, part: ids.PromptPartId) -> PartKey:
+    """Return the key of a part; a digest stands for a name too long for the store."""
+    key = PartKey(service=service, part=part)
+    if is_storable(key):
+        return key
+    digest = hashlib.sha256(part.encode(errors="surrogatepass")).hexdigest()
+    return PartKey(service=service, part=ids.PromptPartId(f"sha256:{digest}"))
 
 
 @attrs.frozen(kw_only=True, order=True)
--- a/tests/features/prompt_parts.feature
+++ b/tests/features/prompt_parts.feature
@@ -13,6 +13,24 @@
       | before an event |
       | after one event |
 
+  # Guards against parts that no bound on their number or names, and no malformed
+  # neighbor, keeps from being suspected.
+  Scenario Outline: Requests with a crashing part that is <form> reach no engine after five have ended
+    Given a system on the platform
+    And engines with a crashing part that is <form>
+    When requests with the crashing part come beside sound ones
+    Then at most three of those requests reached an engine later than 3 seconds after the fifth end
+    And from then on each other one is refused at once with 503 and a retry time
+    And each sound request that came 6 seconds after the last end is answered at each node
+
+    Examples:
+      | form                            |
+      | the 71st                        |
+      | the 899th                       |
+      | the 100th while others are new  |
+      | of 140 characters               |
+      | beside a malformed entry        |
+
   # Guards against ends that are never confirmed, as the engine's address is in use again
   # under another name, and may not refuse connections in the meantime.
   Scenario Outline: Requests with a crashing part stop though engines come back under other names
--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -174,3 +174,22 @@
     Given 9 simulated nodes
     When all engines are full as a bad part is in quarantine
     Then 3 seconds after the fifth end no more than 3 requests with the bad part reach engines
+
+  # Guards against suspects that leave no room for the one that ends server after server.
+  Scenario: A part is suspected in spite of thousands of other suspects
+    Given a quarantine that knows no suspects
+    When 10 engines end, each under a request with 900 new parts and the same bad one
+    Then the bad part is in quarantine, and no more than 5000 suspects are known
+
+  # Guards against a bound on the suspects of one end that drops the one which caused it.
+  Scenario: A part is suspected in spite of many requests on the engines that end
+    Given a quarantine that knows no suspects
+    When 10 engines end, each under 96 requests with 72 parts, the 50th one with a bad part
+    Then the bad part is in quarantine, and no more than 5000 suspects are known
+
+  # Guards against suspects that keep later ones from being shared for minutes.
+  Scenario: A crowd of suspects with one end each is forgotten early
+    Given a quarantine that knows no suspects
+    When 4 engines end, each under a request with 900 new parts and the same bad one
+    And the quarantine is checked for 30 seconds
+    Then a new suspect is shared with other nodes
