--- a/src/jujubepass/platform/wire.py
+++ b/src/jujubepass/platform/wire.py
@@ -240,7 +240,7 @@
     for entry in (text or "").split(","):
         name, _, tokens = entry.strip().rpartition(":")
         if not tokens.strip().isdigit():
-            name = entry.strip()
+            name = entry.partition(":")[0].strip()
         if name:
             found.append(ids.PromptPartId(name))
     return tuple(found[:-1])
