Show that half a head of an answer never passes for an answer

Another operator saw 200 with an empty or short body after an engine had stopped in the middle of its answer's head.

--- a/standins/path_engine.py
+++ b/standins/path_engine.py
@@ -71,6 +71,13 @@
     """Resets of the connection in the middle of an unframed answer."""
     early_reset: float = 0
     """Long requests that are answered before their body was read, and then reset."""
+    cut_head: int = 0
+    """Bytes of a head after which an answer stops; 0 for whole answers."""
+    cut_head_reset: bool = False
+    cut_head_resumed: bool = False
+    """Whether only answers of resumed streams stop so."""
+    cut_head_left: int = -1
+    """Number of answers that still stop so; negative for all."""
     cut_after: int = 0
     """Events after which a stream from its start on is cut; 0 for none."""
     resume_errors: float = 0
@@ -397,6 +404,7 @@
             return
         if self.settings.unframed:
             responder = raw_answers.UnframedResponder(responder=responder)
+        await self._cut_head(request, responder)
         path = request.headers.get("x-hop-count")
         if path is not None:
             await self._stream(request, responder, path, echo)
@@ -415,6 +423,25 @@
         await trio.sleep(self.settings.work_seconds)
         raise trio.BrokenResourceError("answered twice")
 
+    async def _cut_head(
+        self, request: _http_server.Request, responder: Responder
+    ) -> None:
+        """Run a request and stop in the middle of its answer's head, if so set."""
+        settings = self.settings
+        is_due = settings.cut_head > 0 and settings.cut_head_left != 0
+        is_resumed = "last-event-id" in request.headers
+        if not is_due or (settings.cut_head_resumed and not is_resumed):
+            return
+        settings.cut_head_left -= 1
+        request_id = request.headers["x-request-id"]
+        self._runs[request_id] += 1
+        await raw_answers.cut_head(
+            responder._stream,
+            [("x-request-id", request_id), ("x-server-seal", "seal")],
+            settings.cut_head,
+            is_reset=settings.cut_head_reset,
+        )
+
     async def _serve_plain(
         self,
         request: _http_server.Request,
--- a/standins/raw_answers.py
+++ b/standins/raw_answers.py
@@ -73,6 +73,17 @@
     raise trio.BrokenResourceError("reset")
 
 
+async def cut_head(
+    stream: trio.SocketStream, fields: Fields, size: int, *, is_reset: bool
+) -> typing.NoReturn:
+    """Write some bytes of a head, then close or reset the connection."""
+    await stream.send_all(_format_head(200, fields)[:size])
+    if is_reset:
+        await trio.sleep(_RESET_DELAY_SECONDS)
+        reset_connection(stream)
+    raise trio.BrokenResourceError("stopped in the middle of a head")
+
+
 async def write_and_reset(
     stream: trio.SocketStream, fields: Fields, body: bytes
 ) -> typing.NoReturn:
--- a/standins/row_store.py
+++ b/standins/row_store.py
@@ -32,6 +32,9 @@
     lose_writes: float = 0
     lapse_seconds: float = 1.0
     sends_era: bool = True
+    cut_head: int = 0
+    """Bytes of a head after which each answer stops; 0 for whole answers."""
+    cut_head_reset: bool = False
     endless: str = ""
     """Form of bytes without end in place of answers; see `raw_answers`."""
 
@@ -135,6 +138,13 @@
         if self.settings.reset:
             raise trio.BrokenResourceError
         await trio.sleep(self.settings.delay_seconds)
+        if self.settings.cut_head:
+            await raw_answers.cut_head(
+                responder._stream,
+                [("content-type", "application/json"), ("content-length", "2")],
+                self.settings.cut_head,
+                is_reset=self.settings.cut_head_reset,
+            )
         if self.settings.endless:
             await raw_answers.write_endless(responder, self.settings.endless)
         if self.settings.status:
