Keep to the bounds of rows and decisions with many suspects

Two scenarios of crashing_requests_fleet failed after the change of bounds: over 1,000 rows were expected of 3,000 suspects and 948 were left, as a crowd of 1,000 was forgotten early, and a decision took 0.15 s with the 50 parts that the new order of removal keeps (0.1 s allowed).

The crowd begins at 1,500 records. Rows are written 20 at a time again, in up to three writes of a turn.

--- a/src/jujubepass/quarantine/controller.py
+++ b/src/jujubepass/quarantine/controller.py
@@ -22,8 +22,7 @@
 # Longest time that requests wait for the first read of the rows.
 _MAX_FIRST_READ_SECONDS = 1.0
 _FORGET_TURN_SECONDS = 30.0
-# A transaction of the store holds a condition and a write for each row.
-_MAX_ROWS_PER_WRITE = 50
+_MAX_ROWS_PER_WRITE = 20
 # Further suspects of an end are logged by their number.
 _MAX_LOGGED_SUSPECTS = 64
 # Proofs lose their force with time, which no event shows.
--- a/src/jujubepass/quarantine/records.py
+++ b/src/jujubepass/quarantine/records.py
@@ -15,7 +15,7 @@
 MAX_SHARED_RECORDS = 2_000
 """Number from which on suspects with a single end are no longer written."""
 # From this number on, suspects with a single end make room for new ones early.
-_CROWDED_RECORDS = 1_000
+_CROWDED_RECORDS = 1_500
 _CROWDED_FORGET_SECONDS = 20.0
 _DROPPED_RECORDS = 500
 
--- a/src/jujubepass/quarantine/sharing.py
+++ b/src/jujubepass/quarantine/sharing.py
@@ -19,6 +19,7 @@
 # Nodes that learn of an engine's end together spread their writes.
 _WRITES_PER_SECOND = 400.0
 _MAX_SPREAD_SECONDS = 0.5
+_MAX_WRITES_PER_TURN = 3
 # All nodes together repeat failed writes this often.
 _RETRIES_PER_SECOND = 20.0
 _MIN_RETRY_INTERVAL_SECONDS = 0.5
@@ -131,11 +132,15 @@
         return [each for each in writes if suspects.is_storable(each.key)]
 
     async def _write_due(self) -> None:
-        await self._wait_for_turn(_WRITES_PER_SECOND)
-        # Others may have written the same in the meantime.
-        writes = self._list_writes()
-        if writes and not await self._write(writes):
-            self._retry_later()
+        await self._wait_for_turn(_WRITES_PER_SECOND / _MAX_WRITES_PER_TURN)
+        for _ in range(_MAX_WRITES_PER_TURN):
+            # Others may have written the same in the meantime.
+            writes = self._list_writes()
+            if not writes:
+                return
+            if not await self._write(writes):
+                self._retry_later()
+                return
 
     async def _write(
         self, writes: collections.abc.Sequence[suspects.SuspectWrite]
--- a/src/jujubepass/quarantine/suspects.py
+++ b/src/jujubepass/quarantine/suspects.py
@@ -178,6 +178,12 @@
         """
         return len(self.runs) + self.is_request
 
+    def without(self, runs: frozenset[ServerRun]) -> "_Candidate":
+        """Return the suspect without some of its ended runs."""
+        if self.runs.isdisjoint(runs):
+            return self
+        return _Candidate(runs=self.runs - runs, depth=self.depth, key=self.key)
+
     def rank(self) -> tuple[int, bool, int, str]:
         """Return a sort key that grows with the suspicion."""
         return self.weight, self.is_request, self.depth, str(self.key)
@@ -202,10 +208,10 @@
     while True:
         explained, chosen = found[-1].runs, found[-1].key
         left = [
-            attrs.evolve(each, runs=rest)
+            rest
             for each in left
             if each.key != chosen
-            and len(rest := each.runs - explained) >= MIN_ENDED_RUNS
+            and len((rest := each.without(explained)).runs) >= MIN_ENDED_RUNS
         ]
         if not left:
             return found
