Refuse what a stopping node has no time to answer, and answer the rest

Callers saw bookings that came late in a planned stop end without an answer, after they had run.

Cause: a stopping node passed on all requests until 3.2 s after the signal, and what had waited even later, though it exits at 7.6 s. Only streams were checked, by a model that ignores the engines' real pace. At the exit all was cut.

Before each attempt the time left is compared with the deadline, or with the longest recent run of the service or the pace of whole streams; what cannot end is refused at once. Answers that have not begun end 0.2 s before the exit.

--- a/src/jujubepass/forwarding/board.py
+++ b/src/jujubepass/forwarding/board.py
@@ -108,8 +108,6 @@
     node: ids.NodeId
     failure_domain: ids.FailureDomainId
     state: NodeState = NodeState.STARTING
-    abort_answers_at: float = float("inf")
-    """Boot-clock time at which running answers are aborted."""
     bounds: _Bounds = attrs.field(factory=_Bounds)
     """The platform's bounds in force; written by the settings controller."""
     is_cold_start: bool = False
--- a/src/jujubepass/forwarding/node.py
+++ b/src/jujubepass/forwarding/node.py
@@ -34,6 +34,7 @@
     service_choice,
     service_exchange,
     settings,
+    stopping,
     stream_exchange,
     suspicion,
     tasks,
@@ -99,6 +100,7 @@
         self._budgets: collections.defaultdict[
             ids.ServiceId, _retry_budget.RetryBudget
         ] = collections.defaultdict(self._make_budget)
+        self._answers = stopping.RunningAnswers()
         self._callers = _http_server.Server(handler=self._make_forwarder())
 
     def _make_controllers(self) -> None:
@@ -233,6 +235,7 @@
                 suspects=self.suspects,
                 budgets=self._budgets,
                 count_retry=self.measures.count_retry,
+                answers=self._answers,
             ),
             streams=stream_exchange.StreamExchange(
                 sender=sender,
@@ -245,6 +248,7 @@
                 budgets=self._budgets,
                 count_retry=self.measures.count_retry,
                 observe_first_event=self.measures.observe_first_event,
+                answers=self._answers,
             ),
             guard=self._engines.guard,
             measures=self.measures,
@@ -330,7 +334,7 @@
         self._readiness.drain()
         self._callers.drain()
         end = began + self.blackboard.bounds.shutdown_seconds - _EXIT_MARGIN_SECONDS
-        self.blackboard.abort_answers_at = end
+        self._answers.stop(end)
         await trio.sleep(min(_BALANCER_REMOVAL_SECONDS, end - began))
         self._callers.stop()
         # Connections that are left serve a request, or receive one.
--- a/src/jujubepass/forwarding/service_exchange.py
+++ b/src/jujubepass/forwarding/service_exchange.py
@@ -20,6 +20,7 @@
     sending,
     service_choice,
     service_progress,
+    stopping,
     suspicion,
 )
 from jujubepass.limits import _retry_budget
@@ -51,6 +52,8 @@
     suspects: suspicion.Suspects
     budgets: collections.defaultdict[ids.ServiceId, _retry_budget.RetryBudget]
     count_retry: collections.abc.Callable[[reasons.RetryReason], None]
+    answers: stopping.RunningAnswers = attrs.field(factory=stopping.RunningAnswers)
+    run_times: stopping.RunTimes = attrs.field(factory=stopping.RunTimes)
 
     async def serve(
         self,
@@ -62,16 +65,21 @@
         progress = service_progress.Progress(guarded=guard.track(request, admitted))
         budget = self.budgets[admitted.service.name]
         budget.count_attempt(request.arrived_at)
-        with clocks.move_on_at(admitted.deadline):
+        with self.answers.limit(admitted.deadline):
             refusal = await self._try_each(request, admitted, reply, progress)
             if refusal is not None:
                 self.guard.return_trial(progress.guarded)
                 await reply.refuse(refusal)
             return
+        refusal = progress.refuse_expired()
+        if self.answers.ends_before(admitted.deadline):
+            refusal = progress.refuse_stopped()
+        if not progress.is_sent:
+            self.guard.return_trial(progress.guarded)
         if reply.started:
-            reply.abort(reasons.RefusalReason.DEADLINE_PASSED)
+            reply.abort(refusal.reason)
         else:
-            await reply.refuse(progress.refuse_expired())
+            await reply.refuse(refusal)
 
     async def _try_each(
         self,
@@ -96,6 +104,7 @@
             reply.record_attempt(backend.name)
             last = progress.runs + 1 >= route.max_attempts
             may_retry = self._make_retry_check(admitted, progress, last=last)
+            progress.is_sent = True
             try:
                 with self.guard.watch(progress.guarded, (backend.name,)):
                     await self._send(
@@ -104,6 +113,7 @@
                 self.guard.record_proof(progress.guarded)
                 return None
             except sending.NotRunError as error:
+                progress.is_sent = False
                 self._record_not_run(backend, error, progress, now)
             except sending.OutcomeUnknownError as error:
                 self._record_outcome_unknown(request, backend, error, progress)
@@ -225,6 +235,9 @@
         """Return why time or retries do not suffice for an attempt, or None."""
         if admitted.deadline - now < _MIN_REMAINING_SECONDS:
             return progress.refuse_expired()
+        predicted = self.run_times.find_longest(admitted.service.name, now)
+        if not self.answers.may_end(now, admitted.deadline, predicted):
+            return progress.refuse_stopped()
         budget = self.budgets[admitted.service.name]
         if progress.is_retry and budget.predict_wait_seconds(now) > 0.0:
             budget.spend(now)
@@ -350,7 +363,8 @@
 
         self.choice.running[backend.name] += 1
         try:
-            await attempt_limit.AttemptLimit(may_retry=may_retry).run(forward)
+            with self.run_times.measure(admitted.service.name):
+                await attempt_limit.AttemptLimit(may_retry=may_retry).run(forward)
         finally:
             self.choice.running[backend.name] -= 1
         self.suspects.clear(backend.name)
--- a/src/jujubepass/forwarding/service_progress.py
+++ b/src/jujubepass/forwarding/service_progress.py
@@ -3,7 +3,7 @@
 import attrs
 
 from jujubepass import ids, reasons
-from jujubepass.forwarding import admission
+from jujubepass.forwarding import admission, stream_refusals
 from jujubepass.quarantine import guard
 
 FULL_RETRY_SECONDS = 0.3
@@ -24,6 +24,8 @@
     began_at: float = 0.0
     """Boot-clock time at which the attempt in use began."""
     may_have_run: bool = False
+    is_sent: bool = False
+    """Whether an attempt is in progress that may run."""
     full: bool = False
 
     @property
@@ -58,6 +60,12 @@
             retry_after_seconds=FULL_RETRY_SECONDS,
         )
 
+    def refuse_stopped(self) -> admission.Refusal:
+        """Return the refusal when the node has no time left for an answer."""
+        if self.may_have_run or self.is_sent:
+            return stream_refusals.OUTCOME_UNKNOWN
+        return stream_refusals.STOPPING
+
     def refuse_none_left(
         self, silence_seconds: float | None = None
     ) -> admission.Refusal:
--- a/src/jujubepass/forwarding/stream_exchange.py
+++ b/src/jujubepass/forwarding/stream_exchange.py
@@ -22,6 +22,7 @@
     replies,
     sending,
     stall_watch,
+    stopping,
     stream_progress,
     stream_refusals,
     stream_timeouts,
@@ -36,8 +37,6 @@
 _Guard = guard.Guard
 
 _PIPELINE_POLL_INTERVAL_SECONDS = 0.05
-# Margin for the first event and for batch steps shared with other requests.
-_PREDICTION_MARGIN = 1.2
 
 
 @attrs.define(kw_only=True)
@@ -54,6 +53,8 @@
     budgets: collections.defaultdict[ids.ServiceId, _retry_budget.RetryBudget]
     count_retry: collections.abc.Callable[[reasons.RetryReason], None]
     observe_first_event: collections.abc.Callable[[float], None]
+    answers: stopping.RunningAnswers = attrs.field(factory=stopping.RunningAnswers)
+    token_times: stopping.TokenTimes = attrs.field(factory=stopping.TokenTimes)
     random_source: random.Random = attrs.field(factory=random.Random)
 
     async def serve(
@@ -69,14 +70,20 @@
             guarded=guard.track(request, admitted),
         )
         self.budgets[admitted.service.name].count_attempt(request.arrived_at)
-        with clocks.move_on_at(admitted.deadline):
+        with self.answers.limit(admitted.deadline):
             refusal = await self._run(request, admitted, reply, progress)
             if refusal is not None:
                 self.guard.return_trial(progress.guarded)
                 await self._abort(refusal, reply)
             return
-        reason = reasons.RefusalReason.DEADLINE_PASSED
-        await self._abort(admission.Refusal(reason=reason), reply)
+        refusal = stream_refusals.EXPIRED
+        if self.answers.ends_before(admitted.deadline):
+            refusal = stream_refusals.STOPPING
+            if progress.is_sent or progress.runs:
+                refusal = stream_refusals.OUTCOME_UNKNOWN
+        if not progress.is_sent:
+            self.guard.return_trial(progress.guarded)
+        await self._abort(refusal, reply)
 
     async def _abort(self, refusal: admission.Refusal, reply: replies.Reply) -> None:
         if reply.started:
@@ -101,9 +108,12 @@
                     continue
                 return self._make_refusal(pipeline, progress)
             try:
+                began_at = clocks.read_boot_clock()
                 await self._run_attempt(request, admitted, pipeline, reply, progress)
+                self._record_time(request, admitted, progress, began_at)
                 return None
             except sending.NotRunError as error:
+                progress.is_sent = False
                 self._record_refusal(request, pipeline, error, progress)
                 if not progress.has_refusals_left and not reply.started:
                     return self._make_refusal(stream_refusals.FULL, progress)
@@ -112,10 +122,26 @@
                 sending.OutcomeUnknownError,
                 stream_progress.PipelineFailedError,
             ) as error:
+                progress.is_sent = False
                 self._record_failure(request, pipeline, error, progress)
                 if not (admitted.route.is_repeatable and progress.has_runs_left):
                     return self._make_refusal(stream_refusals.OUTCOME_UNKNOWN, progress)
 
+    def _record_time(
+        self,
+        request: exchange.CallerRequest,
+        admitted: exchange.Admitted,
+        progress: stream_progress.Progress,
+        began_at: float,
+    ) -> None:
+        """Record how long an answer took that one run gave whole."""
+        if progress.runs or request.resume_after is not None:
+            return
+        seconds = clocks.read_boot_clock() - began_at
+        self.token_times.record(
+            admitted.service.name, seconds, request.max_answer_tokens
+        )
+
     async def _prepare_attempt(
         self,
         request: exchange.CallerRequest,
@@ -160,7 +186,7 @@
                 return checked
         if pipeline is None:
             return self.claims.refuse_without_pipeline(admitted)
-        if self._outlasts_node(request, pipeline, progress, now):
+        if not self._may_end(request, admitted, pipeline, progress, now):
             return stream_refusals.STOPPING
         budget = self.budgets[admitted.service.name]
         if progress.is_retry and budget.predict_wait_seconds(now) > 0.0:
@@ -177,18 +203,22 @@
         budget = self.budgets[admitted.service.name]
         return budget.predict_wait_seconds(clocks.read_boot_clock()) == 0.0
 
-    def _outlasts_node(
+    def _may_end(
         self,
         request: exchange.CallerRequest,
+        admitted: exchange.Admitted,
         pipeline: pipelines.Pipeline,
         progress: stream_progress.Progress,
         now: float,
     ) -> bool:
-        """Return whether this node would stop before a new answer ends."""
+        """Return whether a new answer ends before this node does, if that stops."""
+        # The caller has a part of the answer, and the rest may be short.
         if progress.events:
-            return False
-        seconds = request.max_answer_tokens * pipeline.step_seconds * _PREDICTION_MARGIN
-        return now + seconds > self.choice.blackboard.abort_answers_at
+            return True
+        predicted = self.token_times.predict(
+            admitted.service.name, request.max_answer_tokens, pipeline.step_seconds
+        )
+        return self.answers.may_end(now, progress.deadline, predicted)
 
     def _make_refusal(
         self, refusal: admission.Refusal, progress: stream_progress.Progress
@@ -218,6 +248,7 @@
             fresh=not admitted.route.is_repeatable or first.engine in progress.sent_to,
         )
         progress.sent_to.add(first.engine)
+        progress.is_sent = True
         reply.record_attempt(first.engine)
         with self._watch(request, admitted, pipeline, progress) as stream:
             self.choice.record_start(pipeline)
--- a/src/jujubepass/forwarding/stream_progress.py
+++ b/src/jujubepass/forwarding/stream_progress.py
@@ -44,6 +44,8 @@
     events: int = 0
     events_before_run: int = 0
     runs: int = 0
+    is_sent: bool = False
+    """Whether an attempt is in progress that may run."""
     fruitless_runs: int = 0
     """Runs without a new event since the last one with any."""
     refusals: int = 0
--- a/src/jujubepass/forwarding/stream_refusals.py
+++ b/src/jujubepass/forwarding/stream_refusals.py
@@ -11,6 +11,7 @@
 _STOP_RETRY_SECONDS = 0.05
 
 OUTCOME_UNKNOWN = admission.Refusal(reason=reasons.RefusalReason.OUTCOME_UNKNOWN)
+EXPIRED = admission.Refusal(reason=reasons.RefusalReason.DEADLINE_PASSED)
 STOPPING = admission.Refusal(
     reason=reasons.RefusalReason.NODE_STOPPING, retry_after_seconds=_STOP_RETRY_SECONDS
 )
