--- a/src/jujubepass/platform/wire.py
+++ b/src/jujubepass/platform/wire.py
@@ -40,7 +40,8 @@
 _NOT_RUN_STATUSES_FOR_CALLERS = frozenset((408, _MISDIRECTED, 429, 503))
 _NOT_RUN_STATUSES = frozenset((400, 429, 503))
 _MIN_NON_SUCCESS_STATUS = 300
-_REQUEST_LIMIT = re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?", re.ASCII)
+# Only the size of the header limits the number of decimals.
+_REQUEST_LIMIT = re.compile(r"[0-9]{1,12}(\.[0-9]+)?", re.ASCII)
 _MAX_LOGGED_LENGTH = 80
 
 
--- a/tests/features/request_limits.feature
+++ b/tests/features/request_limits.feature
@@ -35,6 +35,7 @@
     Then orders to move them keep its limit
     And all these streams are complete
 
+  # Guards against ignoring a limit for its form, as one with many decimals.
   Scenario Outline: A limit of "<text>" in an answer is <verdict>
     Given a server that has named a limit of 3
     When an answer names "<text>"
@@ -46,6 +47,7 @@
       | 5      | used     | 5     | 0     |
       | 0      | used     | 0     | 0     |
       | 0.25   | used     | 0.25  | 0     |
+      | 0.125000000000000000000000000001 | used | 0.125 | 0 |
       | -1     | ignored  | 3     | 1     |
       | inf    | ignored  | 3     | 1     |
       | nan    | ignored  | 3     | 1     |
