Hold ends of servers against requests that their callers left

Callers saw servers crash on: a request that crashes them, and whose callers leave after 30 ms, reached servers 5 to 30 times later than contactMs after its third crash.

Groups of cancellations count, and attempts are recorded at once; servers are checked if there was a recent end or callers left the same request before.

--- a/src/jujubepass/quarantine/fingerprints.py
+++ b/src/jujubepass/quarantine/fingerprints.py
@@ -57,6 +57,10 @@
         """Return a request's key."""
         return self._make_key(identity.compute_digest())
 
+    def is_remembered(self, identity: Identity) -> bool:
+        """Return whether a request with this identity was remembered."""
+        return bool(self._digests) and self.make_key(identity) in self._digests
+
     def remember(self, identity: Identity) -> suspects.RequestKey:
         """Return a request's key, and keep what a change of the secret needs."""
         key = self.make_key(identity)
--- a/src/jujubepass/quarantine/guard.py
+++ b/src/jujubepass/quarantine/guard.py
@@ -62,6 +62,13 @@
     """Whether the trial's request has run, or reached a server that refused it."""
 
 
+def _is_cancellation(error: BaseException) -> bool:
+    """Return whether a task was cancelled; nurseries group the errors of theirs."""
+    if isinstance(error, BaseExceptionGroup):
+        return all(map(_is_cancellation, error.exceptions))
+    return isinstance(error, trio.Cancelled)
+
+
 def identify(
     request: exchange.CallerRequest, account: declarations.Account | None
 ) -> fingerprints.Identity:
@@ -200,8 +207,9 @@
         request.server_runs = self._find_runs(servers)
         try:
             yield
-        except trio.Cancelled:
-            if scope is None or not scope.cancel_called:
+        except BaseException as error:
+            is_left = scope is None or not scope.cancel_called
+            if is_left and _is_cancellation(error):
                 self._record_abandoned(request)
             raise
 
@@ -296,12 +304,15 @@
     def _record_abandoned(self, request: GuardedRequest) -> None:
         """Record that a run was given up, whose servers may still end under it.
 
-        Callers leave often, so that this waits for a first end.
+        Callers leave often, so that the servers are only checked if this node knows of
+        a recent end, or if callers left the same request before.
         """
+        if request.is_proven:
+            return
+        is_known = self.quarantine.fingerprints.is_remembered(request.identity)
         now = clocks.read_boot_clock()
-        if not request.is_proven and self.quarantine.has_recent_ends(now):
-            runs = set(request.server_runs.values())
-            self._report(request, runs, is_probed=False)
+        is_probed = is_known or self.quarantine.has_recent_ends(now)
+        self._report(request, set(request.server_runs.values()), is_probed=is_probed)
 
     def _report(
         self,
