Move waits for changes off connections to the store that fell silent

Callers saw servers crash on: after all open connections to the store had fallen silent, nodes sent on a request that others had quarantined.

Cause: a reader's wait for changes of the table of suspects lasts 20 s, and takes its connection for dead only after that, though other calls find the silence within two seconds.

When a call gets no answer in time, waits that began before it move to new connections, once each, and idle connections to the store are closed.

--- a/src/jujubepass/platform/store.py
+++ b/src/jujubepass/platform/store.py
@@ -9,6 +9,7 @@
 import urllib.parse
 
 import attrs
+import trio
 
 from jujubepass import _decoding
 from jujubepass.forwarding import clocks, feeds
@@ -64,6 +65,8 @@
     clock: clocks.RemoteClock = attrs.field(factory=clocks.RemoteClock)
     eras: _EraTracker = attrs.field(factory=_EraTracker)
     calls_sent: int = attrs.field(default=0, init=False)
+    _waits: dict[trio.CancelScope, float] = attrs.field(factory=dict, init=False)
+    """Waits for changes, with the times at which they were sent."""
 
     async def call(
         self,
@@ -78,16 +81,20 @@
         target = f"{path}?{urllib.parse.urlencode(query)}" if query else path
         self.calls_sent += 1
         sent_at = clocks.read_boot_clock()
-        answer = await self.client.request(
-            method,
-            self.address,
-            target,
-            body=body,
-            headers=(("content-type", "application/json"),) if body else (),
-            timeout_seconds=timeout_seconds,
-            once=True,
-            max_bytes=_MAX_ANSWER_BYTES,
-        )
+        try:
+            answer = await self.client.request(
+                method,
+                self.address,
+                target,
+                body=body,
+                headers=(("content-type", "application/json"),) if body else (),
+                timeout_seconds=timeout_seconds,
+                once=True,
+                max_bytes=_MAX_ANSWER_BYTES,
+            )
+        except _http_client.AnswerTimeoutError:
+            self._replace_connections(sent_at)
+            raise
         received_at = clocks.read_boot_clock()
         try:
             era = self.eras.observe(answer.headers.get(headers.STORE_ERA))
@@ -130,9 +137,25 @@
             "after": after,
             "waitMs": round(wait_seconds * 1_000),
         }
-        return await self._read(
-            "/v1/rows-feed", query, wait_seconds + _FEED_TIMEOUT_MARGIN_SECONDS
-        )
+        timeout_seconds = wait_seconds + _FEED_TIMEOUT_MARGIN_SECONDS
+        with trio.CancelScope() as scope:
+            self._waits[scope] = clocks.read_boot_clock()
+            try:
+                return await self._read("/v1/rows-feed", query, timeout_seconds)
+            finally:
+                del self._waits[scope]
+        # Once only: a store that is silent itself must be noticed, too.
+        return await self._read("/v1/rows-feed", query, timeout_seconds)
+
+    def _replace_connections(self, sent_at: float) -> None:
+        """Wait on new connections, as one has fallen silent since a time.
+
+        Open connections may fall silent together, while new ones work.
+        """
+        self.client.close_idle(self.address)
+        for scope, since in self._waits.items():
+            if since <= sent_at:
+                scope.cancel()
 
     async def _read(
         self,
--- a/src/jujubepass/transport/_http_client.py
+++ b/src/jujubepass/transport/_http_client.py
@@ -267,6 +267,11 @@
             stream.socket.close()
         return None
 
+    def close_idle(self, address: Address) -> None:
+        """Close the pooled connections to an address."""
+        for each in self._idle.pop(address, ()):
+            each.stream.socket.close()
+
     async def check_connection(self, address: Address) -> None:
         """Open and close a connection; raises NotSentError."""
         stream = await self._connect(address)
--- a/tests/features/store_client.feature
+++ b/tests/features/store_client.feature
@@ -25,3 +25,11 @@
     Given the store's stand-in
     Then a feed returns written and deleted rows, with undecodable rows as deleted
     And after the store lost its history, the feed reports the loss
+
+  # Guards against rows that are old for as long as a wait for changes lasts, as all open
+  # connections fell silent and only new ones work.
+  Scenario: A wait for changes moves to a new connection when another call gets no answer
+    Given a store whose open connections fall silent
+    When a node waits 20 seconds for changes of a table and calls the store meanwhile
+    Then it has the changes within 2 seconds
+    And no connection from before the silence is used again
