Split connections of the client, and the receiving of bodies, by their jobs

No change of behavior: errors and the connection of one request move to _client_connection, resets and peers' names to _socket_io, expiry of streams to their progress.

--- a/src/jujubepass/forwarding/service_choice.py
+++ b/src/jujubepass/forwarding/service_choice.py
@@ -2,6 +2,7 @@
 
 import collections
 import collections.abc
+import contextlib
 
 import attrs
 
@@ -27,6 +28,15 @@
         factory=collections.Counter
     )
 
+    @contextlib.contextmanager
+    def count(self, name: ids.BackendServerId) -> collections.abc.Iterator[None]:
+        """Count a request that runs at a server."""
+        self.running[name] += 1
+        try:
+            yield
+        finally:
+            self.running[name] -= 1
+
     def choose(
         self,
         service: ids.ServiceId,
--- a/src/jujubepass/forwarding/service_exchange.py
+++ b/src/jujubepass/forwarding/service_exchange.py
@@ -104,7 +104,6 @@
             reply.record_attempt(backend.name)
             last = progress.runs + 1 >= route.max_attempts
             may_retry = self._make_retry_check(admitted, progress, last=last)
-            progress.is_sent = True
             try:
                 with self.guard.watch(progress.guarded, (backend.name,)):
                     await self._send(
@@ -113,7 +112,6 @@
                 self.guard.record_proof(progress.guarded)
                 return None
             except sending.NotRunError as error:
-                progress.is_sent = False
                 self._record_not_run(backend, error, progress, now)
             except sending.OutcomeUnknownError as error:
                 self._record_outcome_unknown(request, backend, error, progress)
@@ -312,6 +310,7 @@
         progress: service_progress.Progress,
         now: float,
     ) -> None:
+        progress.is_sent = False
         if error.head is None:
             reason = suspicion.SuspicionReason.UNREACHABLE
             self.suspects.suspect(backend.name, reason, now)
@@ -361,12 +360,8 @@
                 else:
                     await _relay(head, body, answer, reply)
 
-        self.choice.running[backend.name] += 1
-        try:
-            with self.run_times.measure(admitted.service.name):
-                await attempt_limit.AttemptLimit(may_retry=may_retry).run(forward)
-        finally:
-            self.choice.running[backend.name] -= 1
+        with self.choice.count(backend.name), self.run_times.measure(backend.service):
+            await attempt_limit.AttemptLimit(may_retry=may_retry).run(forward)
         self.suspects.clear(backend.name)
 
 
--- a/src/jujubepass/forwarding/service_progress.py
+++ b/src/jujubepass/forwarding/service_progress.py
@@ -42,6 +42,7 @@
     def record_attempt(self, name: ids.BackendServerId) -> bool:
         """Record an attempt; return whether the server got the request before."""
         is_again = name in self.sent_to
+        self.is_sent = True
         self.tried.add(name)
         self.sent_to.add(name)
         return is_again
--- a/src/jujubepass/forwarding/stopping.py
+++ b/src/jujubepass/forwarding/stopping.py
@@ -123,11 +123,16 @@
 
     _means: dict[ids.ServiceId, float] = attrs.field(factory=dict, init=False)
 
-    def record(self, service: ids.ServiceId, seconds: float, tokens: int) -> None:
-        """Record a whole answer with up to this many tokens."""
+    @contextlib.contextmanager
+    def measure(
+        self, service: ids.ServiceId, tokens: int
+    ) -> collections.abc.Iterator[None]:
+        """Measure a whole answer with up to this many tokens, unless it fails."""
+        began_at = clocks.read_boot_clock()
+        yield
         if tokens <= 0:
             return
-        found = seconds / tokens
+        found = (clocks.read_boot_clock() - began_at) / tokens
         mean = self._means.get(service, found)
         self._means[service] = mean + _MEAN_SHARE * (found - mean)
 
--- a/src/jujubepass/forwarding/stream_exchange.py
+++ b/src/jujubepass/forwarding/stream_exchange.py
@@ -76,11 +76,8 @@
                 self.guard.return_trial(progress.guarded)
                 await self._abort(refusal, reply)
             return
-        refusal = stream_refusals.EXPIRED
-        if self.answers.ends_before(admitted.deadline):
-            refusal = stream_refusals.STOPPING
-            if progress.is_sent or progress.runs:
-                refusal = stream_refusals.OUTCOME_UNKNOWN
+        is_stopping = self.answers.ends_before(admitted.deadline)
+        refusal = progress.refuse_expired(is_stopping=is_stopping)
         if not progress.is_sent:
             self.guard.return_trial(progress.guarded)
         await self._abort(refusal, reply)
@@ -108,9 +105,12 @@
                     continue
                 return self._make_refusal(pipeline, progress)
             try:
-                began_at = clocks.read_boot_clock()
-                await self._run_attempt(request, admitted, pipeline, reply, progress)
-                self._record_time(request, admitted, progress, began_at)
+                is_new = not progress.runs and request.resume_after is None
+                tokens = request.max_answer_tokens if is_new else 0
+                with self.token_times.measure(admitted.service.name, tokens):
+                    await self._run_attempt(
+                        request, admitted, pipeline, reply, progress
+                    )
                 return None
             except sending.NotRunError as error:
                 progress.is_sent = False
@@ -127,21 +127,6 @@
                 if not (admitted.route.is_repeatable and progress.has_runs_left):
                     return self._make_refusal(stream_refusals.OUTCOME_UNKNOWN, progress)
 
-    def _record_time(
-        self,
-        request: exchange.CallerRequest,
-        admitted: exchange.Admitted,
-        progress: stream_progress.Progress,
-        began_at: float,
-    ) -> None:
-        """Record how long an answer took that one run gave whole."""
-        if progress.runs or request.resume_after is not None:
-            return
-        seconds = clocks.read_boot_clock() - began_at
-        self.token_times.record(
-            admitted.service.name, seconds, request.max_answer_tokens
-        )
-
     async def _prepare_attempt(
         self,
         request: exchange.CallerRequest,
@@ -186,7 +171,12 @@
                 return checked
         if pipeline is None:
             return self.claims.refuse_without_pipeline(admitted)
-        if not self._may_end(request, admitted, pipeline, progress, now):
+        predicted = self.token_times.predict(
+            admitted.service.name, request.max_answer_tokens, pipeline.step_seconds
+        )
+        may_end = self.answers.may_end(now, progress.deadline, predicted)
+        # A caller that has a part of the answer may get a short rest.
+        if not may_end and not progress.events:
             return stream_refusals.STOPPING
         budget = self.budgets[admitted.service.name]
         if progress.is_retry and budget.predict_wait_seconds(now) > 0.0:
@@ -203,23 +193,6 @@
         budget = self.budgets[admitted.service.name]
         return budget.predict_wait_seconds(clocks.read_boot_clock()) == 0.0
 
-    def _may_end(
-        self,
-        request: exchange.CallerRequest,
-        admitted: exchange.Admitted,
-        pipeline: pipelines.Pipeline,
-        progress: stream_progress.Progress,
-        now: float,
-    ) -> bool:
-        """Return whether a new answer ends before this node does, if that stops."""
-        # The caller has a part of the answer, and the rest may be short.
-        if progress.events:
-            return True
-        predicted = self.token_times.predict(
-            admitted.service.name, request.max_answer_tokens, pipeline.step_seconds
-        )
-        return self.answers.may_end(now, progress.deadline, predicted)
-
     def _make_refusal(
         self, refusal: admission.Refusal, progress: stream_progress.Progress
     ) -> admission.Refusal:
--- a/src/jujubepass/forwarding/stream_progress.py
+++ b/src/jujubepass/forwarding/stream_progress.py
@@ -5,7 +5,7 @@
 import attrs
 
 from jujubepass import ids
-from jujubepass.forwarding import events, exchange
+from jujubepass.forwarding import admission, events, exchange, stream_refusals
 from jujubepass.quarantine import guard
 
 # Maximum number of refused attempts before the request itself is refused.
@@ -100,6 +100,14 @@
             self.splitter = None
         self.refusals_in_row = 0
 
+    def refuse_expired(self, *, is_stopping: bool) -> admission.Refusal:
+        """Return the refusal when no time is left for the rest of the answer."""
+        if not is_stopping:
+            return stream_refusals.EXPIRED
+        if self.is_sent or self.runs:
+            return stream_refusals.OUTCOME_UNKNOWN
+        return stream_refusals.STOPPING
+
     def check_resumed(self, head: exchange.AnswerHead) -> None:
         """Raise PipelineFailedError unless an answer may go on with one of this start.
 
--- a/src/jujubepass/platform/store.py
+++ b/src/jujubepass/platform/store.py
@@ -81,20 +81,7 @@
         target = f"{path}?{urllib.parse.urlencode(query)}" if query else path
         self.calls_sent += 1
         sent_at = clocks.read_boot_clock()
-        try:
-            answer = await self.client.request(
-                method,
-                self.address,
-                target,
-                body=body,
-                headers=(("content-type", "application/json"),) if body else (),
-                timeout_seconds=timeout_seconds,
-                once=True,
-                max_bytes=_MAX_ANSWER_BYTES,
-            )
-        except _http_client.AnswerTimeoutError:
-            self._replace_connections(sent_at)
-            raise
+        answer = await self._request(method, target, body, timeout_seconds)
         received_at = clocks.read_boot_clock()
         try:
             era = self.eras.observe(answer.headers.get(headers.STORE_ERA))
@@ -111,6 +98,25 @@
             received_at=received_at,
         )
 
+    async def _request(
+        self, method: str, target: str, body: bytes, timeout_seconds: float
+    ) -> _http_client.Answer:
+        sent_at = clocks.read_boot_clock()
+        try:
+            return await self.client.request(
+                method,
+                self.address,
+                target,
+                body=body,
+                headers=(("content-type", "application/json"),) if body else (),
+                timeout_seconds=timeout_seconds,
+                once=True,
+                max_bytes=_MAX_ANSWER_BYTES,
+            )
+        except _http_client.AnswerTimeoutError:
+            self._replace_connections(sent_at)
+            raise
+
     async def read_table(self, table: str) -> tuple[list[typing.Any], _Reply]:
         """Read all rows of a table; also return the reply with the first page.
 
--- /dev/null
+++ b/src/jujubepass/transport/_client_connection.py
@@ -0,0 +1,81 @@
+"""Connection that carries one request and its answer, and the errors of answers."""
+
+import attrs
+import h11
+import trio
+
+from jujubepass.transport import _socket_io
+
+
+class ClientError(Exception):
+    """Signal a request without a complete answer."""
+
+
+class NotSentError(ClientError):
+    """Signal that no byte of the request left this process."""
+
+
+class RefusedConnectionError(NotSentError):
+    """Signal that nothing listens at the address."""
+
+
+class InterruptedAnswerError(ClientError):
+    """Signal that the request may have reached the server."""
+
+
+class AnswerTimeoutError(InterruptedAnswerError):
+    """Signal that the answer did not arrive in time."""
+
+
+@attrs.define(kw_only=True)
+class Connection:
+    """Carry one request and its answer over a connection."""
+
+    stream: trio.SocketStream
+    _protocol: h11.Connection = attrs.field(
+        factory=lambda: h11.Connection(h11.CLIENT), init=False
+    )
+    _is_broken: bool = attrs.field(default=False, init=False)
+    """Whether a write or read has failed. The socket reports a reset only once: what
+    is read afterwards ends as if the server had closed the connection in order."""
+
+    async def send(self, request: tuple[h11.Request, bytes]) -> None:
+        """Send a request, as far as the server takes it."""
+        head, body = request
+        data = (self._protocol.send(head) or b"") + (
+            self._protocol.send(h11.Data(data=body)) or b""
+        )
+        data += self._protocol.send(h11.EndOfMessage()) or b""
+        try:
+            await self.stream.send_all(data)
+        except trio.BrokenResourceError:
+            # A server that refuses a request early may close before reading all of it.
+            self._is_broken = True
+
+    async def receive(self) -> None:
+        """Wait for data of the answer; raises InterruptedAnswerError."""
+        try:
+            data = await _socket_io.receive(self.stream)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            self._is_broken = True
+            raise InterruptedAnswerError(f"connection broke: {error}") from error
+        if self._is_broken and not data:
+            raise InterruptedAnswerError("connection broke before the answer's end")
+        self._protocol.receive_data(data)
+
+    def read_event(self) -> object:
+        """Return the next event of what has been received."""
+        try:
+            return self._protocol.next_event()
+        except h11.RemoteProtocolError as error:
+            raise InterruptedAnswerError(f"answer broke off: {error}") from error
+
+    def is_reusable(self) -> bool:
+        """Return whether another request may be sent on the connection."""
+        return (
+            not self._is_broken
+            and self._protocol.our_state is h11.DONE
+            and self._protocol.their_state is h11.DONE
+            # Bytes after a complete answer belong to no request.
+            and not self._protocol.trailing_data[0]
+        )
--- a/src/jujubepass/transport/_http_client.py
+++ b/src/jujubepass/transport/_http_client.py
@@ -11,7 +11,7 @@
 import trio
 
 from jujubepass import _decoding
-from jujubepass.transport import _socket_io
+from jujubepass.transport import _client_connection
 
 _MAX_IDLE_CONNECTIONS_PER_ADDRESS = 64
 # Maximum body that is read into memory, unless the caller expects a larger one.
@@ -35,24 +35,12 @@
 """Header fields to send; a `host` field replaces the default, the address."""
 
 
-class ClientError(Exception):
-    """Signal a request without a complete answer."""
-
-
-class NotSentError(ClientError):
-    """Signal that no byte of the request left this process."""
-
-
-class RefusedConnectionError(NotSentError):
-    """Signal that nothing listens at the address."""
-
-
-class InterruptedAnswerError(ClientError):
-    """Signal that the request may have reached the server."""
-
-
-class AnswerTimeoutError(InterruptedAnswerError):
-    """Signal that the answer did not arrive in time."""
+_Connection = _client_connection.Connection
+ClientError = _client_connection.ClientError
+NotSentError = _client_connection.NotSentError
+RefusedConnectionError = _client_connection.RefusedConnectionError
+InterruptedAnswerError = _client_connection.InterruptedAnswerError
+AnswerTimeoutError = _client_connection.AnswerTimeoutError
 
 
 @attrs.frozen(kw_only=True)
@@ -107,7 +95,7 @@
     def __init__(
         self,
         *,
-        connection: "_Connection",
+        connection: _Connection,
         head: h11.Response,
         is_first: bool,
     ) -> None:
@@ -238,7 +226,7 @@
         data: tuple[h11.Request, bytes],
         fresh: bool,
         once: bool,
-    ) -> "tuple[_Connection, h11.Response, bool]":
+    ) -> tuple[_Connection, h11.Response, bool]:
         while True:
             idle = None if fresh else self._pop_idle(address)
             pooled = idle is not None
@@ -293,7 +281,7 @@
     def _release(
         self,
         address: Address,
-        connection: "_Connection",
+        connection: _Connection,
         head: h11.Response,
     ) -> None:
         idle = self._idle[address]
@@ -305,60 +293,6 @@
             connection.stream.socket.close()
 
 
-@attrs.define(kw_only=True)
-class _Connection:
-    """Carry one request and its answer over a connection."""
-
-    stream: trio.SocketStream
-    _protocol: h11.Connection = attrs.field(
-        factory=lambda: h11.Connection(h11.CLIENT), init=False
-    )
-    _is_broken: bool = attrs.field(default=False, init=False)
-    """Whether a write or read has failed. The socket reports a reset only once: what
-    is read afterwards ends as if the server had closed the connection in order."""
-
-    async def send(self, request: tuple[h11.Request, bytes]) -> None:
-        """Send a request, as far as the server takes it."""
-        head, body = request
-        data = (self._protocol.send(head) or b"") + (
-            self._protocol.send(h11.Data(data=body)) or b""
-        )
-        data += self._protocol.send(h11.EndOfMessage()) or b""
-        try:
-            await self.stream.send_all(data)
-        except trio.BrokenResourceError:
-            # A server that refuses a request early may close before reading all of it.
-            self._is_broken = True
-
-    async def receive(self) -> None:
-        """Wait for data of the answer; raises InterruptedAnswerError."""
-        try:
-            data = await _socket_io.receive(self.stream)
-        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
-            self._is_broken = True
-            raise InterruptedAnswerError(f"connection broke: {error}") from error
-        if self._is_broken and not data:
-            raise InterruptedAnswerError("connection broke before the answer's end")
-        self._protocol.receive_data(data)
-
-    def read_event(self) -> object:
-        """Return the next event of what has been received."""
-        try:
-            return self._protocol.next_event()
-        except h11.RemoteProtocolError as error:
-            raise InterruptedAnswerError(f"answer broke off: {error}") from error
-
-    def is_reusable(self) -> bool:
-        """Return whether another request may be sent on the connection."""
-        return (
-            not self._is_broken
-            and self._protocol.our_state is h11.DONE
-            and self._protocol.their_state is h11.DONE
-            # Bytes after a complete answer belong to no request.
-            and not self._protocol.trailing_data[0]
-        )
-
-
 def _read_keep_alive_seconds(head: h11.Response) -> float:
     """Return the keep-alive timeout of the server; infinity if it names none."""
     for name, value in head.headers:
--- a/src/jujubepass/transport/_http_responder.py
+++ b/src/jujubepass/transport/_http_responder.py
@@ -9,6 +9,7 @@
 from jujubepass.transport import _socket_io
 
 _JSON = "application/json"
+_VERSIONS_WITHOUT_CHUNKS = (b"1.0", b"0.9")
 
 
 class Responder:
@@ -29,6 +30,12 @@
         self.omits_body = False
         self.started = False
 
+    @property
+    def is_cut_off(self) -> bool:
+        """Return whether an unfinished answer would end with its connection."""
+        is_old = self._connection.their_http_version in _VERSIONS_WITHOUT_CHUNKS
+        return is_old and self._connection.our_state in (h11.SEND_BODY, h11.ERROR)
+
     async def start(
         self, status: int, headers: collections.abc.Mapping[str, str]
     ) -> None:
--- a/src/jujubepass/transport/_http_server.py
+++ b/src/jujubepass/transport/_http_server.py
@@ -1,12 +1,9 @@
 """HTTP/1.1 server on h11 and trio with limits on its input."""
 
 import collections.abc
-import contextlib
 import functools
 import logging
 import re
-import socket
-import struct
 import sys
 import typing
 
@@ -24,9 +21,6 @@
 # The end of the previous chunk, then a size with as many digits as h11 accepts.
 _CHUNK_SIZE = re.compile(rb"[\r\n]{0,2}([0-9A-Fa-f]{1,20})[;\r\n]")
 
-_VERSIONS_WITHOUT_CHUNKS = (b"1.0", b"0.9")
-# Close with a reset instead of an orderly end.
-_LINGER_NONE = struct.pack("ii", 1, 0)
 
 Responder = _http_responder.Responder
 
@@ -188,7 +182,7 @@
     async def _serve_requests(self, stream: trio.SocketStream) -> None:
         # The limit in force is checked with each event instead.
         connection = h11.Connection(h11.SERVER, max_incomplete_event_size=sys.maxsize)
-        peer = _find_peer(stream)
+        peer = _socket_io.find_peer(stream)
         while True:
             responder = Responder(
                 connection=connection, stream=stream, closing=self._is_closing
@@ -205,8 +199,8 @@
                 await self._handle(request, responder, connection, stream)
             finally:
                 self.running_requests -= 1
-                if _ends_with_connection(connection):
-                    _reset(stream)
+                if responder.is_cut_off:
+                    _socket_io.reset(stream)
             if connection.our_state is not h11.DONE:
                 return
             if connection.their_state is not h11.DONE:
@@ -266,21 +260,31 @@
         if connection.they_are_waiting_for_100_continue:
             continue_response = h11.InformationalResponse(status_code=100, headers=[])
             await _socket_io.send(stream, connection.send(continue_response) or b"")
+        is_chunked = "transfer-encoding" in headers
+        body = await self._receive_body(connection, stream, is_chunked)
+        if body is None:
+            return None
+        return Request(
+            method=head.method.decode(),
+            path=head.target.decode("latin-1"),
+            headers=headers,
+            body=body,
+            peer=peer,
+            fields=fields,
+        )
+
+    async def _receive_body(
+        self, connection: h11.Connection, stream: trio.SocketStream, is_chunked: bool
+    ) -> bytes | None:
+        """Return the whole body; None if the connection ended before."""
         body = bytearray()
-        at_boundary = "transfer-encoding" in headers
+        at_boundary = is_chunked
         with trio.move_on_after(self.limits.receive_timeout_seconds):
             while True:
                 max_bytes = self.limits.body_bytes - len(body) if at_boundary else None
                 event = await self._receive_event(connection, stream, max_bytes)
                 if isinstance(event, h11.EndOfMessage):
-                    return Request(
-                        method=head.method.decode(),
-                        path=head.target.decode("latin-1"),
-                        headers=headers,
-                        body=bytes(body),
-                        peer=peer,
-                        fields=fields,
-                    )
+                    return bytes(body)
                 if not isinstance(event, h11.Data):
                     return None
                 body += event.data
@@ -341,27 +345,6 @@
             connection.receive_data(bytes(data))
 
 
-def _ends_with_connection(connection: h11.Connection) -> bool:
-    """Return whether only the connection's end will end the answer being sent."""
-    is_old = connection.their_http_version in _VERSIONS_WITHOUT_CHUNKS
-    return is_old and connection.our_state in (h11.SEND_BODY, h11.ERROR)
-
-
-def _reset(stream: trio.SocketStream) -> None:
-    """Close a connection so that its answer does not look complete."""
-    with contextlib.suppress(OSError):
-        stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_NONE)
-    stream.socket.close()
-
-
-def _find_peer(stream: trio.SocketStream) -> str:
-    """Return the peer's address; raises trio.BrokenResourceError."""
-    try:
-        return str(stream.socket.getpeername()[0])
-    except OSError as error:
-        raise trio.BrokenResourceError(f"reset before the accept: {error}") from error
-
-
 def _check_chunk(connection: h11.Connection, max_bytes: int) -> None:
     """Reject a chunk by its announced size, before waiting for its data."""
     announced = _CHUNK_SIZE.match(connection.trailing_data[0])
--- a/src/jujubepass/transport/_socket_io.py
+++ b/src/jujubepass/transport/_socket_io.py
@@ -1,10 +1,15 @@
-"""Socket reads and writes that yield to the scheduler at most once."""
+"""Socket reads and writes that yield to the scheduler at most once, and resets."""
 
+import contextlib
 import os
+import socket
+import struct
 
 import trio
 
 RECEIVE_BYTES = 65_536
+# Close with a reset instead of an orderly end.
+_LINGER_NONE = struct.pack("ii", 1, 0)
 
 
 async def receive(stream: trio.SocketStream) -> bytes:
@@ -35,3 +40,18 @@
         raise trio.BrokenResourceError(f"connection broke: {error}") from error
     if sent < len(data):
         await stream.send_all(memoryview(data)[sent:])
+
+
+def find_peer(stream: trio.SocketStream) -> str:
+    """Return the peer's address; raises trio.BrokenResourceError."""
+    try:
+        return str(stream.socket.getpeername()[0])
+    except OSError as error:
+        raise trio.BrokenResourceError(f"reset before the accept: {error}") from error
+
+
+def reset(stream: trio.SocketStream) -> None:
+    """Close a connection so that its answer does not look complete."""
+    with contextlib.suppress(OSError):
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_NONE)
+    stream.socket.close()
