Identify requests that callers left only once a server has ended

Requests that callers left were identified though no server had ended (24 in crashing_requests_fleet).

--- a/src/jujubepass/platform/store.py
+++ b/src/jujubepass/platform/store.py
@@ -150,8 +150,11 @@
                 return await self._read("/v1/rows-feed", query, timeout_seconds)
             finally:
                 del self._waits[scope]
-        # Once only: a store that is silent itself must be noticed, too.
-        return await self._read("/v1/rows-feed", query, timeout_seconds)
+        # The rows are confirmed at once then. A store that is silent itself must be
+        # noticed, so that this is not done again.
+        return await self._read(
+            "/v1/rows-feed", {**query, "waitMs": 0}, _ANSWER_TIMEOUT_SECONDS
+        )
 
     def _replace_connections(self, sent_at: float) -> None:
         """Wait on new connections, as one has fallen silent since a time.
--- a/src/jujubepass/quarantine/controller.py
+++ b/src/jujubepass/quarantine/controller.py
@@ -8,6 +8,7 @@
 from jujubepass import ids
 from jujubepass.forwarding import board, feeds, members
 from jujubepass.quarantine import (
+    abandonments,
     ends,
     fingerprints,
     proofs,
@@ -47,6 +48,9 @@
     ends: _ServerEnds = attrs.field(init=False)
     _records: records.Records = attrs.field(init=False)
     _proofs: proofs.Proofs = attrs.field(factory=proofs.Proofs, init=False)
+    _abandonments: abandonments.Abandonments = attrs.field(
+        factory=abandonments.Abandonments, init=False
+    )
     _era: int = attrs.field(default=0, init=False)
     _first_asked_at: float | None = attrs.field(default=None, init=False)
     _decided_at: float = attrs.field(default=float("-inf"), init=False)
@@ -79,13 +83,37 @@
             found = self.ends.record_break(run, depths, now, is_probed=is_probed)
             self._blame(run, found, now)
 
+    def record_abandoned(self, left: abandonments.Abandonment) -> None:
+        """Record a request that its caller left, under which servers may still end.
+
+        Callers leave often: without a recent end, it is only identified once there is
+        one, and its servers are checked only if it was left before.
+        """
+        if self.has_recent_ends(left.left_at):
+            self._report_abandoned(left, left.left_at, is_probed=True)
+            return
+        is_known = self._abandonments.add(left)
+        for run in left.runs:
+            self.ends.record_break(run, {}, left.left_at, is_probed=is_known)
+
+    def _report_abandoned(
+        self, left: abandonments.Abandonment, now: float, *, is_probed: bool
+    ) -> None:
+        key = self.fingerprints.remember(left.identity)
+        self.record_break((*left.parts, key), left.runs, now, is_probed=is_probed)
+
+    def _record_ended(self, run: _ServerRun, now: float) -> None:
+        """Record an end, for which requests may be to blame that callers left."""
+        self._ended_at = now
+        for left in self._abandonments.take(now):
+            self._report_abandoned(left, now, is_probed=False)
+        self._blame(run, self.ends.confirm(run, now), now)
+
     def record_end(
         self, server: ids.BackendServerId, started_at: int, now: float
     ) -> None:
         """Record that a run of a server has certainly ended."""
-        run = _ServerRun(server=server, started_at=started_at)
-        self._ended_at = now
-        self._blame(run, self.ends.confirm(run, now), now)
+        self._record_ended(_ServerRun(server=server, started_at=started_at), now)
 
     def has_recent_ends(self, now: float) -> bool:
         """Return whether this node knows of a server's end that is not long ago."""
@@ -147,8 +175,7 @@
     def check(self, now: float) -> None:
         """Confirm ends by newly listed runs, and drop what is too old."""
         for run in self.ends.list_restarted():
-            self._ended_at = now
-            self._blame(run, self.ends.confirm(run, now), now)
+            self._record_ended(run, now)
         self.ends.remove_old(now)
         if now - self._decided_at >= _DECISION_INTERVAL_SECONDS:
             self._records.forget_unwritten(now)
--- a/src/jujubepass/quarantine/fingerprints.py
+++ b/src/jujubepass/quarantine/fingerprints.py
@@ -30,6 +30,11 @@
     body: bytes
     _digest: bytes | None = attrs.field(default=None, init=False)
 
+    def equals(self, other: "Identity") -> bool:
+        """Return whether another identity is that of the same request."""
+        fields = self.host, self.target, self.account, self.body
+        return fields == (other.host, other.target, other.account, other.body)
+
     def compute_digest(self) -> bytes:
         """Return a digest that is for this process alone."""
         if self._digest is None:
@@ -57,10 +62,6 @@
         """Return a request's key."""
         return self._make_key(identity.compute_digest())
 
-    def is_remembered(self, identity: Identity) -> bool:
-        """Return whether a request with this identity was remembered."""
-        return bool(self._digests) and self.make_key(identity) in self._digests
-
     def remember(self, identity: Identity) -> suspects.RequestKey:
         """Return a request's key, and keep what a change of the secret needs."""
         key = self.make_key(identity)
--- a/src/jujubepass/quarantine/guard.py
+++ b/src/jujubepass/quarantine/guard.py
@@ -16,7 +16,7 @@
     declarations,
     exchange,
 )
-from jujubepass.quarantine import controller, fingerprints, suspects
+from jujubepass.quarantine import abandonments, controller, fingerprints, suspects
 from jujubepass.transport import _http_client
 
 # A run that goes on for this long after its first data is sound: what crashes a server
@@ -297,35 +297,30 @@
     ) -> None:
         runs = {run for name, run in request.server_runs.items() if name in servers}
         request.unproven |= runs
-        self._report(request, runs, is_probed=True)
+        self._report(request, runs)
         for run in runs:
             self.schedule_probe(run.server)
 
     def _record_abandoned(self, request: GuardedRequest) -> None:
-        """Record that a run was given up, whose servers may still end under it.
-
-        Callers leave often, so that the servers are only checked if this node knows of
-        a recent end, or if callers left the same request before.
-        """
-        if request.is_proven:
-            return
-        is_known = self.quarantine.fingerprints.is_remembered(request.identity)
-        now = clocks.read_boot_clock()
-        is_probed = is_known or self.quarantine.has_recent_ends(now)
-        self._report(request, set(request.server_runs.values()), is_probed=is_probed)
+        """Record that a run was given up, whose servers may still end under it."""
+        if not request.is_proven:
+            self.quarantine.record_abandoned(
+                abandonments.Abandonment(
+                    identity=request.identity,
+                    parts=request.parts,
+                    runs=frozenset(request.server_runs.values()),
+                    left_at=clocks.read_boot_clock(),
+                )
+            )
 
     def _report(
         self,
         request: GuardedRequest,
         runs: collections.abc.Set[suspects.ServerRun],
-        *,
-        is_probed: bool,
     ) -> None:
         key = self.quarantine.fingerprints.remember(request.identity)
         now = clocks.read_boot_clock()
-        self.quarantine.record_break(
-            (*request.parts, key), runs, now, is_probed=is_probed
-        )
+        self.quarantine.record_break((*request.parts, key), runs, now)
 
     def record_refused_connection(
         self, request: GuardedRequest, server: ids.BackendServerId
--- a/src/jujubepass/quarantine/sharing.py
+++ b/src/jujubepass/quarantine/sharing.py
@@ -132,7 +132,7 @@
         return [each for each in writes if suspects.is_storable(each.key)]
 
     async def _write_due(self) -> None:
-        await self._wait_for_turn(_WRITES_PER_SECOND / _MAX_WRITES_PER_TURN)
+        await self._wait_for_turn(_WRITES_PER_SECOND)
         for _ in range(_MAX_WRITES_PER_TURN):
             # Others may have written the same in the meantime.
             writes = self._list_writes()
