Form further pipelines of engines that no chain needs

Cause: a failure domain with most callers had two pipelines while 17 of its 29 engines only held second copies of layers, so that requests were rejected for want of places. Engines that are left over form further chains as long as these have room for half of what a first engine takes at once.

--- a/src/jujubepass/forwarding/placement.py
+++ b/src/jujubepass/forwarding/placement.py
@@ -18,6 +18,10 @@
 # Share of a chain's target capacity that an engine outside the chains keeps free. It
 # corresponds to the load of one failure domain: 25 requests out of 96.
 _EXTRA_CAPACITY_SHARE = 0.37
+# Least share of a chain's target capacity with which engines that are left over form a
+# chain of their own. Half of the requests that a first engine takes at once are worth
+# more to callers than second copies of layers.
+_MIN_FURTHER_CAPACITY_SHARE = 0.5
 OUTSIDE_CHAINS = -1
 """Chain number of engines that hold additional layers outside the chains."""
 
@@ -42,9 +46,38 @@
             for name, span in spans.items():
                 placements[name] = plans.Placement(span=span, chain=chain)
             chain += 1
+        for spans in _make_further_chains(model, group, placements):
+            for name, span in spans.items():
+                placements[name] = plans.Placement(span=span, chain=chain)
+            chain += 1
     return placements
 
 
+def _make_further_chains(
+    model: declarations.Model,
+    group: collections.abc.Iterable[Candidate],
+    placements: collections.abc.Container[ids.BackendServerId],
+) -> collections.abc.Iterator[chains.Spans]:
+    """Yield chains of the engines that are in none, as long as they have capacity."""
+    left = [each for each in group if each.name not in placements]
+    while left:
+        left.sort(key=lambda each: (-each.accelerator.memory_megabytes, each.name))
+        members = left[: chains.MAX_ENGINES]
+        if not chains.can_hold(model, members):
+            return
+        capacity = chains.compute_token_capacity(model, members, model.layers)
+        needed_tokens = _MIN_FURTHER_CAPACITY_SHARE * chains.compute_target_tokens(
+            model
+        )
+        if capacity < needed_tokens:
+            return
+        spans = chains.spread_layers(model, chains.select_needed(model, members))
+        if spans is None:
+            return
+        yield spans
+        left = [each for each in left if each.name not in spans]
+
+
 def repair_placements(
     model: declarations.Model,
     candidates: collections.abc.Sequence[Candidate],
@@ -80,6 +113,18 @@
     return placements
 
 
+def count_chains(
+    candidates: collections.abc.Iterable[Candidate], placements: Placements
+) -> dict[ids.FailureDomainId, int]:
+    """Return how many chains begin in each failure domain."""
+    found: collections.Counter[ids.FailureDomainId] = collections.Counter()
+    for each in candidates:
+        placed = placements.get(each.name)
+        if placed is not None and placed.chain != OUTSIDE_CHAINS:
+            found[each.failure_domain] += placed.span.first == 0
+    return dict(found)
+
+
 def _place_outside_chains(
     model: declarations.Model,
     idle: collections.abc.Iterable[Candidate],
--- a/src/jujubepass/forwarding/planner.py
+++ b/src/jujubepass/forwarding/planner.py
@@ -284,6 +284,7 @@
                 "reason": reason,
                 "list_revision": self.blackboard.backends.revision,
                 "engines": len(placements),
+                "chains": placement.count_chains(candidates, placements),
                 "excluded": sorted(excluded),
             },
         )
