Read one table while the store is away

Cause: while the store failed, nodes kept trying all five tables, 60 calls a second besides those of readers, each of which is charged. Only the reference table is tried now, and the list by readers, until a read succeeds.

--- a/src/jujubepass/relay/area.py
+++ b/src/jujubepass/relay/area.py
@@ -10,6 +10,7 @@
 """Names of the relayed tables; nodes of other versions skip those they lack."""
 REFERENCE_FEED_NAME = "configuration"
 """Table by whose age nodes choose where they read."""
+BACKENDS_FEED_NAME = "backends"
 
 
 def _make_histories() -> dict[str, history.RowHistory]:
--- a/src/jujubepass/relay/feed.py
+++ b/src/jujubepass/relay/feed.py
@@ -94,14 +94,17 @@
             is_waiting = (
                 reason is not sources.ReadReason.ROWS_OLD and not self._is_failing
             )
+            is_pointless = self.controller.is_read_pointless(self.name, reason)
             try:
+                if is_pointless:
+                    raise feeds.FeedError("the store has just failed")
                 wait = wait_seconds if is_waiting else 0.0
                 await self._follow_store(after, wait, era)
             except feeds.HistoryLostError:
                 self._has_lost_history = True
                 raise
             except feeds.FeedError as error:
-                self._record_failure(error)
+                self._record_failure(error, was_read=not is_pointless)
                 # Rows may still come from a node that the store serves.
                 if self._is_too_old(clocks.read_boot_clock()):
                     raise
@@ -160,14 +163,14 @@
         self._apply(await self.store.follow(after, wait_seconds, era=era))
         self._age_share = self.random_source.random()
 
-    def _record_failure(self, error: feeds.FeedError) -> None:
+    def _record_failure(self, error: feeds.FeedError, *, was_read: bool) -> None:
         if not self._is_failing:
             _LOGGER.info(
                 "store not read", extra={"feed": self.name, "detail": str(error)}
             )
         self._is_failing = True
-        self.controller.record_failed_read()
-        self.reads[sources.ReadReason.FAILED.value] += 1
+        self.controller.record_failed_read(self.name)
+        self.reads[sources.ReadReason.FAILED.value] += was_read
         interval = self.controller.find_outage_interval()
         self._read_not_before = clocks.read_boot_clock() + interval
 
--- a/src/jujubepass/relay/sources.py
+++ b/src/jujubepass/relay/sources.py
@@ -13,6 +13,7 @@
 
 from jujubepass import ids
 from jujubepass.forwarding import board, members
+from jujubepass.relay import area
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -99,6 +100,8 @@
     """Reader that this node asks while it reads as a substitute."""
     _is_watched_stale: bool = attrs.field(default=False, init=False)
     _reads_as_substitute: bool = attrs.field(default=False, init=False)
+    _has_failed_reference: bool = attrs.field(default=False, init=False)
+    """Whether the last read of the reference table failed."""
 
     def choose(self, now: float, row_age_seconds: float) -> members.Member | None:
         """Return the node to read from; None to read the store.
@@ -220,6 +223,7 @@
 
     def record_read(self, reason: ReadReason) -> None:
         """Record that the store served this node."""
+        self._has_failed_reference = False
         self._substitute = None
         if reason is ReadReason.ROWS_OLD:
             self._reads_as_substitute = True
@@ -282,9 +286,21 @@
             return offering
         return self.random_source.choice(others) if others else parent
 
-    def record_failed_read(self) -> None:
-        """Record that the store did not serve this node."""
+    def record_failed_read(self, name: str) -> None:
+        """Record that the store did not serve this node a table."""
         self._reads_as_substitute = False
+        if name == area.REFERENCE_FEED_NAME:
+            self._has_failed_reference = True
+
+    def is_read_pointless(self, name: str, reason: ReadReason) -> bool:
+        """Return whether to read no table but the reference, as its last read failed.
+
+        Each call to a store that is away is charged. Readers also try the list, which
+        may have changed most when the store returns.
+        """
+        if name == area.REFERENCE_FEED_NAME or not self._has_failed_reference:
+            return False
+        return reason is not ReadReason.READER or name != area.BACKENDS_FEED_NAME
 
     def _precedes(self, origin: str) -> bool:
         """Return whether a node stands before this one in the order of all."""
