Let requests wait while a node starts

Cause: after the loss of all VMs, nodes refused 742 requests as not_ready within two seconds, 0.5 s each to come back into the same start. They wait up to a second for the configuration now; retry times after that are spread over 0.5 to 1.5 s.

--- a/src/jujubepass/forwarding/admission.py
+++ b/src/jujubepass/forwarding/admission.py
@@ -12,6 +12,9 @@
 _MAX_DENIAL_AGE_SHARE = 0.75
 # Interval at which the store is polled after it has failed.
 _STALE_RETRY_SECONDS = 0.5
+# Range of retry times while the node has no configuration. Callers that are refused
+# together do not come back together.
+_START_RETRY_SECONDS = (0.5, 1.5)
 # Requests with a key are refused once the configuration's age exceeds this share of the
 # time limit for revoked keys.
 _MAX_KEYED_AGE_SHARE = 0.6
@@ -55,7 +58,7 @@
         if area.declarations is None:
             return Refusal(
                 reason=reasons.RefusalReason.NOT_READY,
-                retry_after_seconds=_STALE_RETRY_SECONDS,
+                retry_after_seconds=self.random_source.uniform(*_START_RETRY_SECONDS),
             )
         found = self._decide(request, area.declarations, now)
         is_confirmed = now - area.confirmed_at <= self._find_max_denial_age()
--- a/src/jujubepass/forwarding/forwarder.py
+++ b/src/jujubepass/forwarding/forwarder.py
@@ -4,7 +4,9 @@
 import logging
 
 import attrs
+import trio
 
+from jujubepass import reasons
 from jujubepass.forwarding import (
     admission,
     board,
@@ -25,6 +27,10 @@
 
 # Time limit for reading the configuration again before a refusal.
 _REFRESH_TIMEOUT_SECONDS = 0.6
+# A node that starts has a configuration within about a second; a caller that is refused
+# at once comes back into the same start. Callers abandon a stream after 2 s.
+_MAX_START_WAIT_SECONDS = 1.0
+_START_POLL_INTERVAL_SECONDS = 0.05
 
 
 @attrs.define(kw_only=True)
@@ -54,7 +60,7 @@
         )
         if self.admission_control.needs_confirmation(caller_request, now):
             await self.refresh_configuration(_REFRESH_TIMEOUT_SECONDS)
-        found = self.admission_control.admit(caller_request, clocks.read_boot_clock())
+        found = await self._admit(caller_request)
         try:
             if isinstance(found, admission.Refusal):
                 account = self.admission_control.find_account(caller_request)
@@ -69,6 +75,23 @@
         finally:
             self._record_ended(caller_request, found, reply)
 
+    async def _admit(
+        self, request: exchange.CallerRequest
+    ) -> exchange.Admitted | admission.Refusal:
+        """Admit or refuse a request, after the node has read its configuration."""
+        until = request.arrived_at + _MAX_START_WAIT_SECONDS
+        while True:
+            now = clocks.read_boot_clock()
+            found = self.admission_control.admit(request, now)
+            is_starting = (
+                isinstance(found, admission.Refusal)
+                and found.reason is reasons.RefusalReason.NOT_READY
+                and self.blackboard.state is board.NodeState.STARTING
+            )
+            if not is_starting or now >= until:
+                return found
+            await trio.sleep(_START_POLL_INTERVAL_SECONDS)
+
     def _record_ended(
         self,
         request: exchange.CallerRequest,
