--- a/src/jujubepass/forwarding/members.py
+++ b/src/jujubepass/forwarding/members.py
@@ -105,11 +105,7 @@
         area.nodes = frozenset(each.node for each in live)
         area.live = tuple(live)
         area.sizes = sizes
-        domain = self.blackboard.failure_domain
-        neighbors = (each for each in live if each.failure_domain == domain)
-        area.neighbors = tuple(
-            sorted(neighbors, key=lambda each: _hash_turn(f"rows/{domain}", each.node))
-        )
+        area.neighbors = order_domain(live, self.blackboard.failure_domain)
 
     def find_abandoned(self, now: float) -> Member | None:
         """Return a row to remove, as its node has not renewed it for long."""
@@ -137,6 +133,18 @@
         area.counted_until = sent_at + _EXPIRY_RENEWALS * seconds
 
 
+def order_domain(
+    live: collections.abc.Iterable[Member], domain: ids.FailureDomainId
+) -> tuple[Member, ...]:
+    """Return the nodes of a failure domain, in an order that all nodes share."""
+    return tuple(
+        sorted(
+            (each for each in live if each.failure_domain == domain),
+            key=lambda each: _hash_turn(f"rows/{domain}", each.node),
+        )
+    )
+
+
 def find_share(blackboard: board.Blackboard, now: float) -> float:
     """Return this node's share of what all divide; 0.0 if it does not know the others.
 
