--- a/src/jujubepass/forwarding/engine_choice.py
+++ b/src/jujubepass/forwarding/engine_choice.py
@@ -6,6 +6,7 @@
 import attrs
 
 from jujubepass import ids
+from jujubepass.capacity import own_use, view
 from jujubepass.forwarding import (
     backends,
     board,
@@ -54,6 +55,8 @@
     slowdowns: slowdowns.SlowdownTracker
     silences: silences.Silences
     demand: _Demand = attrs.field(factory=_Demand)
+    recorder: view.Recorder = attrs.field(factory=own_use.NoRecorder)
+    """Where the other nodes learn of this node's requests."""
     attempts: collections.Counter[ids.BackendServerId] = attrs.field(
         factory=collections.Counter, init=False
     )
@@ -278,10 +281,12 @@
         self.demand.streams += 1
         self._running.update(pipeline.engines)
         self._prefilling.update(pipeline.engines)
+        self.recorder.record_start(pipeline.engines)
 
     def record_prefilled(self, pipeline: pipelines.Pipeline) -> None:
         """Record that the engines have processed a request's prompt."""
         self._prefilling.subtract(pipeline.engines)
+        self.recorder.record_prefilled(pipeline.engines)
 
     def record_end(self, pipeline: pipelines.Pipeline, *, was_prefilled: bool) -> None:
         """Remove a request from the counts of its engines."""
@@ -289,6 +294,7 @@
         self._running.subtract(pipeline.engines)
         if not was_prefilled:
             self._prefilling.subtract(pipeline.engines)
+        self.recorder.record_end(pipeline.engines, was_prefilled=was_prefilled)
 
 
 def _make_options(
--- a/src/jujubepass/forwarding/engine_controllers.py
+++ b/src/jujubepass/forwarding/engine_controllers.py
@@ -1,9 +1,12 @@
 """Controllers of engines: choice, probes, orders, moves and stalled streams."""
 
+import secrets
 import typing
 
 import attrs
 
+from jujubepass.capacity import controller as capacity_controller
+from jujubepass.capacity import datagrams
 from jujubepass.forwarding import (
     backend_list,
     board,
@@ -28,8 +31,10 @@
 )
 from jujubepass.quarantine import controller, guard, sharing
 from jujubepass.storage import _table_client
+from jujubepass.transport import _http_client
 
 # Aliases, because fields have the same names as the modules.
+_Address = _http_client.Address
 _BackendController = backend_list.BackendController
 _Evacuation = evacuation.Evacuation
 _Guard = guard.Guard
@@ -37,6 +42,8 @@
 _Sharing = sharing.Sharing
 _Silences = silences.Silences
 
+_PROCESS_BITS = 64
+
 
 class HomeTransport(permits.Transport, home_leases.Transport, typing.Protocol):
     """Carry queries for permits and requests for votes to homes."""
@@ -53,6 +60,13 @@
     suspect_table: _table_client.Table
     secret_table: _table_client.Table
     permit_transport: HomeTransport
+    token: str = attrs.field(repr=False)
+    """Key of the datagrams for this node."""
+    address: _Address | None
+    """Where other nodes reach this one."""
+    capacity: capacity_controller.CapacityController = attrs.field(init=False)
+    """What all nodes run on each engine."""
+    datagram_link: datagrams.DatagramLink = attrs.field(init=False)
     quarantine: controller.Quarantine = attrs.field(init=False)
     sharing: _Sharing = attrs.field(init=False)
     guard: _Guard = attrs.field(init=False)
@@ -71,6 +85,7 @@
         area = self.blackboard.backends
         tracker = slowdowns.SlowdownTracker()
         node_demand = demand.Demand()
+        self._share_use()
         self.silences = silences.Silences(area=area)
         self.limits = request_limits.RequestLimits(area=area)
         self.permits = self._make_permits(node_demand)
@@ -95,6 +110,7 @@
             slowdowns=tracker,
             silences=self.silences,
             demand=node_demand,
+            recorder=self.capacity.recorder,
         )
         self.orders = ordering.OrderSender(
             blackboard=self.blackboard, control=self.control, silences=self.silences
@@ -102,6 +118,17 @@
         self._watch_streams()
         self._share_suspects()
 
+    def _share_use(self) -> None:
+        self.capacity = capacity_controller.CapacityController(
+            blackboard=self.blackboard,
+            token=self.token,
+            process=secrets.randbits(_PROCESS_BITS),
+            has_address=self.address is not None,
+        )
+        self.datagram_link = datagrams.DatagramLink(
+            controller=self.capacity, address=self.address
+        )
+
     def _make_permits(self, node_demand: demand.Demand) -> _Permits:
         leases = home_leases.HomeLeases(
             order=homes.HomeOrder(blackboard=self.blackboard),
--- a/src/jujubepass/forwarding/metrics_page.py
+++ b/src/jujubepass/forwarding/metrics_page.py
@@ -6,10 +6,12 @@
 import attrs
 
 from jujubepass import ids
+from jujubepass.capacity import metrics as capacity_metrics
 from jujubepass.forwarding import (
     board,
     clocks,
     engine_choice,
+    engine_controllers,
     members,
     ordering,
     server_signals,
@@ -40,13 +42,9 @@
     measures: node_measures.Measures,
     blackboard: board.Blackboard,
     client: _http_client.Client,
-    orders: ordering.OrderSender,
-    choice: engine_choice.EngineChoice,
+    engines: engine_controllers.EngineControllers,
     budgets: collections.abc.Mapping[ids.ServiceId, _retry_budget.RetryBudget],
     relay: assembly.Relay,
-    signals: server_signals.ServerSignals,
-    permits: _Permits,
-    quarantine: controller.Quarantine,
     count_eras: collections.abc.Callable[[], collections.abc.Mapping[str, int]],
     count_unreadable: collections.abc.Callable[[], collections.abc.Mapping[str, int]],
 ) -> MetricsPage:
@@ -56,10 +54,11 @@
         distributions=(measures.request_times, measures.first_events),
     )
     _add_requests(registry, measures)
-    _add_calls(registry, client, orders, choice)
-    _add_signals(registry, signals)
-    _add_permits(registry, permits)
-    _add_suspects(registry, quarantine)
+    _add_calls(registry, client, engines.orders, engines.choice)
+    _add_signals(registry, engines.signals)
+    _add_permits(registry, engines.permits)
+    _add_suspects(registry, engines.quarantine)
+    capacity_metrics.add_capacity(registry, engines.capacity, engines.datagram_link)
     _add_relay(registry, relay)
     _add_store(registry, count_unreadable, count_eras)
     _add_budgets(registry, budgets)
--- a/src/jujubepass/forwarding/stream_exchange.py
+++ b/src/jujubepass/forwarding/stream_exchange.py
@@ -10,6 +10,7 @@
 import trio
 
 from jujubepass import ids, reasons
+from jujubepass.capacity import own_use, view
 from jujubepass.forwarding import (
     admission,
     attempt_log,
@@ -56,6 +57,7 @@
     answers: stopping.RunningAnswers = attrs.field(factory=stopping.RunningAnswers)
     token_times: stopping.TokenTimes = attrs.field(factory=stopping.TokenTimes)
     random_source: random.Random = attrs.field(factory=random.Random)
+    recorder: view.Recorder = attrs.field(factory=own_use.NoRecorder)
 
     async def serve(
         self,
@@ -347,6 +349,8 @@
             stage = next(
                 (each for each in pipeline.stages if each.address == at_fault), stage
             )
+            if stream_refusals.is_for_room(error.head):
+                self.recorder.record_full(stage.engine, now)
             # The engine may also be dead; its report shows that.
             self.stalls.schedule_probe(stage.engine)
         elif error.has_ended:
--- a/src/jujubepass/forwarding/stream_refusals.py
+++ b/src/jujubepass/forwarding/stream_refusals.py
@@ -3,7 +3,7 @@
 import attrs
 
 from jujubepass import reasons
-from jujubepass.forwarding import admission
+from jujubepass.forwarding import admission, exchange
 
 _PIPELINE_RETRY_SECONDS = 1.5
 _FULL_RETRY_SECONDS = 0.5
@@ -32,6 +32,19 @@
 )
 
 
+# An engine that misses layers or gets another one's request answers otherwise.
+_NO_ROOM_STATUSES = (429, 503)
+
+
+def is_for_room(head: exchange.AnswerHead) -> bool:
+    """Return whether an engine that did not run a request had no room for it."""
+    return (
+        head.status in _NO_ROOM_STATUSES
+        and not head.is_leaving
+        and head.retry_after_seconds is None
+    )
+
+
 def is_temporary(refusal: admission.Refusal | None) -> bool:
     """Return whether an answer that has begun waits until a refusal's cause ends."""
     return refusal is not None and refusal.reason in _TEMPORARY_REASONS
