--- a/src/jujubepass/capacity/controller.py
+++ b/src/jujubepass/capacity/controller.py
@@ -221,6 +221,7 @@
             "shared view known" if is_known else "shared view unknown",
             extra={
                 "in_use": self.is_in_use,
+                "collector": self.view.find_collector(now),
                 "covered": self.view.count_covered(now),
                 "listed": len(self.blackboard.members.neighbors),
                 "drops": dict(self.inbox.drops),
--- a/src/jujubepass/capacity/reporting.py
+++ b/src/jujubepass/capacity/reporting.py
@@ -29,6 +29,8 @@
     """Tell whether a message is due at the rate of a busy or of an idle sender."""
 
     is_idle: bool = attrs.field(default=True, init=False)
+    busy_since: float = attrs.field(default=_NEVER, init=False)
+    """Last time at which an idle sender became busy."""
     _busy_at: float = attrs.field(default=_NEVER, init=False)
     _sent_at: float = attrs.field(default=_NEVER, init=False)
 
@@ -36,6 +38,8 @@
         """Return whether to send the content now."""
         if not content.is_empty:
             self._busy_at = now
+            if self.is_idle:
+                self.busy_since = now
         self.is_idle = now - self._busy_at > _IDLE_DELAY_SECONDS
         # The turns of a busy sender come a little earlier or later.
         pause = IDLE_INTERVAL_SECONDS - 0.5 * REPORT_INTERVAL_SECONDS
@@ -111,7 +115,12 @@
                 continue
             found.append(member)
             asked_at = self._asked_at.setdefault(member.node, now)
-            heard_at = max(asked_at, self._heard_at.get(member.node, _NEVER))
+            heard_at = max(
+                asked_at,
+                self._heard_at.get(member.node, _NEVER),
+                # Before that, the collectors had a longer interval.
+                self._pace.busy_since,
+            )
             is_own = member.node == self.blackboard.node
             answering += is_own or now - heard_at <= limit
             if answering >= _COLLECTORS or len(found) >= _MAX_TARGETS:
--- a/src/jujubepass/capacity/shared_view.py
+++ b/src/jujubepass/capacity/shared_view.py
@@ -204,6 +204,11 @@
             and now - made_at <= collector.MAX_LINE_AGE_SECONDS
         ]
 
+    def find_collector(self, now: float) -> ids.NodeId | None:
+        """Return the node whose view is in use, or None."""
+        selected = self._select(now)
+        return selected.node if selected is not None else None
+
     def find_age(self, now: float) -> float | None:
         """Return the age of the view in use in seconds, or None."""
         selected = self._select(now)
--- a/tests/capacity_network.py
+++ b/tests/capacity_network.py
@@ -89,6 +89,7 @@
         self.cuts = set()
         self.events = []
         self.order = itertools.count()
+        self.largest = 0
         self.datagrams = collections.Counter()
         self.sent_bytes = collections.Counter()
         self.received_bytes = collections.Counter()
@@ -214,6 +215,7 @@
     def _send(self, node, datagram):
         self.datagrams[node.name] += 1
         self.sent_bytes[node.name] += len(datagram.data)
+        self.largest = max(self.largest, len(datagram.data))
         target = self.nodes.get(ids.NodeId(f"n{datagram.address.port - 1}"))
         if target is None or (node.name, target.name) in self.cuts:
             return
