Read the context time and the stride of a model

The time of a step depends on the tokens in the cache, and an event has several tokens; neither was read from the configuration. Absurd values are logged and replaced by defaults that change nothing.

--- a/src/jujubepass/forwarding/declarations.py
+++ b/src/jujubepass/forwarding/declarations.py
@@ -78,6 +78,10 @@
     answer_tokens: float
     prompt_tokens: float
     accelerators: collections.abc.Mapping[str, Accelerator]
+    context_seconds_per_1k_tokens: float = 0.0
+    """Time that a step takes longer for each 1,000 tokens in the cache."""
+    stride: int = 1
+    """Steps in a pass, and so tokens in an event."""
 
 
 @attrs.frozen(kw_only=True)
--- a/src/jujubepass/platform/configuration.py
+++ b/src/jujubepass/platform/configuration.py
@@ -1,6 +1,7 @@
 """Decoding of the operator's configuration."""
 
 import collections.abc
+import logging
 import typing
 
 import attrs
@@ -8,6 +9,12 @@
 from jujubepass import _decoding, ids
 from jujubepass.forwarding import declarations, feeds
 
+_LOGGER = logging.getLogger(__name__)
+
+# A step that takes a second longer for 1,000 tokens, or an event of more tokens than
+# usual answers have, would leave no place on any engine.
+_MAX_CONTEXT_MILLISECONDS = 1_000.0
+_MAX_STRIDE = 1_000
 _REPEAT_POLICIES = {
     "idempotent": declarations.RepeatPolicy.IDEMPOTENT,
     "non_idempotent": declarations.RepeatPolicy.NON_IDEMPOTENT,
@@ -108,7 +115,27 @@
             )
             for each in value.get("kinds") or ()
         },
+        context_seconds_per_1k_tokens=_read_bounded(
+            value, "context_per_k", 0.0, most=_MAX_CONTEXT_MILLISECONDS
+        )
+        / 1_000.0,
+        stride=int(_read_bounded(value, "stride", 1, least=1, most=_MAX_STRIDE)),
+    )
+
+
+def _read_bounded(
+    value: _Json, key: str, default: float, *, least: float = 0.0, most: float
+) -> float:
+    """Return a number of the load model, or its default if it is absurd."""
+    found = value.get(key, default)
+    is_number = isinstance(found, int | float) and not isinstance(found, bool)
+    if is_number and least <= found <= most:
+        return float(found)
+    _LOGGER.warning(
+        "invalid value of an engine's load model",
+        extra={"key": key, "value": f"{found!r:.40}", "used": default},
     )
+    return default
 
 
 def _decode_limits(
