Choose pipelines by the view of what all nodes run

Each node estimated an engine's load as its own requests times the nodes of the domain, so all nodes chose the same pipeline. Where a service uses the shared view and it is known, a first engine is drawn by predicted time within its places, full engines are avoided, and requests without a place are sent to the domain with most room. Without a view, choices are made as before.

--- a/src/jujubepass/forwarding/engine_choice.py
+++ b/src/jujubepass/forwarding/engine_choice.py
@@ -2,10 +2,13 @@
 
 import collections
 import collections.abc
+import functools
+import random
 
 import attrs
 
 from jujubepass import ids
+from jujubepass.capacity import view
 from jujubepass.forwarding import (
     backends,
     board,
@@ -13,36 +16,35 @@
     demand,
     members,
     pipelines,
-    plans,
     silences,
     slowdowns,
+    stage_options,
     suspicion,
 )
+from jujubepass.spreading import (
+    loads,
+    places,
+    shared_choice,
+    shared_rooms,
+    spill,
+)
 
 # A draining engine is used for this long, so that requests need not wait for its
 # successor, and for no more than this share of the platform's bound.
 _MAX_DRAINING_USE_SECONDS = 1.0
 _DRAINING_USE_SHARE = 0.5
-# Once an engine's cache memory runs out, it refuses requests or evicts others, however
-# fast it is. Beyond this share of used memory each stage costs more, by so many seconds
-# for the whole memory; in a pipeline of a dozen stages that are all full, this exceeds
-# the cost of crossing to another failure domain.
-_UNCONTENDED_MEMORY_SHARE = 0.6
-_CONTENTION_SECONDS = 0.1
 # An engine that reports a slowdown delays every token of all requests in its pipeline.
 _SLOWDOWN_EXPONENT = 2.0
-# A queued prompt delays the first event by its time on the slowest stage, about 1/12 of
-# its prefill time in pipelines of a dozen engines. Spread over 16 tokens, that is about
-# 1/200 of the prefill time per token.
-_QUEUE_DELAY_TOKENS = 200.0
-# Layers that an engine still holds but is to unload are used only where no other engine
-# has them: the factor is three times the ratio of the slowest kind of accelerator to
-# the next.
-_UNPLANNED_COST_FACTOR = 3.0
-
 
-# An alias, because a field has the same name as the module.
+# Aliases, because fields have the same names as the modules.
 _Demand = demand.Demand
+_Demanded = view.Demand
+_Recorder = view.Recorder
+_View = view.View
+
+
+def _uses_no_view(service: declarations.Service) -> bool:
+    return False
 
 
 @attrs.define(kw_only=True)
@@ -54,6 +56,14 @@
     slowdowns: slowdowns.SlowdownTracker
     silences: silences.Silences
     demand: _Demand = attrs.field(factory=_Demand)
+    view: _View | None = None
+    """What all nodes run; None if nodes do not share it."""
+    recorder: _Recorder | None = None
+    """Takes what this node runs, to be shared."""
+    uses_view: collections.abc.Callable[[declarations.Service], bool] = _uses_no_view
+    """Whether a service's requests are placed by the view."""
+    random_source: random.Random = attrs.field(factory=random.Random)
+    shared: shared_choice.SharedChoice | None = attrs.field(default=None, init=False)
     attempts: collections.Counter[ids.BackendServerId] = attrs.field(
         factory=collections.Counter, init=False
     )
@@ -65,6 +75,23 @@
         factory=collections.Counter, init=False
     )
 
+    def __attrs_post_init__(self) -> None:
+        if self.view is None:
+            return
+        self.shared = shared_choice.SharedChoice(
+            domain=self.blackboard.failure_domain,
+            rooms=shared_rooms.SharedRooms(
+                blackboard=self.blackboard,
+                suspects=self.suspects,
+                slowdowns=self.slowdowns,
+                silences=self.silences,
+                view=self.view,
+                estimate_load=self._estimate_local_load,
+            ),
+            spill=spill.Spill(random_source=self.random_source),
+            random_source=self.random_source,
+        )
+
     def choose(
         self,
         service: declarations.Service,
@@ -74,22 +101,53 @@
         *,
         closed: collections.abc.Set[ids.BackendServerId] = frozenset(),
         ignores_silence: bool = False,
+        reserve: float = 0.0,
     ) -> pipelines.Pipeline | None:
         """Return the cheapest pipeline of available engines, or None.
 
         `entries` restricts the engines at which it may begin; None allows all. It
-        begins at none of the `closed` ones.
+        begins at none of the `closed` ones. `reserve` free places here are kept for
+        more urgent requests.
         """
-        model = service.model
-        assert model is not None
-        domain = self.blackboard.failure_domain
         is_limited = bool(closed)
+        may_spill = entries is None
         if not ignores_silence:
             avoided = self.silences.list_silent(now).union(avoided)
             closed = self.silences.list_closed(now).union(closed)
         listed = self._list_engines(service, avoided)
         if closed:
             entries = (entries or {each.name for each in listed}) - closed
+        known = self._find_demand(service, now)
+        if self.shared is None or known is None:
+            return self._choose_alone(
+                service, listed, now, entries, is_limited=is_limited
+            )
+        query = shared_choice.Query(
+            service=service,
+            demand=known,
+            now=now,
+            listed=listed,
+            entries=entries,
+            may_spill=may_spill,
+            reserve=reserve,
+            list_options=functools.partial(
+                self._list_options, service, now=now, rooms=self.shared.rooms
+            ),
+        )
+        return self.shared.choose(query)
+
+    def _choose_alone(
+        self,
+        service: declarations.Service,
+        listed: collections.abc.Iterable[backends.Backend],
+        now: float,
+        entries: collections.abc.Set[ids.BackendServerId] | None,
+        *,
+        is_limited: bool,
+    ) -> pipelines.Pipeline | None:
+        """Return the cheapest pipeline by what this node runs itself."""
+        model, domain = service.model, self.blackboard.failure_domain
+        assert model is not None
         local, remote = self._list_stages(service, listed, now, is_limited=is_limited)
         options = list(local)
         found = pipelines.find_pipeline(model, options, domain, entries)
@@ -100,6 +158,32 @@
         options += remote_options
         return pipelines.find_pipeline(model, options, domain, entries)
 
+    def find_places(self, service: declarations.Service) -> places.ServicePlaces:
+        """Return the places of a service's pipelines in this failure domain."""
+        return places.ServicePlaces(
+            service=service,
+            rooms=self.shared.rooms if self.shared else None,
+            is_known=lambda now: self._find_demand(service, now) is not None,
+            recorder=self.recorder,
+        )
+
+    def update_shared(self, now: float) -> None:
+        """Count the free places for the other nodes, and update the spill."""
+        declared = self.blackboard.configuration.declarations
+        for service in declared.find_model_services() if declared else ():
+            known = self._find_demand(service, now)
+            if self.shared is not None and known is not None:
+                free = self.find_places(service).count_free(now)
+                self.shared.update_spill(service, known, now, free or 0.0)
+
+    def _find_demand(
+        self, service: declarations.Service, now: float
+    ) -> _Demanded | None:
+        """Return the shared demand; None if unknown or not used by the service."""
+        if self.view is None or not self.uses_view(service):
+            return None
+        return self.view.find_demand(now)
+
     def _list_engines(
         self,
         service: declarations.Service,
@@ -155,6 +239,7 @@
         now: float,
         *,
         is_shared: bool = False,
+        rooms: shared_rooms.SharedRooms | None = None,
     ) -> collections.abc.Iterator[pipelines.StageOption]:
         """Yield the stages that engines may run; all nodes use them if shared."""
         plan, model = self.blackboard.plans.plans.get(service.name), service.model
@@ -168,17 +253,18 @@
                 continue
             if self.suspects.is_suspected(engine.name, now):
                 continue
-            load = self._estimate_load(engine, now, is_shared=is_shared)
-            step_seconds = model.step_seconds + model.step_seconds_per_sequence * load
-            seconds = accelerator.step_slowdown * step_seconds
-            seconds += accelerator.prefill_slowdown * self._predict_queue_delay(
-                model, engine.name
+            work = self._estimate_work(
+                service, model, engine, now, is_shared=is_shared, rooms=rooms
             )
+            seconds = accelerator.step_slowdown * work.step_seconds
+            seconds += accelerator.prefill_slowdown * work.queue_seconds
             cost_factor = (
                 self.slowdowns.get_slowdown(engine.name, now) ** _SLOWDOWN_EXPONENT
             )
-            contention = self._compute_contention(model, accelerator, engine, load)
-            yield from _make_options(
+            contention = stage_options.compute_contention(
+                model, accelerator, engine, work.requests + work.starting
+            )
+            yield from stage_options.make_options(
                 engine,
                 plan.placements.get(engine.name),
                 layer_seconds=seconds / model.layers,
@@ -187,6 +273,40 @@
                 is_leaving=self._is_leaving(engine, now),
             )
 
+    def _estimate_work(
+        self,
+        service: declarations.Service,
+        model: declarations.Model,
+        engine: backends.Backend,
+        now: float,
+        *,
+        is_shared: bool,
+        rooms: shared_rooms.SharedRooms | None,
+    ) -> stage_options.Work:
+        """Estimate an engine's work by what all nodes share or else by own requests."""
+        use = rooms.find_work(service, engine, now) if rooms else None
+        if use is not None:
+            return stage_options.Work(
+                requests=use.running,
+                step_seconds=loads.predict_step_seconds(model, use.running),
+                queue_seconds=stage_options.predict_queue_delay(model, use.prefilling),
+                starting=1.0,
+            )
+        load = self._estimate_load(engine, now, is_shared=is_shared)
+        neighbors = members.count_neighbors(self.blackboard)
+        queued_prompts = self._prefilling[engine.name] * neighbors
+        return stage_options.Work(
+            requests=load,
+            step_seconds=model.step_seconds + model.step_seconds_per_sequence * load,
+            queue_seconds=stage_options.predict_queue_delay(model, queued_prompts),
+            # Other nodes add theirs at the same time.
+            starting=neighbors,
+        )
+
+    def _estimate_local_load(self, engine: ids.BackendServerId) -> float:
+        """Estimate the requests on an engine here from those of this node."""
+        return float(self._running[engine] * members.count_neighbors(self.blackboard))
+
     def _estimate_load(
         self, engine: backends.Backend, now: float, *, is_shared: bool
     ) -> float:
@@ -216,40 +336,6 @@
         )
         return max(1, found)
 
-    def _predict_queue_delay(
-        self, model: declarations.Model, engine: ids.BackendServerId
-    ) -> float:
-        """Return the delay per token caused by queued prompts, in seconds."""
-        neighbors = members.count_neighbors(self.blackboard)
-        queued_prompts = self._prefilling[engine] * neighbors
-        return (
-            queued_prompts
-            * model.prompt_tokens
-            / model.prefill_tokens_per_second
-            / _QUEUE_DELAY_TOKENS
-        )
-
-    def _compute_contention(
-        self,
-        model: declarations.Model,
-        accelerator: declarations.Accelerator,
-        engine: backends.Backend,
-        load: float,
-    ) -> float:
-        """Return the cost in seconds of the cache memory that requests use."""
-        assert engine.held is not None
-        free_megabytes = (
-            accelerator.memory_megabytes - len(engine.held) * model.layer_megabytes
-        )
-        request_tokens = model.prompt_tokens + model.answer_tokens / 2.0
-        # Counts the request to be sent, since other nodes add theirs at the same time.
-        neighbors = members.count_neighbors(self.blackboard)
-        requests = load + neighbors
-        used_tokens = requests * request_tokens
-        token_kilobytes = model.token_kilobytes * len(engine.held) / model.layers
-        used_share = used_tokens * token_kilobytes / max(1.0, free_megabytes * 1_000.0)
-        return _CONTENTION_SECONDS * max(0.0, used_share - _UNCONTENDED_MEMORY_SHARE)
-
     def _is_leaving(self, engine: backends.Backend, now: float) -> bool | None:
         """Return whether an engine is leaving; None if it accepts no more requests."""
         if engine.state is backends.BackendState.READY:
@@ -278,10 +364,19 @@
         self.demand.streams += 1
         self._running.update(pipeline.engines)
         self._prefilling.update(pipeline.engines)
+        if self.recorder is not None:
+            self.recorder.record_start(pipeline.engines)
+
+    def record_spill(self, pipeline: pipelines.Pipeline, now: float) -> None:
+        """Record that a request is sent to another failure domain, if it is."""
+        if self.shared is not None and pipeline.spilled_to is not None:
+            self.shared.spill.record(pipeline.spilled_to, now)
 
     def record_prefilled(self, pipeline: pipelines.Pipeline) -> None:
         """Record that the engines have processed a request's prompt."""
         self._prefilling.subtract(pipeline.engines)
+        if self.recorder is not None:
+            self.recorder.record_prefilled(pipeline.engines)
 
     def record_end(self, pipeline: pipelines.Pipeline, *, was_prefilled: bool) -> None:
         """Remove a request from the counts of its engines."""
@@ -289,40 +384,5 @@
         self._running.subtract(pipeline.engines)
         if not was_prefilled:
             self._prefilling.subtract(pipeline.engines)
-
-
-def _make_options(
-    engine: backends.Backend,
-    placement: plans.Placement | None,
-    *,
-    layer_seconds: float,
-    cost_factor: float,
-    stage_seconds: float,
-    is_leaving: bool | None,
-) -> collections.abc.Iterator[pipelines.StageOption]:
-    """Yield the planned span, and at a higher cost all layers that are held."""
-    held = engine.held
-    if held is None or is_leaving is None:
-        return
-    planned = _intersect(placement.span, held) if placement else None
-    if planned and len(planned) and not is_leaving:
-        yield pipelines.StageOption(
-            backend=engine,
-            span=planned,
-            layer_seconds=layer_seconds,
-            cost_factor=cost_factor,
-            stage_seconds=stage_seconds,
-        )
-    if planned != held or is_leaving:
-        yield pipelines.StageOption(
-            backend=engine,
-            span=held,
-            layer_seconds=layer_seconds,
-            cost_factor=cost_factor * _UNPLANNED_COST_FACTOR,
-            stage_seconds=stage_seconds,
-        )
-
-
-def _intersect(one: backends.Span, other: backends.Span) -> backends.Span:
-    first = max(one.first, other.first)
-    return backends.Span(first=first, end=max(first, min(one.end, other.end)))
+        if self.recorder is not None:
+            self.recorder.record_end(pipeline.engines, was_prefilled=was_prefilled)
--- a/src/jujubepass/forwarding/pipelines.py
+++ b/src/jujubepass/forwarding/pipelines.py
@@ -11,12 +11,14 @@
 from jujubepass.transport import _http_client
 
 # A hop inside a failure domain takes 0.2 ms one way.
-_HOP_SECONDS = 0.0002
+HOP_SECONDS = 0.0002
+"""Time of a hop between two engines, per token."""
 # A link between failure domains carries the activations of each token, including the
 # prompt: 56 MB per request, and the capacity is 24 such requests per second in total.
 # Two crossings cost more than an engine with a slowdown of 12, so they are used only
 # when layers are lost.
-_CROSSING_SECONDS = 0.12
+CROSSING_SECONDS = 0.12
+"""Cost of a crossing, and of a first engine that has no place left."""
 # The answer of a pipeline that begins in another failure domain crosses a link as well.
 # The cost exceeds the difference between unloaded pipelines of two failure domains (8
 # and 14 ms per token).
@@ -42,6 +44,8 @@
     """Predicted time per token."""
     cost_seconds: float = math.inf
     """Predicted time per token with all factors and costs of the search."""
+    spilled_to: ids.FailureDomainId | None = None
+    """Failure domain of a pipeline that was chosen for lack of places here."""
 
     @property
     def engines(self) -> frozenset[ids.BackendServerId]:
@@ -128,7 +132,7 @@
     stages = cheapest.list_stages()
     seconds = {each.backend.name: each.layer_seconds for each in options}
     step_seconds = sum(
-        len(stage.span) * seconds[stage.engine] + _HOP_SECONDS for stage in stages
+        len(stage.span) * seconds[stage.engine] + HOP_SECONDS for stage in stages
     )
     return Pipeline(
         stages=tuple(stages), step_seconds=step_seconds, cost_seconds=cheapest.cost
@@ -171,7 +175,7 @@
     engine, domain = option.backend.name, option.backend.failure_domain
     found, cost = None, math.inf
     for last_domain, partial in reached.items():
-        total = partial.cost + (_CROSSING_SECONDS if last_domain != domain else 0.0)
+        total = partial.cost + (CROSSING_SECONDS if last_domain != domain else 0.0)
         if total < cost and not partial.uses(engine):
             found, cost = partial, total
     return found, cost
@@ -190,7 +194,7 @@
     domain, first = option.backend.failure_domain, bounds[number]
     for reached_number in range(number + 1, last + 1):
         end = bounds[reached_number]
-        seconds = (end - first) * option.layer_seconds + _HOP_SECONDS
+        seconds = (end - first) * option.layer_seconds + HOP_SECONDS
         total = cost + seconds * option.cost_factor + option.stage_seconds
         known = reached[reached_number].get(domain)
         if known is None or total < known.cost:
--- a/src/jujubepass/forwarding/stream_exchange.py
+++ b/src/jujubepass/forwarding/stream_exchange.py
@@ -225,6 +225,7 @@
         reply.record_attempt(first.engine)
         with self._watch(request, admitted, pipeline, progress) as stream:
             self.choice.record_start(pipeline)
+            self.choice.record_spill(pipeline, now)
             try:
                 with self.guard.watch(
                     progress.guarded, pipeline.engines, scope=stream.scope
--- a/src/jujubepass/forwarding/suspicion.py
+++ b/src/jujubepass/forwarding/suspicion.py
@@ -99,6 +99,10 @@
         suspicion = self._suspicions.get(name)
         return suspicion is not None and now < suspicion.until
 
+    def list_suspected(self, now: float) -> set[ids.BackendServerId]:
+        """Return the backend servers that are to get no requests now."""
+        return {name for name, each in self._suspicions.items() if now < each.until}
+
     def is_unavailable(self, name: ids.BackendServerId, now: float) -> bool:
         """Return whether a backend server is suspected for more than being full."""
         suspicion = self._suspicions.get(name)
--- /dev/null
+++ b/src/jujubepass/spreading/__init__.py
@@ -0,0 +1,1 @@
+"""Spreading of model requests over pipelines and failure domains by predicted load."""
