--- a/src/jujubepass/spreading/rooms.py
+++ b/src/jujubepass/spreading/rooms.py
@@ -20,6 +20,9 @@
     is_full: bool = False
     """Whether an engine has just rejected a request for lack of room."""
 
+    is_slow: bool = False
+    """Whether an engine reports a slowdown."""
+
     @property
     def free(self) -> float:
         """Return the places that are left."""
--- a/src/jujubepass/spreading/shared_choice.py
+++ b/src/jujubepass/spreading/shared_choice.py
@@ -76,16 +76,20 @@
         with_place = [each for each in usable if each.free >= 1.0]
         is_short = free <= query.reserve or not with_place
         if not is_short:
-            found = self._draw(query, with_place, self.domain)
+            found = self._draw(query, with_place, here)
             if found is not None:
                 return found
         if is_short and query.may_spill:
-            found = self._spill(query, names)
+            target = self.spill.find_target()
+            if not self.rooms.begins_here(query.service) and self.spill.target:
+                # No place becomes free here.
+                target = self.spill.target.domain
+            found = self._spill(query, names, target)
             if found is not None:
                 return found
         without_full = [each for each in usable if not each.is_full]
         if without_full:
-            found = self._draw(query, without_full, self.domain, keeps_places=False)
+            found = self._draw(query, without_full, here, keeps_places=False)
             if found is not None:
                 return found
         return self._search_all(query, usable)
@@ -111,11 +115,15 @@
         self,
         query: Query,
         found: _Rooms,
-        domain: ids.FailureDomainId,
+        present: _Rooms,
         *,
         keeps_places: bool = True,
     ) -> pipelines.Pipeline | None:
-        """Return the cheapest pipeline from a first engine that is drawn."""
+        """Return the cheapest pipeline from a first engine that is drawn.
+
+        Engines of other chains are left to the requests that begin there, as places are
+        counted by chain; they stand in only for an engine that is slow.
+        """
         demand = query.demand
         arrivals = _VIEW_DELAY_SECONDS * sum(demand.arrivals_per_second)
         room = rooms.draw_room(
@@ -124,10 +132,15 @@
             self.random_source,
             keeps_places=keeps_places,
         )
+        others: set[ids.BackendServerId] = set()
+        if not room.is_slow:
+            others.update(*(each.chain.engines for each in present))
+            others -= room.chain.engines
         engines = [
             each
             for each in query.listed
-            if each.failure_domain == domain
+            if each.failure_domain == room.chain.failure_domain
+            and each.name not in others
             and not self.rooms.is_full((each.name,), query.now)
         ]
         options = list(query.list_options(engines))
@@ -136,18 +149,19 @@
         return pipelines.find_pipeline(model, options, self.domain, {room.entry})
 
     def _spill(
-        self, query: Query, names: collections.abc.Set[ids.BackendServerId]
+        self,
+        query: Query,
+        names: collections.abc.Set[ids.BackendServerId],
+        target: ids.FailureDomainId | None,
     ) -> pipelines.Pipeline | None:
         """Return a pipeline within the domain that gets this request, if any."""
-        target = self.spill.find_target()
         if target is None:
             return None
-        found = _filter_rooms(
-            self.rooms.list_rooms(query.service, target, query.now), query, names
-        )
+        present = self.rooms.list_rooms(query.service, target, query.now)
+        found = _filter_rooms(present, query, names)
         if not found:
             return None
-        pipeline = self._draw(query, found, target)
+        pipeline = self._draw(query, found, present)
         return pipeline and attrs.evolve(pipeline, spilled_to=target)
 
     def _search_all(self, query: Query, usable: _Rooms) -> pipelines.Pipeline | None:
--- a/src/jujubepass/spreading/shared_rooms.py
+++ b/src/jujubepass/spreading/shared_rooms.py
@@ -152,10 +152,14 @@
             self._remote_loads = key, loads
         return self._remote_loads[1]
 
+    def begins_here(self, service: declarations.Service) -> bool:
+        """Return whether a pipeline is planned to begin in this failure domain."""
+        catalog = self._find_catalog(service)
+        return catalog is not None and catalog.begins_here
+
     def count_free(self, service: declarations.Service, now: float) -> float | None:
         """Return the free places here; None if no pipeline is planned to begin here."""
-        catalog = self._find_catalog(service)
-        if catalog is None or not catalog.begins_here:
+        if not self.begins_here(service):
             return None
         domain = self.blackboard.failure_domain
         return sum(each.free for each in self.list_rooms(service, domain, now))
@@ -241,12 +245,13 @@
         """Return a room with the pace and places at reported slowdowns."""
         if room.chain.engines.isdisjoint(slow):
             return room
-        return _make_room(
+        adapted = _make_room(
             model,
             room.chain,
             catalog.gap_seconds,
             lambda name: self.slowdowns.get_slowdown(name, now),
         )
+        return attrs.evolve(adapted, is_slow=True)
 
     def _add_use(
         self, model: declarations.Model, room: rooms.Room, now: float
@@ -256,6 +261,7 @@
             chain=room.chain,
             pace=room.pace,
             places=room.places,
+            is_slow=room.is_slow,
             load=use.running if use else self.estimate_load(room.entry),
             is_full=self.is_full(room.chain.engines, now),
         )
--- a/src/jujubepass/spreading/spill.py
+++ b/src/jujubepass/spreading/spill.py
@@ -19,6 +19,8 @@
 _SMOOTHING_SECONDS = 2.0
 # Places of one line are used up over the time until the next line.
 _LINE_SECONDS = 1.0
+# From this probability on all requests are sent: the domain has a place for each.
+_FULL_SHARE = 0.9
 # A spill ends once no request was sent elsewhere for this time.
 _END_SECONDS = 3.0
 
@@ -93,9 +95,11 @@
 
     def find_target(self) -> ids.FailureDomainId | None:
         """Return the failure domain that gets the next request, if any."""
-        if self.target is None or self._allowance < 1.0:
+        if self.target is None:
             return None
-        return self.target.domain
+        has_room_for_all = self.get_share(self.target.domain) >= _FULL_SHARE
+        is_sent = has_room_for_all or self._allowance >= 1.0
+        return self.target.domain if is_sent else None
 
     def get_share(self, domain: ids.FailureDomainId) -> float:
         """Return the probability of a request to be sent to a failure domain."""
@@ -142,12 +146,11 @@
         short_seconds = now - self._short_at
         self._short_at = now
         if short_seconds > _LINE_SECONDS:
-            # Nodes that all began with the same allowance would send at one moment.
+            # Nodes that all began with the same allowance would send at one moment, and
+            # more than the places that are free.
             self._allowance = self.random_source.random()
             return
-        if self.target is None:
-            return
-        share = self.get_share(self.target.domain)
+        share = self.get_share(self.target.domain) if self.target else 0.0
         per_second = share * requests_per_node / _LINE_SECONDS
         most = max(1.0, per_second * _LINE_SECONDS)
         self._allowance = min(most, self._allowance + per_second * short_seconds)
