Queue model requests that find no place at a first engine

Cause: no node held back less urgent requests while engines were full, and a rejected request always came back after 0.5 s, mostly into the same shortage.

The package shortage/ decides at each node, on the shared view, which request starts, waits or is refused as `shortage`, by priority, lateness, and the service of client accounts by weight. Without a view, and by default, nothing changes.

--- a/src/jujubepass/forwarding/declarations.py
+++ b/src/jujubepass/forwarding/declarations.py
@@ -104,6 +104,8 @@
 
     name: ids.AccountId
     priority: int | None = None
+    weight: float = 1.0
+    """Share of scarce places, relative to other accounts."""
 
 
 @attrs.frozen(kw_only=True)
--- a/src/jujubepass/forwarding/pipeline_claims.py
+++ b/src/jujubepass/forwarding/pipeline_claims.py
@@ -19,6 +19,8 @@
     stream_timeouts,
 )
 from jujubepass.quarantine import guard
+from jujubepass.shortage import entries as shortage_entries
+from jujubepass.shortage import gate
 
 # Alias, because a field has the same name as the module.
 _Guard = guard.Guard
@@ -35,8 +37,36 @@
     choice: engine_choice.EngineChoice
     permits: permits.Permits
     guard: _Guard
+    shortage: gate.Gate = attrs.field(factory=gate.Gate)
 
     async def wait_for_pipeline(
+        self,
+        request: exchange.CallerRequest,
+        admitted: exchange.Admitted,
+        progress: stream_progress.Progress,
+    ) -> pipelines.Pipeline | admission.Refusal | None:
+        """Return a pipeline that has a place, or the refusal for want of places."""
+        if progress.entry is None:
+            progress.entry = self.shortage.make_entry(
+                request, admitted, is_resumed=progress.last_id is not None
+            )
+        entry = progress.entry
+        while True:
+            pipeline = await self._find_pipeline(admitted, progress)
+            if pipeline is None or entry is None or progress.has_place:
+                return pipeline
+            if progress.runs or progress.events:
+                self.shortage.start_unqueued(entry)
+                return pipeline
+            choose = functools.partial(self._choose_now, admitted, progress)
+            found = await self.shortage.claim(entry, pipeline, choose)
+            if entry.state is shortage_entries.State.REFUSED:
+                return stream_refusals.refuse_shortage(entry.retry_after_seconds)
+            if found is not None:
+                return found
+            await trio.sleep(_PIPELINE_POLL_INTERVAL_SECONDS)
+
+    async def _find_pipeline(
         self, admitted: exchange.Admitted, progress: stream_progress.Progress
     ) -> pipelines.Pipeline | None:
         """Return a pipeline, or wait for the repair of one while it may be used."""
@@ -63,6 +93,15 @@
                 return None
             await trio.sleep(_PIPELINE_POLL_INTERVAL_SECONDS)
 
+    def _choose_now(
+        self, admitted: exchange.Admitted, progress: stream_progress.Progress
+    ) -> pipelines.Pipeline | None:
+        now = clocks.read_boot_clock()
+        if self.guard.refuse(progress.guarded, now) is not None:
+            return None
+        entries = self._find_entries(admitted, progress)
+        return self._choose(admitted, progress, entries, now)
+
     def _choose(
         self,
         admitted: exchange.Admitted,
@@ -131,6 +170,10 @@
         service, avoided = admitted.service, progress.avoided
         return self.choice.choose(service, now, avoided, {first})
 
+    def refuse_full(self, progress: stream_progress.Progress) -> admission.Refusal:
+        """Return the refusal of a request that full engines rejected."""
+        return stream_refusals.refuse_full(self.shortage.find_retry(progress.entry))
+
     def refuse_without_pipeline(self, admitted: exchange.Admitted) -> admission.Refusal:
         """Return the refusal of a request that has no pipeline."""
         now = clocks.read_boot_clock()
--- a/src/jujubepass/forwarding/replies.py
+++ b/src/jujubepass/forwarding/replies.py
@@ -28,6 +28,9 @@
         "The backend servers take no more requests a second now."
     ),
     reasons.RefusalReason.ENGINES_FULL: "The engines are full.",
+    reasons.RefusalReason.SHORTAGE: (
+        "It was not run: more requests than the engines have places for."
+    ),
     reasons.RefusalReason.PROMPT_QUARANTINED: (
         "Engines ended under requests with a part of this prompt."
     ),
--- a/src/jujubepass/forwarding/stream_exchange.py
+++ b/src/jujubepass/forwarding/stream_exchange.py
@@ -71,7 +71,10 @@
         )
         self.budgets[admitted.service.name].count_attempt(request.arrived_at)
         with self.answers.limit(admitted.deadline):
-            refusal = await self._run(request, admitted, reply, progress)
+            try:
+                refusal = await self._run(request, admitted, reply, progress)
+            finally:
+                self.claims.shortage.release(progress.entry)
             if refusal is not None:
                 self.guard.return_trial(progress.guarded)
                 await self._abort(refusal, reply)
@@ -116,7 +119,8 @@
                 progress.is_sent = False
                 self._record_refusal(request, pipeline, error, progress)
                 if not progress.has_refusals_left and not reply.started:
-                    return self._make_refusal(stream_refusals.FULL, progress)
+                    refusal = self.claims.refuse_full(progress)
+                    return self._make_refusal(refusal, progress)
                 await trio.sleep(progress.draw_delay(self.random_source))
             except (
                 sending.OutcomeUnknownError,
@@ -135,7 +139,9 @@
     ) -> pipelines.Pipeline | admission.Refusal:
         """Return a pipeline that takes the request now, or why there is none."""
         while True:
-            found = await self.claims.wait_for_pipeline(admitted, progress)
+            found = await self.claims.wait_for_pipeline(request, admitted, progress)
+            if isinstance(found, admission.Refusal):
+                return found
             refusal = await self.guard.claim(progress.guarded, has_server=bool(found))
             if refusal is None:
                 refusal = self._check_attempt(request, admitted, found, progress)
@@ -324,6 +330,7 @@
             return
         if not reply.started:
             self.observe_first_event(clocks.read_boot_clock() - request.arrived_at)
+            self.claims.shortage.record_first_event(progress.entry)
             await reply.start(head)
         progress.events += len(new)
         progress.last_id = new[-1].identity or progress.last_id
@@ -353,6 +360,8 @@
             self.guard.record_refused_connection(progress.guarded, stage.engine)
         self.suspects.suspect(stage.engine, reason, now)
         progress.record_refusal(stage.engine)
+        # The place that the request waited for was none.
+        self.claims.shortage.release(progress.entry, is_free=False)
         self.count_retry(reasons.RetryReason.ENGINE_FULL)
         detail = f"{stage.engine}: {error}"
         attempt_log.log_not_run(request, pipeline, detail, events=progress.events)
--- a/src/jujubepass/forwarding/stream_progress.py
+++ b/src/jujubepass/forwarding/stream_progress.py
@@ -7,6 +7,7 @@
 from jujubepass import ids
 from jujubepass.forwarding import admission, events, exchange, stream_refusals
 from jujubepass.quarantine import guard
+from jujubepass.shortage import entries as shortage_entries
 
 # Maximum number of refused attempts before the request itself is refused.
 _MAX_REFUSALS = 4
@@ -56,6 +57,8 @@
     entries: dict[ids.BackendServerId, int] = attrs.field(factory=dict)
     """First engines of this request's pipelines, with the engines' start times."""
 
+    entry: shortage_entries.Entry | None = None
+    """Entry at the queue for places; None if the service has none."""
     content_type: str = ""
     """Content type of the run that the answer began with, and of each further one."""
     splitter: _EventSplitter | None = None
@@ -70,6 +73,14 @@
         """Return the number of events of the run in use."""
         return self.events - self.events_before_run
 
+    @property
+    def has_place(self) -> bool:
+        """Return whether the request holds the place that it waited for."""
+        return (
+            self.entry is not None
+            and self.entry.state is shortage_entries.State.STARTED
+        )
+
     @property
     def is_retry(self) -> bool:
         """Return whether the request has been sent before."""
--- a/src/jujubepass/forwarding/stream_refusals.py
+++ b/src/jujubepass/forwarding/stream_refusals.py
@@ -49,3 +49,17 @@
     return admission.Refusal(
         reason=reasons.RefusalReason.BACKEND_LIMITED, retry_after_seconds=seconds
     )
+
+
+def refuse_shortage(seconds: float) -> admission.Refusal:
+    """Return the refusal of a request that would wait too long for a place."""
+    return admission.Refusal(
+        reason=reasons.RefusalReason.SHORTAGE, retry_after_seconds=seconds
+    )
+
+
+def refuse_full(seconds: float | None) -> admission.Refusal:
+    """Return the refusal by full engines; without a prediction, its time is fixed."""
+    if seconds is None:
+        return FULL
+    return attrs.evolve(FULL, retry_after_seconds=seconds)
--- a/src/jujubepass/platform/configuration.py
+++ b/src/jujubepass/platform/configuration.py
@@ -1,12 +1,16 @@
 """Decoding of the operator's configuration."""
 
 import collections.abc
+import logging
 import typing
 
 import attrs
 
 from jujubepass import _decoding, ids
 from jujubepass.forwarding import declarations, feeds
+from jujubepass.shortage import entries
+
+_LOGGER = logging.getLogger(__name__)
 
 _REPEAT_POLICIES = {
     "idempotent": declarations.RepeatPolicy.IDEMPOTENT,
@@ -31,7 +35,9 @@
 def _decode_configuration(value: _Json) -> declarations.Declarations:
     accounts = {
         key: declarations.Account(
-            name=ids.AccountId(tenant["name"]), priority=tenant.get("priority")
+            name=ids.AccountId(tenant["name"]),
+            priority=tenant.get("priority"),
+            weight=_decode_weight(tenant),
         )
         for tenant in value.get("tenants") or ()
         for key in tenant["apiKeys"]
@@ -48,6 +54,16 @@
     )
 
 
+def _decode_weight(value: _Json) -> float:
+    weight = value.get("weight", 1.0)
+    if not entries.is_weight(weight):
+        _LOGGER.warning(
+            "invalid weight of a client account counts as 1",
+            extra={"account": value["name"], "weight": f"{weight!r:.80}"},
+        )
+    return entries.clamp_weight(weight)
+
+
 def _decode_route(value: _Json) -> declarations.Route:
     # A split lists services with weights. Without one, the route has one service.
     destinations_json = value.get("split") or [
--- a/src/jujubepass/reasons.py
+++ b/src/jujubepass/reasons.py
@@ -55,6 +55,7 @@
     UNKNOWN_ROUTE = "unknown_route", 404
     CONFIGURATION_STALE = "configuration_stale", 503
     ENGINES_FULL = "engines_full", 503
+    SHORTAGE = "shortage", 503
     PROMPT_QUARANTINED = "prompt_quarantined", 503
     REQUEST_QUARANTINED = "request_quarantined", 503
     BACKEND_LIMITED = "backend_limited", 503
--- a/tests/small_fleet.py
+++ b/tests/small_fleet.py
@@ -273,9 +273,12 @@
     )
 
 
-def make_claims(blackboard, choice, own_guard, limits=None):
+def make_claims(blackboard, choice, own_guard, limits=None, **fields):
     return pipeline_claims.PipelineClaims(
-        choice=choice, permits=make_permits(blackboard, limits), guard=own_guard
+        choice=choice,
+        permits=make_permits(blackboard, limits),
+        guard=own_guard,
+        **fields,
     )
 
 
