--- a/src/jujubepass/platform/configuration.py
+++ b/src/jujubepass/platform/configuration.py
@@ -8,6 +8,9 @@
 
 from jujubepass import _decoding, ids
 from jujubepass.forwarding import declarations, feeds
+from jujubepass.shortage import entries
+
+_LOGGER = logging.getLogger(__name__)
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -38,7 +41,9 @@
 def _decode_configuration(value: _Json) -> declarations.Declarations:
     accounts = {
         key: declarations.Account(
-            name=ids.AccountId(tenant["name"]), priority=tenant.get("priority")
+            name=ids.AccountId(tenant["name"]),
+            priority=tenant.get("priority"),
+            weight=_decode_weight(tenant),
         )
         for tenant in value.get("tenants") or ()
         for key in tenant["apiKeys"]
@@ -55,6 +60,16 @@
     )
 
 
+def _decode_weight(value: _Json) -> float:
+    weight = value.get("weight", 1.0)
+    if not entries.is_weight(weight):
+        _LOGGER.warning(
+            "invalid weight of a client account counts as 1",
+            extra={"account": value["name"], "weight": f"{weight!r:.80}"},
+        )
+    return entries.clamp_weight(weight)
+
+
 def _decode_route(value: _Json) -> declarations.Route:
     # A split lists services with weights. Without one, the route has one service.
     destinations_json = value.get("split") or [
