--- a/src/jujubepass/forwarding/engine_controllers.py
+++ b/src/jujubepass/forwarding/engine_controllers.py
@@ -10,6 +10,7 @@
 from jujubepass.forwarding import (
     backend_list,
     board,
+    declarations,
     demand,
     engine_choice,
     engines,
@@ -30,6 +31,7 @@
     suspicion,
 )
 from jujubepass.quarantine import controller, guard, sharing
+from jujubepass.shortage import gate
 from jujubepass.storage import _table_client
 from jujubepass.transport import _http_client
 
@@ -111,6 +113,8 @@
             silences=self.silences,
             demand=node_demand,
             recorder=self.capacity.recorder,
+            view=self.capacity.view,
+            uses_view=self._uses_view,
         )
         self.orders = ordering.OrderSender(
             blackboard=self.blackboard, control=self.control, silences=self.silences
@@ -174,5 +178,43 @@
             schedule_probe=self.stalls.schedule_probe,
         )
         self.claims = pipeline_claims.PipelineClaims(
-            choice=self.choice, permits=self.permits, guard=self.guard
+            choice=self.choice,
+            permits=self.permits,
+            guard=self.guard,
+            shortage=gate.Gate(
+                uses_view=self._uses_view,
+                view=self.capacity.view,
+                recorder=self.capacity.recorder,
+                places=_FirstPlaces(choice=self.choice),
+                find_view_time=self._find_view_time,
+            ),
         )
+
+    def _uses_view(self, service: declarations.Service) -> bool:
+        return self.capacity.scope.is_needed(service.name)
+
+    def _find_view_time(self, now: float) -> float | None:
+        age = self.capacity.view.find_age(now)
+        return None if age is None else now - age
+
+
+@attrs.frozen(kw_only=True)
+class _FirstPlaces:
+    choice: engine_choice.EngineChoice
+
+    def _find(self):
+        declared = self.choice.blackboard.configuration.declarations
+        services = declared.find_model_services() if declared else []
+        return self.choice.find_places(services[0]) if services else None
+
+    def count_free(self, now):
+        found = self._find()
+        return found and found.count_free(now)
+
+    def count_places(self, now):
+        found = self._find()
+        return found and found.count_places(now)
+
+    def has_place(self, pipeline, now):
+        found = self._find()
+        return found is None or found.has_place(pipeline, now)
--- a/src/jujubepass/forwarding/node.py
+++ b/src/jujubepass/forwarding/node.py
@@ -363,6 +363,7 @@
             self._readiness.check()
             self._reloader.check(clocks.read_boot_clock())
             self._update_budgets()
+            self._engines.choice.update_shared(clocks.read_boot_clock())
             self._apply_limits()
 
     def _apply_limits(self) -> None:
--- a/src/jujubepass/spreading/places.py
+++ b/src/jujubepass/spreading/places.py
@@ -42,6 +42,12 @@
             self.recorder.set_free_places(sum(self.rooms.free.values()))
         return free
 
+    def count_places(self, now: float) -> float | None:
+        """Return all places of this failure domain; None if unknown."""
+        if self.rooms is None or not self.is_known(now):
+            return None
+        return self.rooms.count_places(self.service, now)
+
     def has_place(self, pipeline: pipelines.Pipeline, now: float) -> bool:
         """Return whether a pipeline's first engine takes one more; true if unknown."""
         if self.rooms is None or not self.is_known(now):
--- a/src/jujubepass/spreading/shared_rooms.py
+++ b/src/jujubepass/spreading/shared_rooms.py
@@ -164,6 +164,13 @@
         domain = self.blackboard.failure_domain
         return sum(each.free for each in self.list_rooms(service, domain, now))
 
+    def count_places(self, service: declarations.Service, now: float) -> float | None:
+        """Return all places here; None if no pipeline is planned to begin here."""
+        if not self.begins_here(service):
+            return None
+        domain = self.blackboard.failure_domain
+        return sum(each.places for each in self.list_rooms(service, domain, now))
+
     def has_place(
         self, service: declarations.Service, pipeline: pipelines.Pipeline, now: float
     ) -> bool:
