--- a/src/jujubepass/capacity/controller.py
+++ b/src/jujubepass/capacity/controller.py
@@ -70,6 +70,8 @@
     """Ends of new rejections that this collector is to pass on."""
     _was_known: bool = attrs.field(default=False, init=False)
     _logged_at: float = attrs.field(default=_NEVER, init=False)
+    _logged_invalid: int = attrs.field(default=0, init=False)
+    _invalid_logged_at: float = attrs.field(default=_NEVER, init=False)
 
     def __attrs_post_init__(self) -> None:
         board_ = self.blackboard
@@ -211,6 +213,27 @@
             self.view.clear()
         self.view.is_in_use = is_needed
         self._log_change(now)
+        self._log_invalid(now)
+
+    def count_invalid(self) -> int:
+        """Return how many counts could not be right and were ignored."""
+        return self.index.absurd_counts + self.recorder.invalid_values
+
+    def _log_invalid(self, now: float) -> None:
+        invalid = self.count_invalid()
+        if (
+            invalid == self._logged_invalid
+            or now - self._invalid_logged_at < _LOG_INTERVAL_SECONDS
+        ):
+            return
+        self._logged_invalid, self._invalid_logged_at = invalid, now
+        _LOGGER.warning(
+            "invalid counts of requests ignored",
+            extra={
+                "of_engines": self.index.absurd_counts,
+                "of_this_node": self.recorder.invalid_values,
+            },
+        )
 
     def _log_change(self, now: float) -> None:
         is_known = self.view.is_known(now)
--- a/src/jujubepass/capacity/metrics.py
+++ b/src/jujubepass/capacity/metrics.py
@@ -64,7 +64,7 @@
         (
             "capacity_invalid_counts",
             "Counts that cannot be right.",
-            lambda: capacity.index.absurd_counts + capacity.recorder.invalid_values,
+            capacity.count_invalid,
         ),
         (
             "capacity_rejections",
--- a/tests/features/capacity.feature
+++ b/tests/features/capacity.feature
@@ -128,6 +128,11 @@
     When its node starts 3 requests, 2 are read and 1 of these ends
     Then the node reports 2 requests on these engines and 1 being read
 
+  Scenario: The metrics page has sums of all engines only
+    Given 83 nodes that share what they run
+    When each of them runs 2 requests
+    Then the page of a collector shows 28 nodes, 672 uses and no name of an engine
+
   Scenario: Only refusals for lack of room make an engine full
     Then answers 503 and 429 without a time tell that an engine has no room
     And answers 421, 400, of a leaving engine or with a time do not
--- a/tests/features/steps/capacity_scope_steps.py
+++ b/tests/features/steps/capacity_scope_steps.py
@@ -1,16 +1,20 @@
+import unittest.mock
+
 import attrs
 import behave
 
 from jujubepass import ids
-from jujubepass.capacity import engine_index, own_use, scope
+from jujubepass.capacity import datagrams, engine_index, metrics, own_use, scope
 from jujubepass.forwarding import (
     backends,
+    clocks,
     declarations,
     exchange,
     placement,
     plans,
     stream_refusals,
 )
+from jujubepass.telemetry import _metric_registry
 from tests import capacity_network, small_fleet
 
 
@@ -148,6 +152,28 @@
     assert content.ends == 0, content
 
 
+@behave.then(
+    "the page of a collector shows {count:d} nodes, {uses:d} uses and no name of an"
+    " engine"
+)
+def step_page(context, count, uses):
+    network = context.network
+    node = network.list_domain()[0]
+    registry = _metric_registry.Registry(version="1", distributions=())
+    link = datagrams.DatagramLink(controller=node.capacity, address=node.row.address)
+    metrics.add_capacity(registry, node.capacity, link)
+    with unittest.mock.patch.object(clocks, "read_boot_clock", lambda: network.now):
+        page = registry.expose().decode()
+    lines = dict(
+        each.rsplit(" ", 1) for each in page.splitlines() if each[:1] not in ("#", "")
+    )
+    assert float(lines["jujubepass_capacity_covered_nodes"]) == count, page
+    assert float(lines['jujubepass_capacity_use{phase="running"}']) == uses, page
+    assert 0.0 <= float(lines["jujubepass_capacity_view_age_seconds"]) <= 0.25, page
+    assert float(lines["jujubepass_capacity_reports_total"]) > 0, page
+    assert "engine-" not in page
+
+
 def answer(status, **fields):
     return exchange.AnswerHead(
         kind=exchange.AnswerKind.NOT_RUN, status=status, fields=(), **fields
