Read the datagrams of dense traffic at once, and drop timers that do nothing

Cause: a collector of 28 nodes on loopback used 3.8% of a core, mostly for wake-ups, on a machine with a load of 13. What arrives within 40 ms is read at once; nodes that collect nothing have no timer for views.

--- a/src/jujubepass/capacity/codec.py
+++ b/src/jujubepass/capacity/codec.py
@@ -338,19 +338,30 @@
     return tuple(counts)
 
 
-def seal(header: Header, body: bytes, token: str) -> bytes:
-    """Return a datagram for the node that holds a token."""
+def seal(
+    header: Header,
+    body: bytes,
+    token: str,
+    *,
+    part: int = 0,
+    parts: int = 1,
+    echo: int | None = None,
+) -> bytes:
+    """Return a datagram for the node that holds a token.
+
+    The place among others and the echo are given apart, as a header is sent to many.
+    """
     data = (
         _HEADER.pack(
             _VERSION,
             header.kind | (_IDLE_FLAG if header.is_idle else 0),
-            header.part,
-            header.parts,
+            part,
+            parts,
             header.sender,
             header.process,
             header.number,
             round(header.sent_at * _MICROSECONDS),
-            header.echo,
+            header.echo if echo is None else echo,
         )
         + body
     )
--- a/src/jujubepass/capacity/collector.py
+++ b/src/jujubepass/capacity/collector.py
@@ -48,6 +48,11 @@
     _domains: dict[ids.NodeId, _DomainReport] = attrs.field(factory=dict, init=False)
     """Reports of the collectors of other failure domains, by sender."""
 
+    @property
+    def has_reports(self) -> bool:
+        """Return whether nodes report to this one."""
+        return bool(self._reports)
+
     def add_message(self, message: inbox.Message, now: float) -> None:
         """Take a report, or the line of another failure domain."""
         made_at = now - message.age_seconds
--- a/src/jujubepass/capacity/controller.py
+++ b/src/jujubepass/capacity/controller.py
@@ -150,7 +150,8 @@
         """Return the seconds until poll must be called again."""
         due = self._scope_due
         if self.is_in_use:
-            due = min(due, self._reporter.due, self._spreader.due)
+            # The scope is looked at along with a report, which saves wake-ups.
+            due = min(self._reporter.due, self._spreader.due)
             if self._own_full or self._forwarded_full:
                 due = min(due, self._full_due)
         return max(0.0, due - now)
--- a/src/jujubepass/capacity/datagrams.py
+++ b/src/jujubepass/capacity/datagrams.py
@@ -13,6 +13,10 @@
 
 _LOGGER = logging.getLogger(__name__)
 
+# What arrives within this time is read at once, which saves wake-ups of collectors. It
+# is a part of the 0.5 s within which what nodes run must be known.
+_GATHER_SECONDS = 0.04
+_DENSE_SECONDS = 0.06
 # Datagrams of a burst that are read before other tasks run.
 _MAX_BURST = 64
 # Room for the reports of a failure domain's nodes and for some views; the kernel may
@@ -20,7 +24,6 @@
 _BUFFER_BYTES = 262_144
 _REBIND_INTERVAL_SECONDS = 5.0
 _IDLE_CHECK_INTERVAL_SECONDS = 1.0
-_ERROR_BACKOFF_SECONDS = 0.05
 _LOOKUP_TIMEOUT_SECONDS = 1.0
 _LOOKUP_RETRY_SECONDS = 10.0
 _MAX_DATAGRAM_BYTES = 65_536
@@ -101,20 +104,27 @@
             nursery.cancel_scope.cancel()
 
     async def _receive(self, bound: socket.socket) -> None:
+        read_at = float("-inf")
         while True:
             await trio.lowlevel.wait_readable(bound)
-            for _ in range(_MAX_BURST):
-                try:
-                    data = bound.recv(_MAX_DATAGRAM_BYTES)
-                except BlockingIOError:
-                    break
-                except OSError:
-                    # An earlier datagram found nothing at its address.
-                    self.receive_failures += 1
-                    await trio.sleep(_ERROR_BACKOFF_SECONDS)
-                    break
-                self.controller.receive(data, clocks.read_boot_clock())
-            await trio.lowlevel.checkpoint()
+            is_dense = trio.current_time() - read_at < _DENSE_SECONDS
+            while self._read_burst(bound) and is_dense:
+                await trio.sleep(_GATHER_SECONDS)
+            read_at = trio.current_time()
+
+    def _read_burst(self, bound: socket.socket) -> int:
+        """Read what has arrived; return the number of datagrams."""
+        for number in range(_MAX_BURST):
+            try:
+                data = bound.recv(_MAX_DATAGRAM_BYTES)
+            except BlockingIOError:
+                return number
+            except OSError:
+                # An earlier datagram found nothing at its address.
+                self.receive_failures += 1
+                continue
+            self.controller.receive(data, clocks.read_boot_clock())
+        return _MAX_BURST
 
     async def _send(self, bound: socket.socket, datagram: outbox.Datagram) -> None:
         host = await self._find_host(datagram.address.host)
--- a/src/jujubepass/capacity/outbox.py
+++ b/src/jujubepass/capacity/outbox.py
@@ -59,15 +59,17 @@
         header: codec.Header,
         bodies: collections.abc.Sequence[bytes],
         member: members.Member,
+        *,
+        echo: int = 0,
     ) -> list[Datagram]:
         """Return the datagrams of a message for one node."""
         if member.address is None:
             return []
         found = []
         for part, body in enumerate(bodies):
-            if len(bodies) > 1:
-                header = attrs.evolve(header, part=part, parts=len(bodies))
-            data = codec.seal(header, body, member.token)
+            data = codec.seal(
+                header, body, member.token, part=part, parts=len(bodies), echo=echo
+            )
             found.append(Datagram(address=member.address, data=data))
             self.sent_bytes += len(data)
         self.sent[header.kind.name.lower()] += len(bodies)
--- a/src/jujubepass/capacity/spreading.py
+++ b/src/jujubepass/capacity/spreading.py
@@ -17,6 +17,7 @@
 LINE_INTERVAL_SECONDS = 1.0
 _COLLECTORS = 2
 _NEVER = float("-inf")
+_NOT_DUE = float("inf")
 
 # Aliases, because a field has the same name as the module.
 _Datagram = outbox.Datagram
@@ -49,11 +50,15 @@
 
     def poll(self, now: float) -> list[_Datagram]:
         """Return the view, and the domain's line, that are due."""
+        if self.due == _NOT_DUE and self.collector.has_reports:
+            self.start(now)
         if now < self.due:
             return []
         self.due = reporting.find_next(self.due, now, VIEW_INTERVAL_SECONDS)
         receivers = self.collector.list_receivers(now)
         if not receivers:
+            # Most nodes collect nothing, and need no wake-up for it.
+            self.due = _NOT_DUE
             return []
         self._update_members()
         content = self.collector.sum_reports(now)
@@ -71,13 +76,13 @@
     ) -> list[_Datagram]:
         """Return a message for some nodes of the domain."""
         self._update_members()
-        header = attrs.evolve(self.outbox.make_header(kind, now), echo=echo)
+        header = self.outbox.make_header(kind, now)
         bodies = codec.write_bodies(content)
         found = []
         for node in receivers:
             member = self._members.get(node)
             if member is not None and node != self.blackboard.node:
-                found += self.outbox.seal(header, bodies, member)
+                found += self.outbox.seal(header, bodies, member, echo=echo)
         return found
 
     def _send_view(
@@ -103,11 +108,11 @@
             if member is None:
                 continue
             echo = self.collector.find_echo(node, now)
-            own_header = attrs.evolve(header, echo=echo)
             if node == self.blackboard.node:
+                own_header = attrs.evolve(header, echo=echo)
                 self.view.install(node, own_header, content, now)
             else:
-                found += self.outbox.seal(own_header, bodies, member)
+                found += self.outbox.seal(header, bodies, member, echo=echo)
         return found
 
     def _send_lines(self, content: codec.Content, now: float) -> list[_Datagram]:
