Send requests elsewhere before the last places are taken, and show places

The probability falls at once with the places of the target and rises over 2 s. Free places and requests sent elsewhere are on the metrics page.

--- a/src/jujubepass/forwarding/engine_choice.py
+++ b/src/jujubepass/forwarding/engine_choice.py
@@ -29,10 +29,6 @@
     spill,
 )
 
-# A draining engine is used for this long, so that requests need not wait for its
-# successor, and for no more than this share of the platform's bound.
-_MAX_DRAINING_USE_SECONDS = 1.0
-_DRAINING_USE_SHARE = 0.5
 # An engine that reports a slowdown delays every token of all requests in its pipeline.
 _SLOWDOWN_EXPONENT = 2.0
 
@@ -169,13 +165,26 @@
 
     def update_shared(self, now: float) -> None:
         """Count the free places for the other nodes, and update the spill."""
-        declared = self.blackboard.configuration.declarations
-        for service in declared.find_model_services() if declared else ():
-            known = self._find_demand(service, now)
-            if self.shared is not None and known is not None:
-                free = self.find_places(service).count_free(now)
+        for service, known in self._list_demands(now):
+            free = self.find_places(service).count_free(now)
+            if self.shared is not None:
                 self.shared.update_spill(service, known, now, free or 0.0)
 
+    def count_free_places(self, now: float) -> dict[str, float]:
+        """Return the free places by failure domain, as far as known."""
+        found: collections.Counter[str] = collections.Counter()
+        for service, _ in self._list_demands(now):
+            if self.shared is not None:
+                found.update(self.shared.rooms.count_free_by_domain(service, now))
+        return dict(found)
+
+    def _list_demands(self, now: float) -> list[tuple[declarations.Service, _Demanded]]:
+        """Return the services that use the view, with their demand."""
+        declared = self.blackboard.configuration.declarations
+        services = declared.find_model_services() if declared else ()
+        found = ((each, self._find_demand(each, now)) for each in services)
+        return [(each, known) for each, known in found if known is not None]
+
     def _find_demand(
         self, service: declarations.Service, now: float
     ) -> _Demanded | None:
@@ -270,7 +279,7 @@
                 layer_seconds=seconds / model.layers,
                 cost_factor=cost_factor,
                 stage_seconds=contention,
-                is_leaving=self._is_leaving(engine, now),
+                is_leaving=stage_options.is_leaving(self.blackboard, engine, now),
             )
 
     def _estimate_work(
@@ -336,17 +345,6 @@
         )
         return max(1, found)
 
-    def _is_leaving(self, engine: backends.Backend, now: float) -> bool | None:
-        """Return whether an engine is leaving; None if it accepts no more requests."""
-        if engine.state is backends.BackendState.READY:
-            return False
-        since = self.blackboard.backends.draining_since.get(engine.name, 0.0)
-        bound_seconds = 0.001 * self.blackboard.bounds.drain_milliseconds
-        use_seconds = min(
-            _MAX_DRAINING_USE_SECONDS, _DRAINING_USE_SHARE * bound_seconds
-        )
-        return True if now - since < use_seconds else None
-
     def filter_listed(
         self, engines: collections.abc.Mapping[ids.BackendServerId, int]
     ) -> set[ids.BackendServerId]:
--- a/src/jujubepass/forwarding/metrics_page.py
+++ b/src/jujubepass/forwarding/metrics_page.py
@@ -57,6 +57,7 @@
     )
     _add_requests(registry, measures)
     _add_calls(registry, client, orders, choice)
+    _add_spreading(registry, choice)
     _add_signals(registry, signals)
     _add_permits(registry, permits)
     _add_suspects(registry, quarantine)
@@ -103,6 +104,28 @@
     )
 
 
+def _add_spreading(
+    registry: _metric_registry.Registry, choice: engine_choice.EngineChoice
+) -> None:
+    registry.add_labelled_gauge(
+        "free_places",
+        "Requests that first engines take beside those that run, as known here.",
+        "domain",
+        lambda: choice.count_free_places(clocks.read_boot_clock()),
+    )
+    registry.add_labelled_counter(
+        "spilled_requests",
+        "Requests sent to another failure domain for lack of places in this one.",
+        "domain",
+        lambda: {
+            str(name): count
+            for name, count in (
+                choice.shared.spill.spilled if choice.shared else {}
+            ).items()
+        },
+    )
+
+
 def _add_store(
     registry: _metric_registry.Registry,
     count_unreadable: collections.abc.Callable[[], collections.abc.Mapping[str, int]],
--- a/src/jujubepass/forwarding/stage_options.py
+++ b/src/jujubepass/forwarding/stage_options.py
@@ -4,9 +4,13 @@
 
 import attrs
 
-from jujubepass.forwarding import backends, declarations, pipelines, plans
+from jujubepass.forwarding import backends, board, declarations, pipelines, plans
 from jujubepass.spreading import loads
 
+# A draining engine is used for this long, so that requests need not wait for its
+# successor, and for no more than this share of the platform's bound.
+_MAX_DRAINING_USE_SECONDS = 1.0
+_DRAINING_USE_SHARE = 0.5
 # Once an engine's cache memory runs out, it refuses requests or evicts others, however
 # fast it is. Beyond this share of used memory each stage costs more, by so many seconds
 # for the whole memory; in a pipeline of a dozen stages that are all full, this exceeds
@@ -98,3 +102,15 @@
 def _intersect(one: backends.Span, other: backends.Span) -> backends.Span:
     first = max(one.first, other.first)
     return backends.Span(first=first, end=max(first, min(one.end, other.end)))
+
+
+def is_leaving(
+    blackboard: board.Blackboard, engine: backends.Backend, now: float
+) -> bool | None:
+    """Return whether an engine is leaving; None if it accepts no more requests."""
+    if engine.state is backends.BackendState.READY:
+        return False
+    since = blackboard.backends.draining_since.get(engine.name, 0.0)
+    bound_seconds = 0.001 * blackboard.bounds.drain_milliseconds
+    use_seconds = min(_MAX_DRAINING_USE_SECONDS, _DRAINING_USE_SHARE * bound_seconds)
+    return True if now - since < use_seconds else None
--- a/src/jujubepass/spreading/shared_choice.py
+++ b/src/jujubepass/spreading/shared_choice.py
@@ -69,22 +69,21 @@
         the same view.
         """
         here = self.rooms.list_rooms(query.service, self.domain, query.now)
-        free = sum(each.free for each in here)
-        self.update_spill(query.service, query.demand, query.now, free - query.reserve)
+        free = sum(each.free for each in here) - query.reserve
+        # Other nodes' requests that the view does not have yet take places as well.
+        arrivals = _VIEW_DELAY_SECONDS * sum(query.demand.arrivals_per_second)
+        if free < arrivals:
+            free -= self.random_source.uniform(0.0, arrivals)
+        self.update_spill(query.service, query.demand, query.now, free)
         names = {each.name for each in query.listed}
         usable = _filter_rooms(here, query, names)
         with_place = [each for each in usable if each.free >= 1.0]
-        is_short = free <= query.reserve or not with_place
-        if not is_short:
-            found = self._draw(query, with_place, here)
+        if query.may_spill and (free <= 0.0 or not with_place):
+            found = self._spill(query, names)
             if found is not None:
                 return found
-        if is_short and query.may_spill:
-            target = self.spill.find_target()
-            if not self.rooms.begins_here(query.service) and self.spill.target:
-                # No place becomes free here.
-                target = self.spill.target.domain
-            found = self._spill(query, names, target)
+        if with_place:
+            found = self._draw(query, with_place, here)
             if found is not None:
                 return found
         without_full = [each for each in usable if not each.is_full]
@@ -152,9 +151,12 @@
         self,
         query: Query,
         names: collections.abc.Set[ids.BackendServerId],
-        target: ids.FailureDomainId | None,
     ) -> pipelines.Pipeline | None:
         """Return a pipeline within the domain that gets this request, if any."""
+        target = self.spill.find_target()
+        if not self.rooms.begins_here(query.service) and self.spill.target:
+            # No place becomes free here.
+            target = self.spill.target.domain
         if target is None:
             return None
         present = self.rooms.list_rooms(query.service, target, query.now)
--- a/src/jujubepass/spreading/shared_rooms.py
+++ b/src/jujubepass/spreading/shared_rooms.py
@@ -164,6 +164,18 @@
         domain = self.blackboard.failure_domain
         return sum(each.free for each in self.list_rooms(service, domain, now))
 
+    def count_free_by_domain(
+        self, service: declarations.Service, now: float
+    ) -> dict[str, float]:
+        """Return the free places here, and elsewhere by the lines."""
+        found: dict[str, float] = {}
+        free = self.count_free(service, now)
+        if free is not None:
+            found[self.blackboard.failure_domain] = free
+        for each in self.list_domain_rooms(service, now):
+            found[each.domain] = each.free
+        return found
+
     def has_place(
         self, service: declarations.Service, pipeline: pipelines.Pipeline, now: float
     ) -> bool:
--- a/src/jujubepass/spreading/spill.py
+++ b/src/jujubepass/spreading/spill.py
@@ -139,7 +139,9 @@
             if each.has_room:
                 share = each.free / max(1.0, requests + each.waiting + others)
             before = self._shares.get(each.domain, 0.0)
-            shares[each.domain] = before + part * (min(1.0, share) - before)
+            risen = before + part * (min(1.0, share) - before)
+            # Places that are taken meanwhile are not promised again.
+            shares[each.domain] = min(share, risen)
         self._shares = shares
 
     def _extend_allowance(self, now: float, requests_per_node: float) -> None:
