--- a/tests/features/spreading.feature
+++ b/tests/features/spreading.feature
@@ -48,6 +48,11 @@
     Then all is sent to the domain with most room
     And 28 nodes send 30 a second on average, within a tenth, and at most 36 in any
 
+  Scenario: A spill of 100 requests is logged when it begins and when it ends
+    Given a spill beside domains with 90, 20 and 4 of 100 places free
+    When 100 requests without a place are sent, and none for 4 seconds
+    Then its beginning and end are logged once each
+
   # Guards against streams that follow a wave after it has moved to another domain.
   Scenario: Waves of 100 streams a second that peak in one domain after another
     Given three domains of unlike engines with 28 nodes each, by a shared view
--- a/tests/features/steps/spreading_steps.py
+++ b/tests/features/steps/spreading_steps.py
@@ -3,6 +3,7 @@
 import math
 import pstats
 import random
+import unittest.mock
 
 import behave
 
@@ -151,6 +152,25 @@
     assert max(context.sent) <= most, context.sent
 
 
+@behave.when("100 requests without a place are sent, and none for 4 seconds")
+def step_logged(context):
+    one = spill.Spill(random_source=random.Random(1))
+    with unittest.mock.patch.object(spill, "_LOGGER") as logger:
+        for step in range(101):
+            now = 100.0 + 0.1 * step + 4.0 * (step == 100)
+            one.update(context.rooms, now, is_short=True, requests=60.0, nodes=1)
+            if step < 100:
+                one.record(one.find_target(), now)
+    context.logged = logger.info.call_args_list
+
+
+@behave.then("its beginning and end are logged once each")
+def step_lines(context):
+    begin, end = context.logged
+    assert begin.args == ("requests are sent to another failure domain",), begin
+    assert end.kwargs["extra"] == {"domain": "b", "requests": 100}, end
+
+
 @behave.when("all engines of the first domain report that they are 4 times slower")
 def step_slow(context):
     for domain in context.fleet.domains.values():
