Show the queue for places on the metrics page

Metrics of waiting requests and refusals by priority, waits, starts ahead of more urgent requests, and accounts' shares, with labels for ten accounts at most.

--- a/src/jujubepass/forwarding/metrics_page.py
+++ b/src/jujubepass/forwarding/metrics_page.py
@@ -19,12 +19,16 @@
 from jujubepass.limits import _retry_budget
 from jujubepass.quarantine import controller, suspects
 from jujubepass.relay import assembly
+from jujubepass.shortage import gate
 from jujubepass.telemetry import _metric_registry
 from jujubepass.transport import _http_client
 
 # Alias, because an argument has the same name as the module.
 _Permits = node_permits.Permits
 
+# Number of client accounts with a label of their own; there may be thousands.
+_MAX_LISTED_ACCOUNTS = 10
+
 
 @attrs.frozen(kw_only=True)
 class MetricsPage:
@@ -47,19 +51,25 @@
     signals: server_signals.ServerSignals,
     permits: _Permits,
     quarantine: controller.Quarantine,
+    shortage: gate.Gate,
     count_eras: collections.abc.Callable[[], collections.abc.Mapping[str, int]],
     count_unreadable: collections.abc.Callable[[], collections.abc.Mapping[str, int]],
 ) -> MetricsPage:
     """Return all metrics in the Prometheus text format."""
     registry = _metric_registry.Registry(
         version=version,
-        distributions=(measures.request_times, measures.first_events),
+        distributions=(
+            measures.request_times,
+            measures.first_events,
+            shortage.measures.waits,
+        ),
     )
     _add_requests(registry, measures)
     _add_calls(registry, client, orders, choice)
     _add_signals(registry, signals)
     _add_permits(registry, permits)
     _add_suspects(registry, quarantine)
+    _add_shortage(registry, shortage)
     _add_relay(registry, relay)
     _add_store(registry, count_unreadable, count_eras)
     _add_budgets(registry, budgets)
@@ -240,6 +250,37 @@
     return sum(isinstance(key, kind) for key in keys)
 
 
+def _add_shortage(registry: _metric_registry.Registry, shortage: gate.Gate) -> None:
+    registry.add_labelled_gauge(
+        "shortage_waiting",
+        "Model requests that wait here for a place.",
+        "priority",
+        shortage.count_waiting,
+    )
+    registry.add_labelled_counter(
+        "shortage_refusals",
+        "Model requests refused for want of places.",
+        "priority",
+        lambda: {str(key): n for key, n in shortage.measures.refusals.items()},
+    )
+    registry.add_counter(
+        "shortage_starts_ahead",
+        "Starts ahead of more urgent requests, lest a priority or account starves.",
+        lambda: shortage.measures.starts_ahead,
+    )
+    registry.add_labelled_gauge(
+        "shortage_account_share",
+        "Shares of starts in 10 s, of the accounts with most and of the others.",
+        "account",
+        lambda: shortage.queue.fairness.list_shares(_MAX_LISTED_ACCOUNTS),
+    )
+    registry.add_counter(
+        "shortage_invalid_values",
+        "Values of the view, places or declarations that the queue did not use.",
+        lambda: shortage.measures.invalid,
+    )
+
+
 def _add_relay(registry: _metric_registry.Registry, relay: assembly.Relay) -> None:
     for name, description, label, read in (
         ("store_reads", "Reads of the store's feeds.", "feed", relay.count_reads),
--- a/src/jujubepass/forwarding/node.py
+++ b/src/jujubepass/forwarding/node.py
@@ -392,6 +392,7 @@
             signals=self._engines.signals,
             permits=self._engines.permits,
             quarantine=self._engines.quarantine,
+            shortage=self._engines.claims.shortage,
             count_eras=self.adapter.count_eras,
             count_unreadable=self._count_unreadable,
         )
--- a/src/jujubepass/shortage/entries.py
+++ b/src/jujubepass/shortage/entries.py
@@ -36,6 +36,8 @@
     """Whether an engine has rejected it, so that its arrival is counted already."""
     is_protected: bool = False
     """Whether it was drawn to go first, for want of counts of its priority."""
+    is_first: bool = False
+    """Whether it goes ahead of others lest its priority or account starves."""
     state: State = State.WAITING
     blocked_until: float = 0.0
     """Time before which no other pipeline is tried, as the last had no place."""
--- a/src/jujubepass/shortage/fairness.py
+++ b/src/jujubepass/shortage/fairness.py
@@ -71,11 +71,11 @@
         if not arrivals:
             return False
         least = STARVED_SHARE * self._starts[_ALL] / arrivals
-        return any(
-            self._arrivals[key] >= _MIN_ARRIVALS
-            and self._starts[key] < least * self._arrivals[key]
-            for key in _list_keys(entry)[1:]
-        )
+        for key in _list_keys(entry)[1:]:
+            own = self._arrivals[key]
+            if own >= _MIN_ARRIVALS and self._starts[key] < least * own:
+                return True
+        return False
 
     def is_counted(self, entry: entries.Entry) -> bool:
         """Return whether enough requests of its priority arrived here."""
--- a/src/jujubepass/shortage/queue.py
+++ b/src/jujubepass/shortage/queue.py
@@ -146,6 +146,8 @@
         """Start what may start, and refuse what is hopeless; return the changed."""
         changed = []
         self.fairness.expire(now)
+        for each in self.waiting:
+            each.is_first = self._is_first(each)
         ranked = sorted(self.waiting, key=lambda each: self._rank(each, now))
         own = collections.Counter(each.priority for each in ranked)
         ahead = [0] * view.PRIORITIES
@@ -164,15 +166,13 @@
             return now >= entry.blocked_until
         if self.is_blocked(entry, now):
             return False
-        is_starved = self._is_first(entry)
-        return self.state.can_take(entry.priority, is_starved=is_starved)
+        return self.state.can_take(entry.priority, is_starved=entry.is_first)
 
     def _start(
         self, entry: entries.Entry, after: list[entries.Entry], now: float
     ) -> None:
-        is_starved = self._is_first(entry)
         entry.is_ahead = (
-            is_starved
+            entry.is_first
             and self.is_known
             and any(each.priority < entry.priority for each in after)
         )
@@ -181,7 +181,7 @@
             self.blocked_until = now + _PROBE_SECONDS
         self.waiting.remove(entry)
         entry.state = entries.State.STARTED
-        self.state.take(entry.priority, is_starved=is_starved)
+        self.state.take(entry.priority, is_starved=entry.is_first)
 
     def _is_hopeless(
         self, entry: entries.Entry, ahead: list[int], own: int, now: float
@@ -200,8 +200,7 @@
 
         Of the same priority at other nodes, the part ahead is taken to be as here.
         """
-        is_starved = self._is_first(entry)
-        if is_starved:
+        if entry.is_first:
             count = float(sum(ahead)) * self.state.nodes
             return waits.predict(self.state, 0, count, is_starved=True)
         level = entry.priority
@@ -238,7 +237,7 @@
         due_at = entry.arrived_at + entry.goal_seconds
         return (
             not entry.is_resumed,
-            not self._is_first(entry),
+            not entry.is_first,
             entry.priority,
             now + self.first_event_seconds > due_at,
             self.fairness.find_service(entry),
