--- a/src/jujubepass/shortage/shares.py
+++ b/src/jujubepass/shortage/shares.py
@@ -20,6 +20,9 @@
 _MAX_RESERVED_SHARE = 0.05
 # Part of what all nodes started on the last view that this one does not show yet.
 _UNSEEN_SHARE = 0.75
+# Requests beyond the places that chance may let in, well below a tenth; without
+# it, a third of the least urgent requests waited at nine tenths of the capacity.
+_TOLERATED_SHARE = 0.03
 # Time until a view shows the places of streams that end where nothing waits.
 _IDLE_SECONDS = 0.4
 # Length of a stream while none has ended, for a prediction of ends.
@@ -84,7 +87,10 @@
         self.total, self.nodes = max(0.0, total), max(1, demand.nodes)
         self.waiting = demand.waiting
         self._smooth(demand, now)
-        self.taken = max(0.0, self._last_free - free) / _VIEW_SECONDS
+        changes = (sum(self.arrivals) + self.ends) * _VIEW_SECONDS
+        # Half a standard deviation of the change counts as chance.
+        taken = self._last_free - free - 0.5 * math.sqrt(changes)
+        self.taken = max(0.0, taken) / _VIEW_SECONDS
         self.excess = max(0.0, -free) / max(1.0, self.ends * _LAG_SECONDS)
         self._last_free, self.free, self.ended = free, max(0.0, free), 0
         self._starts = [self._starts[1], 0]
@@ -140,18 +146,18 @@
         unseen = max(arrivals - self.ends, self.taken) * _LAG_SECONDS
         unseen = max(unseen, self._estimate_taken())
         # Two standard deviations of the arrivals that no view shows yet.
-        unseen += 2.0 * math.sqrt(arrivals * _LAG_SECONDS)
+        spread = 2.0 * math.sqrt(arrivals * _LAG_SECONDS)
+        unseen += max(0.0, spread - _TOLERATED_SHARE * self.total)
         waiting = sum(self.waiting[: priority + 1])
         return self.free - self.find_reserve(priority) >= 1.0 + waiting + unseen
 
     def _estimate_taken(self) -> float:
         """Return the places that other nodes took since the view, if they do as here.
 
-        A burst shows here before views show it. Half a standard deviation is left out,
-        so that a single start stands for few.
+        A burst shows here before views show it; one standard deviation is left out.
         """
         starts, ends = sum(self._starts), sum(self._ends)
-        return max(0.0, starts - ends - 0.5 * math.sqrt(starts)) * (self.nodes - 1)
+        return max(0.0, starts - ends - math.sqrt(starts + ends)) * (self.nodes - 1)
 
     def can_take(self, priority: int, *, is_starved: bool) -> bool:
         """Return whether a request may start now."""
