--- a/tests/features/shortage.feature
+++ b/tests/features/shortage.feature
@@ -14,6 +14,11 @@
       | 195   | 780    |
       | 700   | 2800   |
 
+  Scenario: Nine tenths of the capacity are used without refusals or late starts
+    Given 83 nodes that see 332 places one interval late
+    When three priorities ask for nine tenths of the places
+    Then at least 95 in 100 of each priority start in time for their goal
+
   Scenario: A burst of the least urgent priority leaves the others unharmed
     Given 9 nodes that see 200 places one interval late
     When priority 2 asks for three times the places besides half of them for the others
--- a/tests/features/steps/shortage_steps.py
+++ b/tests/features/steps/shortage_steps.py
@@ -41,6 +41,23 @@
     run(context, *((2 / 3, level, {"account": f"a{level}"}) for level in range(3)))
 
 
+@behave.when("three priorities ask for nine tenths of the places")
+def step_below(context):
+    run(context, *((0.3, level, {}) for level in range(3)))
+
+
+@behave.then(
+    "at least {percent:d} in 100 of each priority start in time for their goal"
+)
+def step_in_time(context, percent):
+    for level, waits in context.domain.waits.items():
+        goal = shortage_domain.make_entry(0.0, level).goal_seconds
+        latest = goal - shortage_domain.FIRST_EVENT_SECONDS
+        arrived = context.domain.counts[level, "a"]["arrived"]
+        in_time = sum(each <= latest for each in waits)
+        assert in_time >= percent / 100.0 * arrived, (level, in_time, arrived)
+
+
 @behave.when(
     "priority 2 asks for three times the places besides half of them for the others"
 )
--- a/tests/shortage_domain.py
+++ b/tests/shortage_domain.py
@@ -11,6 +11,7 @@
 
 VIEW_SECONDS = 0.25
 STEP_SECONDS = 0.05
+FIRST_EVENT_SECONDS = 0.1
 SECONDS_LEFT = 20.0
 STARTED, REFUSED = entries.State.STARTED, entries.State.REFUSED
 NO_DEMAND = view.Demand(
@@ -75,6 +76,8 @@
     """Requests by (priority, account), counted by what became of them."""
     most_running: float = 0.0
     idle: list = attrs.field(factory=list)
+    waits: dict = attrs.field(factory=lambda: collections.defaultdict(list))
+    """Seconds between arrival and start, by priority."""
     started: list = attrs.field(factory=list)
     """Times of all starts."""
     events: list = attrs.field(factory=list)
@@ -174,6 +177,7 @@
                 counts["served"] += 1
                 counts["ahead"] += entry.is_ahead
                 self.started.append(self.now)
+                self.waits[load.priority].append(self.now - entry.arrived_at)
                 self.schedule(
                     self.now + self.random.uniform(1.0, 3.0), "end", node, entry
                 )
