--- a/src/jujubepass/shortage/shares.py
+++ b/src/jujubepass/shortage/shares.py
@@ -18,8 +18,8 @@
 # Places that end serve more urgent requests as well, so that few need to be kept. A
 # larger reserve left a third of the places idle while requests waited.
 _MAX_RESERVED_SHARE = 0.05
-# Part of what all nodes started on the last view that this one does not show yet.
-_UNSEEN_SHARE = 0.75
+# Mean age of a view while it is in use.
+_VIEW_AGE_SECONDS = 0.375
 # Requests beyond the places that chance may let in, well below a tenth; without
 # it, a third of the least urgent requests waited at nine tenths of the capacity.
 _TOLERATED_SHARE = 0.03
@@ -102,8 +102,11 @@
         self._divide(usable * (1.0 - part), demand, own)
 
     def _predict_usable(self, free: float, waiting: float) -> float:
-        """Return the free places less those taken unseen, and with those to come."""
-        unseen = max(_UNSEEN_SHARE * self._given, self.taken * _VIEW_SECONDS)
+        """Return the free places less those taken unseen, and with those to come.
+
+        A view does not show yet what all nodes started on the view before.
+        """
+        unseen = max(self._given, self.taken * _VIEW_AGE_SECONDS)
         # Other nodes at which nothing waits, if requests wait at any node alike.
         alone = math.exp(-waiting / self.nodes) * (self.nodes - 1) / self.nodes
         return max(0.0, free + self.ends * alone * _IDLE_SECONDS - unseen)
