Predict ends of streams after a burst from those that run

Cause: right after a burst few streams had ended, so that waits were predicted as far too long and requests were refused or told to come back late.

--- a/src/jujubepass/shortage/shares.py
+++ b/src/jujubepass/shortage/shares.py
@@ -25,8 +25,10 @@
 _TOLERATED_SHARE = 0.03
 # Time until a view shows the places of streams that end where nothing waits.
 _IDLE_SECONDS = 0.4
-# Length of a stream while none has ended, for a prediction of ends.
+# Length of a stream until some have ended.
 _ASSUMED_STREAM_SECONDS = 3.0
+_LENGTH_SMOOTHING_SECONDS = 10.0
+_MIN_STREAM_SECONDS = 0.1
 _LEVELS = range(view.PRIORITIES)
 
 
@@ -62,6 +64,8 @@
     """Starts of this node before the last view, and since then."""
     _ends: list[int] = attrs.field(factory=lambda: [0, 0], init=False)
     _last_free: float = attrs.field(default=0.0, init=False)
+    _running: float = attrs.field(default=0.0, init=False)
+    _stream_seconds: float = attrs.field(default=_ASSUMED_STREAM_SECONDS, init=False)
     _updated_at: float | None = attrs.field(default=None, init=False)
     _given: float = attrs.field(default=0.0, init=False)
 
@@ -86,7 +90,9 @@
         """
         self.total, self.nodes = max(0.0, total), max(1, demand.nodes)
         self.waiting = demand.waiting
+        seconds = now - (self._updated_at or now)
         self._smooth(demand, now)
+        self._measure_length(free, seconds)
         changes = (sum(self.arrivals) + self.ends) * _VIEW_SECONDS
         # Half a standard deviation of the change counts as chance.
         taken = self._last_free - free - 0.5 * math.sqrt(changes)
@@ -193,10 +199,11 @@
                 self.ended += 1
 
     def find_ends(self) -> float:
-        """Return the ends of streams per second, estimated while there are none."""
-        if self.ends > 0.0:
-            return self.ends
-        return self.total / _ASSUMED_STREAM_SECONDS
+        """Return the streams that will end per second.
+
+        Right after a burst fewer end than the streams that run let expect.
+        """
+        return max(self.ends, self._running / self._stream_seconds)
 
     def _smooth(self, demand: view.Demand, now: float) -> None:
         if self._updated_at is None:
@@ -209,6 +216,17 @@
             self.ends += part * (demand.ends_per_second - self.ends)
         self._updated_at = now
 
+    def _measure_length(self, free: float, seconds: float) -> None:
+        """Estimate the length of streams from those that run and those that end."""
+        self._running = max(0.0, self.total - free)
+        if self.ends < 1.0:
+            return
+        part = -math.expm1(-seconds / _LENGTH_SMOOTHING_SECONDS)
+        # After a burst few streams end as yet, though they are as long as before.
+        length = min(self._running / self.ends, 2.0 * self._stream_seconds)
+        length = max(_MIN_STREAM_SECONDS, length)
+        self._stream_seconds += part * (length - self._stream_seconds)
+
     def _round(self, value: float) -> float:
         """Round at random, so that the shares of all nodes add up to the whole."""
         return float(math.floor(value + self.random_source.random()))
