--- a/tests/features/shortage.feature
+++ b/tests/features/shortage.feature
@@ -127,3 +127,9 @@
   Scenario: Full engines name the predicted wait as the time to return
     Given a node of a domain without free places, and 35 waiting requests
     Then a request that full engines rejected is told to return in 0.6 seconds or more
+
+  Scenario: A request refused by the queue is not sent, and one that ends leaves no place
+    Given a node of a domain without free places, and 2 waiting requests
+    When a further request comes through the whole exchange for 1.5 seconds
+    Then it is refused as "shortage", was not sent and holds no place
+    And one that comes while there are places is sent, and holds no place once it ends
--- a/tests/features/steps/shortage_waits_steps.py
+++ b/tests/features/steps/shortage_waits_steps.py
@@ -2,162 +2,24 @@
 
 import collections
 import contextlib
-import random
 from unittest import mock
 
-import attrs
 import behave
 import trio
 import trio.testing
 
-from jujubepass import ids, reasons
+from jujubepass import reasons
 from jujubepass.forwarding import (
     admission,
     clocks,
     exchange,
-    pipelines,
-    stream_progress,
+    sending,
+    stream_exchange,
 )
-from jujubepass.quarantine import guard
-from jujubepass.shortage import entries, gate, queue
-from tests import shortage_domain, small_fleet
-
-OWN_STREAM = "own stream"
-
-
-class View:
-    """Show no demand of other nodes, and as many ended streams as the test sets."""
-
-    is_known = True
-    ends = 40.0
-
-    def find_demand(self, now):
-        demand = attrs.evolve(shortage_domain.NO_DEMAND, ends_per_second=self.ends)
-        return demand if self.is_known else None
-
-
-class Places:
-    """Count free places as the test sets them."""
-
-    free = 0.0
-    has_any = True
-
-    def count_free(self, now):
-        return self.free
-
-    def count_places(self, now):
-        return 100.0
-
-    def has_place(self, pipeline, now):
-        return self.has_any
-
-
-class Recorder:
-    """Sum up what other nodes are told."""
-
-    def __init__(self):
-        self.waiting = collections.Counter()
-        self.arrivals = 0
-
-    def record_waiting(self, priority, change):
-        self.waiting[priority] += change
-
-    def record_arrival(self, priority):
-        self.arrivals += 1
-
-
-class Trial:
-    """Let requests wait for a pipeline at one node, in simulated time."""
-
-    def __init__(self, *, uses_view=True):
-        self.fleet = small_fleet.make_planned_fleet()
-        self.view, self.places, self.recorder = View(), Places(), Recorder()
-        self.gate = gate.Gate(
-            uses_view=lambda service: uses_view,
-            view=self.view,
-            recorder=self.recorder,
-            places=self.places,
-            queue=queue.Queue(random_source=random.Random(1)),
-        )
-        self.claims = small_fleet.make_claims(
-            self.fleet.blackboard,
-            self.fleet.choice,
-            small_fleet.make_guard(self.fleet.blackboard),
-            self.fleet.limits,
-            shortage=self.gate,
-        )
-        self.choices = 0
-        self._choose = self.claims._choose
-        self.found = {}
-        self.scopes = {}
-        self.progresses = {}
-
-    def read_clock(self):
-        return self.fleet.now + trio.current_time() - self.began_at
-
-    def run(self, *actions):
-        """Run actions in simulated time, as coroutine functions of this trial."""
-
-        async def play():
-            self.began_at = trio.current_time()
-            area = self.fleet.blackboard.configuration
-            area.confirmed_at = self.fleet.now + 1_000.0
-            async with trio.open_nursery() as self.nursery:
-                for action in actions:
-                    await action(self)
-                self.nursery.cancel_scope.cancel()
-
-        def count(claims, *arguments):
-            self.choices += 1
-            return self._choose(*arguments)
-
-        with (
-            mock.patch.object(clocks, "read_boot_clock", self.read_clock),
-            mock.patch.object(type(self.claims), "_choose", count),
-        ):
-            trio.run(play, clock=trio.testing.MockClock(autojump_threshold=0.0))
-
-    async def wait(self, name):
-        """Wait for a pipeline as a request; record what came of it."""
-        now = clocks.read_boot_clock()
-        request = make_request(name, now)
-        control = admission.Admission(blackboard=self.fleet.blackboard)
-        admitted = control.admit(request, now)
-        progress = self.progresses[name] = stream_progress.Progress(
-            last_id=None,
-            deadline=admitted.deadline,
-            guarded=guard.track(request, admitted),
-        )
-        with trio.CancelScope() as self.scopes[name], contextlib.ExitStack() as stack:
-            stack.callback(self.release_cancelled, name)
-            self.found[name] = await self.claims.wait_for_pipeline(
-                request, admitted, progress
-            )
-
-    def release_cancelled(self, name):
-        """Release the place of a request that ended, as the exchange does."""
-        if self.scopes[name].cancel_called:
-            self.gate.release(self.progresses[name].entry)
-
-    def list_started(self):
-        found = self.found.items()
-        return [name for name, each in found if isinstance(each, pipelines.Pipeline)]
-
-
-def make_request(name, now):
-    return exchange.CallerRequest(
-        request_id=ids.RequestId(name),
-        host=small_fleet.ROUTE.host,
-        method="POST",
-        target=small_fleet.ROUTE.prefix,
-        key="ana-key",
-        arrived_at=now,
-        timeout_seconds=20.0,
-        resume_after=None,
-        max_answer_tokens=10,
-        fields=(),
-        body=b"",
-    )
+from jujubepass.limits import _retry_budget
+from jujubepass.shortage import entries
+from tests import shortage_node, small_fleet
+from tests.features.steps import fleet_refusal_steps
 
 
 def arrive(count):
@@ -179,30 +41,30 @@
 async def start_own(trial):
     """Let one stream of this node run when the places become scarce."""
     trial.places.free = 1.0
-    await trial.wait(OWN_STREAM)
+    await trial.wait(shortage_node.OWN_STREAM)
     trial.places.free = 0.0
     await trio.sleep(0.26)
 
 
 async def end_own(trial):
     trial.choices = 0
-    trial.gate.release(trial.progresses[OWN_STREAM].entry)
+    trial.gate.release(trial.progresses[shortage_node.OWN_STREAM].entry)
 
 
 @behave.given("a node of a domain without free places, and {count:d} waiting requests")
 def step_waiting(context, count):
-    context.trial, context.count = Trial(), count
+    context.trial, context.count = shortage_node.Trial(), count
     context.actions = [start_own, arrive(count)]
 
 
 @behave.given("a node that does not use the view for its service")
 def step_unused(context):
-    context.trial, context.actions = Trial(uses_view=False), []
+    context.trial, context.actions = shortage_node.Trial(uses_view=False), []
 
 
 @behave.given("a node whose view is unknown")
 def step_unknown_view(context):
-    context.trial, context.actions = Trial(), []
+    context.trial, context.actions = shortage_node.Trial(), []
     context.trial.view.is_known = False
 
 
@@ -275,7 +137,7 @@
 @behave.then("all {count:d} start within 0.1 seconds")
 def step_all_start(context, count):
     context.trial.run(*context.actions, sleep(0.1))
-    started = set(context.trial.list_started()) - {OWN_STREAM}
+    started = set(context.trial.list_started()) - {shortage_node.OWN_STREAM}
     assert len(started) == count, context.trial.found
 
 
@@ -286,7 +148,8 @@
         (name,) = (
             name
             for name, each in trial.progresses.items()
-            if name != OWN_STREAM and each.entry.state is entries.State.STARTED
+            if name != shortage_node.OWN_STREAM
+            and each.entry.state is entries.State.STARTED
         )
         trial.scopes[name].cancel()
         context.left = name
@@ -297,7 +160,7 @@
 @behave.then("the other one has started, and holds the only place")
 def step_other(context):
     context.trial.run(*context.actions)
-    started = set(context.trial.list_started()) - {OWN_STREAM}
+    started = set(context.trial.list_started()) - {shortage_node.OWN_STREAM}
     assert started >= {"r0", "r1"} - {context.left}, started
     entries_left = [each.entry.state for each in context.trial.progresses.values()]
     assert entries_left.count(entries.State.STARTED) == 1, entries_left
@@ -312,7 +175,11 @@
 @behave.then('all {count:d} are refused as "{code}" with a time to return')
 def step_refused(context, count, code):
     context.trial.run(*context.actions)
-    found = [each for name, each in context.trial.found.items() if name != OWN_STREAM]
+    found = [
+        each
+        for name, each in context.trial.found.items()
+        if name != shortage_node.OWN_STREAM
+    ]
     assert len(found) == count, found
     for each in found:
         assert each.reason is reasons.RefusalReason(code), each
@@ -360,7 +227,7 @@
 
 
 async def check(trial, seconds):
-    refusal = trial.claims.refuse_full(trial.progresses[OWN_STREAM])
+    refusal = trial.claims.refuse_full(trial.progresses[shortage_node.OWN_STREAM])
     assert refusal.reason is reasons.RefusalReason.ENGINES_FULL, refusal
     assert refusal.retry_after_seconds >= seconds, refusal
 
@@ -369,3 +236,93 @@
     with mock.patch.object(clocks, "read_boot_clock", lambda: trial.fleet.now):
         refusal = trial.claims.refuse_full(next(iter(trial.progresses.values())))
     assert refusal.retry_after_seconds == seconds, refusal
+
+
+class Sender:
+    """Count attempts, none of which an engine runs."""
+
+    attempts = 0
+
+    @contextlib.asynccontextmanager
+    async def open(self, request, attempt, address):
+        self.attempts += 1
+        raise sending.NotRunError(
+            detail="answered 503",
+            head=exchange.AnswerHead(
+                kind=exchange.AnswerKind.NOT_RUN, status=503, fields=()
+            ),
+        )
+        yield
+
+
+class Reply:
+    """Keep the refusal that a caller gets."""
+
+    started = False
+    refusal = None
+
+    def record_attempt(self, backend):
+        """Ignore the attempt."""
+
+    async def refuse(self, refusal):
+        self.refusal = refusal
+
+
+async def serve(trial, name):
+    """Serve one request through the exchange; return its reply and the attempts."""
+    now = clocks.read_boot_clock()
+    unlimited = _retry_budget.RetryBudgetBounds(capacity=1e9)
+    sender, reply = Sender(), Reply()
+    streams = stream_exchange.StreamExchange(
+        sender=sender,
+        admission_control=admission.Admission(blackboard=trial.fleet.blackboard),
+        choice=trial.fleet.choice,
+        claims=trial.claims,
+        suspects=trial.fleet.suspects,
+        stalls=fleet_refusal_steps.Stalls(),
+        guard=small_fleet.make_guard(trial.fleet.blackboard),
+        budgets=collections.defaultdict(
+            lambda: _retry_budget.RetryBudget(bounds=unlimited)
+        ),
+        count_retry=lambda reason: None,
+        observe_first_event=lambda seconds: None,
+    )
+    request = shortage_node.make_request(name, now)
+    admitted = streams.admission_control.admit(request, now)
+    await streams.serve(request, admitted, reply)
+    return reply.refusal, sender.attempts
+
+
+@behave.when(
+    "a further request comes through the whole exchange for {seconds:g} seconds"
+)
+def step_exchange(context, seconds):
+    context.replies = []
+
+    async def act(trial):
+        context.replies.append(await serve(trial, "refused"))
+        await trio.sleep(seconds)
+        trial.places.free = 50.0
+        await trio.sleep(0.3)
+        context.replies.append(await serve(trial, "sent"))
+        context.queue = trial.gate.queue
+
+    context.trial.run(*context.actions, act)
+
+
+@behave.then('it is refused as "{code}", was not sent and holds no place')
+def step_not_sent(context, code):
+    refusal, attempts = context.replies[0]
+    assert refusal.reason is reasons.RefusalReason(code), refusal
+    assert attempts == 0, attempts
+
+
+@behave.then(
+    "one that comes while there are places is sent, and holds no place once it ends"
+)
+def step_sent(context):
+    refusal, attempts = context.replies[1]
+    assert refusal.reason is reasons.RefusalReason.ENGINES_FULL, refusal
+    assert 0.5 <= refusal.retry_after_seconds <= 20.0 / 3.0, refusal
+    assert attempts == 4, attempts
+    assert not context.queue.waiting
