--- a/src/jujubepass/shortage/shares.py
+++ b/src/jujubepass/shortage/shares.py
@@ -18,12 +18,17 @@
 # Places that end serve more urgent requests as well, so that few need to be kept. A
 # larger reserve left a third of the places idle while requests waited.
 _MAX_RESERVED_SHARE = 0.05
-# Part of what all nodes started on the last view that this one does not show yet.
-_UNSEEN_SHARE = 0.75
+# Mean age of a view while it is in use.
+_VIEW_AGE_SECONDS = 0.375
+# Requests beyond the places that chance may let in, well below a tenth; without
+# it, a third of the least urgent requests waited at nine tenths of the capacity.
+_TOLERATED_SHARE = 0.03
 # Time until a view shows the places of streams that end where nothing waits.
 _IDLE_SECONDS = 0.4
-# Length of a stream while none has ended, for a prediction of ends.
+# Length of a stream until some have ended.
 _ASSUMED_STREAM_SECONDS = 3.0
+_LENGTH_SMOOTHING_SECONDS = 10.0
+_MIN_STREAM_SECONDS = 0.1
 _LEVELS = range(view.PRIORITIES)
 
 
@@ -59,6 +64,8 @@
     """Starts of this node before the last view, and since then."""
     _ends: list[int] = attrs.field(factory=lambda: [0, 0], init=False)
     _last_free: float = attrs.field(default=0.0, init=False)
+    _running: float = attrs.field(default=0.0, init=False)
+    _stream_seconds: float = attrs.field(default=_ASSUMED_STREAM_SECONDS, init=False)
     _updated_at: float | None = attrs.field(default=None, init=False)
     _given: float = attrs.field(default=0.0, init=False)
 
@@ -83,8 +90,13 @@
         """
         self.total, self.nodes = max(0.0, total), max(1, demand.nodes)
         self.waiting = demand.waiting
+        seconds = now - (self._updated_at or now)
         self._smooth(demand, now)
-        self.taken = max(0.0, self._last_free - free) / _VIEW_SECONDS
+        self._measure_length(free, seconds)
+        changes = (sum(self.arrivals) + self.ends) * _VIEW_SECONDS
+        # Half a standard deviation of the change counts as chance.
+        taken = self._last_free - free - 0.5 * math.sqrt(changes)
+        self.taken = max(0.0, taken) / _VIEW_SECONDS
         self.excess = max(0.0, -free) / max(1.0, self.ends * _LAG_SECONDS)
         self._last_free, self.free, self.ended = free, max(0.0, free), 0
         self._starts = [self._starts[1], 0]
@@ -96,8 +108,11 @@
         self._divide(usable * (1.0 - part), demand, own)
 
     def _predict_usable(self, free: float, waiting: float) -> float:
-        """Return the free places less those taken unseen, and with those to come."""
-        unseen = max(_UNSEEN_SHARE * self._given, self.taken * _VIEW_SECONDS)
+        """Return the free places less those taken unseen, and with those to come.
+
+        A view does not show yet what all nodes started on the view before.
+        """
+        unseen = max(self._given, self.taken * _VIEW_AGE_SECONDS)
         # Other nodes at which nothing waits, if requests wait at any node alike.
         alone = math.exp(-waiting / self.nodes) * (self.nodes - 1) / self.nodes
         return max(0.0, free + self.ends * alone * _IDLE_SECONDS - unseen)
@@ -140,18 +155,18 @@
         unseen = max(arrivals - self.ends, self.taken) * _LAG_SECONDS
         unseen = max(unseen, self._estimate_taken())
         # Two standard deviations of the arrivals that no view shows yet.
-        unseen += 2.0 * math.sqrt(arrivals * _LAG_SECONDS)
+        spread = 2.0 * math.sqrt(arrivals * _LAG_SECONDS)
+        unseen += max(0.0, spread - _TOLERATED_SHARE * self.total)
         waiting = sum(self.waiting[: priority + 1])
         return self.free - self.find_reserve(priority) >= 1.0 + waiting + unseen
 
     def _estimate_taken(self) -> float:
         """Return the places that other nodes took since the view, if they do as here.
 
-        A burst shows here before views show it. Half a standard deviation is left out,
-        so that a single start stands for few.
+        A burst shows here before views show it; one standard deviation is left out.
         """
         starts, ends = sum(self._starts), sum(self._ends)
-        return max(0.0, starts - ends - 0.5 * math.sqrt(starts)) * (self.nodes - 1)
+        return max(0.0, starts - ends - math.sqrt(starts + ends)) * (self.nodes - 1)
 
     def can_take(self, priority: int, *, is_starved: bool) -> bool:
         """Return whether a request may start now."""
@@ -184,10 +199,11 @@
                 self.ended += 1
 
     def find_ends(self) -> float:
-        """Return the ends of streams per second, estimated while there are none."""
-        if self.ends > 0.0:
-            return self.ends
-        return self.total / _ASSUMED_STREAM_SECONDS
+        """Return the streams that will end per second.
+
+        Right after a burst fewer end than the streams that run let expect.
+        """
+        return max(self.ends, self._running / self._stream_seconds)
 
     def _smooth(self, demand: view.Demand, now: float) -> None:
         if self._updated_at is None:
@@ -200,6 +216,17 @@
             self.ends += part * (demand.ends_per_second - self.ends)
         self._updated_at = now
 
+    def _measure_length(self, free: float, seconds: float) -> None:
+        """Estimate the length of streams from those that run and those that end."""
+        self._running = max(0.0, self.total - free)
+        if self.ends < 1.0:
+            return
+        part = -math.expm1(-seconds / _LENGTH_SMOOTHING_SECONDS)
+        # After a burst few streams end as yet, though they are as long as before.
+        length = min(self._running / self.ends, 2.0 * self._stream_seconds)
+        length = max(_MIN_STREAM_SECONDS, length)
+        self._stream_seconds += part * (length - self._stream_seconds)
+
     def _round(self, value: float) -> float:
         """Round at random, so that the shares of all nodes add up to the whole."""
         return float(math.floor(value + self.random_source.random()))
