Describe the shared view, and keep nodes in it that have just become idle

The last report of a busy node held for 1 s, the first of an idle one came 1 s later. Messages that tell of nothing hold longer at any rate.

--- a/src/jujubepass/capacity/codec.py
+++ b/src/jujubepass/capacity/codec.py
@@ -35,7 +35,7 @@
 _PLACE_PARTS = 100.0
 _MAX_FREE = 100 * _MAX_SCALAR
 # Version, kind with the flag, part, parts, sender, process, number, clock and echo.
-_HEADER = struct.Struct("!BBBB8sQIQI")
+_HEADER = struct.Struct("!BBBB8sIIQI")
 _SECTION = struct.Struct("!BH")
 _USE = struct.Struct("!8sHH")
 # Most counts are small, and they make up most of a message.
@@ -123,7 +123,7 @@
     part: int = 0
     parts: int = 1
     is_idle: bool = False
-    """Whether the sender has had nothing to report and sends less often."""
+    """Whether there is nothing to tell, so that the message holds for longer."""
 
 
 @attrs.frozen(kw_only=True)
--- a/src/jujubepass/capacity/collector.py
+++ b/src/jujubepass/capacity/collector.py
@@ -9,12 +9,12 @@
 
 # A report counts for this long; at the rate of a busy node it is repeated four times.
 _REPORT_SECONDS = 1.0
-# An idle node reports once a second, and its counts are zero: one report may be lost.
-_IDLE_REPORT_SECONDS = 2.25
+# An idle node reports once a second, and its counts are zero: two reports may be lost.
+_IDLE_REPORT_SECONDS = 3.25
 # Lines of failure domains are sent once a second; two of them may be lost.
 MAX_LINE_AGE_SECONDS = 3.0
 # Nodes that do not report for this time get no view.
-_RECEIVER_SECONDS = 2.25
+_RECEIVER_SECONDS = 3.25
 
 
 @attrs.frozen(kw_only=True)
--- a/src/jujubepass/capacity/controller.py
+++ b/src/jujubepass/capacity/controller.py
@@ -48,7 +48,7 @@
     token: str = attrs.field(repr=False)
     """Key of the datagrams for this node, as its row names it."""
     process: int
-    """Random id of this process, of 64 bits."""
+    """Random id of this process, of 32 bits."""
     has_address: bool = True
     """Whether other nodes can reach this one."""
     on_urgent: collections.abc.Callable[[], None] = lambda: None
--- a/src/jujubepass/capacity/outbox.py
+++ b/src/jujubepass/capacity/outbox.py
@@ -26,7 +26,7 @@
 
     blackboard: board.Blackboard
     process: int
-    """Random id of this process, of 64 bits."""
+    """Random id of this process, of 32 bits."""
     sent: collections.Counter[str] = attrs.field(
         factory=collections.Counter, init=False
     )
--- a/src/jujubepass/capacity/reporting.py
+++ b/src/jujubepass/capacity/reporting.py
@@ -93,7 +93,7 @@
         if not self._pace.take_turn(content, now):
             return []
         header = self.outbox.make_header(
-            codec.Kind.REPORT, now, is_idle=self._pace.is_idle
+            codec.Kind.REPORT, now, is_idle=content.is_empty
         )
         self.view.keep_report(header.number, content)
         bodies = codec.write_bodies(content)
--- a/src/jujubepass/capacity/shared_view.py
+++ b/src/jujubepass/capacity/shared_view.py
@@ -9,7 +9,8 @@
 # A view that is older gives way to that of another collector. Two views may be late.
 _MAX_PREFERRED_AGE_SECONDS = 0.6
 _MAX_AGE_SECONDS = 1.0
-# Collectors of idle nodes send once a second.
+# Collectors of idle nodes send once a second. Their views hold for longer, but give way
+# to others like the views of busy ones.
 _IDLE_EXTENSION_SECONDS = 1.25
 # A collector that reaches less than this share of the nodes that another one counts
 # has been cut off or has just begun.
@@ -27,9 +28,15 @@
     echo: int
     is_idle: bool
 
-    def find_limit(self, seconds: float) -> float:
-        """Return the time until which the view's age is below a limit."""
-        return self.made_at + seconds + self.is_idle * _IDLE_EXTENSION_SECONDS
+    @property
+    def preferred_until(self) -> float:
+        """Return the time from which another collector's view is better."""
+        return self.made_at + _MAX_PREFERRED_AGE_SECONDS
+
+    @property
+    def known_until(self) -> float:
+        """Return the time from which the view tells nothing any more."""
+        return self.made_at + _MAX_AGE_SECONDS + self.is_idle * _IDLE_EXTENSION_SECONDS
 
 
 @attrs.define(kw_only=True)
@@ -254,14 +261,14 @@
         known = [
             (node, each)
             for node, each in self._views.items()
-            if now <= each.find_limit(_MAX_AGE_SECONDS)
+            if now <= each.known_until
             and each.content.nodes > (len(turns) > 1 and each.echo in self._reports)
         ]
         most = max((each.content.nodes for _, each in known), default=0)
         ranked = [
             (
                 each.content.nodes < _MIN_COVERED_SHARE * most,
-                now > each.find_limit(_MAX_PREFERRED_AGE_SECONDS),
+                now > each.preferred_until,
                 turns[node],
                 node,
             )
@@ -279,13 +286,10 @@
         # Nodes that the view does not cover are taken for average ones.
         scale = max(1.0, (listed - contained) / others) if others > 0 else 1.0
         own = own or codec.Content()
-        until = received.find_limit(_MAX_PREFERRED_AGE_SECONDS)
-        if now > until:
-            until = received.find_limit(_MAX_AGE_SECONDS)
         return _Selected(
             node=node,
             received=received,
-            until=until,
+            until=received.preferred_until,
             scale=scale,
             own=own,
         )
--- a/src/jujubepass/capacity/spreading.py
+++ b/src/jujubepass/capacity/spreading.py
@@ -98,9 +98,7 @@
         if now - self._lines_passed_at >= LINE_INTERVAL_SECONDS:
             self._lines_passed_at = now
             content = attrs.evolve(content, lines=self.collector.list_lines(now))
-        header = self.outbox.make_header(
-            codec.Kind.VIEW, now, is_idle=self._pace.is_idle
-        )
+        header = self.outbox.make_header(codec.Kind.VIEW, now, is_idle=content.is_empty)
         bodies = codec.write_bodies(content)
         found = []
         for node in receivers:
--- a/src/jujubepass/forwarding/engine_controllers.py
+++ b/src/jujubepass/forwarding/engine_controllers.py
@@ -42,7 +42,7 @@
 _Sharing = sharing.Sharing
 _Silences = silences.Silences
 
-_PROCESS_BITS = 64
+_PROCESS_BITS = 32
 
 
 class HomeTransport(permits.Transport, home_leases.Transport, typing.Protocol):
--- a/tests/capacity_network.py
+++ b/tests/capacity_network.py
@@ -141,7 +141,7 @@
         area.neighbors = self.orders[blackboard.failure_domain]
 
     def start_node(self, row):
-        node = CapacityNode(network=self, row=row, process=self.random.getrandbits(64))
+        node = CapacityNode(network=self, row=row, process=self.random.getrandbits(32))
         self.nodes[row.node] = node
         self._schedule(self.now + self.random.uniform(0.0, 0.3), "poll", node, None)
 
--- a/tests/features/fleet_size.feature
+++ b/tests/features/fleet_size.feature
@@ -119,6 +119,7 @@
     Given an engine that refuses to resume a stream that has begun
     When a caller waits for the stream for 2 seconds
     Then the engine receives no more attempts than an exponential delay allows
+    And the rejection of each attempt after the first is recorded for others
 
   Scenario: Retries of 24 node processes stay within the allowance
     Given a system of 24 nodes whose engines refuse all requests
--- a/tests/features/steps/fleet_refusal_steps.py
+++ b/tests/features/steps/fleet_refusal_steps.py
@@ -8,6 +8,7 @@
 import trio.testing
 
 from jujubepass import ids
+from jujubepass.capacity import own_use
 from jujubepass.forwarding import (
     admission,
     clocks,
@@ -58,6 +59,16 @@
         raise sending.OutcomeUnknownError("connection broke")
 
 
+class FullEngines(own_use.NoRecorder):
+    """Keep the engines that rejected a request."""
+
+    def __init__(self):
+        self.engines = []
+
+    def record_full(self, engine, now):
+        self.engines.append(engine)
+
+
 class Responder:
     """Accept an answer without a connection."""
 
@@ -108,6 +119,7 @@
 @behave.when("a caller waits for the stream for {seconds:d} seconds")
 def step_wait_for_stream(context, seconds):
     fleet = context.fleet
+    context.full = FullEngines()
 
     async def serve():
         now = clocks.read_boot_clock()
@@ -133,6 +145,7 @@
             ),
             count_retry=lambda reason: None,
             observe_first_event=lambda seconds: None,
+            recorder=context.full,
         )
         reply = replies.Reply(request=request, wire=None, responder=Responder())
         with trio.move_on_after(seconds):
@@ -151,6 +164,16 @@
         assert gap >= MIN_RETRY_DELAY_SECONDS * 2**number / 2.0, gaps
 
 
+@behave.then(
+    "the rejection of each attempt after the first is recorded for other nodes"
+)
+def step_recorded(context):
+    rejections = len(context.sender.attempts) - 1
+    # The last attempt may run when the caller leaves.
+    assert len(context.full.engines) in (rejections - 1, rejections)
+    assert set(context.full.engines) <= context.fleet.plan.placements.keys()
+
+
 SLACK = 12
 
 
