--- a/tests/features/steps/fleet_refusal_steps.py
+++ b/tests/features/steps/fleet_refusal_steps.py
@@ -164,9 +164,7 @@
         assert gap >= MIN_RETRY_DELAY_SECONDS * 2**number / 2.0, gaps
 
 
-@behave.then(
-    "the rejection of each attempt after the first is recorded for other nodes"
-)
+@behave.then("the rejection of each attempt after the first is recorded for others")
 def step_recorded(context):
     rejections = len(context.sender.attempts) - 1
     # The last attempt may run when the caller leaves.
