--- a/src/jujubepass/forwarding/engine_choice.py
+++ b/src/jujubepass/forwarding/engine_choice.py
@@ -105,8 +105,7 @@
         begins at none of the `closed` ones. `reserve` free places here are kept for
         more urgent requests.
         """
-        is_limited = bool(closed)
-        may_spill = entries is None
+        is_limited, may_spill = bool(closed), entries is None
         if not ignores_silence:
             avoided = self.silences.list_silent(now).union(avoided)
             closed = self.silences.list_closed(now).union(closed)
@@ -115,9 +114,7 @@
             entries = (entries or {each.name for each in listed}) - closed
         known = self._find_demand(service, now)
         if self.shared is None or known is None:
-            return self._choose_alone(
-                service, listed, now, entries, is_limited=is_limited
-            )
+            return self._choose_alone(service, listed, now, entries, is_limited)
         query = shared_choice.Query(
             service=service,
             demand=known,
@@ -138,7 +135,6 @@
         listed: collections.abc.Iterable[backends.Backend],
         now: float,
         entries: collections.abc.Set[ids.BackendServerId] | None,
-        *,
         is_limited: bool,
     ) -> pipelines.Pipeline | None:
         """Return the cheapest pipeline by what this node runs itself."""
@@ -365,6 +361,11 @@
         if self.recorder is not None:
             self.recorder.record_start(pipeline.engines)
 
+    def record_full(self, engine: ids.BackendServerId, now: float) -> None:
+        """Record that an engine has rejected a request for lack of room."""
+        if self.recorder is not None:
+            self.recorder.record_full(engine, now)
+
     def record_spill(self, pipeline: pipelines.Pipeline, now: float) -> None:
         """Record that a request is sent to another failure domain, if it is."""
         if self.shared is not None and pipeline.spilled_to is not None:
--- a/src/jujubepass/forwarding/stream_exchange.py
+++ b/src/jujubepass/forwarding/stream_exchange.py
@@ -350,6 +350,7 @@
             )
             # The engine may also be dead; its report shows that.
             self.stalls.schedule_probe(stage.engine)
+            self.choice.record_full(stage.engine, now)
         elif error.has_ended:
             self.guard.record_refused_connection(progress.guarded, stage.engine)
         self.suspects.suspect(stage.engine, reason, now)
