--- a/src/jujubepass/shortage/queue.py
+++ b/src/jujubepass/shortage/queue.py
@@ -68,8 +68,9 @@
         self._version = known.version
         self.fairness.expire(now)
         own, starved = [0] * view.PRIORITIES, 0
+        self._mark_first()
         for each in self.waiting:
-            if self._is_first(each):
+            if each.is_first:
                 starved += 1
             else:
                 own[each.priority] += 1
@@ -146,8 +147,7 @@
         """Start what may start, and refuse what is hopeless; return the changed."""
         changed = []
         self.fairness.expire(now)
-        for each in self.waiting:
-            each.is_first = self._is_first(each)
+        self._mark_first()
         ranked = sorted(self.waiting, key=lambda each: self._rank(each, now))
         own = collections.Counter(each.priority for each in ranked)
         ahead = [0] * view.PRIORITIES
@@ -244,11 +244,18 @@
             entry.deadline,
         )
 
-    def _is_first(self, entry: entries.Entry) -> bool:
-        """Return whether a request goes ahead of others lest it starves."""
-        if self.fairness.is_counted(entry):
-            return self.fairness.is_starved(entry)
-        return entry.is_protected or self.fairness.is_starved(entry)
+    def _mark_first(self) -> None:
+        """Find the requests that go ahead of others lest they starve."""
+        found: dict[tuple[int, str], tuple[bool, bool]] = {}
+        for each in self.waiting:
+            key = each.priority, each.account
+            if key not in found:
+                found[key] = (
+                    self.fairness.is_starved(each),
+                    self.fairness.is_counted(each),
+                )
+            is_starved, is_counted = found[key]
+            each.is_first = is_starved or (each.is_protected and not is_counted)
 
     def _draw_protection(self, entry: entries.Entry) -> bool:
         """Draw whether a request goes first where counts are too small to tell.
--- a/tests/features/steps/shortage_steps.py
+++ b/tests/features/steps/shortage_steps.py
@@ -11,6 +11,7 @@
 from tests import shortage_domain
 
 DEMAND_SECONDS = 10.0
+BURST_AT = 3.0
 # Mean length of the simulated streams.
 STREAM_SECONDS = 2.0
 
@@ -63,13 +64,15 @@
 )
 def step_least_urgent(context):
     steady = [(0.25, level, {}) for level in (0, 1)]
-    run(context, *steady, (3.0, 2, {"began_at": 3.0, "account": "b"}))
+    burst = 3.0, 2, {"began_at": BURST_AT, "account": "b"}
+    run(context, *steady, burst, counted_from=BURST_AT)
 
 
 @behave.when("priority 0 asks for twice the places besides half of them for the others")
 def step_most_urgent(context):
     steady = [(0.25, level, {"account": "b"}) for level in (1, 2)]
-    run(context, *steady, (2.0, 0, {"began_at": 3.0}))
+    burst = 2.0, 0, {"began_at": BURST_AT}
+    run(context, *steady, burst, counted_from=BURST_AT)
 
 
 @behave.when("one account asks for 17 times as much as each of three others")
--- a/tests/shortage_domain.py
+++ b/tests/shortage_domain.py
@@ -69,6 +69,8 @@
     seed: int = 1
     losses: tuple = ()
     """Times and numbers of places from then on."""
+    counted_from: float = 0.0
+    """Time before which requests that arrive are not counted, such as a burst's."""
     now: float = 0.0
     counts: dict = attrs.field(
         factory=lambda: collections.defaultdict(collections.Counter)
@@ -163,14 +165,13 @@
             tries=tries,
             first_at=first_at,
         )
-        key = load.priority, load.account
-        self.counts[key]["arrived"] += not tries
+        self._find_counts(entry)["arrived"] += not tries
         self._apply(node, node.queue.enter(entry, self.now))
 
     def _apply(self, node, changed):
         for entry in changed:
             load = entry.load
-            counts = self.counts[load.priority, load.account]
+            counts = self._find_counts(entry)
             if entry.state is STARTED:
                 node.queue.confirm_start(entry, self.now)
                 node.running += 1
@@ -189,6 +190,11 @@
                     self.now + retry, "arrive", load, entry.tries + 1, entry.first_at
                 )
 
+    def _find_counts(self, entry):
+        if entry.first_at < self.counted_from:
+            return collections.Counter()
+        return self.counts[entry.load.priority, entry.load.account]
+
     def _end(self, node, entry):
         node.running -= 1
         self.recent.append((self.now, None))
