Use the shared view for the choice of pipelines; keep the queue off by default

Cause of the change: with 28 nodes in a domain one own stream counted as 28 and none as 0, so that all nodes chose the same pipeline. Where a service's priorities or pipelines differ, nodes now choose by what all nodes run.

--- a/src/jujubepass/capacity/scope.py
+++ b/src/jujubepass/capacity/scope.py
@@ -80,6 +80,8 @@
     is_complete: bool
     """Whether all engines of the plan were listed."""
     is_needed: bool
+    has_priorities: bool
+    """Whether the streaming requests have different priorities."""
 
 
 @attrs.define(kw_only=True)
@@ -100,14 +102,23 @@
 
     def is_needed(self, service: ids.ServiceId) -> bool:
         """Return whether a service needs the shared view."""
+        result = self._evaluate(service)
+        return result is not None and result.is_needed
+
+    def has_priorities(self, service: ids.ServiceId) -> bool:
+        """Return whether a service's streaming requests have different priorities."""
+        result = self._evaluate(service)
+        return result is not None and result.has_priorities
+
+    def _evaluate(self, service: ids.ServiceId) -> _Result | None:
         declared = self.blackboard.configuration.declarations
         found = declared.services.get(service) if declared is not None else None
         if declared is None or found is None:
-            return False
+            return None
         plan = self.blackboard.plans.plans.get(service)
         known = self._results.get(service)
         if known is not None and self._is_current(known, declared, plan):
-            return known.is_needed
+            return known
         self.evaluations += 1
         area = self.blackboard.backends
         result = _Result(
@@ -115,9 +126,10 @@
             list_revision=area.revision,
             is_complete=plan is None or plan.placements.keys() <= area.listed.keys(),
             is_needed=needs_shared_view(declared, found, plan, area.listed),
+            has_priorities=len(find_priorities(declared, service)) > 1,
         )
         self._results[service] = result
-        return result.is_needed
+        return result
 
     def _is_current(
         self,
--- a/src/jujubepass/capacity/shared_view.py
+++ b/src/jujubepass/capacity/shared_view.py
@@ -48,7 +48,6 @@
     received: _Received
     until: float
     """Time at which the view must be chosen again."""
-    scale: float
     own: codec.Content
     """Own report that the view contains."""
 
@@ -151,8 +150,8 @@
         running, prefilling = self.own.find_use(engine)
         if digest is not None and digest in content.uses:
             total, own = content.uses[digest], before.get(digest, (0, 0))
-            running += max(0, total[0] - own[0]) * selected.scale
-            prefilling += max(0, total[1] - own[1]) * selected.scale
+            running += max(0, total[0] - own[0])
+            prefilling += max(0, total[1] - own[1])
         if digest is not None and digest in content.foreign_uses:
             foreign = content.foreign_uses[digest]
             running, prefilling = running + foreign[0], prefilling + foreign[1]
@@ -174,21 +173,21 @@
         selected = self._select(now)
         if selected is None:
             return None
-        content, scale = selected.received.content, selected.scale
+        content = selected.received.content
         waiting = zip(
             content.waiting, selected.own.waiting, self.own.waiting, strict=True
         )
         return view.Demand(
             waiting=tuple(
-                max(0, total - before) * scale + own for total, before, own in waiting
+                max(0, total - before) + own for total, before, own in waiting
             ),
             arrivals_per_second=tuple(
-                max(0, total - own) * scale + own
+                max(0, total - own) + own
                 for total, own in zip(
                     content.arrivals, selected.own.arrivals, strict=True
                 )
             ),
-            ends_per_second=max(0, content.ends - selected.own.ends) * scale
+            ends_per_second=max(0, content.ends - selected.own.ends)
             + selected.own.ends,
             nodes=content.nodes,
         )
@@ -278,19 +277,11 @@
 
     def _prepare(self, node: ids.NodeId, now: float) -> _Selected:
         received = self._views[node]
-        content = received.content
-        own = self._reports.get(received.echo)
-        listed = max(1, len(self.blackboard.members.neighbors))
-        contained = own is not None
-        others = content.nodes - contained
-        # Nodes that the view does not cover are taken for average ones.
-        scale = max(1.0, (listed - contained) / others) if others > 0 else 1.0
-        own = own or codec.Content()
+        own = self._reports.get(received.echo) or codec.Content()
         return _Selected(
             node=node,
             received=received,
             until=received.preferred_until,
-            scale=scale,
             own=own,
         )
 
--- a/src/jujubepass/forwarding/engine_controllers.py
+++ b/src/jujubepass/forwarding/engine_controllers.py
@@ -32,6 +32,7 @@
 )
 from jujubepass.quarantine import controller, guard, sharing
 from jujubepass.shortage import gate
+from jujubepass.spreading import only_service
 from jujubepass.storage import _table_client
 from jujubepass.transport import _http_client
 
@@ -66,6 +67,8 @@
     """Key of the datagrams for this node."""
     address: _Address | None
     """Where other nodes reach this one."""
+    has_queue: bool = False
+    """Whether model requests wait here for places, as the settings say."""
     capacity: capacity_controller.CapacityController = attrs.field(init=False)
     """What all nodes run on each engine."""
     datagram_link: datagrams.DatagramLink = attrs.field(init=False)
@@ -82,6 +85,7 @@
     stalls: stall_watch.StallWatch = attrs.field(init=False)
     evacuation: _Evacuation = attrs.field(init=False)
     orders: ordering.OrderSender = attrs.field(init=False)
+    _places: only_service.OnlyServicePlaces = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         area = self.blackboard.backends
@@ -177,15 +181,18 @@
             trials=self.sharing,
             schedule_probe=self.stalls.schedule_probe,
         )
+        self._places = only_service.OnlyServicePlaces(
+            blackboard=self.blackboard, choice=self.choice
+        )
         self.claims = pipeline_claims.PipelineClaims(
             choice=self.choice,
             permits=self.permits,
             guard=self.guard,
             shortage=gate.Gate(
-                uses_view=self._uses_view,
+                uses_view=self._uses_queue,
                 view=self.capacity.view,
                 recorder=self.capacity.recorder,
-                places=_FirstPlaces(choice=self.choice),
+                places=self._places,
                 find_view_time=self._find_view_time,
             ),
         )
@@ -193,28 +200,18 @@
     def _uses_view(self, service: declarations.Service) -> bool:
         return self.capacity.scope.is_needed(service.name)
 
+    def _uses_queue(self, service: declarations.Service) -> bool:
+        """Return whether requests of a service wait by their priorities.
+
+        Where all have the same one, an engine's own queue serves them as well.
+        """
+        return (
+            self.has_queue
+            and self._places.find_service() is not None
+            and self._uses_view(service)
+            and self.capacity.scope.has_priorities(service.name)
+        )
+
     def _find_view_time(self, now: float) -> float | None:
         age = self.capacity.view.find_age(now)
         return None if age is None else now - age
-
-
-@attrs.frozen(kw_only=True)
-class _FirstPlaces:
-    choice: engine_choice.EngineChoice
-
-    def _find(self):
-        declared = self.choice.blackboard.configuration.declarations
-        services = declared.find_model_services() if declared else []
-        return self.choice.find_places(services[0]) if services else None
-
-    def count_free(self, now):
-        found = self._find()
-        return found and found.count_free(now)
-
-    def count_places(self, now):
-        found = self._find()
-        return found and found.count_places(now)
-
-    def has_place(self, pipeline, now):
-        found = self._find()
-        return found is None or found.has_place(pipeline, now)
--- a/src/jujubepass/forwarding/node.py
+++ b/src/jujubepass/forwarding/node.py
@@ -121,6 +121,7 @@
             permit_transport=permit_links.HttpTransport(client=self.client),
             token=self._relay.token,
             address=self.settings.listen.relay,
+            has_queue=self.settings.shortage.queue,
         )
         self._node_server = permit_links.NodeServer(
             rows=self._relay.server,
--- a/src/jujubepass/forwarding/settings.py
+++ b/src/jujubepass/forwarding/settings.py
@@ -94,6 +94,17 @@
     )
 
 
+@attrs.frozen(kw_only=True)
+class Shortage:
+    """Configure what happens while first engines have too few places."""
+
+    queue: bool = _ini.key(
+        default=False,
+        meaning="whether model requests with different priorities wait at this node"
+        " for places",
+    )
+
+
 @attrs.frozen(kw_only=True)
 class Settings:
     """Contain all settings of one forwarding node."""
@@ -102,6 +113,7 @@
     listen: Listen
     store: Store
     bounds: Bounds = attrs.field(factory=Bounds)
+    shortage: Shortage = attrs.field(factory=Shortage)
     log: node_settings.Log = attrs.field(factory=node_settings.Log)
 
 
--- a/src/jujubepass/spreading/places.py
+++ b/src/jujubepass/spreading/places.py
@@ -19,6 +19,9 @@
     def count_free(self, now: float) -> float | None:
         """Return the free places of this failure domain; None if unknown."""
 
+    def count_places(self, now: float) -> float | None:
+        """Return all places of this failure domain; None if unknown."""
+
     def has_place(self, pipeline: pipelines.Pipeline, now: float) -> bool:
         """Return whether a pipeline's first engine takes one more; true if unknown."""
 
