--- a/src/jujubepass/forwarding/node.py
+++ b/src/jujubepass/forwarding/node.py
@@ -119,6 +119,9 @@
             suspect_table=self.adapter.suspect_table,
             secret_table=self.adapter.secret_table,
             permit_transport=permit_links.HttpTransport(client=self.client),
+            token=self._relay.token,
+            address=self.settings.listen.relay,
+            has_queue=self.settings.shortage.queue,
         )
         self._node_server = permit_links.NodeServer(
             rows=self._relay.server,
@@ -249,6 +252,7 @@
                 count_retry=self.measures.count_retry,
                 observe_first_event=self.measures.observe_first_event,
                 answers=self._answers,
+                recorder=self._engines.capacity.recorder,
             ),
             guard=self._engines.guard,
             measures=self.measures,
@@ -285,6 +289,7 @@
                     self._announcer.run,
                     self._relay.link.run,
                     self._engines.permits.run,
+                    self._engines.datagram_link.run,
                     self._planning.run,
                     self._engines.sharing.run,
                     self._engines.orders.run,
@@ -359,6 +364,7 @@
             self._readiness.check()
             self._reloader.check(clocks.read_boot_clock())
             self._update_budgets()
+            self._engines.choice.update_shared(clocks.read_boot_clock())
             self._apply_limits()
 
     def _apply_limits(self) -> None:
@@ -385,13 +391,9 @@
             measures=self.measures,
             blackboard=self.blackboard,
             client=self.client,
-            orders=self._engines.orders,
-            choice=self._engines.choice,
+            engines=self._engines,
             budgets=self._budgets,
             relay=self._relay,
-            signals=self._engines.signals,
-            permits=self._engines.permits,
-            quarantine=self._engines.quarantine,
             count_eras=self.adapter.count_eras,
             count_unreadable=self._count_unreadable,
         )
