Test crowds of clients that keep to no limit, on real nodes

Nothing bounds what all clients of a node together make it hold. The runner runs the feature alone, after all others.

--- a/standins/path_engine.py
+++ b/standins/path_engine.py
@@ -80,6 +80,8 @@
     """Number of answers that still stop so; negative for all."""
     cut_after: int = 0
     """Events after which a stream from its start on is cut; 0 for none."""
+    event_filler_bytes: int = 0
+    """Size of a line that each event of a stream has beside its usual ones."""
     resume_errors: float = 0
     """Streams to be resumed that are answered with an error instead."""
     resume_error: str = ""
@@ -561,7 +563,7 @@
     ) -> None:
         for number in range(last + 1, events + 1):
             await self._wait_for_pipeline(request_id)
-            event = _format_event(request_id, number)
+            event = self._fill_event(_format_event(request_id, number))
             is_cut = self.settings.cut_after and not last
             if is_cut and number > self.settings.cut_after:
                 await responder.write(event[: len(event) // 2])
@@ -574,6 +576,11 @@
             await responder.write(event)
             await trio.sleep(_EVENT_INTERVAL_SECONDS)
 
+    def _fill_event(self, event: bytes) -> bytes:
+        """Return an event with the filler that the settings ask for."""
+        size = self.settings.event_filler_bytes
+        return b"data: " + b"x" * size + b"\n" + event if size else event
+
     async def _wait_for_pipeline(self, request_id: str) -> None:
         """Stall while a stage is missing; close the connection after the time-out."""
         stalled_seconds = 0.0
--- a/tests/run.py
+++ b/tests/run.py
@@ -14,6 +14,9 @@
 PORTS_PER_FEATURE = 200
 PARALLEL_FEATURES = 4
 LAST_FEATURE = "bench"
+# Run one by one after all others, as they check the memory of whole processes and use
+# the processor for themselves.
+LONE_FEATURES = ("uncontrolled_clients",)
 FEATURE_TIMEOUT_SECONDS = 900
 MAX_SHOWN_CHARACTERS = 300
 
@@ -102,11 +105,21 @@
         results.append(run_command("format", ["ruff", "format", "--check", "."]))
         results.append(run_command("lint", ["ruff", "check", "."]))
         results.append(run_command("types", ["mypy"]))
-    with concurrent.futures.ThreadPoolExecutor(PARALLEL_FEATURES) as pool:
+    lone = [(i, f) for i, f in numbered if f.stem in LONE_FEATURES]
+    others = [pair for pair in numbered if pair not in lone]
+    results += run_features(others, PARALLEL_FEATURES)
+    results += run_features(lone, 1)
+    return report_results(results)
+
+
+def run_features(numbered, count):
+    """Run features, `count` of them at once; return the rows of all."""
+    results = []
+    with concurrent.futures.ThreadPoolExecutor(count) as pool:
         for seconds, rows in pool.map(lambda pair: run_feature(*pair), numbered):
             print(f"{rows[0][0].partition(':')[0]}: {seconds:.0f} s", flush=True)
             results += rows
-    return report_results(results)
+    return results
 
 
 def order_feature(feature):
