Bound what all clients together make a node hold

Each request was bounded, and nothing bounded all of them: 40 bodies of 4 MB at once took a process to 500 MB; requests were read ahead of their answers without end; a read of one-byte chunks was taken apart at a stretch, and after a failed write all pipelined requests ran for nobody.

Add a ledger of the bytes and connections held, shared by a node's listeners, with bounds from the new section [limits]. Above them bodies are read in turn and connections without progress are shed; a request that is refused so gets 503 short_of_memory and has not run. While a request runs, 4 KB are read ahead. Small chunks are joined and decoded in parts. Bodies are sent to servers without copies.

--- a/src/jujubepass/forwarding/metrics_page.py
+++ b/src/jujubepass/forwarding/metrics_page.py
@@ -16,13 +16,15 @@
 )
 from jujubepass.forwarding import measures as node_measures
 from jujubepass.forwarding import permits as node_permits
+from jujubepass.intake import ledger as intake_ledger
 from jujubepass.limits import _retry_budget
 from jujubepass.quarantine import controller, suspects
 from jujubepass.relay import assembly
 from jujubepass.telemetry import _metric_registry
 from jujubepass.transport import _http_client
 
-# Alias, because an argument has the same name as the module.
+# Aliases, because arguments have the same names as the modules.
+_Ledger = intake_ledger.Ledger
 _Permits = node_permits.Permits
 
 
@@ -47,6 +49,7 @@
     signals: server_signals.ServerSignals,
     permits: _Permits,
     quarantine: controller.Quarantine,
+    ledger: _Ledger,
     count_eras: collections.abc.Callable[[], collections.abc.Mapping[str, int]],
     count_unreadable: collections.abc.Callable[[], collections.abc.Mapping[str, int]],
 ) -> MetricsPage:
@@ -65,6 +68,7 @@
     _add_budgets(registry, budgets)
     _add_members(registry, blackboard)
     _add_configuration(registry, blackboard)
+    _add_intake(registry, ledger)
     return MetricsPage(
         content_type=_metric_registry.CONTENT_TYPE, data=registry.expose()
     )
@@ -318,3 +322,31 @@
     registry.add_gauge(
         "backend_servers", "Listed.", lambda: len(blackboard.backends.listed)
     )
+
+
+def _add_intake(registry: _metric_registry.Registry, ledger: _Ledger) -> None:
+    for name, description, read in (
+        (
+            "clients_held_bytes",
+            "Memory that clients make this node hold.",
+            lambda: ledger.held_bytes,
+        ),
+        (
+            "clients_held_peak_bytes",
+            "Most memory that clients have made it hold.",
+            lambda: ledger.peak_bytes,
+        ),
+        (
+            "clients_bound_bytes",
+            "Bound of that memory.",
+            lambda: ledger.bound_bytes,
+        ),
+        ("connections", "Open connections.", lambda: ledger.connections),
+    ):
+        registry.add_gauge(name, description, read)
+    registry.add_labelled_counter(
+        "connections_shed",
+        "Connections shed, or requests refused, for lack of memory or places.",
+        "reason",
+        lambda: dict(ledger.shed),
+    )
--- a/src/jujubepass/forwarding/node.py
+++ b/src/jujubepass/forwarding/node.py
@@ -23,6 +23,7 @@
     feeds,
     following,
     forwarder,
+    listeners,
     measures,
     members,
     planner,
@@ -101,7 +102,20 @@
             ids.ServiceId, _retry_budget.RetryBudget
         ] = collections.defaultdict(self._make_budget)
         self._answers = stopping.RunningAnswers()
-        self._callers = _http_server.Server(handler=self._make_forwarder())
+        self._listeners = self._make_listeners()
+        self._callers = self._listeners.callers
+
+    def _make_listeners(self) -> listeners.Listeners:
+        made = listeners.Listeners(settings=self.settings)
+        made.add_handlers(
+            listeners.Handlers(
+                callers=self._make_forwarder(),
+                readiness=self._readiness,
+                metrics=self._expose,
+                relay=self._node_server,
+            )
+        )
+        return made
 
     def _make_controllers(self) -> None:
         self._admission_control = admission.Admission(blackboard=self.blackboard)
@@ -294,7 +308,7 @@
                     self._run_periodic_tasks,
                 ):
                     nursery.start_soon(tasks.run_with_restarts, task)
-                await self._start_listeners(nursery)
+                await self._listeners.start(nursery)
                 _LOGGER.info(
                     "node started",
                     extra={
@@ -309,19 +323,6 @@
                 nursery.cancel_scope.cancel()
         _LOGGER.info("node stopped", extra={"node": self.settings.node.name})
 
-    async def _start_listeners(self, nursery: trio.Nursery) -> None:
-        listen = self.settings.listen
-        if listen.relay is not None:
-            relay = _http_server.Server(handler=self._node_server)
-            await nursery.start(relay.serve, listen.relay.host, listen.relay.port)
-        ready = _http_server.Server(handler=self._readiness)
-        for server, address in (
-            (ready, listen.readiness),
-            (_http_server.Server(handler=self._expose), listen.metrics),
-            (self._callers, listen.callers),
-        ):
-            await nursery.start(server.serve, address.host, address.port)
-
     async def _wait_for_stop(self, signals: collections.abc.AsyncIterator[int]) -> None:
         async for received in signals:
             if received == signal.SIGTERM:
@@ -365,13 +366,7 @@
         declared = self.blackboard.configuration.declarations
         if declared is None:
             return
-        limits = declared.limits
-        self._callers.limits = _http_server.ServerLimits(
-            header_bytes=limits.header_bytes,
-            body_bytes=limits.body_bytes,
-            receive_timeout_seconds=limits.header_timeout_seconds,
-            idle_timeout_seconds=limits.idle_timeout_seconds,
-        )
+        self._listeners.apply(declared.limits)
 
     async def _expose(
         self, request: _http_server.Request, responder: _http_server.Responder
@@ -392,6 +387,7 @@
             signals=self._engines.signals,
             permits=self._engines.permits,
             quarantine=self._engines.quarantine,
+            ledger=self._listeners.gate.ledger,
             count_eras=self.adapter.count_eras,
             count_unreadable=self._count_unreadable,
         )
--- a/src/jujubepass/forwarding/settings.py
+++ b/src/jujubepass/forwarding/settings.py
@@ -94,6 +94,26 @@
     )
 
 
+@attrs.frozen(kw_only=True)
+class Limits:
+    """Contain the limits of the node's VM."""
+
+    memory_megabytes: int = _ini.key(
+        default=200,
+        meaning="memory of the VM, of which clients may make the node hold a part",
+        unit="megabytes",
+        minimum=64,
+        maximum=10_000_000,
+    )
+    descriptors: int = _ini.key(
+        default=4_100,
+        meaning="descriptors that the VM allows, which bound the connections",
+        unit="descriptors",
+        minimum=100,
+        maximum=10_000_000,
+    )
+
+
 @attrs.frozen(kw_only=True)
 class Settings:
     """Contain all settings of one forwarding node."""
@@ -102,6 +122,7 @@
     listen: Listen
     store: Store
     bounds: Bounds = attrs.field(factory=Bounds)
+    limits: Limits = attrs.field(factory=Limits)
     log: node_settings.Log = attrs.field(factory=node_settings.Log)
 
 
--- a/src/jujubepass/transport/_client_connection.py
+++ b/src/jujubepass/transport/_client_connection.py
@@ -6,6 +6,9 @@
 
 from jujubepass.transport import _socket_io
 
+# A request up to this size is sent in one write.
+_MAX_JOINED_BYTES = 65_536
+
 
 class ClientError(Exception):
     """Signal a request without a complete answer."""
@@ -42,12 +45,16 @@
     async def send(self, request: tuple[h11.Request, bytes]) -> None:
         """Send a request, as far as the server takes it."""
         head, body = request
-        data = (self._protocol.send(head) or b"") + (
-            self._protocol.send(h11.Data(data=body)) or b""
-        )
-        data += self._protocol.send(h11.EndOfMessage()) or b""
+        parts = self._protocol.send_with_data_passthrough(head) or []
+        parts += self._protocol.send_with_data_passthrough(h11.Data(data=body)) or []
+        parts += self._protocol.send_with_data_passthrough(h11.EndOfMessage()) or []
         try:
-            await self.stream.send_all(data)
+            if len(body) <= _MAX_JOINED_BYTES:
+                await self.stream.send_all(b"".join(parts))
+                return
+            # Bodies exist once, however many requests wait for their servers.
+            for part in parts:
+                await self.stream.send_all(part)
         except trio.BrokenResourceError:
             # A server that refuses a request early may close before reading all of it.
             self._is_broken = True
--- a/src/jujubepass/transport/_http_responder.py
+++ b/src/jujubepass/transport/_http_responder.py
@@ -6,7 +6,7 @@
 import h11
 import trio
 
-from jujubepass.transport import _socket_io
+from jujubepass.transport import _http_input, _socket_io
 
 _JSON = "application/json"
 _VERSIONS_WITHOUT_CHUNKS = (b"1.0", b"0.9")
@@ -15,7 +15,15 @@
 class Responder:
     """Write one response."""
 
-    __slots__ = ("_closing", "_connection", "_stream", "omits_body", "started")
+    __slots__ = (
+        "_closing",
+        "_connection",
+        "_source",
+        "_stream",
+        "is_broken",
+        "omits_body",
+        "started",
+    )
 
     def __init__(
         self,
@@ -23,10 +31,15 @@
         connection: h11.Connection,
         stream: trio.SocketStream,
         closing: collections.abc.Callable[[], bool],
+        source: _http_input.Input | None = None,
     ) -> None:
+        self._source = source
         self._closing = closing
         self._connection = connection
         self._stream = stream
+        self.is_broken = False
+        """Whether a write has failed. What the caller had sent before may still be
+        read, but no answer to it reaches the caller."""
         self.omits_body = False
         self.started = False
 
@@ -36,13 +49,38 @@
         is_old = self._connection.their_http_version in _VERSIONS_WITHOUT_CHUNKS
         return is_old and self._connection.our_state in (h11.SEND_BODY, h11.ERROR)
 
+    async def _send(self, data: bytes) -> None:
+        """Send data, and account for what the caller has not read yet."""
+        try:
+            rest = _socket_io.send_now(self._stream, data)
+            if not rest:
+                return
+            if self._source is None:
+                await self._stream.send_all(rest)
+                return
+            with self._source.hold_write(len(data)):
+                await self._stream.send_all(rest)
+        except trio.BrokenResourceError:
+            self.is_broken = True
+            raise
+
+    def has_input(self) -> bool:
+        """Return whether the caller has sent something that was not read."""
+        return self._stream.socket.is_readable()
+
+    async def send_continue(self) -> None:
+        """Ask for the body if the caller waits for that."""
+        if self._connection.they_are_waiting_for_100_continue:
+            event = h11.InformationalResponse(status_code=100, headers=[])
+            await self._send(self._connection.send(event) or b"")
+
     async def start(
         self, status: int, headers: collections.abc.Mapping[str, str]
     ) -> None:
         """Send the status line and headers."""
         self.started = True
         event = self._make_head(status, list(headers.items()))
-        await _socket_io.send(self._stream, self._connection.send(event) or b"")
+        await self._send(self._connection.send(event) or b"")
 
     def _make_head(self, status: int, fields: list[tuple[str, str]]) -> h11.Response:
         if self._closing():
@@ -53,15 +91,11 @@
 
     async def write(self, data: bytes) -> None:
         """Send part of the body."""
-        await _socket_io.send(
-            self._stream, self._connection.send(h11.Data(data=data)) or b""
-        )
+        await self._send(self._connection.send(h11.Data(data=data)) or b"")
 
     async def finish(self) -> None:
         """End the body."""
-        await _socket_io.send(
-            self._stream, self._connection.send(h11.EndOfMessage()) or b""
-        )
+        await self._send(self._connection.send(h11.EndOfMessage()) or b"")
 
     async def send(
         self,
@@ -80,7 +114,7 @@
         if not self.omits_body:
             parts.append(self._connection.send(h11.Data(data=body)) or b"")
         parts.append(self._connection.send(h11.EndOfMessage()) or b"")
-        await _socket_io.send(self._stream, b"".join(parts))
+        await self._send(b"".join(parts))
 
     async def start_fields(
         self, status: int, fields: collections.abc.Iterable[tuple[str, str]]
@@ -88,7 +122,7 @@
         """Send the status line and header fields, whose names may repeat."""
         self.started = True
         event = self._make_head(status, list(fields))
-        await _socket_io.send(self._stream, self._connection.send(event) or b"")
+        await self._send(self._connection.send(event) or b"")
 
     async def send_fields(
         self,
@@ -106,7 +140,7 @@
         if not self.omits_body:
             parts.append(self._connection.send(h11.Data(data=body)) or b"")
         parts.append(self._connection.send(h11.EndOfMessage()) or b"")
-        await _socket_io.send(self._stream, b"".join(parts))
+        await self._send(b"".join(parts))
 
     async def send_json(self, status: int, value: object) -> None:
         """Send a complete JSON response."""
--- a/src/jujubepass/transport/_http_server.py
+++ b/src/jujubepass/transport/_http_server.py
@@ -3,7 +3,6 @@
 import collections.abc
 import functools
 import logging
-import re
 import sys
 import typing
 
@@ -11,16 +10,26 @@
 import h11
 import trio
 
-from jujubepass.transport import _http_responder, _rejections, _socket_io
+from jujubepass.intake import ledger
+from jujubepass.transport import (
+    _http_input,
+    _http_responder,
+    _intake_gate,
+    _rejections,
+    _socket_io,
+)
 
 _LOGGER = logging.getLogger(__name__)
 
-_RECEIVE_BUFFER_BYTES = 65_536
 _CLOSE_TIMEOUT_SECONDS = 0.2
 _MAX_CONCURRENT_REFUSALS = 64
-# The end of the previous chunk, then a size with as many digits as h11 accepts.
-_CHUNK_SIZE = re.compile(rb"[\r\n]{0,2}([0-9A-Fa-f]{1,20})[;\r\n]")
-
+# Connections beyond the limit, while those that were shed for them are closed.
+_MAX_SHED_CONNECTIONS = 16
+# Connections that wait for a place, half a second each. Within that time clients that
+# have closed are noticed.
+_MAX_WAITING_CONNECTIONS = 16
+_PLACE_POLLS = 10
+_PLACE_POLL_INTERVAL_SECONDS = 0.05
 
 Responder = _http_responder.Responder
 
@@ -58,13 +67,24 @@
 class Server:
     """Serve one listener until it is stopped."""
 
-    def __init__(self, *, handler: Handler, limits: ServerLimits | None = None) -> None:
+    def __init__(
+        self,
+        *,
+        handler: Handler,
+        limits: ServerLimits | None = None,
+        gate: _intake_gate.Gate | None = None,
+        name: str = "",
+    ) -> None:
         self._handler = handler
+        self._name = name
+        self._makes_places = gate is not None
+        self._gate = gate or _intake_gate.Gate(ledger=ledger.Ledger())
         self._limits = limits or ServerLimits()
         self._stopping = trio.Event()
         self._draining = False
         self._idle_since: dict[trio.CancelScope, float] = {}
         self._running_refusals = 0
+        self._waiting = 0
         self.connections = 0
         self.refused_connections = 0
         self.failed_connections = 0
@@ -124,71 +144,91 @@
     async def _serve_connection(self, stream: trio.SocketStream) -> None:
         """Serve one connection; its errors must not end the listener or the node."""
         try:
-            if self.connections >= self.limits.connections:
-                await self._refuse_connection(stream)
-            else:
+            if self._has_place() or await self._wait_for_place():
                 await self._serve_accepted(stream)
+            else:
+                await self._refuse_connection(stream)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             _LOGGER.debug("peer closed the connection")
         except Exception:
             self.failed_connections += 1
             _LOGGER.exception("connection failed")
 
+    def _has_place(self) -> bool:
+        """Return whether one more connection may be served."""
+        if self.connections < self.limits.connections:
+            return True
+        # Those that are shed end at once.
+        max_connections = self.limits.connections + _MAX_SHED_CONNECTIONS
+        if not self._makes_places or self.connections >= max_connections:
+            return False
+        return self._gate.ledger.make_place(self._name, trio.current_time())
+
+    async def _wait_for_place(self) -> bool:
+        """Wait until connections whose clients have closed are noticed."""
+        if not self._makes_places or self._waiting >= _MAX_WAITING_CONNECTIONS:
+            return False
+        self._waiting += 1
+        try:
+            for _ in range(_PLACE_POLLS):
+                await trio.sleep(_PLACE_POLL_INTERVAL_SECONDS)
+                if self._has_place():
+                    return True
+            return False
+        finally:
+            self._waiting -= 1
+
     async def _serve_accepted(self, stream: trio.SocketStream) -> None:
+        peer = _socket_io.find_peer(stream)
         self.connections += 1
+        holding = self._gate.ledger.open(peer, self._name, trio.current_time())
         try:
-            await self._serve_requests(stream)
+            await self._serve_requests(stream, holding)
         finally:
             self.connections -= 1
-            deadline = trio.current_time() + _CLOSE_TIMEOUT_SECONDS
-            with trio.CancelScope(shield=True, deadline=deadline):
-                await self._close(stream)
+            self._gate.ledger.close(holding)
+            if not holding.is_shed or holding.phase is ledger.Phase.RECEIVING:
+                deadline = trio.current_time() + _CLOSE_TIMEOUT_SECONDS
+                with trio.CancelScope(shield=True, deadline=deadline):
+                    await _socket_io.close_in_order(stream)
             await trio.aclose_forcefully(stream)
 
     async def _refuse_connection(self, stream: trio.SocketStream) -> None:
         self.refused_connections += 1
         self._running_refusals += 1
+        limit = self.limits.connections
         try:
-            if self._running_refusals <= _MAX_CONCURRENT_REFUSALS:
+            if self._running_refusals <= min(_MAX_CONCURRENT_REFUSALS, limit):
                 with trio.move_on_after(_CLOSE_TIMEOUT_SECONDS):
                     connection = h11.Connection(h11.SERVER)
                     responder = Responder(
                         connection=connection, stream=stream, closing=lambda: True
                     )
-                    await _send_too_many_connections(responder, self.limits.connections)
-                    await self._close(stream)
+                    await _send_too_many_connections(responder, limit)
+                    await _socket_io.close_in_order(stream)
         except trio.BrokenResourceError:
             _LOGGER.debug("connection broke while being refused")
         finally:
             self._running_refusals -= 1
             await trio.aclose_forcefully(stream)
 
-    async def _close(self, stream: trio.SocketStream) -> None:
-        """Close without a reset, which would discard a response in transit."""
-        discarded_bytes = 0
-        try:
-            await stream.send_eof()
-            while data := await stream.receive_some(_RECEIVE_BUFFER_BYTES):
-                discarded_bytes += len(data)
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
-            _LOGGER.debug("connection was already closed")
-        finally:
-            if discarded_bytes:
-                _LOGGER.info(
-                    "discarded input of a connection being closed",
-                    extra={"bytes": discarded_bytes},
-                )
-
-    async def _serve_requests(self, stream: trio.SocketStream) -> None:
+    async def _serve_requests(
+        self, stream: trio.SocketStream, holding: ledger.Holding
+    ) -> None:
         # The limit in force is checked with each event instead.
         connection = h11.Connection(h11.SERVER, max_incomplete_event_size=sys.maxsize)
-        peer = _socket_io.find_peer(stream)
+        source = _http_input.Input(
+            connection=connection, stream=stream, gate=self._gate, holding=holding
+        )
         while True:
             responder = Responder(
-                connection=connection, stream=stream, closing=self._is_closing
+                connection=connection,
+                stream=stream,
+                closing=self._is_closing,
+                source=source,
             )
             try:
-                request = await self._receive(connection, stream, peer, responder)
+                request = await self._receive_unless_shed(source, responder)
             except _rejections.RejectedInputError as error:
                 await _reject(connection, responder, error)
                 return
@@ -196,31 +236,51 @@
                 return
             self.running_requests += 1
             try:
-                await self._handle(request, responder, connection, stream)
+                await self._handle(request, responder, connection, source)
             finally:
                 self.running_requests -= 1
-                if responder.is_cut_off:
+                if responder.is_cut_off or holding.is_shed:
                     _socket_io.reset(stream)
-            if connection.our_state is not h11.DONE:
+            if holding.is_shed or responder.is_broken:
                 return
-            if connection.their_state is not h11.DONE:
+            if (connection.our_state, connection.their_state) != (h11.DONE, h11.DONE):
                 return
             # A request that has been read already is served before the stop.
-            if self._stopping.is_set() and not connection.trailing_data[0]:
+            if self._stopping.is_set() and not source.pending:
                 return
             connection.start_next_cycle()
+            del request
+            source.enter(ledger.Phase.IDLE)
+
+    async def _receive_unless_shed(
+        self, source: _http_input.Input, responder: Responder
+    ) -> Request | None:
+        """Receive the next request; raises RejectedInputError, also if it is shed."""
+        holding = source.holding
+        with trio.CancelScope() as scope:
+            holding.cancel = scope.cancel
+            try:
+                request = await self._receive(source, responder)
+                holding.is_shed = False
+                if request is not None:
+                    source.enter(ledger.Phase.RUNNING, len(request.body))
+                return request
+            finally:
+                source.end_turn()
+        if holding.phase is ledger.Phase.RECEIVING:
+            raise _rejections.make_short_of_memory()
+        return None
 
     async def _handle(
         self,
         request: Request,
         responder: Responder,
         connection: h11.Connection,
-        stream: trio.SocketStream,
+        source: _http_input.Input,
     ) -> None:
         async with trio.open_nursery() as nursery:
-            max_bytes = self.limits.header_bytes + self.limits.body_bytes
-            scope = nursery.cancel_scope
-            nursery.start_soon(_watch_peer, connection, stream, scope, max_bytes)
+            source.holding.cancel = nursery.cancel_scope.cancel
+            nursery.start_soon(_watch_peer, source, nursery.cancel_scope)
             try:
                 await self._handler(request, responder)
             except _rejections.RejectedInputError as error:
@@ -238,13 +298,10 @@
             nursery.cancel_scope.cancel()
 
     async def _receive(
-        self,
-        connection: h11.Connection,
-        stream: trio.SocketStream,
-        peer: str,
-        responder: Responder,
+        self, source: _http_input.Input, responder: Responder
     ) -> Request | None:
-        head = await self._receive_head(connection, stream)
+        """Receive the next request; None at the end of the connection."""
+        head = await self._receive_head(source, responder)
         if head is None:
             return None
         # A rejection of the rest of the request is an answer to HEAD, too.
@@ -257,11 +314,8 @@
             raise _rejections.CONFLICTING_LENGTHS
         if int(headers.get("content-length", "0")) > self.limits.body_bytes:
             raise _rejections.make_oversized(self.limits.body_bytes)
-        if connection.they_are_waiting_for_100_continue:
-            continue_response = h11.InformationalResponse(status_code=100, headers=[])
-            await _socket_io.send(stream, connection.send(continue_response) or b"")
-        is_chunked = "transfer-encoding" in headers
-        body = await self._receive_body(connection, stream, is_chunked)
+        await responder.send_continue()
+        body = await self._receive_body(source, head)
         if body is None:
             return None
         return Request(
@@ -269,32 +323,28 @@
             path=head.target.decode("latin-1"),
             headers=headers,
             body=body,
-            peer=peer,
+            peer=source.holding.address,
             fields=fields,
         )
 
     async def _receive_body(
-        self, connection: h11.Connection, stream: trio.SocketStream, is_chunked: bool
+        self, source: _http_input.Input, head: h11.Request
     ) -> bytes | None:
         """Return the whole body; None if the connection ended before."""
-        body = bytearray()
-        at_boundary = is_chunked
-        with trio.move_on_after(self.limits.receive_timeout_seconds):
-            while True:
-                max_bytes = self.limits.body_bytes - len(body) if at_boundary else None
-                event = await self._receive_event(connection, stream, max_bytes)
-                if isinstance(event, h11.EndOfMessage):
-                    return bytes(body)
-                if not isinstance(event, h11.Data):
-                    return None
-                body += event.data
-                if len(body) > self.limits.body_bytes:
-                    raise _rejections.make_oversized(self.limits.body_bytes)
-                at_boundary = event.chunk_end
-        raise _rejections.make_slow_sender(self.limits.receive_timeout_seconds)
+        limits = self.limits
+        with trio.move_on_after(limits.receive_timeout_seconds):
+            return await source.receive_body(head, limits.header_bytes)
+        raise self._make_late(source)
+
+    def _make_late(self, source: _http_input.Input) -> _rejections.RejectedInputError:
+        """Return the rejection of a request that did not arrive in time."""
+        if source.was_short:
+            self._gate.ledger.record_shed("memory_wait", trio.current_time())
+            return _rejections.make_short_of_memory()
+        return _rejections.make_slow_sender(self.limits.receive_timeout_seconds)
 
     async def _receive_head(
-        self, connection: h11.Connection, stream: trio.SocketStream
+        self, source: _http_input.Input, responder: Responder
     ) -> h11.Request | None:
         with trio.CancelScope() as idle:
             now = trio.current_time()
@@ -303,77 +353,25 @@
             if self._stopping.is_set():
                 idle.cancel()
             try:
-                if not connection.trailing_data[0]:
-                    await _receive_data(connection, stream)
+                await source.receive_first(self.limits.body_bytes)
             except trio.BrokenResourceError:
                 return None
             finally:
                 del self._idle_since[idle]
         if idle.cancelled_caught:
             # A request may have arrived at the same time.
-            if not stream.socket.is_readable():
+            if not responder.has_input():
                 return None
-            await _receive_data(connection, stream)
+            await source.receive_first(self.limits.body_bytes)
         with trio.move_on_after(self.limits.receive_timeout_seconds):
-            event = await self._receive_event(connection, stream)
+            event = await source.receive_head(self.limits.header_bytes)
             return event if isinstance(event, h11.Request) else None
-        raise _rejections.make_slow_sender(self.limits.receive_timeout_seconds)
+        raise self._make_late(source)
 
-    async def _receive_event(
-        self,
-        connection: h11.Connection,
-        stream: trio.abc.Stream,
-        max_chunk_bytes: int | None = None,
-    ) -> object:
-        """Return the next event; pass `max_chunk_bytes` if a chunk size comes next."""
-        while True:
-            if max_chunk_bytes is not None:
-                _check_chunk(connection, max_chunk_bytes)
-            try:
-                event = connection.next_event()
-            except h11.RemoteProtocolError as error:
-                raise _rejections.RejectedInputError(
-                    status=error.error_status_hint,
-                    code="malformed_http",
-                    detail=f"{error}. Send a valid HTTP/1.1 request.",
-                ) from error
-            if event is not h11.NEED_DATA:
-                return event
-            if len(connection.trailing_data[0]) > self.limits.header_bytes:
-                raise _rejections.make_long_header(self.limits.header_bytes)
-            data = await stream.receive_some(_RECEIVE_BUFFER_BYTES)
-            connection.receive_data(bytes(data))
-
-
-def _check_chunk(connection: h11.Connection, max_bytes: int) -> None:
-    """Reject a chunk by its announced size, before waiting for its data."""
-    announced = _CHUNK_SIZE.match(connection.trailing_data[0])
-    if announced is not None and int(announced[1], 16) > max_bytes:
-        raise _rejections.make_oversized_chunk(max_bytes)
-
-
-async def _receive_data(connection: h11.Connection, stream: trio.SocketStream) -> None:
-    data = await stream.receive_some(_RECEIVE_BUFFER_BYTES)
-    connection.receive_data(bytes(data))
-
-
-async def _watch_peer(
-    connection: h11.Connection,
-    stream: trio.SocketStream,
-    scope: trio.CancelScope,
-    max_bytes: int,
-) -> None:
-    """Cancel a request whose caller disconnects; read up to `max_bytes` ahead."""
-    received_bytes = 0
-    try:
-        while data := await stream.receive_some(_RECEIVE_BUFFER_BYTES):
-            received_bytes += len(data)
-            connection.receive_data(bytes(data))
-            if received_bytes > max_bytes:
-                # The rest is read after the answer, within the limits then in force.
-                return
-    except trio.BrokenResourceError:
-        _LOGGER.debug("caller reset the connection")
+
+async def _watch_peer(source: _http_input.Input, scope: trio.CancelScope) -> None:
+    """Cancel a request whose caller disconnects."""
+    await source.wait_for_close()
     scope.cancel()
 
 
@@ -386,7 +384,12 @@
     if not can_answer or responder.started:
         return
     try:
-        await responder.send_problem(error.status, error.code, error.detail)
+        await responder.send_problem(
+            error.status,
+            error.code,
+            error.detail,
+            retry_after_seconds=error.retry_after_seconds,
+        )
     except (trio.BrokenResourceError, trio.ClosedResourceError):
         _LOGGER.debug("connection broke before its rejection was sent")
 
--- a/src/jujubepass/transport/_rejections.py
+++ b/src/jujubepass/transport/_rejections.py
@@ -10,6 +10,7 @@
     status: int
     code: str
     detail: str
+    retry_after_seconds: float | None = None
 
 
 INTERNAL_ERROR = RejectedInputError(
@@ -33,6 +34,12 @@
 )
 
 
+def make_malformed(status: int, problem: str) -> RejectedInputError:
+    """Make the rejection of input that is not valid HTTP."""
+    detail = f"{problem}. Send a valid HTTP/1.1 request."
+    return RejectedInputError(status=status, code="malformed_http", detail=detail)
+
+
 def make_long_header(limit: int) -> RejectedInputError:
     """Make the rejection of a header over `limit` bytes."""
     detail = f"The header is over {limit} bytes. Send a shorter one."
@@ -55,3 +62,13 @@
     """Make the rejection of a request that did not arrive in time."""
     detail = f"The request did not arrive within {seconds:g} s. Send it again faster."
     return RejectedInputError(status=408, code="slow_sender", detail=detail)
+
+
+def make_short_of_memory() -> RejectedInputError:
+    """Make the refusal of a request for which the process has no memory left."""
+    return RejectedInputError(
+        status=503,
+        code="short_of_memory",
+        detail="The node has no memory left for this request. It was not run.",
+        retry_after_seconds=1.0,
+    )
--- a/standins/path_engine.py
+++ b/standins/path_engine.py
@@ -15,7 +15,7 @@
 import h11
 import trio
 
-from jujubepass.transport import _http_client, _http_server
+from jujubepass.transport import _http_client, _http_input, _http_server
 from standins import knobs, raw_answers, request_limits
 
 _HEARTBEAT_INTERVAL_SECONDS = 0.2
@@ -130,11 +130,11 @@
     """May answer a request and end its connection before the body is read."""
 
     async def _receive_head(
-        self, connection: h11.Connection, stream: trio.SocketStream
+        self, source: _http_input.Input, responder: Responder
     ) -> h11.Request | None:
-        head = await super()._receive_head(connection, stream)
+        head = await super()._receive_head(source, responder)
         if head is not None and self.answer_early is not None:
-            await self.answer_early(head, stream)
+            await self.answer_early(head, responder._stream)
         return head
 
     async def open_listeners(self, arguments: Arguments) -> list[trio.SocketListener]:
--- a/tests/features/steps/platform_settings_steps.py
+++ b/tests/features/steps/platform_settings_steps.py
@@ -47,6 +47,8 @@
     "bounds.retryBudget": "0.2",
     "bounds.budgetSlack": "202",
     "bounds.budgetWindowS": "10",
+    "limits.memoryMb": "552",
+    "limits.maxFds": "4200",
 }
 
 
@@ -66,4 +68,5 @@
     assert read.bounds.drain_milliseconds == 4_000, read
     assert read.listen.callers == _http_client.parse_address("10.1.0.40:8227")
     assert read.listen.relay == _http_client.parse_address("10.1.0.40:7340")
+    assert read.limits == settings.Limits(memory_megabytes=552, descriptors=4_200)
     assert read.node.first_start, read
--- a/tests/features/steps/security_steps.py
+++ b/tests/features/steps/security_steps.py
@@ -106,10 +106,10 @@
 
 async def flood_server(context):
     released = trio.Event()
-    connections = []
+    responders = []
 
     async def wait(request, responder):
-        connections.append(responder._connection)
+        responders.append(responder)
         if request.path == "/wait":
             await released.wait()
         await responder.send(200, b"{}")
@@ -125,7 +125,10 @@
                     await stream.send_all(b"x" * PART_BYTES)
         except trio.BrokenResourceError:
             context.cut = True
-        context.buffered = len(connections[0].trailing_data[0])
+        # What the parser holds, and what the listener holds for it.
+        context.buffered = len(responders[0]._connection.trailing_data[0]) + len(
+            responders[0]._source.pending
+        )
         context.good = await send_to_server(context.first_port, GOOD_REQUEST)
         await stream.aclose()
         nursery.cancel_scope.cancel()
--- a/tests/features/steps/uncontrolled_clients_steps.py
+++ b/tests/features/steps/uncontrolled_clients_steps.py
@@ -1,10 +1,8 @@
 import re
 
-import attrs
 import behave
 import trio
 
-from jujubepass.forwarding import settings
 from jujubepass.transport import _http_client
 from standins import forwarding_system, processes
 from tests import uncontrolled_clients
@@ -36,11 +34,9 @@
 @behave.given("a node on a VM with {megabytes:d} MB and {descriptors:d} descriptors")
 def step_node(context, megabytes, descriptors):
     system = context.system = System(first_port=context.first_port)
-    # Nodes that know no such limits do not accept their settings.
-    if "limits" in attrs.fields_dict(settings.Settings):
-        system.limits = (
-            f"[limits]\nmemory_megabytes = {megabytes}\ndescriptors = {descriptors}\n"
-        )
+    system.limits = (
+        f"[limits]\nmemory_megabytes = {megabytes}\ndescriptors = {descriptors}\n"
+    )
     context.add_cleanup(system.processes.close)
     system.start_all(nodes=1)
     system.configure(forwarding_system.make_configuration(3, limits=LIMITS))
