--- a/src/jujubepass/intake/ledger.py
+++ b/src/jujubepass/intake/ledger.py
@@ -142,14 +142,19 @@
         """Return whether one more body may be received beyond the bound."""
         return self.held_bytes < self.bound_bytes + body_bytes
 
-    def shed_stalled(self, now: float) -> None:
-        """Shed the connections with the least progress for what they hold."""
+    def shed_stalled(self, now: float, *, includes_waiting: bool = False) -> None:
+        """Shed the connections with the least progress for what they hold.
+
+        Those that wait for memory are shed last, and only with `includes_waiting`:
+        without room for any of them, none would go on.
+        """
         if not self.is_over or now - self._shed_at < _SHED_INTERVAL_SECONDS:
             return
         self._shed_at = now
         excess = self.held_bytes - _RELIEF_SHARE * self.bound_bytes
         for holding in sorted(
-            self._list_stalled(now), key=lambda each: self._rank(each, now)
+            self._list_stalled(now, includes_waiting),
+            key=lambda each: self._rank(each, now),
         ):
             if excess <= 0:
                 return
@@ -166,22 +171,25 @@
         self._shed(min(stalled, key=lambda each: self._rank(each, now)), "place", now)
         return True
 
-    def _list_stalled(self, now: float) -> list[Holding]:
+    def _list_stalled(
+        self, now: float, includes_waiting: bool = False
+    ) -> list[Holding]:
         return [
             each
             for each in self._holdings
             if not each.is_shed
-            and not each.is_waiting
+            and (includes_waiting or not each.is_waiting)
             and each.phase in _MAX_STALLS_SECONDS
             and now - each.advanced_at >= _MAX_STALLS_SECONDS[each.phase]
         ]
 
-    def _rank(self, holding: Holding, now: float) -> tuple[bool, float]:
+    def _rank(self, holding: Holding, now: float) -> tuple[bool, bool, float]:
         """Return a key that is smallest for what costs most and loses least."""
         # Nobody loses anything with an idle connection.
         stalled = now - holding.advanced_at
         share = self.held_by_address[holding.address] / self.held_bytes
-        return holding.phase is not Phase.IDLE, -holding.held_bytes * stalled * share
+        cost = holding.held_bytes * stalled * share
+        return holding.is_waiting, holding.phase is not Phase.IDLE, -cost
 
     def _shed(self, holding: Holding, reason: str, now: float) -> None:
         holding.is_shed = True
--- a/src/jujubepass/transport/_intake_gate.py
+++ b/src/jujubepass/transport/_intake_gate.py
@@ -54,8 +54,12 @@
             if self._owner is not holding:
                 await self._turn.acquire()
                 self._owner = holding
+            # What has its turn is not shed in favour of those behind it.
+            holding.is_waiting = False
             while not self.ledger.has_room(body_bytes):
-                self.ledger.shed_stalled(trio.current_time())
+                now = trio.current_time()
+                holding.enter(holding.phase, now)
+                self.ledger.shed_stalled(now, includes_waiting=True)
                 await trio.sleep(_POLL_INTERVAL_SECONDS)
             if not self.ledger.is_over:
                 self.end_turn(holding)
--- a/tests/features/intake.feature
+++ b/tests/features/intake.feature
@@ -34,6 +34,13 @@
     And connections are shed
     Then 0 of the stalled bodies are shed, and not the other one
 
+  # Guards against connections that all wait for each other's memory.
+  Scenario: Connections that wait for memory are shed if none of them has room
+    Given a ledger with a bound of 10 MB
+    When 12 bodies of 1 MB wait for memory for 2 seconds
+    And connections are shed, also waiting ones
+    Then 5 of the stalled bodies are shed, and not the other one
+
   # Guards against a bound that depends on an address which a balancer stands for.
   Scenario: The address that holds most is shed first
     Given a ledger with a bound of 10 MB
--- a/tests/features/steps/intake_steps.py
+++ b/tests/features/steps/intake_steps.py
@@ -118,6 +118,11 @@
     context.ledger.shed_stalled(context.now)
 
 
+@behave.when("connections are shed, also waiting ones")
+def step_shed_waiting(context):
+    context.ledger.shed_stalled(context.now, includes_waiting=True)
+
+
 @behave.then("{count:d} of the stalled bodies are shed, and not the other one")
 def step_shed_count(context, count):
     assert len(context.cancelled) == count, len(context.cancelled)
