--- a/src/jujubepass/forwarding/metrics_page.py
+++ b/src/jujubepass/forwarding/metrics_page.py
@@ -18,6 +18,7 @@
 )
 from jujubepass.forwarding import measures as node_measures
 from jujubepass.forwarding import permits as node_permits
+from jujubepass.intake import ledger as intake_ledger
 from jujubepass.limits import _retry_budget
 from jujubepass.quarantine import controller, suspects
 from jujubepass.relay import assembly
@@ -25,7 +26,8 @@
 from jujubepass.telemetry import _metric_registry
 from jujubepass.transport import _http_client
 
-# Alias, because an argument has the same name as the module.
+# Aliases, because arguments have the same names as the modules.
+_Ledger = intake_ledger.Ledger
 _Permits = node_permits.Permits
 
 # Number of client accounts with a label of their own; there may be thousands.
@@ -49,6 +51,7 @@
     engines: engine_controllers.EngineControllers,
     budgets: collections.abc.Mapping[ids.ServiceId, _retry_budget.RetryBudget],
     relay: assembly.Relay,
+    ledger: _Ledger,
     count_eras: collections.abc.Callable[[], collections.abc.Mapping[str, int]],
     count_unreadable: collections.abc.Callable[[], collections.abc.Mapping[str, int]],
 ) -> MetricsPage:
@@ -74,6 +77,7 @@
     _add_budgets(registry, budgets)
     _add_members(registry, blackboard)
     _add_configuration(registry, blackboard)
+    _add_intake(registry, ledger)
     return MetricsPage(
         content_type=_metric_registry.CONTENT_TYPE, data=registry.expose()
     )
@@ -380,3 +384,31 @@
     registry.add_gauge(
         "backend_servers", "Listed.", lambda: len(blackboard.backends.listed)
     )
+
+
+def _add_intake(registry: _metric_registry.Registry, ledger: _Ledger) -> None:
+    for name, description, read in (
+        (
+            "clients_held_bytes",
+            "Memory that clients make this node hold.",
+            lambda: ledger.held_bytes,
+        ),
+        (
+            "clients_held_peak_bytes",
+            "Most memory that clients have made it hold.",
+            lambda: ledger.peak_bytes,
+        ),
+        (
+            "clients_bound_bytes",
+            "Bound of that memory.",
+            lambda: ledger.bound_bytes,
+        ),
+        ("connections", "Open connections.", lambda: ledger.connections),
+    ):
+        registry.add_gauge(name, description, read)
+    registry.add_labelled_counter(
+        "connections_shed",
+        "Connections shed, or requests refused, for lack of memory or places.",
+        "reason",
+        lambda: dict(ledger.shed),
+    )
--- a/standins/path_engine.py
+++ b/standins/path_engine.py
@@ -15,7 +15,7 @@
 import h11
 import trio
 
-from jujubepass.transport import _http_client, _http_server
+from jujubepass.transport import _http_client, _http_input, _http_server
 from standins import knobs, raw_answers, request_limits
 
 _HEARTBEAT_INTERVAL_SECONDS = 0.2
@@ -80,6 +80,8 @@
     """Number of answers that still stop so; negative for all."""
     cut_after: int = 0
     """Events after which a stream from its start on is cut; 0 for none."""
+    event_filler_bytes: int = 0
+    """Size of a line that each event of a stream has beside its usual ones."""
     resume_errors: float = 0
     """Streams to be resumed that are answered with an error instead."""
     resume_error: str = ""
@@ -128,11 +130,11 @@
     """May answer a request and end its connection before the body is read."""
 
     async def _receive_head(
-        self, connection: h11.Connection, stream: trio.SocketStream
+        self, source: _http_input.Input, responder: Responder
     ) -> h11.Request | None:
-        head = await super()._receive_head(connection, stream)
+        head = await super()._receive_head(source, responder)
         if head is not None and self.answer_early is not None:
-            await self.answer_early(head, stream)
+            await self.answer_early(head, responder._stream)
         return head
 
     async def open_listeners(self, arguments: Arguments) -> list[trio.SocketListener]:
@@ -561,7 +563,7 @@
     ) -> None:
         for number in range(last + 1, events + 1):
             await self._wait_for_pipeline(request_id)
-            event = _format_event(request_id, number)
+            event = self._fill_event(_format_event(request_id, number))
             is_cut = self.settings.cut_after and not last
             if is_cut and number > self.settings.cut_after:
                 await responder.write(event[: len(event) // 2])
@@ -574,6 +576,11 @@
             await responder.write(event)
             await trio.sleep(_EVENT_INTERVAL_SECONDS)
 
+    def _fill_event(self, event: bytes) -> bytes:
+        """Return an event with the filler that the settings ask for."""
+        size = self.settings.event_filler_bytes
+        return b"data: " + b"x" * size + b"\n" + event if size else event
+
     async def _wait_for_pipeline(self, request_id: str) -> None:
         """Stall while a stage is missing; close the connection after the time-out."""
         stalled_seconds = 0.0
