Count places by gaps that include the prompts read between events

Cause: a pipeline of slow engines was given requests until 0.8 of the goal for gaps by its steps alone.

--- a/src/jujubepass/spreading/chain_list.py
+++ b/src/jujubepass/spreading/chain_list.py
@@ -10,9 +10,12 @@
 from jujubepass.forwarding import backends, declarations, pipelines, plans
 from jujubepass.spreading import loads
 
-# Share of the goal for gaps that predicted gaps may use; the rest covers prompts that
-# are read between steps and requests that the view does not have yet.
-_USED_GAP_SHARE = 0.8
+# Share of the goal for gaps that predicted gaps may use; the rest covers requests that
+# the view does not have yet.
+_USED_GAP_SHARE = 0.9
+# Prompts that are read within one gap vary by chance. A stream is late after one long
+# gap among some forty, so that gaps with this many deviations more must be in time.
+_PROMPT_DEVIATIONS = 3.0
 
 FindSlowdown = collections.abc.Callable[[ids.BackendServerId], float]
 
@@ -51,6 +54,8 @@
 
     idle_seconds: float
     seconds_per_request: float
+    prompt_seconds: float = 0.0
+    """Time in which all stages read the prompt of a typical request."""
 
     def predict(self, requests: float) -> float:
         """Return the time of a step while some requests run."""
@@ -136,7 +141,13 @@
     )
     weight /= model.layers
     hop_seconds = len(stages) * pipelines.HOP_SECONDS
+    prompt_seconds = model.prompt_tokens / model.prefill_tokens_per_second
+    read_weight = sum(
+        each.layers * each.accelerator.prefill_slowdown * find_slowdown(each.engine)
+        for each in stages
+    )
     return Pace(
+        prompt_seconds=prompt_seconds * read_weight / model.layers,
         idle_seconds=hop_seconds
         + loads.predict_step_seconds(model, 0.0, slowdown=weight),
         seconds_per_request=weight * loads.compute_sequence_seconds(model),
@@ -153,6 +164,22 @@
     """
     if math.isinf(gap_seconds) or pace.seconds_per_request <= 0.0:
         return max(1, max_requests)
-    step_seconds = _USED_GAP_SHARE * gap_seconds / model.stride
-    in_time = (step_seconds - pace.idle_seconds) / pace.seconds_per_request
-    return max(1, min(max_requests, math.floor(in_time)))
+    longest = _USED_GAP_SHARE * gap_seconds
+    least, most = 1, max(1, max_requests)
+    while least < most:
+        middle = (least + most + 1) // 2
+        if _predict_gap(model, pace, middle) <= longest:
+            least = middle
+        else:
+            most = middle - 1
+    return least
+
+
+def _predict_gap(model: declarations.Model, pace: Pace, requests: int) -> float:
+    """Return the longest usual time between two events of a stream.
+
+    Each request brings one prompt in the time of all its events.
+    """
+    prompts = requests * model.stride / max(model.stride, model.answer_tokens)
+    prompts += _PROMPT_DEVIATIONS * math.sqrt(prompts)
+    return model.stride * pace.predict(requests) + prompts * pace.prompt_seconds
