Tell other nodes of rejections for lack of room only, and once each

Two calls recorded each rejection, and one of them did so for every answer that a request has not run: an engine that lacked layers, was leaving, or asked for a time counted as full for all nodes, and rejections counted twice. Only the answers that tell of no room are recorded now, through the choice of engines.

--- a/src/jujubepass/forwarding/engine_choice.py
+++ b/src/jujubepass/forwarding/engine_choice.py
@@ -362,8 +362,7 @@
 
     def record_full(self, engine: ids.BackendServerId, now: float) -> None:
         """Record that an engine has rejected a request for lack of room."""
-        if self.recorder is not None:
-            self.recorder.record_full(engine, now)
+        self.recorder.record_full(engine, now)
 
     def record_spill(self, pipeline: pipelines.Pipeline, now: float) -> None:
         """Record that a request is sent to another failure domain, if it is."""
--- a/src/jujubepass/forwarding/node.py
+++ b/src/jujubepass/forwarding/node.py
@@ -266,7 +266,6 @@
                 count_retry=self.measures.count_retry,
                 observe_first_event=self.measures.observe_first_event,
                 answers=self._answers,
-                recorder=self._engines.capacity.recorder,
             ),
             guard=self._engines.guard,
             measures=self.measures,
--- a/src/jujubepass/forwarding/stream_exchange.py
+++ b/src/jujubepass/forwarding/stream_exchange.py
@@ -10,7 +10,6 @@
 import trio
 
 from jujubepass import ids, reasons
-from jujubepass.capacity import own_use, view
 from jujubepass.forwarding import (
     admission,
     attempt_log,
@@ -57,7 +56,6 @@
     answers: stopping.RunningAnswers = attrs.field(factory=stopping.RunningAnswers)
     token_times: stopping.TokenTimes = attrs.field(factory=stopping.TokenTimes)
     random_source: random.Random = attrs.field(factory=random.Random)
-    recorder: view.Recorder = attrs.field(factory=own_use.NoRecorder)
 
     async def serve(
         self,
@@ -358,10 +356,9 @@
                 (each for each in pipeline.stages if each.address == at_fault), stage
             )
             if stream_refusals.is_for_room(error.head):
-                self.recorder.record_full(stage.engine, now)
+                self.choice.record_full(stage.engine, now)
             # The engine may also be dead; its report shows that.
             self.stalls.schedule_probe(stage.engine)
-            self.choice.record_full(stage.engine, now)
         elif error.has_ended:
             self.guard.record_refused_connection(progress.guarded, stage.engine)
         self.suspects.suspect(stage.engine, reason, now)
--- a/tests/features/fleet_size.feature
+++ b/tests/features/fleet_size.feature
@@ -121,6 +121,19 @@
     Then the engine receives no more attempts than an exponential delay allows
     And the rejection of each attempt after the first is recorded for others
 
+  # Guards against engines that all nodes avoid as full, though they have room.
+  Scenario Outline: A refusal with <status> <how> does not make an engine full for all nodes
+    Given an engine that refuses to resume a stream that has begun
+    And it refuses with <status> <how>
+    When a caller waits for the stream for 2 seconds
+    Then no rejection is recorded for others
+
+    Examples:
+      | status | how           |
+      | 421    | at once       |
+      | 503    | as it leaves  |
+      | 429    | for some time |
+
   Scenario: Retries of 24 node processes stay within the allowance
     Given a system of 24 nodes whose engines refuse all requests
     When each node receives 1 request at once
--- a/tests/features/steps/fleet_refusal_steps.py
+++ b/tests/features/steps/fleet_refusal_steps.py
@@ -3,6 +3,7 @@
 import contextlib
 import itertools
 
+import attrs
 import behave
 import trio
 import trio.testing
@@ -29,6 +30,9 @@
 
     def __init__(self):
         self.attempts = []
+        self.refusal = exchange.AnswerHead(
+            kind=exchange.AnswerKind.NOT_RUN, status=503, fields=()
+        )
 
     @contextlib.asynccontextmanager
     async def open(self, request, attempt, address):
@@ -36,10 +40,7 @@
         await trio.sleep(0.001)
         if len(self.attempts) > 1:
             raise sending.NotRunError(
-                detail="answered 503",
-                head=exchange.AnswerHead(
-                    kind=exchange.AnswerKind.NOT_RUN, status=503, fields=()
-                ),
+                detail=f"answered {self.refusal.status}", head=self.refusal
             )
         yield (
             exchange.AnswerHead(kind=exchange.AnswerKind.RAN, status=200, fields=()),
@@ -100,6 +101,16 @@
     context.sender = RefusingSender()
 
 
+@behave.given("it refuses with {status:d} {how}")
+def step_refuses_with(context, status, how):
+    context.sender.refusal = attrs.evolve(
+        context.sender.refusal,
+        status=status,
+        is_leaving=how == "as it leaves",
+        retry_after_seconds=0.01 if how == "for some time" else None,
+    )
+
+
 def make_request(now):
     return exchange.CallerRequest(
         request_id=ids.RequestId("r"),
@@ -119,7 +130,8 @@
 @behave.when("a caller waits for the stream for {seconds:d} seconds")
 def step_wait_for_stream(context, seconds):
     fleet = context.fleet
-    context.full = FullEngines()
+    # As in a node, other parts and the choice of engines have the same recorder.
+    context.full = fleet.choice.recorder = FullEngines()
 
     async def serve():
         now = clocks.read_boot_clock()
@@ -145,7 +157,6 @@
             ),
             count_retry=lambda reason: None,
             observe_first_event=lambda seconds: None,
-            recorder=context.full,
         )
         reply = replies.Reply(request=request, wire=None, responder=Responder())
         with trio.move_on_after(seconds):
@@ -172,6 +183,12 @@
     assert set(context.full.engines) <= context.fleet.plan.placements.keys()
 
 
+@behave.then("no rejection is recorded for others")
+def step_none_recorded(context):
+    assert len(context.sender.attempts) >= 2
+    assert not context.full.engines, context.full.engines
+
+
 SLACK = 12
 
 
