--- a/src/jujubepass/forwarding/stream_exchange.py
+++ b/src/jujubepass/forwarding/stream_exchange.py
@@ -106,7 +106,7 @@
                     # The caller still waits, so that a stall does not end the answer.
                     await trio.sleep(_PIPELINE_POLL_INTERVAL_SECONDS)
                     continue
-                return self._make_refusal(pipeline, progress)
+                return progress.make_refusal(pipeline)
             try:
                 is_new = not progress.runs and request.resume_after is None
                 tokens = request.max_answer_tokens if is_new else 0
@@ -120,7 +120,7 @@
                 self._record_refusal(request, pipeline, error, progress)
                 if not progress.has_refusals_left and not reply.started:
                     refusal = self.claims.refuse_full(progress)
-                    return self._make_refusal(refusal, progress)
+                    return progress.make_refusal(refusal)
                 await trio.sleep(progress.draw_delay(self.random_source))
             except (
                 sending.OutcomeUnknownError,
@@ -129,7 +129,7 @@
                 progress.is_sent = False
                 self._record_failure(request, pipeline, error, progress)
                 if not (admitted.route.is_repeatable and progress.has_runs_left):
-                    return self._make_refusal(stream_refusals.OUTCOME_UNKNOWN, progress)
+                    return stream_refusals.OUTCOME_UNKNOWN
 
     async def _prepare_attempt(
         self,
@@ -199,12 +199,6 @@
         budget = self.budgets[admitted.service.name]
         return budget.predict_wait_seconds(clocks.read_boot_clock()) == 0.0
 
-    def _make_refusal(
-        self, refusal: admission.Refusal, progress: stream_progress.Progress
-    ) -> admission.Refusal:
-        """Return the refusal, or OUTCOME_UNKNOWN if an attempt has run."""
-        return stream_refusals.OUTCOME_UNKNOWN if progress.runs else refusal
-
     async def _run_attempt(
         self,
         request: exchange.CallerRequest,
--- a/src/jujubepass/forwarding/stream_progress.py
+++ b/src/jujubepass/forwarding/stream_progress.py
@@ -111,6 +111,10 @@
             self.splitter = None
         self.refusals_in_row = 0
 
+    def make_refusal(self, refusal: admission.Refusal) -> admission.Refusal:
+        """Return the refusal, or OUTCOME_UNKNOWN if an attempt has run."""
+        return stream_refusals.OUTCOME_UNKNOWN if self.runs else refusal
+
     def refuse_expired(self, *, is_stopping: bool) -> admission.Refusal:
         """Return the refusal when no time is left for the rest of the answer."""
         if not is_stopping:
