Count the requests that arrive for the shared view without a queue as well

Only the queue counted arrivals, and it is off by default. All nodes told of none, so that the last places were not kept for requests under way, and the probability of a spill was that of a single request: from a domain without places, all requests were sent to the one with most room. Each streaming request of a service that uses the view is now counted once.

--- a/src/jujubepass/forwarding/engine_choice.py
+++ b/src/jujubepass/forwarding/engine_choice.py
@@ -352,6 +352,11 @@
             if name in listed and listed[name].started_at == started_at
         }
 
+    def record_arrival(self, service: declarations.Service, priority: int) -> None:
+        """Count a request that has arrived, if its service uses the view."""
+        if self.uses_view(service):
+            self.recorder.record_arrival(priority)
+
     def record_start(self, pipeline: pipelines.Pipeline) -> None:
         """Count a request on its engines, in the prefill phase."""
         self.attempts[pipeline.stages[0].engine] += 1
--- a/src/jujubepass/forwarding/pipeline_claims.py
+++ b/src/jujubepass/forwarding/pipeline_claims.py
@@ -39,6 +39,11 @@
     guard: _Guard
     shortage: gate.Gate = attrs.field(factory=gate.Gate)
 
+    def record_arrival(self, admitted: exchange.Admitted) -> None:
+        """Count a request that has arrived; the queue counts those that enter it."""
+        if not self.shortage.uses_view(admitted.service):
+            self.choice.record_arrival(admitted.service, admitted.priority)
+
     async def wait_for_pipeline(
         self,
         request: exchange.CallerRequest,
--- a/src/jujubepass/forwarding/stream_exchange.py
+++ b/src/jujubepass/forwarding/stream_exchange.py
@@ -70,6 +70,7 @@
             guarded=guard.track(request, admitted),
         )
         self.budgets[admitted.service.name].count_attempt(request.arrived_at)
+        self.claims.record_arrival(admitted)
         with self.answers.limit(admitted.deadline):
             try:
                 refusal = await self._run(request, admitted, reply, progress)
--- a/tests/features/spreading.feature
+++ b/tests/features/spreading.feature
@@ -91,6 +91,18 @@
       | 28    | unknown | unknown |
       | 28    | unused  | unknown |
 
+  # Guards against spills that send all requests, as none is known to arrive elsewhere.
+  Scenario Outline: Without a queue, a request of several attempts arrives <count> times if its service <uses> the view
+    Given an engine that refuses to resume a stream that has begun
+    And its service <uses> the shared view
+    When a caller waits for the stream for 2 seconds
+    Then <count> requests are recorded as arrived
+
+    Examples:
+      | uses         | count |
+      | uses         | 1     |
+      | does not use | 0     |
+
   Scenario: Places are counted for pipelines that can run
     Given three domains of unlike engines with 28 nodes each, by a shared view
     When 50 requests start one after another in the first domain
--- a/tests/features/steps/fleet_refusal_steps.py
+++ b/tests/features/steps/fleet_refusal_steps.py
@@ -61,10 +61,14 @@
 
 
 class FullEngines(own_use.NoRecorder):
-    """Keep the engines that rejected a request."""
+    """Keep the engines that rejected a request, and the priorities of arrivals."""
 
     def __init__(self):
         self.engines = []
+        self.arrivals = []
+
+    def record_arrival(self, priority):
+        self.arrivals.append(priority)
 
     def record_full(self, engine, now):
         self.engines.append(engine)
@@ -111,6 +115,11 @@
     )
 
 
+@behave.given("its service {uses} the shared view")
+def step_uses_view(context, uses):
+    context.fleet.choice.uses_view = lambda service: uses == "uses"
+
+
 def make_request(now):
     return exchange.CallerRequest(
         request_id=ids.RequestId("r"),
@@ -189,6 +198,12 @@
     assert not context.full.engines, context.full.engines
 
 
+@behave.then("{count:d} requests are recorded as arrived")
+def step_arrived(context, count):
+    assert len(context.sender.attempts) >= 2
+    assert len(context.full.arrivals) == count, context.full.arrivals
+
+
 SLACK = 12
 
 
