Count the requests of each other domain once in a choice by the view

Only the domain that was asked for last was kept, and the list has the engines of all domains in any order: while layers are lost here and no domain has room, the chains of a domain were counted again for nearly each engine. A choice among 80 engines of two other domains counted their chains 31 times, and now 2 times.

--- a/src/jujubepass/spreading/shared_rooms.py
+++ b/src/jujubepass/spreading/shared_rooms.py
@@ -61,14 +61,11 @@
     free: dict[ids.ServiceId, float] = attrs.field(factory=dict, init=False)
     """Free places of this failure domain when they were last counted."""
     _catalogs: dict[ids.ServiceId, _Catalog] = attrs.field(factory=dict, init=False)
-    _remote_loads: (
-        tuple[
-            tuple[ids.ServiceId, ids.FailureDomainId, float],
-            dict[ids.BackendServerId, float],
-        ]
-        | None
-    ) = attrs.field(default=None, init=False)
-    """Requests on engines of the failure domain that was asked for last."""
+    _remote_loads: dict[
+        tuple[ids.ServiceId, ids.FailureDomainId], dict[ids.BackendServerId, float]
+    ] = attrs.field(factory=dict, init=False)
+    """Requests on engines of other failure domains, at the time asked for last."""
+    _remote_loads_at: float = attrs.field(default=-math.inf, init=False)
 
     def find_use(
         self, engine: ids.BackendServerId, model: declarations.Model, now: float
@@ -143,14 +140,18 @@
         self, service: declarations.Service, domain: ids.FailureDomainId, now: float
     ) -> dict[ids.BackendServerId, float]:
         """Return the requests on the engines of another failure domain by its line."""
-        key = service.name, domain, now
-        if self._remote_loads is None or self._remote_loads[0] != key:
+        # The list has the engines of all failure domains in any order.
+        if now != self._remote_loads_at:
+            self._remote_loads, self._remote_loads_at = {}, now
+        key = service.name, domain
+        loads = self._remote_loads.get(key)
+        if loads is None:
             found = []
             if self._find_line(domain, now) is not None:
                 found = self.list_rooms(service, domain, now)
             loads = {name: each.load for each in found for name in each.chain.engines}
-            self._remote_loads = key, loads
-        return self._remote_loads[1]
+            self._remote_loads[key] = loads
+        return loads
 
     def begins_here(self, service: declarations.Service) -> bool:
         """Return whether a pipeline is planned to begin in this failure domain."""
--- a/tests/features/spreading.feature
+++ b/tests/features/spreading.feature
@@ -129,6 +129,11 @@
       | stride        | 1e9    | 1         |
       | stride        | null   | 1         |
 
+  # Guards against chains of other domains that are counted anew for each engine.
+  Scenario: A choice by the view while layers are lost looks once at each other domain
+    Given three domains of unlike engines with 28 nodes each, by a shared view
+    Then a choice while layers are lost here and others have no room counts each domain once, in any order of the list
+
   Scenario: A choice by the view at 33 engines here and 84 in all takes no more work
     Given three domains of unlike engines with 28 nodes each, by a shared view
     Then a choice takes at most 1.2 times the function calls of one without a view
--- a/tests/features/steps/spreading_steps.py
+++ b/tests/features/steps/spreading_steps.py
@@ -5,11 +5,12 @@
 import random
 import unittest.mock
 
+import attrs
 import behave
 
 from jujubepass.forwarding import suspicion
 from jujubepass.platform import configuration
-from jujubepass.spreading import spill
+from jujubepass.spreading import shared_rooms, spill
 from tests import spread_fleet
 
 
@@ -329,3 +330,31 @@
             domain.running[name] = load
         found = count_calls(domain.nodes[0], context.fleet.now)
         assert found <= most, (load, found, most)
+
+
+@behave.then(
+    "a choice while layers are lost here and others have no room counts each domain"
+    " once, in any order of the list"
+)
+def step_lost_layers(context):
+    fleet = context.fleet
+    domain = fleet.domains["a"]
+    domain.lines = [attrs.evolve(each, free_places=0.0) for each in domain.lines]
+    names = [
+        name
+        for name, engine in sorted(fleet.listed.items())
+        if engine.failure_domain != "a" or engine.held.first > 0
+    ]
+    random.Random(1).shuffle(names)
+    domain.blackboard.backends.listed = {name: fleet.listed[name] for name in names}
+    domain.blackboard.backends.revision += 1
+    choice, counted = domain.nodes[0].choice, []
+    list_rooms = shared_rooms.SharedRooms.list_rooms
+
+    def count(rooms, service, name, now):
+        counted.append(name)
+        return list_rooms(rooms, service, name, now)
+
+    with unittest.mock.patch.object(shared_rooms.SharedRooms, "list_rooms", count):
+        assert choice.choose(spread_fleet.SERVICE, fleet.now) is not None
+    assert sorted(counted) == ["a", "b", "c"], counted
