Leave no request in the counts if its stream ends while it is moved

An order to move a stream takes up to 0.1 s. If the stream ended meanwhile, its end was counted at once, and the move then counted it a second time and a start at the new engines that nothing ended. With the shared view all nodes of the domain took that request for running for as long as the node ran.

--- a/src/jujubepass/forwarding/moves.py
+++ b/src/jujubepass/forwarding/moves.py
@@ -66,6 +66,9 @@
         if outcome is not engines.MoveOutcome.MOVED:
             return False
         self.moved += 1
+        if stream.has_ended:
+            # Nothing would remove the request from the new engines' counts.
+            return True
         self.choice.record_end(stream.pipeline, was_prefilled=stream.has_begun)
         self.choice.record_start(pipeline)
         if stream.has_begun:
--- a/src/jujubepass/forwarding/stall_watch.py
+++ b/src/jujubepass/forwarding/stall_watch.py
@@ -64,6 +64,7 @@
             with stream.scope:
                 yield stream
         finally:
+            stream.has_ended = True
             self._streams.discard(stream)
 
     def list_streams(self) -> list[watched_streams.WatchedStream]:
--- a/src/jujubepass/forwarding/watched_streams.py
+++ b/src/jujubepass/forwarding/watched_streams.py
@@ -57,6 +57,8 @@
     first_started_at: int = 0
     """Start time of the first engine's run at the start of the stream."""
     is_moving: bool = False
+    has_ended: bool = False
+    """Whether the attempt is over, and its engines' counts are without it."""
     is_forwarding: bool = False
     """Whether the caller has yet to take data, which must not be cut off."""
     move_not_before: float = float("-inf")
--- a/tests/features/moved_streams.feature
+++ b/tests/features/moved_streams.feature
@@ -5,6 +5,12 @@
     When an engine that a stream uses drains and becomes unresponsive
     Then the stream was moved by one order at a time
 
+  # Guards against counts of a request that stay for as long as the node runs.
+  Scenario: A stream that ends while it is moved leaves nothing in the counts
+    Given a fleet of engines, planned and loaded
+    When a stream ends while an order moves it to another engine
+    Then no request is left in the counts, here or for other nodes
+
   # Guards against losing a stream whose move is carried out after its order was given up.
   Scenario Outline: A stream that <rule> outlasts a move that comes late
     Given a system on the platform
--- a/tests/features/steps/moved_streams_steps.py
+++ b/tests/features/steps/moved_streams_steps.py
@@ -2,8 +2,11 @@
 import trio
 
 from jujubepass import ids
+from jujubepass.capacity import engine_index, own_use
 from jujubepass.forwarding import (
+    engines,
     evacuation,
+    moves,
     probing,
     stall_watch,
     stream_timeouts,
@@ -32,6 +35,20 @@
         return True
 
 
+class EndingControl:
+    """Let a stream end while the order to move it is on its way."""
+
+    def __init__(self):
+        self.orders = 0
+        self.leaves = None
+
+    async def move_request(self, engine, request, pipeline):
+        self.orders += 1
+        self.leaves.set()
+        await trio.sleep(0.01)
+        return engines.MoveOutcome.MOVED
+
+
 class Control:
     """Leave requests for reports unanswered."""
 
@@ -70,6 +87,57 @@
                 await trio.sleep_forever()
 
 
+async def end_during_move(fleet, control):
+    mover = moves.Mover(
+        blackboard=fleet.blackboard,
+        choice=fleet.choice,
+        control=control,
+        permits=small_fleet.make_permits(fleet.blackboard),
+    )
+    stalls = stall_watch.StallWatch(
+        blackboard=fleet.blackboard, suspects=fleet.suspects, prober=None, mover=mover
+    )
+    pipeline = small_fleet.choose(fleet)
+    # Not every engine has a substitute with the same layers.
+    for stage in pipeline.stages[1:]:
+        control.leaves = trio.Event()
+        async with trio.open_nursery() as nursery:
+            stream = await nursery.start(
+                run_stream, fleet, stalls, pipeline, control.leaves
+            )
+            await mover.move(stream, frozenset({stage.engine}))
+            control.leaves.set()
+
+
+async def run_stream(fleet, stalls, pipeline, leaves, task_status):
+    """Run a stream until its caller leaves."""
+    timeouts = stream_timeouts.make_stall_timeouts(small_fleet.ROUTE)
+    watching = stalls.watch(pipeline, ids.RequestId("r"), timeouts, is_repeatable=True)
+    with watching as stream:
+        fleet.choice.record_start(pipeline)
+        task_status.started(stream)
+        await leaves.wait()
+        fleet.choice.record_end(stream.pipeline, was_prefilled=False)
+
+
+@behave.when("a stream ends while an order moves it to another engine")
+def step_end_during_move(context):
+    index = engine_index.EngineIndex(blackboard=context.fleet.blackboard)
+    context.fleet.choice.recorder = own_use.OwnUse(index=index)
+    context.control = EndingControl()
+    quarantine_steps.run(lambda: end_during_move(context.fleet, context.control))
+
+
+@behave.then("no request is left in the counts, here or for other nodes")
+def step_none_left(context):
+    choice = context.fleet.choice
+    assert context.control.orders, "no order"
+    assert choice.demand.streams == 0, choice.demand
+    used = {name: n for name, n in choice._running.items() if n}
+    assert not used, used
+    assert not choice.recorder.take_snapshot(1.0).uses
+
+
 @behave.when("an engine that a stream uses drains and becomes unresponsive")
 def step_drain(context):
     context.mover = Mover()
