Forget the digests of engines that have gone at all nodes

Only collectors removed them, when a report named an engine that they did not know, so that the other nodes kept a digest of each engine that they had ever used.

--- a/src/jujubepass/capacity/engine_index.py
+++ b/src/jujubepass/capacity/engine_index.py
@@ -10,6 +10,9 @@
 _MAX_SLOT_FACTOR = 4
 # Bounds the cost of counts that name no listed engine.
 _RENEWAL_INTERVAL_SECONDS = 0.25
+# Only collectors renew the index; other nodes forget engines that have gone once they
+# outnumber the listed ones.
+_MAX_KEPT_FACTOR = 2
 
 
 @attrs.define(kw_only=True)
@@ -41,6 +44,8 @@
             return known[1]
         digest = codec.make_digest(f"{name}/{engine.started_at}")
         self._digests[name] = engine.started_at, digest
+        if len(self._digests) > _MAX_KEPT_FACTOR * len(self.blackboard.backends.listed):
+            self._remove_unlisted()
         return digest
 
     def is_valid(self, digest: bytes, use: tuple[int, int], now: float) -> bool:
@@ -87,8 +92,7 @@
         ):
             return
         self._revision, self._renewed_at = area.revision, now
-        for name in self._digests.keys() - area.listed.keys():
-            del self._digests[name]
+        self._remove_unlisted()
         domain = self.blackboard.failure_domain
         self._names = {}
         for engine in area.listed.values():
@@ -96,3 +100,7 @@
                 digest = self.find_digest(engine.name)
                 if digest is not None:
                     self._names[digest] = engine.name
+
+    def _remove_unlisted(self) -> None:
+        for name in self._digests.keys() - self.blackboard.backends.listed.keys():
+            del self._digests[name]
--- a/tests/features/capacity_faults.feature
+++ b/tests/features/capacity_faults.feature
@@ -100,6 +100,12 @@
     Given 9 nodes that share what they run
     Then no random datagram, and none with a valid MAC, raises an error
 
+  # Guards against memory that grows with the engines that a node has ever seen.
+  Scenario: Engines that come and go leave nothing at nodes that collect nothing
+    Given 9 nodes that share what they run
+    When 1000 engines come and go one after another, each with a request of the last node
+    Then that node keeps at most twice as many digests as engines are listed
+
   Scenario: Messages of any size survive the way
     Then random reports and views are read as they were written, in datagrams of 1200 bytes
 
--- a/tests/features/steps/capacity_faults_steps.py
+++ b/tests/features/steps/capacity_faults_steps.py
@@ -1,6 +1,7 @@
 import attrs
 import behave
 
+from jujubepass import ids
 from tests import capacity_network
 
 TOLERANCE = 1e-6
@@ -296,3 +297,30 @@
     for node in find_nodes(context):
         assert node.view.find_use(context.engine, network.now) is None
         assert node.view.is_known(network.now)
+
+
+@behave.when(
+    "{count:d} engines come and go one after another, each with a request of the last"
+    " node"
+)
+def step_come_and_go(context, count):
+    network = context.network
+    context.node = find_nodes(context)[-1]
+    listed = network.backends.listed
+    pattern = next(iter(listed.values()))
+    for number in range(count):
+        name = ids.BackendServerId(f"guest-{number}")
+        listed[name] = attrs.evolve(pattern, name=name)
+        network.backends.revision += 1
+        context.node.start(frozenset({name}))
+        context.node.view.find_use(name, network.now)
+        context.node.end()
+        del listed[name]
+        network.backends.revision += 1
+    network.run(1.0)
+
+
+@behave.then("that node keeps at most twice as many digests as engines are listed")
+def step_digests(context):
+    kept = len(context.node.capacity.index._digests)
+    assert kept <= 2 * len(context.network.backends.listed) + 1, kept
