Choose a late view once, not for each engine that is looked up

From 0.6 s after a view on, as between the views of idle collectors and once collectors are lost, each look at an engine ranked the nodes of the domain again. A late view now stays in use until another one arrives or it tells nothing any more.

--- a/src/jujubepass/capacity/shared_view.py
+++ b/src/jujubepass/capacity/shared_view.py
@@ -50,6 +50,8 @@
     """Time at which the view must be chosen again."""
     own: codec.Content
     """Own report that the view contains."""
+    is_late: bool
+    """Whether another collector's view is better as soon as it arrives."""
 
 
 @attrs.define(kw_only=True)
@@ -101,7 +103,7 @@
     def _is_second(self, node: ids.NodeId, content: codec.Content) -> bool:
         """Return whether a new view leaves the one in use as it is."""
         selected = self._selected
-        if selected is None or selected.node == node:
+        if selected is None or selected.node == node or selected.is_late:
             return False
         order = [each.node for each in self.blackboard.members.neighbors]
         if selected.node not in order or node not in order:
@@ -278,11 +280,14 @@
     def _prepare(self, node: ids.NodeId, now: float) -> _Selected:
         received = self._views[node]
         own = self._reports.get(received.echo) or codec.Content()
+        # A late view is in use as long as none is better; only one that arrives is.
+        is_late = now > received.preferred_until
         return _Selected(
             node=node,
             received=received,
-            until=received.preferred_until,
+            until=received.known_until if is_late else received.preferred_until,
             own=own,
+            is_late=is_late,
         )
 
     def _add_line(self, line: codec.Line, made_at: float) -> None:
--- a/tests/features/capacity_faults.feature
+++ b/tests/features/capacity_faults.feature
@@ -106,6 +106,18 @@
     When 1000 engines come and go one after another, each with a request of the last node
     Then that node keeps at most twice as many digests as engines are listed
 
+  # Guards against choices whose work grows with the nodes of a domain.
+  Scenario Outline: The uses of 20 engines by a late view take no more work with <nodes> nodes
+    Given <nodes> nodes that share what they run
+    When each of them runs 2 requests
+    And both collectors are killed and 0.8 seconds pass
+    Then a node finds the uses of 20 engines by one choice of a view
+
+    Examples:
+      | nodes |
+      | 9     |
+      | 195   |
+
   Scenario: Messages of any size survive the way
     Then random reports and views are read as they were written, in datagrams of 1200 bytes
 
--- a/tests/features/steps/capacity_faults_steps.py
+++ b/tests/features/steps/capacity_faults_steps.py
@@ -1,7 +1,10 @@
+import unittest.mock
+
 import attrs
 import behave
 
 from jujubepass import ids
+from jujubepass.capacity import shared_view
 from tests import capacity_network
 
 TOLERANCE = 1e-6
@@ -324,3 +327,26 @@
 def step_digests(context):
     kept = len(context.node.capacity.index._digests)
     assert kept <= 2 * len(context.network.backends.listed) + 1, kept
+
+
+@behave.when("both collectors are killed and {seconds:g} seconds pass")
+def step_kill_and_wait(context, seconds):
+    kill(context, find_nodes(context)[:2])
+    context.network.run(seconds)
+
+
+@behave.then("a node finds the uses of {count:d} engines by one choice of a view")
+def step_one_choice(context, count):
+    network, node = context.network, find_nodes(context)[-1]
+    choose, chosen = shared_view.SharedView._choose, []
+
+    def count_choice(view, now):
+        chosen.append(now)
+        return choose(view, now)
+
+    with unittest.mock.patch.object(shared_view.SharedView, "_choose", count_choice):
+        for number in range(count):
+            engine = network.list_engines()[number % len(network.list_engines())]
+            assert node.view.find_use(engine, network.now) is not None
+    assert 0.6 < node.view.find_age(network.now) < 1.0
+    assert len(chosen) <= 1, chosen
