Tell no free places of services that do not use the view any more

The free places of a service that was removed from the configuration stayed in the sum that the domain's line tells, so that other domains sent requests for places that there are not.

--- a/src/jujubepass/forwarding/engine_choice.py
+++ b/src/jujubepass/forwarding/engine_choice.py
@@ -161,7 +161,10 @@
 
     def update_shared(self, now: float) -> None:
         """Count the free places for the other nodes, and update the spill."""
-        for service, known in self._list_demands(now):
+        demands = self._list_demands(now)
+        if self.shared is not None:
+            self.shared.rooms.keep_free({service.name for service, _ in demands})
+        for service, known in demands:
             free = self.find_places(service).count_free(now)
             if self.shared is not None:
                 self.shared.update_spill(service, known, now, free or 0.0)
--- a/src/jujubepass/spreading/shared_rooms.py
+++ b/src/jujubepass/spreading/shared_rooms.py
@@ -172,6 +172,12 @@
         domain = self.blackboard.failure_domain
         return sum(each.places for each in self.list_rooms(service, domain, now))
 
+    def keep_free(self, services: collections.abc.Container[ids.ServiceId]) -> None:
+        """Forget the free places of services that do not use the view any more."""
+        for name in list(self.free):
+            if name not in services:
+                del self.free[name]
+
     def count_free_by_domain(
         self, service: declarations.Service, now: float
     ) -> dict[str, float]:
--- a/tests/features/spreading.feature
+++ b/tests/features/spreading.feature
@@ -107,6 +107,7 @@
     Given three domains of unlike engines with 28 nodes each, by a shared view
     When 50 requests start one after another in the first domain
     Then the free places are those of its pipelines less 50, and others are told
+    And the places of a service that was removed are told no more
     And a suspected or silent engine takes the places of its pipeline away
     And a pipeline whose places are taken has none
 
--- a/tests/features/steps/spreading_steps.py
+++ b/tests/features/steps/spreading_steps.py
@@ -248,6 +248,19 @@
     assert node.choice.recorder.places == free
 
 
+@behave.then("the places of a service that was removed are told no more")
+def step_removed(context):
+    fleet, node = context.fleet, context.fleet.domains["a"].nodes[0]
+    blackboard = fleet.domains["a"].blackboard
+    gone = attrs.evolve(spread_fleet.SERVICE, name="gone")
+    blackboard.plans.plans[gone.name] = fleet.plan
+    free = context.places.count_free(fleet.now)
+    assert node.choice.find_places(gone).count_free(fleet.now) > 0
+    assert node.choice.recorder.places > free
+    node.choice.update_shared(fleet.now)
+    assert node.choice.recorder.places == free, node.choice.recorder.places
+
+
 @behave.then("a suspected or silent engine takes the places of its pipeline away")
 def step_away(context):
     fleet, (one, other, *_) = context.fleet, context.expected.values()
