Keep places of slow pipelines for what they can serve in time

A prompt of three times the typical length, read between two events, takes a pipeline of slow engines beyond the goal for gaps with few requests already.

--- a/src/jujubepass/spreading/chain_list.py
+++ b/src/jujubepass/spreading/chain_list.py
@@ -16,6 +16,9 @@
 # Prompts that are read within one gap vary by chance. A stream is late after one long
 # gap among some forty, so that gaps with this many deviations more must be in time.
 _PROMPT_DEVIATIONS = 3.0
+# Prompts are up to this many times as long as the typical one. A single one of these
+# delays the events of all streams of a pipeline of slow engines beyond the goal.
+_LARGE_PROMPT = 3.0
 
 FindSlowdown = collections.abc.Callable[[ids.BackendServerId], float]
 
@@ -181,5 +184,5 @@
     Each request brings one prompt in the time of all its events.
     """
     prompts = requests * model.stride / max(model.stride, model.answer_tokens)
-    prompts += _PROMPT_DEVIATIONS * math.sqrt(prompts)
+    prompts += max(_LARGE_PROMPT, _PROMPT_DEVIATIONS * math.sqrt(prompts))
     return model.stride * pace.predict(requests) + prompts * pace.prompt_seconds
