Let connections be shed while a refusal waits for its client

A refusal that its client does not read waited in a scope whose cancellation had no effect any more: such connections kept their places and bytes until the client closed.

--- a/src/jujubepass/transport/_http_server.py
+++ b/src/jujubepass/transport/_http_server.py
@@ -15,6 +15,7 @@
     _http_input,
     _http_responder,
     _intake_gate,
+    _refusals,
     _rejections,
     _socket_io,
 )
@@ -204,7 +205,7 @@
                     responder = Responder(
                         connection=connection, stream=stream, closing=lambda: True
                     )
-                    await _send_too_many_connections(responder, limit)
+                    await _refusals.send_too_many_connections(responder, limit)
                     await _socket_io.close_in_order(stream)
         except trio.BrokenResourceError:
             _LOGGER.debug("connection broke while being refused")
@@ -230,7 +231,9 @@
             try:
                 request = await self._receive_unless_shed(source, responder)
             except _rejections.RejectedInputError as error:
-                await _reject(connection, responder, error)
+                await _refusals.reject_unless_shed(
+                    source, stream, responder, connection, error
+                )
                 return
             if request is None:
                 return
@@ -284,7 +287,7 @@
             try:
                 await self._handler(request, responder)
             except _rejections.RejectedInputError as error:
-                await _reject(connection, responder, error)
+                await _refusals.reject(connection, responder, error)
             except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
                 _LOGGER.info(
                     "connection broke before the end of the answer",
@@ -294,7 +297,9 @@
                 _LOGGER.warning("response ended early: %s", error)
             except Exception:
                 _LOGGER.exception("handler failed: %s %s", request.method, request.path)
-                await _reject(connection, responder, _rejections.INTERNAL_ERROR)
+                await _refusals.reject(
+                    connection, responder, _rejections.INTERNAL_ERROR
+                )
             nursery.cancel_scope.cancel()
 
     async def _receive(
@@ -373,28 +378,3 @@
     """Cancel a request whose caller disconnects."""
     await source.wait_for_close()
     scope.cancel()
-
-
-async def _reject(
-    connection: h11.Connection,
-    responder: Responder,
-    error: _rejections.RejectedInputError,
-) -> None:
-    can_answer = connection.our_state in (h11.IDLE, h11.SEND_RESPONSE)
-    if not can_answer or responder.started:
-        return
-    try:
-        await responder.send_problem(
-            error.status,
-            error.code,
-            error.detail,
-            retry_after_seconds=error.retry_after_seconds,
-        )
-    except (trio.BrokenResourceError, trio.ClosedResourceError):
-        _LOGGER.debug("connection broke before its rejection was sent")
-
-
-async def _send_too_many_connections(responder: Responder, limit: int) -> None:
-    detail = f"This listener has {limit} connections open. Close idle ones, then retry."
-    code = "too_many_connections"
-    await responder.send_problem(503, code, detail, retry_after_seconds=1)
--- a/tests/features/intake.feature
+++ b/tests/features/intake.feature
@@ -93,5 +93,12 @@
     Then the first one gets 503 with Retry-After, and the other one 200
     And only the second request has run, and the ledger is empty
 
+  # Guards against places that are taken for ever by clients that read no refusal.
+  Scenario: A connection whose refusal is not read can be shed
+    Given a listener whose handler fills the socket of its client
+    When a client sends a request and garbage, and reads nothing
+    And the listener needs its place
+    Then its connection ends within 1 second, and the ledger is empty
+
   Scenario: The limits of a VM are settings
     Then docs/forwarding-settings.md names each setting of the section limits
--- /dev/null
+++ b/tests/features/steps/intake_listener_steps.py
@@ -0,0 +1,91 @@
+import os
+import socket
+
+import behave
+import trio
+
+from jujubepass.intake import bounds, ledger
+from jujubepass.transport import _http_server, _intake_gate
+from standins import processes
+
+HOST = processes.HOST
+# Longer than a client may leave a response unread.
+LATER_SECONDS = 10.0
+
+
+class Listener:
+    """Run a listener of callers and what a client does."""
+
+    def __init__(self, handle, bound_bytes=bounds.UNBOUNDED_BYTES, limits=None):
+        self.ledger = ledger.Ledger(bound_bytes=bound_bytes)
+        self.gate = _intake_gate.Gate(ledger=self.ledger)
+        self.server = _http_server.Server(
+            handler=handle, gate=self.gate, limits=limits, name="callers"
+        )
+
+    async def serve(self, client):
+        """Serve until the client has done its part."""
+        async with trio.open_nursery() as nursery:
+            port = await nursery.start(self.server.serve, HOST, 0)
+            await client(port)
+            nursery.cancel_scope.cancel()
+
+    async def find_phase(self, phase):
+        """Wait until a connection is in a phase, and return it."""
+        with trio.fail_after(5.0):
+            while True:
+                for holding in self.ledger._holdings:
+                    if holding.phase is phase:
+                        return holding
+                await trio.sleep(0.01)
+
+
+async def fill_socket(request, responder):
+    """Answer, then write until the client's socket and this one take no more."""
+    await responder.send(200, b"")
+    fileno = responder._stream.socket.fileno()
+    for size in (65_536, 1, 65_536, 1):
+        try:
+            while True:
+                os.write(fileno, b"x" * size)
+        except BlockingIOError:
+            await trio.sleep(0.1)
+
+
+@behave.given("a listener whose handler fills the socket of its client")
+def step_filling(context):
+    context.listener = Listener(fill_socket)
+
+
+@behave.when("a client sends a request and garbage, and reads nothing")
+def step_garbage(context):
+    context.data = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n" + b"garbage\r\n\r\n"
+
+
+@behave.when("the listener needs its place")
+def step_place(context):
+    listener = context.listener
+
+    async def run(port):
+        """Ask for a place while the refusal waits for its client."""
+        stream = await trio.open_tcp_stream(HOST, port)
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+        await stream.send_all(context.data)
+        await listener.find_phase(ledger.Phase.BLOCKED)
+        context.made = listener.ledger.make_place(
+            "callers", trio.current_time() + LATER_SECONDS
+        )
+        with trio.move_on_after(1.0):
+            while listener.ledger.connections:
+                await trio.sleep(0.01)
+        context.connections = listener.ledger.connections
+        context.held = listener.ledger.held_bytes
+        await trio.aclose_forcefully(stream)
+
+    trio.run(listener.serve, run)
+
+
+@behave.then("its connection ends within 1 second, and the ledger is empty")
+def step_ended(context):
+    assert context.made
+    assert (context.connections, context.held) == (0, 0), context.connections
