Give each listener its own turns while memory is short

All listeners shared one turn, first come first served, so that bodies and heads over 4 KB of other nodes waited behind all bodies of a crowd of callers and got 503.

--- a/src/jujubepass/transport/_intake_gate.py
+++ b/src/jujubepass/transport/_intake_gate.py
@@ -1,5 +1,7 @@
 """Gate that lets connections read in turn while the process is short of memory."""
 
+import collections
+
 import trio
 
 from jujubepass.intake import ledger
@@ -18,18 +20,26 @@
 
 
 class Gate:
-    """Let connections read, or one after another above the ledger's bound."""
+    """Let connections read, or one after another above the ledger's bound.
+
+    Each listener has its own turns: those of callers would otherwise make other nodes
+    wait behind any number of their bodies.
+    """
 
     def __init__(self, *, ledger: _Ledger) -> None:
         self.ledger = ledger
         self.parsing = trio.Lock()
         """Held while many small chunks are decoded, for one connection at a time."""
-        self._turn = trio.Lock()
-        self._owner: _Holding | None = None
+        self._turns: dict[str, trio.Lock] = collections.defaultdict(trio.Lock)
+        self._owners: dict[str, _Holding] = {}
+
+    def _has_turn(self, holding: _Holding) -> bool:
+        """Return whether a connection is the one of its listener that may read."""
+        return self._owners.get(holding.listener) is holding
 
     async def wait_readable(self, fileno: int, holding: _Holding) -> None:
         """Wait for data; raise RejectedInputError if it has the turn and sends none."""
-        if self._owner is not holding:
+        if not self._has_turn(holding):
             await trio.lowlevel.wait_readable(fileno)
             return
         self.ledger.shed_stalled(trio.current_time())
@@ -46,14 +56,14 @@
 
     async def wait_for_turn(self, holding: _Holding, body_bytes: int) -> None:
         """Wait until a connection may read although the process is short of memory."""
-        if self._owner is holding and self.ledger.has_room(body_bytes):
+        if self._has_turn(holding) and self.ledger.has_room(body_bytes):
             return
         holding.is_waiting = True
         try:
             self.ledger.shed_stalled(trio.current_time())
-            if self._owner is not holding:
-                await self._turn.acquire()
-                self._owner = holding
+            if not self._has_turn(holding):
+                await self._turns[holding.listener].acquire()
+                self._owners[holding.listener] = holding
             # What has its turn is not shed in favour of those behind it.
             holding.is_waiting = False
             while not self.ledger.has_room(body_bytes):
@@ -69,6 +79,6 @@
 
     def end_turn(self, holding: _Holding) -> None:
         """End the turn of a connection, if it has it."""
-        if self._owner is holding:
-            self._owner = None
-            self._turn.release()
+        if self._has_turn(holding):
+            del self._owners[holding.listener]
+            self._turns[holding.listener].release()
--- a/tests/features/intake.feature
+++ b/tests/features/intake.feature
@@ -100,5 +100,11 @@
     And the listener needs its place
     Then its connection ends within 1 second, and the ledger is empty
 
+  # Guards against other nodes that wait behind a crowd of callers.
+  Scenario: Each listener has its own turns while memory is short
+    Given a gate with a bound of 1 MB that 1 connection of callers has reached
+    When it has its turn, and others of callers and of other nodes wait for theirs
+    Then only the connection of the other node goes on, within 0.3 seconds
+
   Scenario: The limits of a VM are settings
     Then docs/forwarding-settings.md names each setting of the section limits
--- a/tests/features/steps/intake_listener_steps.py
+++ b/tests/features/steps/intake_listener_steps.py
@@ -11,6 +11,7 @@
 HOST = processes.HOST
 # Longer than a client may leave a response unread.
 LATER_SECONDS = 10.0
+MEGABYTE = 1_000_000
 
 
 class Listener:
@@ -89,3 +90,42 @@
 def step_ended(context):
     assert context.made
     assert (context.connections, context.held) == (0, 0), context.connections
+
+
+@behave.given("a gate with a bound of 1 MB that 1 connection of callers has reached")
+def step_gate(context):
+    context.gate = _intake_gate.Gate(ledger=ledger.Ledger(bound_bytes=MEGABYTE))
+
+
+@behave.when(
+    "it has its turn, and others of callers and of other nodes wait for theirs"
+)
+def step_turns(context):
+    gate = context.gate
+    context.went_on = []
+
+    async def wait(listener):
+        """Wait for a turn as a connection that holds a small body."""
+        holding = gate.ledger.open("1.1.1.1", listener, trio.current_time())
+        gate.ledger.set_held(holding, 8_192)
+        await gate.wait_for_turn(holding, MEGABYTE)
+        context.went_on.append(listener)
+
+    async def run():
+        """Hold the turn of callers while the others wait."""
+        owner = gate.ledger.open("1.1.1.1", "callers", trio.current_time())
+        owner.enter(ledger.Phase.RECEIVING, trio.current_time())
+        gate.ledger.set_held(owner, MEGABYTE)
+        await gate.wait_for_turn(owner, MEGABYTE)
+        async with trio.open_nursery() as nursery:
+            for listener in ("callers", "callers", "relay"):
+                nursery.start_soon(wait, listener)
+            await trio.sleep(0.3)
+            nursery.cancel_scope.cancel()
+
+    trio.run(run)
+
+
+@behave.then("only the connection of the other node goes on, within 0.3 seconds")
+def step_went_on(context):
+    assert context.went_on == ["relay"], context.went_on
