Receive chunked bodies within the limit in force

The limit of a chunked body was the one at the time at which its connection became idle: after a configuration that raised it, such bodies on kept connections got 413. intake.feature: the new scenario fails before, 21 scenarios pass.

--- a/src/jujubepass/transport/_http_input.py
+++ b/src/jujubepass/transport/_http_input.py
@@ -105,12 +105,14 @@
         self._connection.receive_data(data)
 
     async def receive_body(
-        self, head: h11.Request, max_trailer_bytes: int
+        self, head: h11.Request, max_trailer_bytes: int, max_body_bytes: int
     ) -> bytes | None:
         """Return the whole body, or None if the connection ended before.
 
         Raises RejectedInputError.
         """
+        # The limit may have changed since the connection became idle.
+        self._max_body_bytes = max_body_bytes
         fields = dict(head.headers)
         if b"transfer-encoding" in fields:
             return await self._receive_chunks(max_trailer_bytes)
--- a/src/jujubepass/transport/_http_server.py
+++ b/src/jujubepass/transport/_http_server.py
@@ -338,7 +338,9 @@
         """Return the whole body; None if the connection ended before."""
         limits = self.limits
         with trio.move_on_after(limits.receive_timeout_seconds):
-            return await source.receive_body(head, limits.header_bytes)
+            return await source.receive_body(
+                head, limits.header_bytes, limits.body_bytes
+            )
         raise self._make_late(source)
 
     def _make_late(self, source: _http_input.Input) -> _rejections.RejectedInputError:
--- a/tests/features/intake.feature
+++ b/tests/features/intake.feature
@@ -106,5 +106,11 @@
     When it has its turn, and others of callers and of other nodes wait for theirs
     Then only the connection of the other node goes on, within 0.3 seconds
 
+  # Guards against limits that hold from the time at which a connection became idle.
+  Scenario: A chunked body on an idle connection has the limit in force
+    Given a listener with a limit of 1000 bytes for a body
+    When its limit becomes 5000 bytes while a client is connected
+    Then a chunked body of 4000 bytes of that client gets 200
+
   Scenario: The limits of a VM are settings
     Then docs/forwarding-settings.md names each setting of the section limits
--- a/tests/features/steps/intake_listener_steps.py
+++ b/tests/features/steps/intake_listener_steps.py
@@ -129,3 +129,39 @@
 @behave.then("only the connection of the other node goes on, within 0.3 seconds")
 def step_went_on(context):
     assert context.went_on == ["relay"], context.went_on
+
+
+async def answer(request, responder):
+    """Answer with the size of the body."""
+    await responder.send(200, str(len(request.body)).encode())
+
+
+@behave.given("a listener with a limit of {size:d} bytes for a body")
+def step_limit(context, size):
+    limits = _http_server.ServerLimits(body_bytes=size)
+    context.listener = Listener(answer, limits=limits)
+
+
+@behave.when("its limit becomes {size:d} bytes while a client is connected")
+def step_new_limit(context, size):
+    context.new_limits = _http_server.ServerLimits(body_bytes=size)
+
+
+@behave.then("a chunked body of {size:d} bytes of that client gets {status:d}")
+def step_chunked(context, size, status):
+    listener = context.listener
+
+    async def run(port):
+        """Change the limits once the connection is idle, then send a body."""
+        stream = await trio.open_tcp_stream(HOST, port)
+        await listener.find_phase(ledger.Phase.IDLE)
+        await trio.sleep(0.1)
+        listener.server.limits = context.new_limits
+        head = b"POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n"
+        chunk = b"%x\r\n%s\r\n0\r\n\r\n" % (size, b"x" * size)
+        await stream.send_all(head + chunk)
+        context.received = bytes(await stream.receive_some(65_536))
+        await stream.aclose()
+
+    trio.run(listener.serve, run)
+    assert context.received.startswith(b"HTTP/1.1 %d" % status), context.received
