--- a/src/jujubepass/transport/_intake_gate.py
+++ b/src/jujubepass/transport/_intake_gate.py
@@ -39,6 +39,9 @@
 
     async def wait_readable(self, fileno: int, holding: _Holding) -> None:
         """Wait for data; raise RejectedInputError if it has the turn and sends none."""
+        if not self.ledger.is_over:
+            # The shortage has ended: a client may pause as at other times.
+            self.end_turn(holding)
         if not self._has_turn(holding):
             await trio.lowlevel.wait_readable(fileno)
             return
@@ -46,8 +49,11 @@
         with trio.move_on_after(_MAX_TURN_SILENCE_SECONDS):
             await trio.lowlevel.wait_readable(fileno)
             return
-        self.ledger.record_shed("memory_turn", trio.current_time())
-        raise _rejections.make_short_of_memory()
+        if self.ledger.is_over:
+            self.ledger.record_shed("memory_turn", trio.current_time())
+            raise _rejections.make_short_of_memory()
+        self.end_turn(holding)
+        await trio.lowlevel.wait_readable(fileno)
 
     def admits_small(self, holding: _Holding) -> bool:
         """Return whether a connection holds so little that it needs no turn."""
--- a/tests/features/intake.feature
+++ b/tests/features/intake.feature
@@ -112,5 +112,11 @@
     When its limit becomes 5000 bytes while a client is connected
     Then a chunked body of 4000 bytes of that client gets 200
 
+  # Guards against refusals for want of memory that is there again.
+  Scenario: A client that pauses in its turn goes on once the shortage has ended
+    Given a gate with a bound of 1 MB that 1 connection of callers has reached
+    When memory is free again after it got its turn, and it pauses for 0.8 seconds
+    Then it goes on, and meanwhile another connection had the turn
+
   Scenario: The limits of a VM are settings
     Then docs/forwarding-settings.md names each setting of the section limits
--- a/tests/features/steps/intake_listener_steps.py
+++ b/tests/features/steps/intake_listener_steps.py
@@ -5,7 +5,7 @@
 import trio
 
 from jujubepass.intake import bounds, ledger
-from jujubepass.transport import _http_server, _intake_gate
+from jujubepass.transport import _http_server, _intake_gate, _rejections
 from standins import processes
 
 HOST = processes.HOST
@@ -165,3 +165,47 @@
 
     trio.run(listener.serve, run)
     assert context.received.startswith(b"HTTP/1.1 %d" % status), context.received
+
+
+@behave.when(
+    "memory is free again after it got its turn, and it pauses for {seconds:g} seconds"
+)
+def step_pause(context, seconds):
+    gate = context.gate
+    context.refusal = None
+
+    async def run():
+        """Wait for data of a connection that has the turn."""
+        first, second = socket.socketpair()
+        owner = gate.ledger.open("1.1.1.1", "callers", trio.current_time())
+        other = gate.ledger.open("1.1.1.1", "callers", trio.current_time())
+        gate.ledger.set_held(owner, MEGABYTE)
+        async with trio.open_nursery() as nursery:
+
+            async def wait():
+                """Get the turn, free memory, and record whether the client goes on."""
+                await gate.wait_for_turn(owner, MEGABYTE)
+                gate.ledger.set_held(owner, 8_192)
+                try:
+                    await gate.wait_readable(first.fileno(), owner)
+                except _rejections.RejectedInputError as error:
+                    context.refusal = error
+                gate.end_turn(owner)
+
+            nursery.start_soon(wait)
+            await trio.sleep(seconds)
+            gate.ledger.set_held(other, MEGABYTE)
+            with trio.move_on_after(0.3) as scope:
+                await gate.wait_for_turn(other, MEGABYTE)
+            context.is_stuck = scope.cancelled_caught
+            second.send(b"x")
+        first.close()
+        second.close()
+
+    trio.run(run)
+
+
+@behave.then("it goes on, and meanwhile another connection had the turn")
+def step_goes_on(context):
+    assert context.refusal is None, context.refusal
+    assert not context.is_stuck
