Count what is read ahead while a request runs

Up to 8 KB for each running request were counted only once the request had ended. intake.feature: the new scenario fails before, 23 scenarios pass.

--- a/src/jujubepass/transport/_http_input.py
+++ b/src/jujubepass/transport/_http_input.py
@@ -224,6 +224,8 @@
                 if data == b"":
                     return
                 self.pending += data or b""
+                held = len(self.pending) + self._body_bytes
+                self._gate.ledger.set_held(self._holding, held)
             await _socket_io.wait_for_close(self._stream)
         except trio.BrokenResourceError:
             return
--- a/tests/features/intake.feature
+++ b/tests/features/intake.feature
@@ -118,5 +118,11 @@
     When memory is free again after it got its turn, and it pauses for 0.8 seconds
     Then it goes on, and meanwhile another connection had the turn
 
+  # Guards against read-ahead of many running requests that no bound counts.
+  Scenario: What is read ahead while a request runs is counted
+    Given a listener whose handler does not answer
+    When a client sends a request, and 3000 more bytes while it runs
+    Then the ledger counts the 3000 bytes
+
   Scenario: The limits of a VM are settings
     Then docs/forwarding-settings.md names each setting of the section limits
--- a/tests/features/steps/intake_listener_steps.py
+++ b/tests/features/steps/intake_listener_steps.py
@@ -209,3 +209,37 @@
 def step_goes_on(context):
     assert context.refusal is None, context.refusal
     assert not context.is_stuck
+
+
+async def wait_forever(request, responder):
+    """Answer nothing."""
+    await trio.sleep_forever()
+
+
+@behave.given("a listener whose handler does not answer")
+def step_silent(context):
+    context.listener = Listener(wait_forever)
+
+
+@behave.when("a client sends a request, and {count:d} more bytes while it runs")
+def step_more(context, count):
+    listener = context.listener
+
+    async def run(port):
+        """Send more once the request runs; wait until it is counted."""
+        stream = await trio.open_tcp_stream(HOST, port)
+        await stream.send_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+        await listener.find_phase(ledger.Phase.RUNNING)
+        await stream.send_all(b"x" * count)
+        with trio.move_on_after(1.0):
+            while listener.ledger.held_bytes < ledger.CONNECTION_BYTES + count:
+                await trio.sleep(0.01)
+        context.held = listener.ledger.held_bytes
+        await stream.aclose()
+
+    trio.run(listener.serve, run)
+
+
+@behave.then("the ledger counts the {count:d} bytes")
+def step_counted(context, count):
+    assert context.held == ledger.CONNECTION_BYTES + count, context.held
