--- a/tests/features/intake.feature
+++ b/tests/features/intake.feature
@@ -93,5 +93,36 @@
     Then the first one gets 503 with Retry-After, and the other one 200
     And only the second request has run, and the ledger is empty
 
+  # Guards against places that are taken for ever by clients that read no refusal.
+  Scenario: A connection whose refusal is not read can be shed
+    Given a listener whose handler fills the socket of its client
+    When a client sends a request and garbage, and reads nothing
+    And the listener needs its place
+    Then its connection ends within 1 second, and the ledger is empty
+
+  # Guards against other nodes that wait behind a crowd of callers.
+  Scenario: Each listener has its own turns while memory is short
+    Given a gate with a bound of 1 MB that 1 connection of callers has reached
+    When it has its turn, and others of callers and of other nodes wait for theirs
+    Then only the connection of the other node goes on, within 0.3 seconds
+
+  # Guards against limits that hold from the time at which a connection became idle.
+  Scenario: A chunked body on an idle connection has the limit in force
+    Given a listener with a limit of 1000 bytes for a body
+    When its limit becomes 5000 bytes while a client is connected
+    Then a chunked body of 4000 bytes of that client gets 200
+
+  # Guards against refusals for want of memory that is there again.
+  Scenario: A client that pauses in its turn goes on once the shortage has ended
+    Given a gate with a bound of 1 MB that 1 connection of callers has reached
+    When memory is free again after it got its turn, and it pauses for 0.8 seconds
+    Then it goes on, and meanwhile another connection had the turn
+
+  # Guards against read-ahead of many running requests that no bound counts.
+  Scenario: What is read ahead while a request runs is counted
+    Given a listener whose handler does not answer
+    When a client sends a request, and 3000 more bytes while it runs
+    Then the ledger counts the 3000 bytes
+
   Scenario: The limits of a VM are settings
     Then docs/forwarding-settings.md names each setting of the section limits
