--- /dev/null
+++ b/src/jujubepass/pace/__init__.py
@@ -0,0 +1,1 @@
+"""Slow start of servers that have just started or recovered."""
