--- a/src/jujubepass/forwarding/engine_choice.py
+++ b/src/jujubepass/forwarding/engine_choice.py
@@ -272,6 +272,15 @@
             if name in listed and listed[name].started_at == started_at
         }
 
+    @property
+    def running(self) -> collections.abc.Mapping[ids.BackendServerId, int]:
+        """Return this node's requests by engine."""
+        return self._running
+
+    def list_names(self, service: declarations.Service) -> set[ids.BackendServerId]:
+        """Return the names of a service's engines."""
+        return {each.name for each in self._list_engines(service, frozenset())}
+
     def record_start(self, pipeline: pipelines.Pipeline) -> None:
         """Count a request on its engines, in the prefill phase."""
         self.attempts[pipeline.stages[0].engine] += 1
