Connect the pace of servers where a service uses the shared view

Requests went to a server that had just been listed as to any other. Where pacing.Pacing.uses_view says so, which nothing does by default, pipelines begin at engines with a place first, and plain servers without one come behind the others. Answers, rejections and failures reach the pace from the sender and from streams.

--- a/src/jujubepass/forwarding/engine_controllers.py
+++ b/src/jujubepass/forwarding/engine_controllers.py
@@ -15,6 +15,7 @@
     homes,
     moves,
     ordering,
+    pacing,
     permit_home,
     permits,
     pipeline_claims,
@@ -33,6 +34,7 @@
 _BackendController = backend_list.BackendController
 _Evacuation = evacuation.Evacuation
 _Guard = guard.Guard
+_Pacing = pacing.Pacing
 _Permits = permits.Permits
 _Sharing = sharing.Sharing
 _Silences = silences.Silences
@@ -56,6 +58,7 @@
     quarantine: controller.Quarantine = attrs.field(init=False)
     sharing: _Sharing = attrs.field(init=False)
     guard: _Guard = attrs.field(init=False)
+    pacing: _Pacing = attrs.field(init=False)
     silences: _Silences = attrs.field(init=False)
     limits: request_limits.RequestLimits = attrs.field(init=False)
     permits: _Permits = attrs.field(init=False)
@@ -74,11 +77,13 @@
         self.silences = silences.Silences(area=area)
         self.limits = request_limits.RequestLimits(area=area)
         self.permits = self._make_permits(node_demand)
+        self.pacing = pacing.Pacing(blackboard=self.blackboard)
         self.signals = server_signals.ServerSignals(
             area=area,
             backend_list=self.backend_list,
             silences=self.silences,
             limits=self.limits,
+            pacing=self.pacing,
         )
         self.quarantine = controller.Quarantine(blackboard=self.blackboard)
         self.prober = probing.Prober(
@@ -147,5 +152,8 @@
             schedule_probe=self.stalls.schedule_probe,
         )
         self.claims = pipeline_claims.PipelineClaims(
-            choice=self.choice, permits=self.permits, guard=self.guard
+            choice=self.choice,
+            permits=self.permits,
+            guard=self.guard,
+            pacing=self.pacing,
         )
--- a/src/jujubepass/forwarding/metrics_page.py
+++ b/src/jujubepass/forwarding/metrics_page.py
@@ -12,6 +12,7 @@
     engine_choice,
     members,
     ordering,
+    pacing,
     server_signals,
 )
 from jujubepass.forwarding import measures as node_measures
@@ -146,6 +147,8 @@
         "backend",
         lambda: {str(name): n for name, n in signals.limits.attempts.items()},
     )
+    if signals.pacing is not None:
+        _add_paces(registry, signals.pacing)
     registry.add_labelled_gauge(
         "request_limits",
         "Requests a second that a backend server takes from all nodes together.",
@@ -154,6 +157,31 @@
     )
 
 
+def _add_paces(
+    registry: _metric_registry.Registry, server_paces: pacing.Pacing
+) -> None:
+    pace = server_paces.pace
+    registry.add_gauge(
+        "backends_starting",
+        "Backend servers in their slow start.",
+        lambda: len(pace.list_starting()),
+    )
+    registry.add_counter(
+        "slow_starts", "Slow starts of backend servers.", lambda: pace.begun
+    )
+    registry.add_counter(
+        "slow_starts_ended",
+        "Slow starts that ended as the server had its usual places, or without load.",
+        lambda: pace.ended,
+    )
+    registry.add_labelled_gauge(
+        "backend_places",
+        "Requests that a server in its slow start may have from this failure domain.",
+        "backend",
+        server_paces.list_places,
+    )
+
+
 def _add_permits(registry: _metric_registry.Registry, permits: _Permits) -> None:
     for name, description, counts in (
         (
--- a/src/jujubepass/forwarding/node.py
+++ b/src/jujubepass/forwarding/node.py
@@ -229,6 +229,7 @@
                     blackboard=self.blackboard,
                     suspects=self.suspects,
                     silences=self._engines.silences,
+                    pacing=self._engines.pacing,
                 ),
                 permits=self._engines.permits,
                 guard=self._engines.guard,
@@ -356,6 +357,7 @@
             area = self.blackboard.backends
             while area.restarted:
                 self.suspects.clear(area.restarted.pop())
+            self._engines.pacing.update(clocks.read_boot_clock())
             self._readiness.check()
             self._reloader.check(clocks.read_boot_clock())
             self._update_budgets()
--- a/src/jujubepass/forwarding/pipeline_claims.py
+++ b/src/jujubepass/forwarding/pipeline_claims.py
@@ -12,16 +12,19 @@
     declarations,
     engine_choice,
     exchange,
+    pacing,
     permits,
     pipelines,
     stream_progress,
     stream_refusals,
     stream_timeouts,
+    watched_streams,
 )
 from jujubepass.quarantine import guard
 
-# Alias, because a field has the same name as the module.
+# Aliases, because fields have the same names as the modules.
 _Guard = guard.Guard
+_Pacing = pacing.Pacing
 
 # Share of the stall time-out that a request waits for the repair of a pipeline.
 _PIPELINE_WAIT_SHARE = 0.6
@@ -35,6 +38,7 @@
     choice: engine_choice.EngineChoice
     permits: permits.Permits
     guard: _Guard
+    pacing: _Pacing | None = None
 
     async def wait_for_pipeline(
         self, admitted: exchange.Admitted, progress: stream_progress.Progress
@@ -91,11 +95,24 @@
     ) -> pipelines.Pipeline | None:
         service, avoided = admitted.service, progress.avoided
         choose = functools.partial(self.choice.choose, service, now, closed=closed)
+        paced = self._list_paced(service, now)
+        allowed = (entries or self.choice.list_names(service)) - paced if paced else ()
+        # An engine without pace starts a pipeline only where nothing else is left.
+        pipeline = choose(avoided, allowed) if allowed else None
+        if pipeline is not None:
+            return pipeline
         pipeline = choose(avoided, entries)
         if pipeline is None and avoided:
             pipeline = choose(entries=entries)
         return pipeline
 
+    def _list_paced(
+        self, service: declarations.Service, now: float
+    ) -> set[ids.BackendServerId]:
+        if self.pacing is None:
+            return set()
+        return self.pacing.list_closed(service.name, self.choice.running, now)
+
     def _is_limited(self, service: declarations.Service, now: float) -> bool:
         """Return whether only request limits keep pipelines from being used."""
         closed = self.permits.list_closed(now)
@@ -131,6 +148,17 @@
         service, avoided = admitted.service, progress.avoided
         return self.choice.choose(service, now, avoided, {first})
 
+    def record_first_event(self, stream: watched_streams.WatchedStream) -> None:
+        """Record the time in which the first event of a stream came."""
+        if self.pacing is not None:
+            seconds = stream.first_data_at - stream.began_at
+            self.pacing.record_first_event(stream.pipeline, seconds)
+
+    def record_rejected(self, engine: ids.BackendServerId) -> None:
+        """Record that an engine rejected a request for lack of room."""
+        if self.pacing is not None:
+            self.pacing.record_rejected(engine)
+
     def refuse_without_pipeline(self, admitted: exchange.Admitted) -> admission.Refusal:
         """Return the refusal of a request that has no pipeline."""
         now = clocks.read_boot_clock()
--- a/src/jujubepass/forwarding/probing.py
+++ b/src/jujubepass/forwarding/probing.py
@@ -232,6 +232,8 @@
             self.on_run_ended(name, backend.started_at, clocks.read_boot_clock())
         signals = exchange.Signals(is_leaving=report.is_leaving, limit=report.limit)
         self.signals.record(name, backend.started_at, signals)
+        if name in self.suspects.list_unresponsive():
+            self.signals.record_recovered(name)
         self.suspects.record_response(name)
         self.slowdowns.record_slowdown(name, report.slowdown, clocks.read_boot_clock())
         return report
--- a/src/jujubepass/forwarding/sending.py
+++ b/src/jujubepass/forwarding/sending.py
@@ -11,6 +11,8 @@
 
 _LOGGER = logging.getLogger(__name__)
 
+_FIRST_FAILING = 500
+
 
 class AttemptError(Exception):
     """Signal that an attempt has no usable answer."""
@@ -62,9 +64,8 @@
         A failure while the answer is being read also raises OutcomeUnknownError.
         """
         started_at = self.signals.find_run(attempt.backend)
-        self.signals.limits.record_attempt(
-            request.request_id, attempt.backend, clocks.read_boot_clock()
-        )
+        sent_at = clocks.read_boot_clock()
+        self.signals.limits.record_attempt(request.request_id, attempt.backend, sent_at)
         try:
             async with self.client.open(
                 request.method,
@@ -80,14 +81,29 @@
                 )
                 if head.kind is not exchange.AnswerKind.MISMATCHED:
                     self.signals.record(attempt.backend, started_at, head)
+                self._record_pace(attempt, head, sent_at)
                 _check_run(head)
                 yield head, answer
         except _http_client.NotSentError as error:
+            self.signals.record_failed(attempt.backend)
             has_ended = isinstance(error, _http_client.RefusedConnectionError)
             raise NotRunError(detail=str(error), has_ended=has_ended) from error
         except _http_client.ClientError as error:
+            self.signals.record_failed(attempt.backend)
             raise OutcomeUnknownError(str(error)) from error
 
+    def _record_pace(
+        self, attempt: exchange.Attempt, head: exchange.AnswerHead, sent_at: float
+    ) -> None:
+        """Record how a plain server answered; an error shows nothing of its load."""
+        if attempt.pipeline is not None:
+            return
+        if head.kind is exchange.AnswerKind.NOT_RUN:
+            self.signals.record_rejected(attempt.backend)
+        elif head.kind is exchange.AnswerKind.RAN and head.status < _FIRST_FAILING:
+            seconds = clocks.read_boot_clock() - sent_at
+            self.signals.record_answer(attempt.backend, seconds)
+
 
 def _check_run(head: exchange.AnswerHead) -> None:
     """Raise AttemptError unless the answer is that of a run."""
--- a/src/jujubepass/forwarding/server_signals.py
+++ b/src/jujubepass/forwarding/server_signals.py
@@ -8,10 +8,14 @@
     board,
     clocks,
     exchange,
+    pacing,
     request_limits,
     silences,
 )
 
+# Alias, because a field has the same name as the module.
+_Pacing = pacing.Pacing
+
 
 @attrs.define(kw_only=True)
 class ServerSignals:
@@ -21,6 +25,7 @@
     backend_list: backend_list.BackendController
     silences: silences.Silences
     limits: request_limits.RequestLimits
+    pacing: _Pacing | None = None
 
     def find_run(self, name: ids.BackendServerId) -> int | None:
         """Return the listed run of a server, which identifies it in later answers."""
@@ -70,3 +75,23 @@
             self.silences.record(
                 at_fault.name, at_fault.started_at, head.retry_after_seconds, now
             )
+
+    def record_answer(self, name: ids.BackendServerId, seconds: float) -> None:
+        """Record the time of a plain server's answer."""
+        if self.pacing is not None:
+            self.pacing.record_answer(name, seconds)
+
+    def record_rejected(self, name: ids.BackendServerId) -> None:
+        """Record that a plain server answered that it did not run a request."""
+        if self.pacing is not None:
+            self.pacing.record_rejected(name, is_plain=True)
+
+    def record_failed(self, name: ids.BackendServerId) -> None:
+        """Record that a server gave no answer that can be used."""
+        if self.pacing is not None:
+            self.pacing.record_failed(name)
+
+    def record_recovered(self, name: ids.BackendServerId) -> None:
+        """Record that a server that did not respond to probes responds again."""
+        if self.pacing is not None:
+            self.pacing.record_recovered(name)
--- a/src/jujubepass/forwarding/service_choice.py
+++ b/src/jujubepass/forwarding/service_choice.py
@@ -12,10 +12,14 @@
     backends,
     board,
     members,
+    pacing,
     silences,
     suspicion,
 )
 
+# Alias, because a field has the same name as the module.
+_Pacing = pacing.Pacing
+
 
 @attrs.define(kw_only=True)
 class ServiceChoice:
@@ -24,6 +28,7 @@
     blackboard: board.Blackboard
     suspects: suspicion.Suspects
     silences: silences.Silences
+    pacing: _Pacing | None = None
     running: collections.Counter[ids.BackendServerId] = attrs.field(
         factory=collections.Counter
     )
@@ -33,7 +38,9 @@
         """Count a request that runs at a server."""
         self.running[name] += 1
         try:
-            yield
+            sharing = contextlib.nullcontext()
+            with self.pacing.share_use(name) if self.pacing else sharing:
+                yield
         finally:
             self.running[name] -= 1
 
@@ -70,7 +77,7 @@
 
     def _rank(
         self, backend: backends.Backend, now: float
-    ) -> tuple[bool, bool, bool, int]:
+    ) -> tuple[bool, bool, bool, bool, int]:
         is_suspected = self.suspects.is_suspected(backend.name, now)
         is_remote = backend.failure_domain != self.blackboard.failure_domain
         running = self.running[backend.name]
@@ -78,4 +85,7 @@
         # this one does.
         neighbors = members.count_neighbors(self.blackboard)
         is_full = running * neighbors >= backend.slots
-        return is_suspected, is_full, is_remote, running
+        has_no_pace = self.pacing is not None and not self.pacing.is_open(
+            backend, running, now
+        )
+        return is_suspected, has_no_pace, is_full, is_remote, running
--- a/src/jujubepass/forwarding/stream_exchange.py
+++ b/src/jujubepass/forwarding/stream_exchange.py
@@ -295,6 +295,8 @@
             if not stream.has_begun:
                 self.choice.record_prefilled(stream.pipeline)
             stream.record_data()
+            if stream.chunks == 1:
+                self.claims.record_first_event(stream)
             lasted_seconds = stream.last_data_at - stream.first_data_at
             self.guard.record_data(progress.guarded, lasted_seconds=lasted_seconds)
             stream.is_forwarding = True
@@ -349,6 +351,7 @@
             )
             # The engine may also be dead; its report shows that.
             self.stalls.schedule_probe(stage.engine)
+            self.claims.record_rejected(stage.engine)
         elif error.has_ended:
             self.guard.record_refused_connection(progress.guarded, stage.engine)
         self.suspects.suspect(stage.engine, reason, now)
--- a/src/jujubepass/pace/starts.py
+++ b/src/jujubepass/pace/starts.py
@@ -10,11 +10,12 @@
 """Places of a run that rejects everything: one request finds out when it is warm."""
 QUIET_SECONDS = 10.0
 """A slow start without overload ends after this time."""
-# Other nodes learn of requests and rejections within half a second. Places double no
-# faster, so that no growth happens before the effect of the former one is known.
+# Other nodes learn of requests and rejections within half a second. Faster responses do
+# not make places grow faster, as the effect of growth is known only after that time.
 _LEAST_ROUND_SECONDS = 0.5
-# Places for each response in time. Until the first overload, places double in a round.
-# As the capacity may rise while the server warms up, they grow by half afterwards.
+# Places for each response in time. As new places give responses at once, places grow
+# 2.7-fold in a round until the first overload and 1.6-fold afterwards, when capacity
+# may still rise while the server warms up.
 _FAST_GAIN = 1.0
 _SLOW_GAIN = 0.5
 # Part of the places that is left after an overload. In a model of servers at 0.75 of
--- a/tests/features/steps/pace_steps.py
+++ b/tests/features/steps/pace_steps.py
@@ -235,7 +235,8 @@
 def step_shared(context):
     """Check the requests of all nodes against the places of one.
 
-    Nodes see each other's requests half a second late, in which places double at most.
+    Nodes see each other's requests half a second late, so that a place may be used by
+    two of them, the one that it belongs to and one that it is offered to.
     """
     for each in context.runs["pace"]:
         assert each.granted, "no slow start"
