--- a/src/jujubepass/forwarding/engine_controllers.py
+++ b/src/jujubepass/forwarding/engine_controllers.py
@@ -1,12 +1,16 @@
 """Controllers of engines: choice, probes, orders, moves and stalled streams."""
 
+import secrets
 import typing
 
 import attrs
 
+from jujubepass.capacity import controller as capacity_controller
+from jujubepass.capacity import datagrams
 from jujubepass.forwarding import (
     backend_list,
     board,
+    declarations,
     demand,
     engine_choice,
     engines,
@@ -28,9 +32,13 @@
     suspicion,
 )
 from jujubepass.quarantine import controller, guard, sharing
+from jujubepass.shortage import gate
+from jujubepass.spreading import only_service
 from jujubepass.storage import _table_client
+from jujubepass.transport import _http_client
 
 # Aliases, because fields have the same names as the modules.
+_Address = _http_client.Address
 _BackendController = backend_list.BackendController
 _Evacuation = evacuation.Evacuation
 _Guard = guard.Guard
@@ -39,6 +47,8 @@
 _Sharing = sharing.Sharing
 _Silences = silences.Silences
 
+_PROCESS_BITS = 32
+
 
 class HomeTransport(permits.Transport, home_leases.Transport, typing.Protocol):
     """Carry queries for permits and requests for votes to homes."""
@@ -55,6 +65,15 @@
     suspect_table: _table_client.Table
     secret_table: _table_client.Table
     permit_transport: HomeTransport
+    token: str = attrs.field(repr=False)
+    """Key of the datagrams for this node."""
+    address: _Address | None
+    """Where other nodes reach this one."""
+    has_queue: bool = False
+    """Whether model requests wait here for places, as the settings say."""
+    capacity: capacity_controller.CapacityController = attrs.field(init=False)
+    """What all nodes run on each engine."""
+    datagram_link: datagrams.DatagramLink = attrs.field(init=False)
     quarantine: controller.Quarantine = attrs.field(init=False)
     sharing: _Sharing = attrs.field(init=False)
     guard: _Guard = attrs.field(init=False)
@@ -69,11 +88,13 @@
     stalls: stall_watch.StallWatch = attrs.field(init=False)
     evacuation: _Evacuation = attrs.field(init=False)
     orders: ordering.OrderSender = attrs.field(init=False)
+    _places: only_service.OnlyServicePlaces = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         area = self.blackboard.backends
         tracker = slowdowns.SlowdownTracker()
         node_demand = demand.Demand()
+        self._share_use()
         self.silences = silences.Silences(area=area)
         self.limits = request_limits.RequestLimits(area=area)
         self.permits = self._make_permits(node_demand)
@@ -100,6 +121,9 @@
             slowdowns=tracker,
             silences=self.silences,
             demand=node_demand,
+            recorder=self.capacity.recorder,
+            view=self.capacity.view,
+            uses_view=self._uses_view,
         )
         self.orders = ordering.OrderSender(
             blackboard=self.blackboard, control=self.control, silences=self.silences
@@ -107,6 +131,17 @@
         self._watch_streams()
         self._share_suspects()
 
+    def _share_use(self) -> None:
+        self.capacity = capacity_controller.CapacityController(
+            blackboard=self.blackboard,
+            token=self.token,
+            process=secrets.randbits(_PROCESS_BITS),
+            has_address=self.address is not None,
+        )
+        self.datagram_link = datagrams.DatagramLink(
+            controller=self.capacity, address=self.address
+        )
+
     def _make_permits(self, node_demand: demand.Demand) -> _Permits:
         leases = home_leases.HomeLeases(
             order=homes.HomeOrder(blackboard=self.blackboard),
@@ -151,9 +186,38 @@
             trials=self.sharing,
             schedule_probe=self.stalls.schedule_probe,
         )
+        self._places = only_service.OnlyServicePlaces(
+            blackboard=self.blackboard, choice=self.choice
+        )
         self.claims = pipeline_claims.PipelineClaims(
             choice=self.choice,
             permits=self.permits,
             guard=self.guard,
             pacing=self.pacing,
+            shortage=gate.Gate(
+                uses_view=self._uses_queue,
+                view=self.capacity.view,
+                recorder=self.capacity.recorder,
+                places=self._places,
+                find_view_time=self._find_view_time,
+            ),
         )
+
+    def _uses_view(self, service: declarations.Service) -> bool:
+        return self.capacity.scope.is_needed(service.name)
+
+    def _uses_queue(self, service: declarations.Service) -> bool:
+        """Return whether requests of a service wait by their priorities.
+
+        Where all have the same one, an engine's own queue serves them as well.
+        """
+        return (
+            self.has_queue
+            and self._places.find_service() is not None
+            and self._uses_view(service)
+            and self.capacity.scope.has_priorities(service.name)
+        )
+
+    def _find_view_time(self, now: float) -> float | None:
+        age = self.capacity.view.find_age(now)
+        return None if age is None else now - age
--- a/src/jujubepass/forwarding/metrics_page.py
+++ b/src/jujubepass/forwarding/metrics_page.py
@@ -6,26 +6,34 @@
 import attrs
 
 from jujubepass import ids
+from jujubepass.capacity import metrics as capacity_metrics
 from jujubepass.forwarding import (
     board,
     clocks,
     engine_choice,
+    engine_controllers,
     members,
     ordering,
-    pacing,
+    pace_metrics,
     server_signals,
 )
 from jujubepass.forwarding import measures as node_measures
 from jujubepass.forwarding import permits as node_permits
+from jujubepass.intake import ledger as intake_ledger
 from jujubepass.limits import _retry_budget
 from jujubepass.quarantine import controller, suspects
 from jujubepass.relay import assembly
+from jujubepass.shortage import gate
 from jujubepass.telemetry import _metric_registry
 from jujubepass.transport import _http_client
 
-# Alias, because an argument has the same name as the module.
+# Aliases, because arguments have the same names as the modules.
+_Ledger = intake_ledger.Ledger
 _Permits = node_permits.Permits
 
+# Number of client accounts with a label of their own; there may be thousands.
+_MAX_LISTED_ACCOUNTS = 10
+
 
 @attrs.frozen(kw_only=True)
 class MetricsPage:
@@ -41,31 +49,36 @@
     measures: node_measures.Measures,
     blackboard: board.Blackboard,
     client: _http_client.Client,
-    orders: ordering.OrderSender,
-    choice: engine_choice.EngineChoice,
+    engines: engine_controllers.EngineControllers,
     budgets: collections.abc.Mapping[ids.ServiceId, _retry_budget.RetryBudget],
     relay: assembly.Relay,
-    signals: server_signals.ServerSignals,
-    permits: _Permits,
-    quarantine: controller.Quarantine,
+    ledger: _Ledger,
     count_eras: collections.abc.Callable[[], collections.abc.Mapping[str, int]],
     count_unreadable: collections.abc.Callable[[], collections.abc.Mapping[str, int]],
 ) -> MetricsPage:
     """Return all metrics in the Prometheus text format."""
     registry = _metric_registry.Registry(
         version=version,
-        distributions=(measures.request_times, measures.first_events),
+        distributions=(
+            measures.request_times,
+            measures.first_events,
+            engines.claims.shortage.measures.waits,
+        ),
     )
     _add_requests(registry, measures)
-    _add_calls(registry, client, orders, choice)
-    _add_signals(registry, signals)
-    _add_permits(registry, permits)
-    _add_suspects(registry, quarantine)
+    _add_calls(registry, client, engines.orders, engines.choice)
+    _add_spreading(registry, engines.choice)
+    _add_signals(registry, engines.signals)
+    _add_permits(registry, engines.permits)
+    _add_suspects(registry, engines.quarantine)
+    capacity_metrics.add_capacity(registry, engines.capacity, engines.datagram_link)
+    _add_shortage(registry, engines.claims.shortage)
     _add_relay(registry, relay)
     _add_store(registry, count_unreadable, count_eras)
     _add_budgets(registry, budgets)
     _add_members(registry, blackboard)
     _add_configuration(registry, blackboard)
+    _add_intake(registry, ledger)
     return MetricsPage(
         content_type=_metric_registry.CONTENT_TYPE, data=registry.expose()
     )
@@ -104,6 +117,28 @@
     )
 
 
+def _add_spreading(
+    registry: _metric_registry.Registry, choice: engine_choice.EngineChoice
+) -> None:
+    registry.add_labelled_gauge(
+        "free_places",
+        "Requests that first engines take beside those that run, as known here.",
+        "domain",
+        lambda: choice.count_free_places(clocks.read_boot_clock()),
+    )
+    registry.add_labelled_counter(
+        "spilled_requests",
+        "Requests sent to another failure domain for lack of places in this one.",
+        "domain",
+        lambda: {
+            str(name): count
+            for name, count in (
+                choice.shared.spill.spilled if choice.shared else {}
+            ).items()
+        },
+    )
+
+
 def _add_store(
     registry: _metric_registry.Registry,
     count_unreadable: collections.abc.Callable[[], collections.abc.Mapping[str, int]],
@@ -148,7 +183,7 @@
         lambda: {str(name): n for name, n in signals.limits.attempts.items()},
     )
     if signals.pacing is not None:
-        _add_paces(registry, signals.pacing)
+        pace_metrics.add_paces(registry, signals.pacing)
     registry.add_labelled_gauge(
         "request_limits",
         "Requests a second that a backend server takes from all nodes together.",
@@ -157,31 +192,6 @@
     )
 
 
-def _add_paces(
-    registry: _metric_registry.Registry, server_paces: pacing.Pacing
-) -> None:
-    pace = server_paces.pace
-    registry.add_gauge(
-        "backends_starting",
-        "Backend servers in their slow start.",
-        lambda: len(pace.list_starting()),
-    )
-    registry.add_counter(
-        "slow_starts", "Slow starts of backend servers.", lambda: pace.begun
-    )
-    registry.add_counter(
-        "slow_starts_ended",
-        "Slow starts that ended as the server had its usual places, or without load.",
-        lambda: pace.ended,
-    )
-    registry.add_labelled_gauge(
-        "backend_places",
-        "Requests that a server in its slow start may have from this failure domain.",
-        "backend",
-        server_paces.list_places,
-    )
-
-
 def _add_permits(registry: _metric_registry.Registry, permits: _Permits) -> None:
     for name, description, counts in (
         (
@@ -268,6 +278,37 @@
     return sum(isinstance(key, kind) for key in keys)
 
 
+def _add_shortage(registry: _metric_registry.Registry, shortage: gate.Gate) -> None:
+    registry.add_labelled_gauge(
+        "shortage_waiting",
+        "Model requests that wait here for a place.",
+        "priority",
+        shortage.count_waiting,
+    )
+    registry.add_labelled_counter(
+        "shortage_refusals",
+        "Model requests refused for want of places.",
+        "priority",
+        lambda: {str(key): n for key, n in shortage.measures.refusals.items()},
+    )
+    registry.add_counter(
+        "shortage_starts_ahead",
+        "Starts ahead of more urgent requests, lest a priority or account starves.",
+        lambda: shortage.measures.starts_ahead,
+    )
+    registry.add_labelled_gauge(
+        "shortage_account_share",
+        "Shares of starts in 10 s, of the accounts with most and of the others.",
+        "account",
+        lambda: shortage.queue.fairness.list_shares(_MAX_LISTED_ACCOUNTS),
+    )
+    registry.add_counter(
+        "shortage_invalid_values",
+        "Values of the view, places or declarations that the queue did not use.",
+        lambda: shortage.measures.invalid,
+    )
+
+
 def _add_relay(registry: _metric_registry.Registry, relay: assembly.Relay) -> None:
     for name, description, label, read in (
         ("store_reads", "Reads of the store's feeds.", "feed", relay.count_reads),
@@ -346,3 +387,31 @@
     registry.add_gauge(
         "backend_servers", "Listed.", lambda: len(blackboard.backends.listed)
     )
+
+
+def _add_intake(registry: _metric_registry.Registry, ledger: _Ledger) -> None:
+    for name, description, read in (
+        (
+            "clients_held_bytes",
+            "Memory that clients make this node hold.",
+            lambda: ledger.held_bytes,
+        ),
+        (
+            "clients_held_peak_bytes",
+            "Most memory that clients have made it hold.",
+            lambda: ledger.peak_bytes,
+        ),
+        (
+            "clients_bound_bytes",
+            "Bound of that memory.",
+            lambda: ledger.bound_bytes,
+        ),
+        ("connections", "Open connections.", lambda: ledger.connections),
+    ):
+        registry.add_gauge(name, description, read)
+    registry.add_labelled_counter(
+        "connections_shed",
+        "Connections shed, or requests refused, for lack of memory or places.",
+        "reason",
+        lambda: dict(ledger.shed),
+    )
--- a/src/jujubepass/forwarding/stream_exchange.py
+++ b/src/jujubepass/forwarding/stream_exchange.py
@@ -10,6 +10,7 @@
 import trio
 
 from jujubepass import ids, reasons
+from jujubepass.capacity import own_use, view
 from jujubepass.forwarding import (
     admission,
     attempt_log,
@@ -56,6 +57,7 @@
     answers: stopping.RunningAnswers = attrs.field(factory=stopping.RunningAnswers)
     token_times: stopping.TokenTimes = attrs.field(factory=stopping.TokenTimes)
     random_source: random.Random = attrs.field(factory=random.Random)
+    recorder: view.Recorder = attrs.field(factory=own_use.NoRecorder)
 
     async def serve(
         self,
@@ -71,7 +73,10 @@
         )
         self.budgets[admitted.service.name].count_attempt(request.arrived_at)
         with self.answers.limit(admitted.deadline):
-            refusal = await self._run(request, admitted, reply, progress)
+            try:
+                refusal = await self._run(request, admitted, reply, progress)
+            finally:
+                self.claims.shortage.release(progress.entry)
             if refusal is not None:
                 self.guard.return_trial(progress.guarded)
                 await self._abort(refusal, reply)
@@ -116,7 +121,8 @@
                 progress.is_sent = False
                 self._record_refusal(request, pipeline, error, progress)
                 if not progress.has_refusals_left and not reply.started:
-                    return self._make_refusal(stream_refusals.FULL, progress)
+                    refusal = self.claims.refuse_full(progress)
+                    return self._make_refusal(refusal, progress)
                 await trio.sleep(progress.draw_delay(self.random_source))
             except (
                 sending.OutcomeUnknownError,
@@ -135,7 +141,9 @@
     ) -> pipelines.Pipeline | admission.Refusal:
         """Return a pipeline that takes the request now, or why there is none."""
         while True:
-            found = await self.claims.wait_for_pipeline(admitted, progress)
+            found = await self.claims.wait_for_pipeline(request, admitted, progress)
+            if isinstance(found, admission.Refusal):
+                return found
             refusal = await self.guard.claim(progress.guarded, has_server=bool(found))
             if refusal is None:
                 refusal = self._check_attempt(request, admitted, found, progress)
@@ -225,6 +233,7 @@
         reply.record_attempt(first.engine)
         with self._watch(request, admitted, pipeline, progress) as stream:
             self.choice.record_start(pipeline)
+            self.choice.record_spill(pipeline, now)
             try:
                 with self.guard.watch(
                     progress.guarded, pipeline.engines, scope=stream.scope
@@ -292,11 +301,7 @@
             # Bytes that complete no event are no progress, and may come without end.
             if not found and fault is None:
                 continue
-            if not stream.has_begun:
-                self.choice.record_prefilled(stream.pipeline)
-            stream.record_data()
-            if stream.chunks == 1:
-                self.claims.record_first_event(stream)
+            self.claims.record_data(stream)
             lasted_seconds = stream.last_data_at - stream.first_data_at
             self.guard.record_data(progress.guarded, lasted_seconds=lasted_seconds)
             stream.is_forwarding = True
@@ -326,6 +331,7 @@
             return
         if not reply.started:
             self.observe_first_event(clocks.read_boot_clock() - request.arrived_at)
+            self.claims.shortage.record_first_event(progress.entry)
             await reply.start(head)
         progress.events += len(new)
         progress.last_id = new[-1].identity or progress.last_id
@@ -349,13 +355,18 @@
             stage = next(
                 (each for each in pipeline.stages if each.address == at_fault), stage
             )
+            if stream_refusals.is_for_room(error.head):
+                self.recorder.record_full(stage.engine, now)
             # The engine may also be dead; its report shows that.
             self.stalls.schedule_probe(stage.engine)
+            self.choice.record_full(stage.engine, now)
             self.claims.record_rejected(stage.engine)
         elif error.has_ended:
             self.guard.record_refused_connection(progress.guarded, stage.engine)
         self.suspects.suspect(stage.engine, reason, now)
         progress.record_refusal(stage.engine)
+        # The place that the request waited for was none.
+        self.claims.shortage.release(progress.entry, is_free=False)
         self.count_retry(reasons.RetryReason.ENGINE_FULL)
         detail = f"{stage.engine}: {error}"
         attempt_log.log_not_run(request, pipeline, detail, events=progress.events)
