Connect the pace of servers to the shared view by a setting

Servers had no pace, as nothing told Pacing which services share a view. [pace] slow_start, off by default, passes it the view, the recorder and the scope of the view.

--- a/src/jujubepass/forwarding/engine_controllers.py
+++ b/src/jujubepass/forwarding/engine_controllers.py
@@ -71,6 +71,8 @@
     """Where other nodes reach this one."""
     has_queue: bool = False
     """Whether model requests wait here for places, as the settings say."""
+    has_slow_start: bool = False
+    """Whether servers that have started have a pace, as the settings say."""
     capacity: capacity_controller.CapacityController = attrs.field(init=False)
     """What all nodes run on each engine."""
     datagram_link: datagrams.DatagramLink = attrs.field(init=False)
@@ -98,7 +100,7 @@
         self.silences = silences.Silences(area=area)
         self.limits = request_limits.RequestLimits(area=area)
         self.permits = self._make_permits(node_demand)
-        self.pacing = pacing.Pacing(blackboard=self.blackboard)
+        self.pacing = self._make_pacing()
         self.signals = server_signals.ServerSignals(
             area=area,
             backend_list=self.backend_list,
@@ -142,6 +144,14 @@
             controller=self.capacity, address=self.address
         )
 
+    def _make_pacing(self) -> _Pacing:
+        made = pacing.Pacing(blackboard=self.blackboard)
+        if self.has_slow_start:
+            made.uses_view = self.capacity.scope.is_needed
+            made.recorder = self.capacity.recorder
+            made.pace.view = self.capacity.view
+        return made
+
     def _make_permits(self, node_demand: demand.Demand) -> _Permits:
         leases = home_leases.HomeLeases(
             order=homes.HomeOrder(blackboard=self.blackboard),
--- a/src/jujubepass/forwarding/node.py
+++ b/src/jujubepass/forwarding/node.py
@@ -136,6 +136,7 @@
             token=self._relay.token,
             address=self.settings.listen.relay,
             has_queue=self.settings.shortage.queue,
+            has_slow_start=self.settings.pace.slow_start,
         )
         self._node_server = permit_links.NodeServer(
             rows=self._relay.server,
--- a/src/jujubepass/forwarding/settings.py
+++ b/src/jujubepass/forwarding/settings.py
@@ -105,6 +105,17 @@
     )
 
 
+@attrs.frozen(kw_only=True)
+class Pace:
+    """Configure how fast servers that have started or recovered get requests."""
+
+    slow_start: bool = _ini.key(
+        default=False,
+        meaning="whether such servers of services that use the shared view get only as"
+        " many requests at once as their responses allow",
+    )
+
+
 @attrs.frozen(kw_only=True)
 class Limits:
     """Contain the limits of the node's VM."""
@@ -134,6 +145,7 @@
     store: Store
     bounds: Bounds = attrs.field(factory=Bounds)
     shortage: Shortage = attrs.field(factory=Shortage)
+    pace: Pace = attrs.field(factory=Pace)
     limits: Limits = attrs.field(factory=Limits)
     log: node_settings.Log = attrs.field(factory=node_settings.Log)
 
--- a/tests/features/pace_choice.feature
+++ b/tests/features/pace_choice.feature
@@ -27,3 +27,17 @@
   Scenario: Engines listed before the first request have no slow start
     Given a fleet of engines with the shared view, planned and loaded at a cold start
     Then no engine is in its slow start
+
+  # Guards against a changed choice where the settings do not ask for it.
+  Scenario Outline: Servers have a slow start only where the settings say so
+    Given the settings of a node with "<lines>"
+    Then its new servers have a slow start: <has_slow_start>
+
+    Examples:
+      | lines                     | has_slow_start |
+      |                           | no             |
+      | [pace] slow_start = false | no             |
+      | [pace] slow_start = true  | yes            |
+
+  Scenario: The reference of a node's settings names the slow start
+    Then docs/forwarding-settings.md says that slow_start is false
