End the slow starts of other domains' servers after 10 seconds

Rejections prolonged them without end, as only responses to this node, which sends none, could end them; their places grew without bound until math.floor raised OverflowError in the choice of a pipeline. They end 10 s after they began.

--- a/src/jujubepass/forwarding/pacing.py
+++ b/src/jujubepass/forwarding/pacing.py
@@ -98,7 +98,7 @@
             return True
         if server.failure_domain != self.blackboard.failure_domain:
             # The nodes of its own failure domain start it.
-            return self.pace.find_places(server.name, math.inf, now) == math.inf
+            return not self.pace.is_settling(server.name, now)
         model = self._find_model(server.service)
         slots = model.slots if model is not None else server.slots
         return self.pace.may_send(server.name, own_running, slots, now)
--- a/src/jujubepass/pace/controller.py
+++ b/src/jujubepass/pace/controller.py
@@ -118,6 +118,17 @@
             return slots
         return min(slots, start.find_places(now))
 
+    def is_settling(self, server: ids.BackendServerId, now: float) -> bool:
+        """Return whether a server of another failure domain is to be spared here.
+
+        Rejections do not prolong this, as the responses that it gives to its own
+        domain are not known here.
+        """
+        start = self._starts.get(server)
+        if start is not None and now - start.began_at >= starts.QUIET_SECONDS:
+            self._end(server, start, now)
+        return server in self._starts
+
     def read_places(self, server: ids.BackendServerId, now: float) -> float | None:
         """Return the places of a slow start as they are, or None if there is none."""
         start = self._starts.get(server)
--- a/tests/features/pace_choice.feature
+++ b/tests/features/pace_choice.feature
@@ -17,6 +17,12 @@
     Then pipelines begin at another engine
     And they begin at it again if no other engine may be used
 
+  # Guards against servers that are spared for good, and against unbounded places.
+  Scenario: An engine of another failure domain that keeps rejecting is spared for 10 s
+    Given a fleet of engines with the shared view, planned and loaded
+    When an engine of another domain starts anew and rejects a request each second
+    Then it may be used here after 10 seconds, and for 2000 seconds
+
   # Guards against engines whose slow start is over before they have their layers.
   Scenario: An engine begins its slow start once it has layers
     Given a fleet of engines with the shared view, planned and loaded
--- a/tests/features/steps/pace_choice_steps.py
+++ b/tests/features/steps/pace_choice_steps.py
@@ -264,3 +264,32 @@
     rule = _ini.get_rule(attrs.fields(settings.Pace).slow_start)
     line = f"| `slow_start` | false | true or false | {rule.meaning} |"
     assert line in section.splitlines(), line
+
+
+@behave.when(
+    "an engine of another domain starts anew and rejects a request each second"
+)
+def step_remote(context):
+    fleet = context.fleet
+    own = fleet.blackboard.failure_domain
+    listed = fleet.blackboard.backends.listed
+    engine = next(
+        each
+        for each in listed.values()
+        if each.failure_domain != own and each.held is not None
+    )
+    context.remote = attrs.evolve(engine, started_at=start_now())
+    list_engine(context, context.remote)
+    assert not context.claims.pacing.is_open(context.remote, 0, fleet.now)
+
+
+@behave.then("it may be used here after 10 seconds, and for {seconds:d} seconds")
+def step_remote_open(context, seconds):
+    pacing_ = context.claims.pacing
+    began_at = context.fleet.now
+    for number in range(10 * seconds):
+        now = began_at + 0.1 * number
+        if number % 10 == 0:
+            pacing_.pace.record_rejected(context.remote.name, now)
+        is_open = pacing_.is_open(context.remote, 0, now)
+        assert is_open == (now - began_at >= 10.0), (now - began_at, is_open)
