Keep the spill to other domains during slow starts

Engines without places were left out by listing all others as entries, and a choice with entries never sends a request to another failure domain. They are passed on their own, and silences, request limits and the spill apply as without a pace.

--- a/src/jujubepass/forwarding/engine_choice.py
+++ b/src/jujubepass/forwarding/engine_choice.py
@@ -96,16 +96,18 @@
         entries: collections.abc.Set[ids.BackendServerId] | None = None,
         *,
         closed: collections.abc.Set[ids.BackendServerId] = frozenset(),
+        paced: collections.abc.Set[ids.BackendServerId] = frozenset(),
         ignores_silence: bool = False,
         reserve: float = 0.0,
     ) -> pipelines.Pipeline | None:
         """Return the cheapest pipeline of available engines, or None.
 
         `entries` restricts the engines at which it may begin; None allows all. It
-        begins at none of the `closed` ones. `reserve` free places here are kept for
-        more urgent requests.
+        begins at none of the `closed` ones, nor of those `paced` by their slow start.
+        `reserve` free places here are kept for more urgent requests.
         """
         is_limited, may_spill = bool(closed), entries is None
+        closed = closed | paced
         if not ignores_silence:
             avoided = self.silences.list_silent(now).union(avoided)
             closed = self.silences.list_closed(now).union(closed)
@@ -357,10 +359,6 @@
         """Return this node's requests by engine."""
         return self._running
 
-    def list_names(self, service: declarations.Service) -> set[ids.BackendServerId]:
-        """Return the names of a service's engines."""
-        return {each.name for each in self._list_engines(service, frozenset())}
-
     def record_start(self, pipeline: pipelines.Pipeline) -> None:
         """Count a request on its engines, in the prefill phase."""
         self.attempts[pipeline.stages[0].engine] += 1
--- a/src/jujubepass/forwarding/pipeline_claims.py
+++ b/src/jujubepass/forwarding/pipeline_claims.py
@@ -135,12 +135,10 @@
         service, avoided = admitted.service, progress.avoided
         choose = functools.partial(self.choice.choose, service, now, closed=closed)
         paced = self._list_paced(service, now)
-        allowed = (entries or self.choice.list_names(service)) - paced if paced else ()
-        # An engine without pace starts a pipeline only where nothing else is left.
-        pipeline = choose(avoided, allowed) if allowed else None
-        if pipeline is not None:
-            return pipeline
-        pipeline = choose(avoided, entries)
+        pipeline = choose(avoided, entries, paced=paced)
+        if pipeline is None and paced:
+            # An engine without places starts a pipeline where nothing else is left.
+            pipeline = choose(avoided, entries)
         if pipeline is None and avoided:
             pipeline = choose(entries=entries)
         return pipeline
--- a/tests/features/pace_choice.feature
+++ b/tests/features/pace_choice.feature
@@ -17,6 +17,12 @@
     Then pipelines begin at another engine
     And they begin at it again if no other engine may be used
 
+  # Guards against a slow start that keeps requests from being sent to another domain.
+  Scenario: Requests may be sent to another domain while an engine has its slow start
+    Given a fleet of engines with the shared view, planned and loaded
+    When the first engine of the pipeline in use starts anew and has no place
+    Then the choice by the view may still send requests to another domain
+
   # Guards against servers that are spared for good, and against unbounded places.
   Scenario: An engine of another failure domain that keeps rejecting is spared for 10 s
     Given a fleet of engines with the shared view, planned and loaded
--- a/tests/features/steps/pace_choice_steps.py
+++ b/tests/features/steps/pace_choice_steps.py
@@ -19,7 +19,7 @@
     suspicion,
 )
 from jujubepass.transport import _http_client
-from tests import small_fleet
+from tests import shortage_domain, small_fleet
 
 PLAIN = ids.ServiceId("visits")
 DOMAIN = ids.FailureDomainId("a")
@@ -293,3 +293,37 @@
             pacing_.pace.record_rejected(context.remote.name, now)
         is_open = pacing_.is_open(context.remote, 0, now)
         assert is_open == (now - began_at >= 10.0), (now - began_at, is_open)
+
+
+@attrs.define
+class QueryRecorder:
+    """Stand in for the choice by the view; it finds nothing."""
+
+    rooms = None
+    queries: list = attrs.field(factory=list)
+
+    def choose(self, query):
+        """Record what is asked."""
+        self.queries.append(query)
+
+
+@attrs.frozen
+class EmptyView:
+    """Know that nothing arrives or waits."""
+
+    def find_demand(self, now):
+        """Return no demand."""
+        return shortage_domain.NO_DEMAND
+
+
+@behave.then("the choice by the view may still send requests to another domain")
+def step_may_spill(context):
+    choice = context.fleet.choice
+    choice.view, choice.uses_view = EmptyView(), lambda service: True
+    choice.shared = QueryRecorder()
+    progress = attrs.make_class("Progress", ["avoided"])(set())
+    admitted = attrs.make_class("Admitted", ["service"])(context.fleet.service)
+    context.claims._choose_open(admitted, progress, None, set(), context.fleet.now)
+    query = choice.shared.queries[0]
+    assert context.first not in query.entries
+    assert query.may_spill
