Count only rejections for lack of room against the pace

A server that left, asked for a time without requests or answered a misdirected request was taken for full, and was shown so to the other nodes. The pace uses the rule of the shared view.

--- a/src/jujubepass/forwarding/sending.py
+++ b/src/jujubepass/forwarding/sending.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from jujubepass.forwarding import clocks, exchange, server_signals
+from jujubepass.forwarding import clocks, exchange, server_signals, stream_refusals
 from jujubepass.transport import _http_client
 
 _LOGGER = logging.getLogger(__name__)
@@ -99,7 +99,8 @@
         if attempt.pipeline is not None:
             return
         if head.kind is exchange.AnswerKind.NOT_RUN:
-            self.signals.record_rejected(attempt.backend)
+            if stream_refusals.is_for_room(head):
+                self.signals.record_rejected(attempt.backend)
         elif head.kind is exchange.AnswerKind.RAN and head.status < _FIRST_FAILING:
             seconds = clocks.read_boot_clock() - sent_at
             self.signals.record_answer(attempt.backend, seconds)
--- a/src/jujubepass/forwarding/stream_exchange.py
+++ b/src/jujubepass/forwarding/stream_exchange.py
@@ -357,10 +357,10 @@
             )
             if stream_refusals.is_for_room(error.head):
                 self.recorder.record_full(stage.engine, now)
+                self.claims.record_rejected(stage.engine)
             # The engine may also be dead; its report shows that.
             self.stalls.schedule_probe(stage.engine)
             self.choice.record_full(stage.engine, now)
-            self.claims.record_rejected(stage.engine)
         elif error.has_ended:
             self.guard.record_refused_connection(progress.guarded, stage.engine)
         self.suspects.suspect(stage.engine, reason, now)
--- a/tests/features/pace_choice.feature
+++ b/tests/features/pace_choice.feature
@@ -29,6 +29,20 @@
     When an engine of another domain starts anew and rejects a request each second
     Then it may be used here after 10 seconds, and for 2000 seconds
 
+  # Guards against places that shrink, and servers shown as full, as one leaves.
+  Scenario Outline: Only a rejection for lack of room ends the growth of places
+    Given a plain service with the shared view of which a server returns
+    When the returned server refuses a request with <refusal>
+    Then it is taken for full: <is_full>
+
+    Examples:
+      | refusal                | is_full |
+      | 503                    | yes     |
+      | 429                    | yes     |
+      | 503 as it leaves       | no      |
+      | 503 and a time to wait | no      |
+      | 421                    | no      |
+
   # Guards against engines whose slow start is over before they have their layers.
   Scenario: An engine begins its slow start once it has layers
     Given a fleet of engines with the shared view, planned and loaded
--- a/tests/features/steps/pace_choice_steps.py
+++ b/tests/features/steps/pace_choice_steps.py
@@ -11,8 +11,12 @@
     clocks,
     declarations,
     engine_controllers,
+    exchange,
     members,
     pacing,
+    request_limits,
+    sending,
+    server_signals,
     service_choice,
     settings,
     silences,
@@ -327,3 +331,38 @@
     query = choice.shared.queries[0]
     assert context.first not in query.entries
     assert query.may_spill
+
+
+@behave.when("the returned server refuses a request with {refusal}")
+def step_refuses(context, refusal):
+    own = context.choice.pacing
+    own.update(context.now)
+    head = exchange.AnswerHead(
+        kind=exchange.AnswerKind.NOT_RUN,
+        status=int(refusal[:3]),
+        fields=(),
+        is_leaving="leaves" in refusal,
+        retry_after_seconds=1.0 if "wait" in refusal else None,
+    )
+    area = own.blackboard.backends
+    sender = sending.Sender(
+        client=None,
+        wire=None,
+        signals=server_signals.ServerSignals(
+            area=area,
+            backend_list=backend_list.BackendController(area=area),
+            silences=context.choice.silences,
+            limits=request_limits.RequestLimits(area=area),
+            pacing=own,
+        ),
+    )
+    attempt = exchange.Attempt(
+        backend=NEW, account=None, priority=0, remaining_seconds=1.0
+    )
+    sender._record_pace(attempt, head, context.now)
+
+
+@behave.then("it is taken for full: {answer}")
+def step_full(context, answer):
+    places = context.choice.pacing.pace.read_places(NEW, clocks.read_boot_clock())
+    assert places == {"yes": 0.0, "no": 2.0}[answer], places
