Bound the offers of places in one step of a slow start

A step is as long as a response at most, and a power of two of its length was out of range for responses that take above 512 seconds: the choice of a server then raised OverflowError.

--- a/src/jujubepass/pace/starts.py
+++ b/src/jujubepass/pace/starts.py
@@ -47,6 +47,9 @@
 _OFFER_SECONDS = 0.5
 _LEAST_OFFERS = 0.5
 _MOST_OFFERS = 1_024.0
+# From the least to the most offers; a longer step, as of a service whose responses take
+# minutes, would give a power that is out of range.
+_MOST_DOUBLINGS = 11.0
 
 
 @attrs.define(kw_only=True)
@@ -97,7 +100,7 @@
         seconds = self._measure_step(now)
         if now < self.closed_until:
             return
-        doublings = seconds / _OFFER_SECONDS
+        doublings = min(_MOST_DOUBLINGS, seconds / _OFFER_SECONDS)
         self.offers *= 2.0 ** (-doublings if is_used else doublings)
         self.offers = min(_MOST_OFFERS, max(_LEAST_OFFERS, self.offers))
         if is_assumed or now - self.answered_at <= _EVIDENCE_SECONDS:
--- a/tests/features/pace_states.feature
+++ b/tests/features/pace_states.feature
@@ -53,6 +53,12 @@
     When a server responds to probes and fails requests for 20 seconds
     Then it has 1 place
 
+  # Guards against an exception in the choice of a server of slow responses.
+  Scenario: A server whose responses take an hour is asked again after an hour
+    Given a pace of a domain of 28 nodes with a view
+    When a server of which responses take 3600 seconds rests for that time
+    Then it has all its places
+
   # Guards against a server that is kept idle for a single fast response.
   Scenario: A fast response does not make all later ones late for ever
     Given a pace of a domain of 28 nodes
--- a/tests/features/steps/pace_states_steps.py
+++ b/tests/features/steps/pace_states_steps.py
@@ -220,3 +220,10 @@
 @behave.then("this node has at most 1 request there")
 def step_one(context):
     assert context.own <= 1, context.own
+
+
+@behave.when("a server of which responses take {seconds:d} seconds rests for that time")
+def step_rests(context, seconds):
+    list_run(context)
+    answer(context, seconds=float(seconds), expected_seconds=float(seconds))
+    context.now += seconds
