Compare only first engines with the pace, and none without a setting

Each request, and each wait for a pipeline 20 times a second, asked for the places of all engines that were starting, also of those that start no pipeline. First engines are listed once for each change of the list. Without [pace] slow_start the list of servers is not read.

--- a/src/jujubepass/forwarding/pacing.py
+++ b/src/jujubepass/forwarding/pacing.py
@@ -19,6 +19,8 @@
 _ANSWER_WEIGHT = 0.1
 _MAX_LISTED_PLACES = 20
 _REMOVAL_INTERVAL_SECONDS = 1.0
+# Slow starts take seconds; one that has ended costs little while it is still compared.
+_FIRST_ENGINES_SECONDS = 1.0
 
 
 def _use_no_view(_: ids.ServiceId) -> bool:
@@ -46,6 +48,12 @@
         factory=dict, init=False
     )
     _answer_seconds: dict[ids.ServiceId, float] = attrs.field(factory=dict, init=False)
+    _first_engines: dict[ids.ServiceId, list[backends.Backend]] = attrs.field(
+        factory=dict, init=False
+    )
+    _first_state: tuple[int, int] = attrs.field(default=(-1, -1), init=False)
+    """Revision of the list and count of slow starts of the first engines."""
+    _first_until: float = attrs.field(default=-math.inf, init=False)
 
     def __attrs_post_init__(self) -> None:
         domain = division.MemberDomain(blackboard=self.blackboard)
@@ -53,6 +61,8 @@
 
     def update(self, now: float) -> None:
         """Begin the slow starts of new runs, and remove what has left."""
+        if self.uses_view is _use_no_view:
+            return
         area = self.blackboard.backends
         # Without a configuration, engines cannot be told from plain servers.
         if self.blackboard.configuration.declarations is None:
@@ -109,18 +119,34 @@
         running: collections.abc.Mapping[ids.BackendServerId, int],
         now: float,
     ) -> set[ids.BackendServerId]:
-        """Return the servers of a service that have no place left for this node."""
+        """Return the first engines of a service without a place for this node."""
         self.update(now)
-        listed = self.blackboard.backends.listed
-        starting = (listed.get(name) for name in self.pace.list_starting())
         return {
             each.name
-            for each in starting
-            if each is not None
-            and each.service == service
-            and not self.is_open(each, running.get(each.name, 0), now)
+            for each in self._list_first_engines(now).get(service, ())
+            if not self.is_open(each, running.get(each.name, 0), now)
         }
 
+    def _list_first_engines(
+        self, now: float
+    ) -> dict[ids.ServiceId, list[backends.Backend]]:
+        """Return the first engines that are starting, and some that have just ended.
+
+        They are not listed for each request, as a whole system may be starting.
+        """
+        state = (self._revision, self.pace.begun)
+        if state == self._first_state and now < self._first_until:
+            return self._first_engines
+        self._first_state = state
+        self._first_until = now + _FIRST_ENGINES_SECONDS
+        self._first_engines = {}
+        listed = self.blackboard.backends.listed
+        for name in self.pace.list_starting():
+            engine = listed.get(name)
+            if engine is not None and engine.held and engine.held.first == 0:
+                self._first_engines.setdefault(engine.service, []).append(engine)
+        return self._first_engines
+
     @contextlib.contextmanager
     def share_use(self, server: ids.BackendServerId) -> collections.abc.Iterator[None]:
         """Show the other nodes a request at a plain server in its slow start."""
--- a/tests/features/pace_choice.feature
+++ b/tests/features/pace_choice.feature
@@ -43,6 +43,12 @@
       | 503 and a time to wait | no      |
       | 421                    | no      |
 
+  # Guards against a cost of each request that grows with all engines.
+  Scenario: Requests compare first engines only while a whole domain starts
+    Given a fleet of engines with the shared view, planned and loaded
+    When 353 engines start in this domain, 30 of them first ones
+    Then the choice of a pipeline asks for the use of 30 engines
+
   # Guards against engines whose slow start is over before they have their layers.
   Scenario: An engine begins its slow start once it has layers
     Given a fleet of engines with the shared view, planned and loaded
--- a/tests/features/steps/pace_choice_steps.py
+++ b/tests/features/steps/pace_choice_steps.py
@@ -4,6 +4,7 @@
 import behave
 
 from jujubepass import _ini, ids
+from jujubepass.capacity import view
 from jujubepass.forwarding import (
     backend_list,
     backends,
@@ -366,3 +367,50 @@
 def step_full(context, answer):
     places = context.choice.pacing.pace.read_places(NEW, clocks.read_boot_clock())
     assert places == {"yes": 0.0, "no": 2.0}[answer], places
+
+
+@attrs.define
+class CountingView:
+    """Know that nothing runs, and remember for which engines that is asked."""
+
+    asked: set = attrs.field(factory=set)
+
+    def find_use(self, engine, now):
+        """Return no use."""
+        self.asked.add(engine)
+        return view.EngineUse(running=0.0, prefilling=0.0)
+
+    def is_full(self, engine, now):
+        """Return that no engine is full."""
+        return False
+
+
+@behave.when("{engines:d} engines start in this domain, {first:d} of them first ones")
+def step_domain_starts(context, engines, first):
+    blackboard = context.fleet.blackboard
+    listed = blackboard.backends.listed
+    engine = next(
+        each
+        for each in listed.values()
+        if each.failure_domain == blackboard.failure_domain
+    )
+    listed.clear()
+    for number in range(engines):
+        start = 0 if number < first else 1
+        new = attrs.evolve(
+            engine,
+            name=ids.BackendServerId(f"new-{number}"),
+            started_at=start_now(),
+            held=backends.Span(first=start, end=start + 1),
+        )
+        listed[new.name] = new
+    blackboard.backends.revision += 1
+
+
+@behave.then("the choice of a pipeline asks for the use of {engines:d} engines")
+def step_asked(context, engines):
+    own = context.claims.pacing
+    own.pace.view = CountingView()
+    own.list_closed(context.fleet.service.name, {}, context.fleet.now)
+    assert len(own.pace.list_starting()) == 353
+    assert len(own.pace.view.asked) == engines, len(own.pace.view.asked)
