Prefer no leaving engine to one without places

An engine in its slow start was avoided in favour of one that leaves, whose streams have to be moved soon. Leaving engines are left out with it, and the choice without a pace decides between them.

--- a/src/jujubepass/forwarding/pacing.py
+++ b/src/jujubepass/forwarding/pacing.py
@@ -119,13 +119,19 @@
         running: collections.abc.Mapping[ids.BackendServerId, int],
         now: float,
     ) -> set[ids.BackendServerId]:
-        """Return the first engines of a service without a place for this node."""
+        """Return the first engines of a service without a place for this node.
+
+        If there are any, leaving ones are among them: a pace is no reason to use these.
+        """
         self.update(now)
-        return {
+        closed = {
             each.name
             for each in self._list_first_engines(now).get(service, ())
             if not self.is_open(each, running.get(each.name, 0), now)
         }
+        if closed:
+            closed |= self.blackboard.backends.draining_since.keys()
+        return closed
 
     def _list_first_engines(
         self, now: float
--- a/tests/features/pace_choice.feature
+++ b/tests/features/pace_choice.feature
@@ -17,6 +17,13 @@
     Then pipelines begin at another engine
     And they begin at it again if no other engine may be used
 
+  # Guards against streams that begin at a leaving engine and have to be moved.
+  Scenario: An engine without places goes before those that are leaving
+    Given a fleet of engines with the shared view, planned and loaded
+    When the first engine of the pipeline in use starts anew and has no place
+    And all other first engines have begun to leave
+    Then pipelines begin at it as without a pace
+
   # Guards against a slow start that keeps requests from being sent to another domain.
   Scenario: Requests may be sent to another domain while an engine has its slow start
     Given a fleet of engines with the shared view, planned and loaded
--- a/tests/features/steps/pace_choice_steps.py
+++ b/tests/features/steps/pace_choice_steps.py
@@ -414,3 +414,23 @@
     own.list_closed(context.fleet.service.name, {}, context.fleet.now)
     assert len(own.pace.list_starting()) == 353
     assert len(own.pace.view.asked) == engines, len(own.pace.view.asked)
+
+
+@behave.when("all other first engines have begun to leave")
+def step_leaving(context):
+    area = context.fleet.blackboard.backends
+    for each in list(area.listed.values()):
+        if each.held is None or each.held.first or each.name == context.first:
+            continue
+        list_engine(context, attrs.evolve(each, state=backends.BackendState.DRAINING))
+        area.draining_since[each.name] = context.fleet.now
+
+
+@behave.then("pipelines begin at it as without a pace")
+def step_as_without(context):
+    own = context.claims.pacing
+    found = choose_engine(context)
+    context.claims.pacing = None
+    assert choose_engine(context) == context.first
+    context.claims.pacing = own
+    assert found == context.first, found
