--- a/src/jujubepass/forwarding/engine_choice.py
+++ b/src/jujubepass/forwarding/engine_choice.py
@@ -163,7 +163,10 @@
 
     def update_shared(self, now: float) -> None:
         """Count the free places for the other nodes, and update the spill."""
-        for service, known in self._list_demands(now):
+        demands = self._list_demands(now)
+        if self.shared is not None:
+            self.shared.rooms.keep_free({service.name for service, _ in demands})
+        for service, known in demands:
             free = self.find_places(service).count_free(now)
             if self.shared is not None:
                 self.shared.update_spill(service, known, now, free or 0.0)
@@ -359,6 +362,11 @@
         """Return this node's requests by engine."""
         return self._running
 
+    def record_arrival(self, service: declarations.Service, priority: int) -> None:
+        """Count a request that has arrived, if its service uses the view."""
+        if self.uses_view(service):
+            self.recorder.record_arrival(priority)
+
     def record_start(self, pipeline: pipelines.Pipeline) -> None:
         """Count a request on its engines, in the prefill phase."""
         self.attempts[pipeline.stages[0].engine] += 1
@@ -369,8 +377,7 @@
 
     def record_full(self, engine: ids.BackendServerId, now: float) -> None:
         """Record that an engine has rejected a request for lack of room."""
-        if self.recorder is not None:
-            self.recorder.record_full(engine, now)
+        self.recorder.record_full(engine, now)
 
     def record_spill(self, pipeline: pipelines.Pipeline, now: float) -> None:
         """Record that a request is sent to another failure domain, if it is."""
--- a/tests/features/steps/capacity_faults_steps.py
+++ b/tests/features/steps/capacity_faults_steps.py
@@ -1,6 +1,10 @@
+import unittest.mock
+
 import attrs
 import behave
 
+from jujubepass import ids
+from jujubepass.capacity import shared_view
 from tests import capacity_network
 
 TOLERANCE = 1e-6
@@ -296,3 +300,53 @@
     for node in find_nodes(context):
         assert node.view.find_use(context.engine, network.now) is None
         assert node.view.is_known(network.now)
+
+
+@behave.when(
+    "{count:d} engines come and go one after another, each with a request of the last"
+    " node"
+)
+def step_come_and_go(context, count):
+    network = context.network
+    context.node = find_nodes(context)[-1]
+    listed = network.backends.listed
+    pattern = next(iter(listed.values()))
+    for number in range(count):
+        name = ids.BackendServerId(f"guest-{number}")
+        listed[name] = attrs.evolve(pattern, name=name)
+        network.backends.revision += 1
+        context.node.start(frozenset({name}))
+        context.node.view.find_use(name, network.now)
+        context.node.end()
+        del listed[name]
+        network.backends.revision += 1
+    network.run(1.0)
+
+
+@behave.then("that node keeps at most twice as many digests as engines are listed")
+def step_digests(context):
+    kept = len(context.node.capacity.index._digests)
+    assert kept <= 2 * len(context.network.backends.listed) + 1, kept
+
+
+@behave.when("both collectors are killed and {seconds:g} seconds pass")
+def step_kill_and_wait(context, seconds):
+    kill(context, find_nodes(context)[:2])
+    context.network.run(seconds)
+
+
+@behave.then("a node finds the uses of {count:d} engines by one choice of a view")
+def step_one_choice(context, count):
+    network, node = context.network, find_nodes(context)[-1]
+    choose, chosen = shared_view.SharedView._choose, []
+
+    def count_choice(view, now):
+        chosen.append(now)
+        return choose(view, now)
+
+    with unittest.mock.patch.object(shared_view.SharedView, "_choose", count_choice):
+        for number in range(count):
+            engine = network.list_engines()[number % len(network.list_engines())]
+            assert node.view.find_use(engine, network.now) is not None
+    assert 0.6 < node.view.find_age(network.now) < 1.0
+    assert len(chosen) <= 1, chosen
