--- a/src/jujubepass/forwarding/engine_choice.py
+++ b/src/jujubepass/forwarding/engine_choice.py
@@ -96,16 +96,18 @@
         entries: collections.abc.Set[ids.BackendServerId] | None = None,
         *,
         closed: collections.abc.Set[ids.BackendServerId] = frozenset(),
+        paced: collections.abc.Set[ids.BackendServerId] = frozenset(),
         ignores_silence: bool = False,
         reserve: float = 0.0,
     ) -> pipelines.Pipeline | None:
         """Return the cheapest pipeline of available engines, or None.
 
         `entries` restricts the engines at which it may begin; None allows all. It
-        begins at none of the `closed` ones. `reserve` free places here are kept for
-        more urgent requests.
+        begins at none of the `closed` ones, nor of those `paced` by their slow start.
+        `reserve` free places here are kept for more urgent requests.
         """
         is_limited, may_spill = bool(closed), entries is None
+        closed = closed | paced
         if not ignores_silence:
             avoided = self.silences.list_silent(now).union(avoided)
             closed = self.silences.list_closed(now).union(closed)
@@ -355,6 +357,11 @@
             if name in listed and listed[name].started_at == started_at
         }
 
+    @property
+    def running(self) -> collections.abc.Mapping[ids.BackendServerId, int]:
+        """Return this node's requests by engine."""
+        return self._running
+
     def record_arrival(self, service: declarations.Service, priority: int) -> None:
         """Count a request that has arrived, if its service uses the view."""
         if self.uses_view(service):
--- a/src/jujubepass/forwarding/engine_controllers.py
+++ b/src/jujubepass/forwarding/engine_controllers.py
@@ -19,6 +19,7 @@
     homes,
     moves,
     ordering,
+    pacing,
     permit_home,
     permits,
     pipeline_claims,
@@ -41,6 +42,7 @@
 _BackendController = backend_list.BackendController
 _Evacuation = evacuation.Evacuation
 _Guard = guard.Guard
+_Pacing = pacing.Pacing
 _Permits = permits.Permits
 _Sharing = sharing.Sharing
 _Silences = silences.Silences
@@ -69,12 +71,15 @@
     """Where other nodes reach this one."""
     has_queue: bool = False
     """Whether model requests wait here for places, as the settings say."""
+    has_slow_start: bool = False
+    """Whether servers that have started have a pace, as the settings say."""
     capacity: capacity_controller.CapacityController = attrs.field(init=False)
     """What all nodes run on each engine."""
     datagram_link: datagrams.DatagramLink = attrs.field(init=False)
     quarantine: controller.Quarantine = attrs.field(init=False)
     sharing: _Sharing = attrs.field(init=False)
     guard: _Guard = attrs.field(init=False)
+    pacing: _Pacing = attrs.field(init=False)
     silences: _Silences = attrs.field(init=False)
     limits: request_limits.RequestLimits = attrs.field(init=False)
     permits: _Permits = attrs.field(init=False)
@@ -95,11 +100,13 @@
         self.silences = silences.Silences(area=area)
         self.limits = request_limits.RequestLimits(area=area)
         self.permits = self._make_permits(node_demand)
+        self.pacing = self._make_pacing()
         self.signals = server_signals.ServerSignals(
             area=area,
             backend_list=self.backend_list,
             silences=self.silences,
             limits=self.limits,
+            pacing=self.pacing,
         )
         self.quarantine = controller.Quarantine(blackboard=self.blackboard)
         self.prober = probing.Prober(
@@ -137,6 +144,14 @@
             controller=self.capacity, address=self.address
         )
 
+    def _make_pacing(self) -> _Pacing:
+        made = pacing.Pacing(blackboard=self.blackboard)
+        if self.has_slow_start:
+            made.uses_view = self.capacity.scope.is_needed
+            made.recorder = self.capacity.recorder
+            made.pace.view = self.capacity.view
+        return made
+
     def _make_permits(self, node_demand: demand.Demand) -> _Permits:
         leases = home_leases.HomeLeases(
             order=homes.HomeOrder(blackboard=self.blackboard),
@@ -188,6 +203,7 @@
             choice=self.choice,
             permits=self.permits,
             guard=self.guard,
+            pacing=self.pacing,
             shortage=gate.Gate(
                 uses_view=self._uses_queue,
                 view=self.capacity.view,
--- a/src/jujubepass/forwarding/metrics_page.py
+++ b/src/jujubepass/forwarding/metrics_page.py
@@ -14,6 +14,7 @@
     engine_controllers,
     members,
     ordering,
+    pace_metrics,
     server_signals,
 )
 from jujubepass.forwarding import measures as node_measures
@@ -181,6 +182,8 @@
         "backend",
         lambda: {str(name): n for name, n in signals.limits.attempts.items()},
     )
+    if signals.pacing is not None:
+        pace_metrics.add_paces(registry, signals.pacing)
     registry.add_labelled_gauge(
         "request_limits",
         "Requests a second that a backend server takes from all nodes together.",
--- a/src/jujubepass/forwarding/node.py
+++ b/src/jujubepass/forwarding/node.py
@@ -136,6 +136,7 @@
             token=self._relay.token,
             address=self.settings.listen.relay,
             has_queue=self.settings.shortage.queue,
+            has_slow_start=self.settings.pace.slow_start,
         )
         self._node_server = permit_links.NodeServer(
             rows=self._relay.server,
@@ -246,6 +247,7 @@
                     blackboard=self.blackboard,
                     suspects=self.suspects,
                     silences=self._engines.silences,
+                    pacing=self._engines.pacing,
                 ),
                 permits=self._engines.permits,
                 guard=self._engines.guard,
@@ -361,6 +363,7 @@
             area = self.blackboard.backends
             while area.restarted:
                 self.suspects.clear(area.restarted.pop())
+            self._engines.pacing.update(clocks.read_boot_clock())
             self._readiness.check()
             self._reloader.check(clocks.read_boot_clock())
             self._update_budgets()
--- a/src/jujubepass/forwarding/pipeline_claims.py
+++ b/src/jujubepass/forwarding/pipeline_claims.py
@@ -12,18 +12,21 @@
     declarations,
     engine_choice,
     exchange,
+    pacing,
     permits,
     pipelines,
     stream_progress,
     stream_refusals,
     stream_timeouts,
+    watched_streams,
 )
 from jujubepass.quarantine import guard
 from jujubepass.shortage import entries as shortage_entries
 from jujubepass.shortage import gate
 
-# Alias, because a field has the same name as the module.
+# Aliases, because fields have the same names as the modules.
 _Guard = guard.Guard
+_Pacing = pacing.Pacing
 
 # Share of the stall time-out that a request waits for the repair of a pipeline.
 _PIPELINE_WAIT_SHARE = 0.6
@@ -37,6 +40,7 @@
     choice: engine_choice.EngineChoice
     permits: permits.Permits
     guard: _Guard
+    pacing: _Pacing | None = None
     shortage: gate.Gate = attrs.field(factory=gate.Gate)
 
     def record_arrival(self, admitted: exchange.Admitted) -> None:
@@ -135,11 +139,22 @@
     ) -> pipelines.Pipeline | None:
         service, avoided = admitted.service, progress.avoided
         choose = functools.partial(self.choice.choose, service, now, closed=closed)
-        pipeline = choose(avoided, entries)
+        paced = self._list_paced(service, now)
+        pipeline = choose(avoided, entries, paced=paced)
+        if pipeline is None and paced:
+            # An engine without places starts a pipeline where nothing else is left.
+            pipeline = choose(avoided, entries)
         if pipeline is None and avoided:
             pipeline = choose(entries=entries)
         return pipeline
 
+    def _list_paced(
+        self, service: declarations.Service, now: float
+    ) -> set[ids.BackendServerId]:
+        if self.pacing is None:
+            return set()
+        return self.pacing.list_closed(service.name, self.choice.running, now)
+
     def _is_limited(self, service: declarations.Service, now: float) -> bool:
         """Return whether only request limits keep pipelines from being used."""
         closed = self.permits.list_closed(now)
@@ -175,6 +190,21 @@
         service, avoided = admitted.service, progress.avoided
         return self.choice.choose(service, now, avoided, {first})
 
+    def record_data(self, stream: watched_streams.WatchedStream) -> None:
+        """Record that events of a stream came, and the time of the first one."""
+        is_first = not stream.has_begun
+        if is_first:
+            self.choice.record_prefilled(stream.pipeline)
+        stream.record_data()
+        if is_first and self.pacing is not None:
+            seconds = stream.first_data_at - stream.began_at
+            self.pacing.record_first_event(stream.pipeline, seconds)
+
+    def record_rejected(self, engine: ids.BackendServerId) -> None:
+        """Record that an engine rejected a request for lack of room."""
+        if self.pacing is not None:
+            self.pacing.record_rejected(engine)
+
     def refuse_full(self, progress: stream_progress.Progress) -> admission.Refusal:
         """Return the refusal of a request that full engines rejected."""
         return stream_refusals.refuse_full(self.shortage.find_retry(progress.entry))
--- a/src/jujubepass/forwarding/stream_exchange.py
+++ b/src/jujubepass/forwarding/stream_exchange.py
@@ -294,9 +294,7 @@
             # Bytes that complete no event are no progress, and may come without end.
             if not found and fault is None:
                 continue
-            if not stream.has_begun:
-                self.choice.record_prefilled(stream.pipeline)
-            stream.record_data()
+            self.claims.record_data(stream)
             lasted_seconds = stream.last_data_at - stream.first_data_at
             self.guard.record_data(progress.guarded, lasted_seconds=lasted_seconds)
             stream.is_forwarding = True
@@ -352,6 +350,7 @@
             )
             if stream_refusals.is_for_room(error.head):
                 self.choice.record_full(stage.engine, now)
+                self.claims.record_rejected(stage.engine)
             # The engine may also be dead; its report shows that.
             self.stalls.schedule_probe(stage.engine)
         elif error.has_ended:
