--- a/src/jujubepass/capacity/controller.py
+++ b/src/jujubepass/capacity/controller.py
@@ -51,6 +51,8 @@
     """Random id of this process, of 32 bits."""
     has_address: bool = True
     """Whether other nodes can reach this one."""
+    is_enabled: bool = True
+    """Whether the settings allow sharing."""
     on_urgent: collections.abc.Callable[[], None] = lambda: None
     """Called when a datagram is due earlier than find_delay has told."""
     index: engine_index.EngineIndex = attrs.field(init=False)
@@ -80,7 +82,7 @@
         self.view = shared_view.SharedView(
             blackboard=board_, index=self.index, own=self.recorder
         )
-        self.scope = scope.Scope(blackboard=board_)
+        self.scope = scope.Scope(blackboard=board_, is_enabled=self.is_enabled)
         self.collector = collector.Collector(index=self.index)
         self.inbox = inbox.Inbox(blackboard=board_, token=self.token)
         self.outbox = outbox.Outbox(blackboard=board_, process=self.process)
--- a/src/jujubepass/capacity/scope.py
+++ b/src/jujubepass/capacity/scope.py
@@ -89,6 +89,8 @@
     """Remember the rule's result until the declarations or plans change."""
 
     blackboard: board.Blackboard
+    is_enabled: bool = True
+    """Whether the settings allow the view where a service needs it."""
     evaluations: int = attrs.field(default=0, init=False)
     _results: dict[ids.ServiceId, _Result] = attrs.field(factory=dict, init=False)
 
@@ -103,7 +105,7 @@
     def is_needed(self, service: ids.ServiceId) -> bool:
         """Return whether a service needs the shared view."""
         result = self._evaluate(service)
-        return result is not None and result.is_needed
+        return self.is_enabled and result is not None and result.is_needed
 
     def has_priorities(self, service: ids.ServiceId) -> bool:
         """Return whether a service's streaming requests have different priorities."""
--- a/src/jujubepass/forwarding/engine_controllers.py
+++ b/src/jujubepass/forwarding/engine_controllers.py
@@ -69,6 +69,8 @@
     """Key of the datagrams for this node."""
     address: _Address | None
     """Where other nodes reach this one."""
+    shares_view: bool = False
+    """Whether nodes share what they run, as the settings say."""
     has_queue: bool = False
     """Whether model requests wait here for places, as the settings say."""
     has_slow_start: bool = False
@@ -139,6 +141,7 @@
             token=self.token,
             process=secrets.randbits(_PROCESS_BITS),
             has_address=self.address is not None,
+            is_enabled=self.shares_view,
         )
         self.datagram_link = datagrams.DatagramLink(
             controller=self.capacity, address=self.address
--- a/src/jujubepass/forwarding/node.py
+++ b/src/jujubepass/forwarding/node.py
@@ -135,6 +135,7 @@
             permit_transport=permit_links.HttpTransport(client=self.client),
             token=self._relay.token,
             address=self.settings.listen.relay,
+            shares_view=self.settings.shortage.shared_view,
             has_queue=self.settings.shortage.queue,
             has_slow_start=self.settings.pace.slow_start,
         )
--- a/src/jujubepass/forwarding/settings.py
+++ b/src/jujubepass/forwarding/settings.py
@@ -98,10 +98,15 @@
 class Shortage:
     """Configure what happens while first engines have too few places."""
 
+    shared_view: bool = _ini.key(
+        default=False,
+        meaning="whether the nodes of a failure domain share what they run on engines,"
+        " where a service's priorities or pipelines differ, and choose by it",
+    )
     queue: bool = _ini.key(
         default=False,
         meaning="whether model requests with different priorities wait at this node"
-        " for places",
+        " for places; needs the shared view",
     )
 
 
