--- a/src/jujubepass/forwarding/metrics_page.py
+++ b/src/jujubepass/forwarding/metrics_page.py
@@ -23,7 +23,7 @@
 from jujubepass.limits import _retry_budget
 from jujubepass.quarantine import controller, suspects
 from jujubepass.relay import assembly
-from jujubepass.shortage import gate
+from jujubepass.shortage import metrics as shortage_metrics
 from jujubepass.telemetry import _metric_registry
 from jujubepass.transport import _http_client
 
@@ -31,9 +31,6 @@
 _Ledger = intake_ledger.Ledger
 _Permits = node_permits.Permits
 
-# Number of client accounts with a label of their own; there may be thousands.
-_MAX_LISTED_ACCOUNTS = 10
-
 
 @attrs.frozen(kw_only=True)
 class MetricsPage:
@@ -72,7 +69,7 @@
     _add_permits(registry, engines.permits)
     _add_suspects(registry, engines.quarantine)
     capacity_metrics.add_capacity(registry, engines.capacity, engines.datagram_link)
-    _add_shortage(registry, engines.claims.shortage)
+    shortage_metrics.add_shortage(registry, engines.claims.shortage)
     _add_relay(registry, relay)
     _add_store(registry, count_unreadable, count_eras)
     _add_budgets(registry, budgets)
@@ -278,37 +275,6 @@
     return sum(isinstance(key, kind) for key in keys)
 
 
-def _add_shortage(registry: _metric_registry.Registry, shortage: gate.Gate) -> None:
-    registry.add_labelled_gauge(
-        "shortage_waiting",
-        "Model requests that wait here for a place.",
-        "priority",
-        shortage.count_waiting,
-    )
-    registry.add_labelled_counter(
-        "shortage_refusals",
-        "Model requests refused for want of places.",
-        "priority",
-        lambda: {str(key): n for key, n in shortage.measures.refusals.items()},
-    )
-    registry.add_counter(
-        "shortage_starts_ahead",
-        "Starts ahead of more urgent requests, lest a priority or account starves.",
-        lambda: shortage.measures.starts_ahead,
-    )
-    registry.add_labelled_gauge(
-        "shortage_account_share",
-        "Shares of starts in 10 s, of the accounts with most and of the others.",
-        "account",
-        lambda: shortage.queue.fairness.list_shares(_MAX_LISTED_ACCOUNTS),
-    )
-    registry.add_counter(
-        "shortage_invalid_values",
-        "Values of the view, places or declarations that the queue did not use.",
-        lambda: shortage.measures.invalid,
-    )
-
-
 def _add_relay(registry: _metric_registry.Registry, relay: assembly.Relay) -> None:
     for name, description, label, read in (
         ("store_reads", "Reads of the store's feeds.", "feed", relay.count_reads),
