Teach the fakes of fleets what the choice of engines records now

The fakes lacked record_arrival and paced, so that 38 scenarios ended with errors in the whole run; no check changed. The scenario of the slow start also sets the shared view, which the pace needs.

--- a/tests/features/steps/pace_connection_steps.py
+++ b/tests/features/steps/pace_connection_steps.py
@@ -54,6 +54,7 @@
         permit_transport=None,
         token="token",
         address=None,
+        shares_view=True,
         has_slow_start=context.settings.pace.slow_start,
     )
     declared = fleet.blackboard.configuration.declarations
--- a/tests/quarantine_engines.py
+++ b/tests/quarantine_engines.py
@@ -1,6 +1,7 @@
 """Engines of a simulated fleet, and how its nodes reach them."""
 
 import contextlib
+import types
 
 import trio
 
@@ -147,7 +148,14 @@
         self.random_source = random_source
 
     def choose(
-        self, service, now, avoided=frozenset(), entries=None, *, closed=frozenset()
+        self,
+        service,
+        now,
+        avoided=frozenset(),
+        entries=None,
+        *,
+        closed=frozenset(),
+        paced=frozenset(),
     ):
         found = [
             each
@@ -177,9 +185,21 @@
     def find_end_of_silence(self, service, now):
         return None
 
+    # Nodes of these fleets share no view.
+    running = types.MappingProxyType({})
+
+    def record_arrival(self, service, priority):
+        pass
+
     def record_start(self, pipeline):
         pass
 
+    def record_spill(self, pipeline, now):
+        pass
+
+    def record_full(self, engine, now):
+        pass
+
     def record_prefilled(self, pipeline):
         pass
 
