--- a/src/jujubepass/capacity/codec.py
+++ b/src/jujubepass/capacity/codec.py
@@ -280,6 +280,7 @@
     found: collections.abc.Mapping[_Section, list[tuple[bytes | int, ...]]],
 ) -> Content:
     def list_records(section: _Section) -> list[tuple]:  # type: ignore[type-arg]
+        """Return the records of a section, if it has any."""
         return found.get(section, [])
 
     scalars = dict(list_records(_Section.SCALAR))
--- a/src/jujubepass/transport/_refusals.py
+++ b/src/jujubepass/transport/_refusals.py
@@ -17,6 +17,7 @@
     responder: Responder,
     error: _rejections.RejectedInputError,
 ) -> None:
+    """Send a rejection unless a response has begun."""
     can_answer = connection.our_state in (h11.IDLE, h11.SEND_RESPONSE)
     if not can_answer or responder.started:
         return
@@ -32,6 +33,7 @@
 
 
 async def send_too_many_connections(responder: Responder, limit: int) -> None:
+    """Refuse a connection beyond the limit of its listener."""
     detail = f"This listener has {limit} connections open. Close idle ones, then retry."
     code = "too_many_connections"
     await responder.send_problem(503, code, detail, retry_after_seconds=1)
