Review: end the nodes of a case that is terminated

Cause: a script that got SIGTERM left its nodes running. Change: the stand-ins end them on SIGTERM and SIGINT, and the script exits with 2.

--- a/review/common-2/standin.py
+++ b/review/common-2/standin.py
@@ -583,13 +583,16 @@
                 broken = await case(system, trouble)
             system.log(f"RESULT {'broken: ' + broken if broken else 'held'}")
             return 1 if broken else 0
-        except Exception as error:
+        except (Exception, asyncio.CancelledError) as error:
             system.log(f"RESULT could not run: {error!r}")
             return 2
         finally:
             system.close()
 
     async def play_to_end():
+        cancel = asyncio.current_task().cancel
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, cancel)
         code = await play()
         print(pathlib.Path(folder, "record.txt").read_text().splitlines()[-1])
         sys.stdout.flush()
