--- a/review/common-2/standin.py
+++ b/review/common-2/standin.py
@@ -66,10 +66,12 @@
 
 
 def free_port():
-    """Return a port that can be bound."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
+    """Return a port that can be bound, and that no outgoing connection takes."""
+    while True:
+        port = 12_000 + secrets.randbelow(20_000)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((HOST, port))
+            return port
 
 
 def make_route(name, prefix, kind, service, timeout_ms, **changes):
