--- a/review/6/case.py
+++ b/review/6/case.py
@@ -3,6 +3,7 @@
 import asyncio
 import pathlib
 import sys
+import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "common-2"))
 
@@ -12,8 +13,9 @@
 EVENT_SECONDS = 0.02
 STREAMS = 200
 STREAMS_PER_SECOND = 12.0
-# One answer in this many of the faulty server is broken off.
+# One answer in this many of the faulty server is broken off, in spans of 5 s.
 BROKEN_EVERY = 20
+SPAN_SECONDS, SPAN_INTERVAL_SECONDS = 5.0, 7.0
 
 
 def format_event(request_id, number):
@@ -28,9 +30,10 @@
     async def serve(server, request, reader, writer):
         """Write a stream that ends with its connection."""
         request_id = request["fields"]["x-request-id"]
-        runs[server.name] = runs.get(server.name, 0) + 1
-        is_faulty = trouble and server.name == "i-agenda-0"
-        is_broken = is_faulty and runs[server.name] % BROKEN_EVERY == 0
+        since = (time.monotonic() - began) % SPAN_INTERVAL_SECONDS
+        is_faulty = trouble and server.name == "i-agenda-0" and since < SPAN_SECONDS
+        runs[is_faulty] = runs.get(is_faulty, 0) + 1
+        is_broken = is_faulty and runs[is_faulty] % BROKEN_EVERY == 0
         fields = [*standin.echo(server, request), ("Content-Type", "text/event-stream")]
         writer.write(standin.format_answer(200, fields, length=False))
         for number in range(1, EVENTS + 1):
@@ -65,6 +68,7 @@
         await server.start()
     system.start_node("n1")
     await system.wait_ready()
+    began = time.monotonic()
     found = []
 
     async def call(number):
