Judge and forward streams of plain services as those of engines

The check of a stream's end stood in the exchange with engines alone; answers of plain services were read as any body, whatever the kind of their route.

The new package event_streams decides what makes an answer of events complete and which run may go on with it, for both exchanges. Streams of plain services are forwarded as their events arrive, and resumed at another server where their route allows. On the way: answers whose events have no ids are not begun anew, a cancelled run leaves no part of an event behind, and a lookup's event stream that ends inside an event is an error of its server.

--- /dev/null
+++ b/src/jujubepass/event_streams/__init__.py
@@ -0,0 +1,1 @@
+"""Answers of events: splitting, forwarding, resumption and end."""
--- a/src/jujubepass/forwarding/events.py
+++ b/src/jujubepass/event_streams/events.py
@@ -4,12 +4,14 @@
 """
 
 import re
+import typing
 
 import attrs
 
 from jujubepass import _decoding
 from jujubepass.transport import _http_client
 
+ENDED_INSIDE_EVENT = "stream ended inside an event"
 # An event has about two tokens.
 _MAX_EVENT_BYTES = 262_144
 _END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
@@ -74,3 +76,27 @@
     if number is not None and last_number is not None:
         return number > last_number
     return identity != last
+
+
+class Source(typing.Protocol):
+    """Deliver the body of an answer."""
+
+    async def receive(self) -> bytes:
+        """Wait for data; return b"" at the end."""
+
+
+@attrs.frozen(kw_only=True)
+class CheckedSource:
+    """Deliver a body of events unchanged, and an end inside an event as an error."""
+
+    source: Source
+    _splitter: EventSplitter = attrs.field(factory=EventSplitter, init=False)
+
+    async def receive(self) -> bytes:
+        """Wait for data; raises InterruptedAnswerError at an end inside an event."""
+        data = await self.source.receive()
+        if data:
+            self._splitter.feed(data)
+        elif self._splitter.has_partial:
+            raise _http_client.InterruptedAnswerError(ENDED_INSIDE_EVENT)
+        return data
--- a/src/jujubepass/forwarding/pipeline_claims.py
+++ b/src/jujubepass/forwarding/pipeline_claims.py
@@ -57,14 +57,14 @@
         """Return a pipeline that has a place, or the refusal for want of places."""
         if progress.entry is None:
             progress.entry = self.shortage.make_entry(
-                request, admitted, is_resumed=progress.last_id is not None
+                request, admitted, is_resumed=progress.answer.last_id is not None
             )
         entry = progress.entry
         while True:
             pipeline = await self._find_pipeline(admitted, progress)
             if pipeline is None or entry is None or progress.has_place:
                 return pipeline
-            if progress.runs or progress.events:
+            if progress.runs or progress.answer.events:
                 self.shortage.start_unqueued(entry)
                 return pipeline
             choose = functools.partial(self._choose_now, admitted, progress)
@@ -98,7 +98,7 @@
             if self._is_limited(service, now):
                 return None
             end = self.choice.find_end_of_silence(service, now)
-            if end is not None and end > until and not progress.events:
+            if end is not None and end > until and not progress.answer.events:
                 return None
             await trio.sleep(_PIPELINE_POLL_INTERVAL_SECONDS)
 
@@ -231,7 +231,7 @@
         now: float,
     ) -> float:
         """Return how long the request may wait for a permit, in seconds."""
-        if progress.events:
+        if progress.answer.events:
             return permits.RESUMED_WAIT_SECONDS
         return permits.find_longest_wait(
             admitted.route, admitted.priority, progress.deadline - now
--- a/src/jujubepass/forwarding/replies.py
+++ b/src/jujubepass/forwarding/replies.py
@@ -80,6 +80,13 @@
             fields=self.wire.write_refusal(self.request),
         )
 
+    async def end(self, refusal: admission.Refusal) -> None:
+        """Refuse a request, or abort its answer if that has begun."""
+        if self.started:
+            self.abort(refusal.reason)
+        else:
+            await self.refuse(refusal)
+
     async def send_complete(self, head: exchange.AnswerHead, body: bytes) -> None:
         """Send a backend server's complete answer unchanged."""
         self.status = head.status
--- a/src/jujubepass/forwarding/service_exchange.py
+++ b/src/jujubepass/forwarding/service_exchange.py
@@ -9,6 +9,7 @@
 import trio
 
 from jujubepass import ids, reasons
+from jujubepass.event_streams import answer, server_run
 from jujubepass.forwarding import (
     admission,
     attempt_limit,
@@ -28,12 +29,8 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-# Answers up to this size are read completely before they are forwarded, so that a
-# failed lookup can be retried; larger ones are streamed.
-_MAX_BUFFERED_BYTES = 65_536
 # Minimum time left for a first attempt; with less the answer would be too late.
 _MIN_REMAINING_SECONDS = 0.02
-_FIRST_FAILING_STATUS = 500
 _READY_POLL_INTERVAL_SECONDS = 0.05
 
 # Alias, because a field has the same name as the module.
@@ -62,24 +59,24 @@
         reply: replies.Reply,
     ) -> None:
         """Serve one request before its deadline."""
-        progress = service_progress.Progress(guarded=guard.track(request, admitted))
+        progress = service_progress.Progress(
+            answer=answer.EventAnswer(last_id=request.resume_after),
+            guarded=guard.track(request, admitted),
+        )
         budget = self.budgets[admitted.service.name]
         budget.count_attempt(request.arrived_at)
         with self.answers.limit(admitted.deadline):
             refusal = await self._try_each(request, admitted, reply, progress)
             if refusal is not None:
                 self.guard.return_trial(progress.guarded)
-                await reply.refuse(refusal)
+                await reply.end(refusal)
             return
         refusal = progress.refuse_expired()
         if self.answers.ends_before(admitted.deadline):
             refusal = progress.refuse_stopped()
         if not progress.is_sent:
             self.guard.return_trial(progress.guarded)
-        if reply.started:
-            reply.abort(refusal.reason)
-        else:
-            await reply.refuse(refusal)
+        await reply.end(refusal)
 
     async def _try_each(
         self,
@@ -88,7 +85,7 @@
         reply: replies.Reply,
         progress: service_progress.Progress,
     ) -> admission.Refusal | None:
-        """Return why the request was not served, or None if it was."""
+        """Return why the answer is not complete, or None if it is."""
         route = admitted.route
         while True:
             backend = await self._choose_backend(request, admitted, progress)
@@ -107,7 +104,13 @@
             try:
                 with self.guard.watch(progress.guarded, (backend.name,)):
                     await self._send(
-                        request, admitted, backend, reply, may_retry, is_again=is_again
+                        request,
+                        admitted,
+                        backend,
+                        reply,
+                        progress,
+                        server_run.make_limit(route, may_retry),
+                        is_again=is_again,
                     )
                 self.guard.record_proof(progress.guarded)
                 return None
@@ -115,12 +118,15 @@
                 self._record_not_run(backend, error, progress, now)
             except sending.OutcomeUnknownError as error:
                 self._record_outcome_unknown(request, backend, error, progress)
-                if reply.started:
-                    reply.abort(reasons.RefusalReason.OUTCOME_UNKNOWN)
-                    return None
-                if not route.is_repeatable or last:
+                may_go_on = progress.may_run_again(has_begun=reply.started)
+                if not (route.is_repeatable and may_go_on) or last:
                     return progress.refuse_none_left()
-                self.count_retry(reasons.RetryReason.LOOKUP_FAILED)
+                is_cut = progress.answer.events > 0
+                self.count_retry(
+                    reasons.RetryReason.STREAM_CUT
+                    if is_cut
+                    else reasons.RetryReason.LOOKUP_FAILED
+                )
 
     async def _choose_backend(
         self,
@@ -271,7 +277,8 @@
         service = admitted.service.name
         tried = progress.tried | self.permits.list_closed(now)
         return (
-            admitted.deadline - now >= _MIN_REMAINING_SECONDS
+            progress.answer.can_resume
+            and admitted.deadline - now >= _MIN_REMAINING_SECONDS
             and self.choice.choose(service, tried, now) is not None
             and self.budgets[service].predict_wait_seconds(now) == 0.0
         )
@@ -283,8 +290,7 @@
         error: sending.OutcomeUnknownError,
         progress: service_progress.Progress,
     ) -> None:
-        progress.may_have_run = True
-        progress.runs += 1
+        progress.record_run()
         if isinstance(error, sending.FailureResponseError):
             self.guard.record_proof(progress.guarded)
         else:
@@ -332,7 +338,8 @@
         admitted: exchange.Admitted,
         backend: backends.Backend,
         reply: replies.Reply,
-        may_retry: collections.abc.Callable[[], bool],
+        progress: service_progress.Progress,
+        limit: attempt_limit.AttemptLimit,
         *,
         is_again: bool,
     ) -> None:
@@ -344,24 +351,22 @@
             account=account.name if account else None,
             priority=admitted.priority,
             remaining_seconds=admitted.deadline - now,
+            resume_after=progress.answer.last_id,
             fresh=not admitted.route.is_repeatable or is_again,
         )
 
-        async def forward(limit: attempt_limit.AttemptLimit) -> None:
+        progress.answer.begin_run()
+        run = server_run.ServerRun(
+            route=admitted.route, answer=progress.answer, reply=reply, limit=limit
+        )
+
+        async def forward() -> None:
             """Send the attempt and forward its answer."""
             async with self.sender.open(request, attempt, backend.address) as start:
-                head, answer = start
-                body, is_complete = await _read_body(answer, _MAX_BUFFERED_BYTES)
-                limit.is_answered = True
-                if head.status >= _FIRST_FAILING_STATUS and may_retry():
-                    raise sending.FailureResponseError(f"answered {head.status}")
-                if is_complete:
-                    await reply.send_complete(head, body)
-                else:
-                    await _relay(head, body, answer, reply)
+                await run.forward(*start)
 
         with self.choice.count(backend.name), self.run_times.measure(backend.service):
-            await attempt_limit.AttemptLimit(may_retry=may_retry).run(forward)
+            await limit.run(forward)
         self.suspects.clear(backend.name)
 
 
@@ -376,24 +381,3 @@
         and admitted.route.is_repeatable
         and admitted.deadline - now >= seconds
     )
-
-
-async def _read_body(answer: object, limit: int) -> tuple[bytes, bool]:
-    """Read up to a limit; also return whether the body is complete."""
-    received = bytearray()
-    while len(received) <= limit:
-        chunk = await answer.receive()  # type: ignore[attr-defined]
-        if not chunk:
-            return bytes(received), True
-        received += chunk
-    return bytes(received), False
-
-
-async def _relay(
-    head: exchange.AnswerHead, begun: bytes, answer: object, reply: replies.Reply
-) -> None:
-    await reply.start(head)
-    await reply.write(begun)
-    while chunk := await answer.receive():  # type: ignore[attr-defined]
-        await reply.write(chunk)
-    await reply.finish()
--- a/src/jujubepass/forwarding/service_progress.py
+++ b/src/jujubepass/forwarding/service_progress.py
@@ -3,6 +3,7 @@
 import attrs
 
 from jujubepass import ids, reasons
+from jujubepass.event_streams import answer
 from jujubepass.forwarding import admission, stream_refusals
 from jujubepass.quarantine import guard
 
@@ -11,11 +12,15 @@
 # Time in which the list shows a replacement for a failed backend server.
 _ABSENT_RETRY_SECONDS = 1.0
 
+# Alias, because a field has the same name as the module.
+_EventAnswer = answer.EventAnswer
+
 
 @attrs.define(kw_only=True)
 class Progress:
     """Track the attempts of one request."""
 
+    answer: _EventAnswer
     guarded: guard.GuardedRequest
     tried: set[ids.BackendServerId] = attrs.field(factory=set)
     sent_to: set[ids.BackendServerId] = attrs.field(factory=set)
@@ -47,6 +52,16 @@
         self.sent_to.add(name)
         return is_again
 
+    def record_run(self) -> None:
+        """Record that an attempt broke that may have run."""
+        self.may_have_run = True
+        self.runs += 1
+        self.answer.record_broken_run()
+
+    def may_run_again(self, *, has_begun: bool) -> bool:
+        """Return whether a further run can serve a caller that has what was sent."""
+        return self.answer.can_resume and (self.answer.events > 0 or not has_begun)
+
     def reset(self) -> None:
         """Allow attempts at backend servers that were tried before."""
         self.tried.clear()
--- a/src/jujubepass/forwarding/stream_exchange.py
+++ b/src/jujubepass/forwarding/stream_exchange.py
@@ -10,12 +10,12 @@
 import trio
 
 from jujubepass import ids, reasons
+from jujubepass.event_streams import answer, observers, relay
 from jujubepass.forwarding import (
     admission,
     attempt_log,
     clocks,
     engine_choice,
-    events,
     exchange,
     pipeline_claims,
     pipelines,
@@ -65,7 +65,7 @@
     ) -> None:
         """Serve one request before its deadline."""
         progress = stream_progress.Progress(
-            last_id=request.resume_after,
+            answer=answer.EventAnswer(last_id=request.resume_after),
             deadline=admitted.deadline,
             guarded=guard.track(request, admitted),
         )
@@ -78,19 +78,13 @@
                 self.claims.shortage.release(progress.entry)
             if refusal is not None:
                 self.guard.return_trial(progress.guarded)
-                await self._abort(refusal, reply)
+                await reply.end(refusal)
             return
         is_stopping = self.answers.ends_before(admitted.deadline)
         refusal = progress.refuse_expired(is_stopping=is_stopping)
         if not progress.is_sent:
             self.guard.return_trial(progress.guarded)
-        await self._abort(refusal, reply)
-
-    async def _abort(self, refusal: admission.Refusal, reply: replies.Reply) -> None:
-        if reply.started:
-            reply.abort(refusal.reason)
-        else:
-            await reply.refuse(refusal)
+        await reply.end(refusal)
 
     async def _run(
         self,
@@ -126,10 +120,11 @@
             except (
                 sending.OutcomeUnknownError,
                 stream_progress.PipelineFailedError,
+                answer.BrokenRunError,
             ) as error:
                 progress.is_sent = False
                 self._record_failure(request, pipeline, error, progress)
-                if not (admitted.route.is_repeatable and progress.has_runs_left):
+                if not (admitted.route.is_repeatable and progress.may_run_again):
                     return stream_refusals.OUTCOME_UNKNOWN
 
     async def _prepare_attempt(
@@ -183,7 +178,7 @@
         )
         may_end = self.answers.may_end(now, progress.deadline, predicted)
         # A caller that has a part of the answer may get a short rest.
-        if not may_end and not progress.events:
+        if not may_end and not progress.answer.events:
             return stream_refusals.STOPPING
         budget = self.budgets[admitted.service.name]
         if progress.is_retry and budget.predict_wait_seconds(now) > 0.0:
@@ -210,7 +205,7 @@
     ) -> None:
         """Run the rest of the answer on one pipeline; raises what ended it early."""
         first = pipeline.stages[0]
-        progress.events_before_run = progress.events
+        progress.answer.begin_run()
         now = clocks.read_boot_clock()
         attempt = exchange.Attempt(
             backend=first.engine,
@@ -218,7 +213,7 @@
             priority=admitted.priority,
             remaining_seconds=progress.deadline - now,
             pipeline=pipeline,
-            resume_after=progress.last_id,
+            resume_after=progress.answer.last_id,
             fresh=not admitted.route.is_repeatable or first.engine in progress.sent_to,
         )
         progress.sent_to.add(first.engine)
@@ -268,67 +263,37 @@
         progress: stream_progress.Progress,
     ) -> None:
         address = stream.pipeline.stages[0].address
-        async with self.sender.open(request, attempt, address) as (head, answer):
-            await self._receive_answer(head, answer, stream, reply, progress, request)
+        async with self.sender.open(request, attempt, address) as (head, source):
+            await self._receive_answer(head, source, stream, reply, progress, request)
 
     async def _receive_answer(
         self,
         head: exchange.AnswerHead,
-        answer: _http_client.StreamedAnswer,
+        source: _http_client.StreamedAnswer,
         stream: watched_streams.WatchedStream,
         reply: replies.Reply,
         progress: stream_progress.Progress,
         request: exchange.CallerRequest,
     ) -> None:
         if reply.started:
-            progress.check_resumed(head)
+            content_type = answer.read_content_type(head.fields)
+            progress.answer.check_resumed(head.status, content_type)
         if head.status != _OK:
-            body = await answer.receive_all()
+            body = await source.receive_all()
             stream.is_forwarding = True
             await reply.send_complete(head, body.body)
             return
-        progress.content_type = stream_progress.read_content_type(head)
-        splitter = progress.splitter = events.EventSplitter()
-        while data := await answer.receive():
-            found, fault = progress.select_events(splitter.feed(data))
-            # Bytes that complete no event are no progress, and may come without end.
-            if not found and fault is None:
-                continue
-            self.claims.record_data(stream)
-            lasted_seconds = stream.last_data_at - stream.first_data_at
-            self.guard.record_data(progress.guarded, lasted_seconds=lasted_seconds)
-            stream.is_forwarding = True
-            await self._forward(found, head, reply, progress, request)
-            stream.record_forwarded()
-            if fault is not None:
-                raise fault
-        progress.check_end()
-        stream.is_forwarding = True
-        self.guard.record_end(progress.guarded, answer)
-        if not reply.started:
-            await reply.start(head)
-        await reply.finish()
-
-    async def _forward(
-        self,
-        found: list[events.Event],
-        head: exchange.AnswerHead,
-        reply: replies.Reply,
-        progress: stream_progress.Progress,
-        request: exchange.CallerRequest,
-    ) -> None:
-        new = [
-            each for each in found if events.is_later(each.identity, progress.last_id)
-        ]
-        if not new:
-            return
-        if not reply.started:
-            self.observe_first_event(clocks.read_boot_clock() - request.arrived_at)
-            self.claims.shortage.record_first_event(progress.entry)
-            await reply.start(head)
-        progress.events += len(new)
-        progress.last_id = new[-1].identity or progress.last_id
-        await reply.write(b"".join(each.data for each in new))
+        observer = observers.PipelineObserver(
+            claims=self.claims,
+            guard=self.guard,
+            stream=stream,
+            progress=progress,
+            source=source,
+            arrived_at=request.arrived_at,
+            observe_first_event=self.observe_first_event,
+        )
+        run = relay.Relay(answer=progress.answer, caller=reply, observer=observer)
+        await run.run(head, source)
 
     def _record_refusal(
         self,
@@ -361,7 +326,9 @@
         self.claims.shortage.release(progress.entry, is_free=False)
         self.count_retry(reasons.RetryReason.ENGINE_FULL)
         detail = f"{stage.engine}: {error}"
-        attempt_log.log_not_run(request, pipeline, detail, events=progress.events)
+        attempt_log.log_not_run(
+            request, pipeline, detail, events=progress.answer.events
+        )
 
     def _record_failure(
         self,
@@ -388,8 +355,8 @@
             request,
             pipeline,
             str(error),
-            events=progress.events,
-            run_events=progress.run_events,
+            events=progress.answer.events,
+            run_events=progress.answer.run_events,
         )
 
 
--- a/standins/path_engine.py
+++ b/standins/path_engine.py
@@ -411,6 +411,10 @@
         if path is not None:
             await self._stream(request, responder, path, echo)
             return
+        if "x-token-count" in request.headers:
+            self._runs[request_id] += 1
+            await self._run_stream(request, responder, [], echo)
+            return
         await self._serve_plain(request, responder, echo)
 
     async def _refuse_late(self, request_id: str, responder: Responder) -> None:
@@ -500,6 +504,17 @@
             await responder.send_fields(503, refusal, b"")
             return
         self._runs[request_id] += 1
+        await self._run_stream(request, responder, stages, echo)
+
+    async def _run_stream(
+        self,
+        request: _http_server.Request,
+        responder: Responder,
+        stages: list[Stage],
+        echo: list[tuple[str, str]],
+    ) -> None:
+        """Write the events of a run; a plain server has no stages."""
+        request_id = request.headers["x-request-id"]
         fields = [*echo, ("x-server-seal", self._arguments.name)]
         if "last-event-id" in request.headers and self._draw_fault("resume_errors"):
             event = _format_event(request_id, int(request.headers["last-event-id"]) + 1)
--- a/tests/features/steps/odd_entries_steps.py
+++ b/tests/features/steps/odd_entries_steps.py
@@ -9,10 +9,10 @@
 import behave
 import trio
 
+from jujubepass.event_streams import events
 from jujubepass.forwarding import (
     backends,
     engines,
-    events,
     feeds,
     member_rows,
     plan_rows,
--- a/tests/shortage_node.py
+++ b/tests/shortage_node.py
@@ -10,6 +10,7 @@
 import trio.testing
 
 from jujubepass import ids
+from jujubepass.event_streams import answer
 from jujubepass.forwarding import (
     admission,
     clocks,
@@ -123,7 +124,7 @@
         control = admission.Admission(blackboard=self.fleet.blackboard)
         admitted = control.admit(request, now)
         progress = self.progresses[name] = stream_progress.Progress(
-            last_id=None,
+            answer=answer.EventAnswer(),
             deadline=admitted.deadline,
             guarded=guard.track(request, admitted),
         )
