Keep by run since when a server is leaving

The time since which a server is leaving was kept with its entry, so that the entry's return began it anew.

The new package server_runs remembers by run since when a server is leaving or gone, which runs leave whatever the list says, and which were removed; backend_list uses it in place of its own maps. The same cause held for an answer that came while the entry was missing, for a server that was removed without a word, and for a leaving run that replaced another one. A leaving engine without an entry is still left by running streams, and a move off it is not held against their requests.

The step of store_away that lists one engine as draining twice now uses another engine each time: it removed the time from the area to begin anew, which a run no longer does. The expected times are the same. The random histories of server_signals have lapsed entries now.

--- a/src/jujubepass/forwarding/backend_list.py
+++ b/src/jujubepass/forwarding/backend_list.py
@@ -7,6 +7,7 @@
 
 from jujubepass import ids
 from jujubepass.forwarding import backends, board, feeds
+from jujubepass.server_runs import departures
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -14,7 +15,6 @@
 # about two seconds of its return. Missing ones stay listed until shortly before.
 LAPSE_GRACE_SECONDS = 1.8
 _DEFAULT_WAIT_SECONDS = 2.0
-_MAX_REMEMBERED_RUNS = 1_000
 # Longest usual delay of a change on its way from the store.
 _MAX_DELAY_SECONDS = 0.1
 # If one change removes more than this share of the list, the entries have expired
@@ -30,15 +30,15 @@
     find_wait: collections.abc.Callable[[], float] = lambda: _DEFAULT_WAIT_SECONDS
     """Return the usual time between two confirmations of the list, in seconds."""
     leaving_announced: int = attrs.field(default=0, init=False)
-    _leaving: dict[ids.BackendServerId, int] = attrs.field(factory=dict, init=False)
-    """Runs of servers that said themselves that they leave."""
-    _removed: dict[ids.BackendServerId, int] = attrs.field(factory=dict, init=False)
-    """Runs of servers that were removed from the list."""
+    _departures: departures.Departures = attrs.field(init=False)
     _era: int = attrs.field(default=0, init=False)
     _missing_until: dict[ids.BackendServerId, float] = attrs.field(
         factory=dict, init=False
     )
 
+    def __attrs_post_init__(self) -> None:
+        self._departures = departures.Departures(area=self.area)
+
     def record_store_recovery(self, now: float) -> None:
         """Keep missing entries listed until their servers can register again."""
         self.area.lapse_grace_until = now + LAPSE_GRACE_SECONDS
@@ -72,9 +72,8 @@
         self, name: ids.BackendServerId, started_at: int, now: float
     ) -> None:
         """Record that a run of a server said that it leaves, whatever the list says."""
-        if self._leaving.get(name) == started_at:
+        if not self._departures.record_announcement(name, started_at, now):
             return
-        _remember(self._leaving, name, started_at)
         self.leaving_announced += 1
         _LOGGER.info(
             "backend server said that it leaves",
@@ -84,13 +83,6 @@
         if listed is not None and listed.started_at == started_at:
             self._add(listed, now)
 
-    def _apply_leaving(self, backend: backends.Backend) -> backends.Backend:
-        """Return an entry as draining if its run has said that it leaves."""
-        if self._leaving.get(backend.name) == backend.started_at:
-            return attrs.evolve(backend, state=backends.BackendState.DRAINING)
-        self._leaving.pop(backend.name, None)
-        return backend
-
     def _remove_restored(
         self,
         items: collections.abc.Mapping[str, backends.Backend | None],
@@ -99,29 +91,21 @@
 
         A server that is listed as leaving stays so, whatever the copy says.
         """
-        for name, backend in self.area.listed.items():
-            if backend.state is backends.BackendState.DRAINING:
-                _remember(self._leaving, name, backend.started_at)
+        self._departures.keep_leaving(self.area.listed.values())
         return {
             name: backend
             for name, backend in items.items()
-            if backend is None
-            or self._removed.get(ids.BackendServerId(name)) != backend.started_at
+            if backend is None or not self._departures.was_removed(backend)
         }
 
     def _add(self, backend: backends.Backend, now: float) -> None:
-        backend = self._apply_leaving(backend)
-        self._removed.pop(backend.name, None)
+        backend = self._departures.apply(backend)
         before = self.area.listed.get(backend.name)
         self.area.listed[backend.name] = backend
         self.area.revision += 1
         if before is None or before.started_at != backend.started_at:
             self.area.restarted.append(backend.name)
-        if backend.state is backends.BackendState.DRAINING:
-            since = self._find_draining_since(now)
-            self.area.draining_since.setdefault(backend.name, since)
-        else:
-            self.area.draining_since.pop(backend.name, None)
+        self._departures.record_listed(backend, self._find_draining_since(now))
         if before is None or before.state is not backend.state:
             _LOGGER.info(
                 "backend server listed",
@@ -151,25 +135,15 @@
             if now < until:
                 continue
             del self._missing_until[name]
-            self.area.draining_since.pop(name, None)
             backend = self.area.listed.pop(name, None)
             if backend is not None:
-                _remember(self._removed, name, backend.started_at)
+                self._departures.record_removed(backend, now)
                 self.area.revision += 1
                 _LOGGER.info(
                     "backend server removed from the list", extra={"backend": name}
                 )
 
 
-def _remember(
-    runs: dict[ids.BackendServerId, int], name: ids.BackendServerId, started_at: int
-) -> None:
-    # The oldest entries belong to servers that are long gone.
-    while len(runs) >= _MAX_REMEMBERED_RUNS:
-        del runs[next(iter(runs))]
-    runs[name] = started_at
-
-
 def list_ready(
     area: board.BackendArea, service: ids.ServiceId
 ) -> collections.abc.Iterator[backends.Backend]:
--- a/src/jujubepass/forwarding/board.py
+++ b/src/jujubepass/forwarding/board.py
@@ -56,6 +56,7 @@
     """Boot-clock time until which expired entries may be registered again."""
     revision: int = 0
     draining_since: dict[ids.BackendServerId, float] = attrs.field(factory=dict)
+    """Boot-clock time since which servers are leaving, also without an entry."""
     restarted: list[ids.BackendServerId] = attrs.field(factory=list)
 
 
--- a/src/jujubepass/quarantine/guard.py
+++ b/src/jujubepass/quarantine/guard.py
@@ -248,7 +248,9 @@
 
     def _is_draining(self, server: ids.BackendServerId) -> bool:
         listed = self.area.listed.get(server)
-        return listed is not None and listed.state is backends.BackendState.DRAINING
+        if listed is None:
+            return server in self.area.draining_since
+        return listed.state is backends.BackendState.DRAINING
 
     def record_data(self, request: GuardedRequest, *, lasted_seconds: float) -> None:
         """Record data of a run that came some time after its first data."""
--- a/tests/features/server_signals.feature
+++ b/tests/features/server_signals.feature
@@ -13,6 +13,28 @@
       | 2000  |
       | 4000  |
 
+  # Guards against using a leaving engine again once its lapsed entry is back.
+  Scenario Outline: A leaving engine stays left when it is known <how> and its entry lapses
+    Given a planned fleet with a drain bound of 2000 milliseconds
+    When the departure of a first engine is known <how> and its entry is away for 5 seconds
+    And its entry is back as draining
+    Then it is in no pipeline now
+    When a new run of it is listed
+    Then it may be in a pipeline again
+
+    Examples:
+      | how                         |
+      | from its answers            |
+      | from the list               |
+      | from its missing entry      |
+      | from an answer without entry |
+
+  # Guards against ending the streams of a leaving engine with it once its entry lapses.
+  Scenario: A leaving engine without an entry is still one that leaves
+    Given a planned fleet with a drain bound of 2000 milliseconds
+    When the departure of a first engine is known from its answers and its entry is away for 5 seconds
+    Then streams are moved off it, and moves are not held against their requests
+
   Scenario Outline: An engine that asks for <text> seconds of silence gets it for <seconds>
     Given a planned fleet with a drain bound of 2000 milliseconds
     When the first engine of a pipeline refuses a request with Retry-After <text>
--- a/tests/features/steps/server_signals_steps.py
+++ b/tests/features/steps/server_signals_steps.py
@@ -58,8 +58,8 @@
         fleet.signals.record(name, fleet.signals.find_run(name), head)
 
 
-def list_again(fleet, name, **changes):
-    listed = fleet.blackboard.backends.listed[name]
+def list_again(fleet, name, listed=None, **changes):
+    listed = listed or fleet.blackboard.backends.listed[name]
     ready = attrs.evolve(listed, state=backends.BackendState.READY, **changes)
     fleet.list_engines([ready])
 
@@ -96,6 +96,68 @@
     assert fleet.choice.choose(fleet.service, fleet.now, entries=entries) is None
 
 
+def announce_leaving(context, listed):
+    record(context.fleet, context.first, read_head(200, ("server-leaving", "1")))
+
+
+def list_draining(context, listed):
+    draining = attrs.evolve(listed, state=backends.BackendState.DRAINING)
+    context.fleet.list_engines([draining])
+
+
+def announce_without_entry(context, listed):
+    """Deliver an answer to a request that was sent before the entry lapsed."""
+    context.fleet.list_engines([], gone=[context.first])
+    head = read_head(200, ("server-leaving", "1"))
+    with Clock(fleet=context.fleet):
+        context.fleet.signals.record(context.first, listed.started_at, head)
+
+
+DEPARTURES = {
+    "from its answers": announce_leaving,
+    "from the list": list_draining,
+    "from its missing entry": lambda context, listed: None,
+    "from an answer without entry": announce_without_entry,
+}
+
+
+@behave.when(
+    "the departure of a first engine is known {how} and its entry is away"
+    " for {seconds:d} seconds"
+)
+def step_lapse(context, how, seconds):
+    fleet = context.fleet
+    context.listed = fleet.blackboard.backends.listed[context.first]
+    DEPARTURES[how](context, context.listed)
+    fleet.now += 1.0
+    fleet.list_engines([], gone=[context.first])
+    assert context.first not in fleet.blackboard.backends.listed
+    for _ in range(seconds):
+        fleet.now += 1.0
+        # The list is confirmed without the entry.
+        fleet.list_engines([])
+
+
+@behave.when("its entry is back as draining")
+def step_back(context):
+    list_draining(context, context.listed)
+
+
+@behave.then("it is in no pipeline now")
+def step_not_used(context):
+    fleet = context.fleet
+    entries = {context.first}
+    assert fleet.choice.choose(fleet.service, fleet.now, entries=entries) is None
+    assert context.first not in choose_without_load(fleet).engines
+
+
+@behave.then("streams are moved off it, and moves are not held against their requests")
+def step_still_leaving(context):
+    assert context.first in context.fleet.blackboard.backends.draining_since
+    own_guard = small_fleet.make_guard(context.fleet.blackboard)
+    assert own_guard._is_draining(context.first)
+
+
 @behave.when("a new run of it is listed")
 def step_new_run(context):
     list_again(context.fleet, context.first, started_at=2)
@@ -202,13 +264,17 @@
         )
         self.left_at = {}
         self.silent_until = {}
-        self.names = list(self.fleet.blackboard.backends.listed)
+        self.entries = dict(self.fleet.blackboard.backends.listed)
 
     def step(self):
-        name = self.random_source.choice(self.names)
-        listed = self.fleet.blackboard.backends.listed[name]
+        name = self.random_source.choice(list(self.entries))
+        listed = self.entries[name]
         run = name, listed.started_at
-        event = self.random_source.choice(("leave", "silence", "run", "list", "wait"))
+        kinds = ("leave", "silence", "run", "list", "lapse", "wait")
+        event = self.random_source.choice(kinds)
+        if name not in self.fleet.blackboard.backends.listed:
+            # A server without an entry answers nothing until it is back or replaced.
+            event = "run" if event == "run" else "list"
         if event == "leave":
             record(self.fleet, name, read_head(200, ("server-leaving", "1")))
             self.left_at.setdefault(run, self.fleet.now)
@@ -219,10 +285,14 @@
             until = self.fleet.now + float(f"{seconds:.3f}")
             self.silent_until[run] = max(until, self.silent_until.get(run, 0.0))
         elif event == "run":
-            list_again(self.fleet, name, started_at=listed.started_at + 1)
+            self.entries[name] = attrs.evolve(listed, started_at=listed.started_at + 1)
+            list_again(self.fleet, name, self.entries[name])
         elif event == "list":
-            list_again(self.fleet, name)
+            list_again(self.fleet, name, listed)
+        elif event == "lapse":
+            self.fleet.list_engines([], gone=[name])
         self.fleet.now += self.random_source.uniform(0.0, 0.4)
+        self.fleet.list_engines([])
 
     def check(self):
         now = self.fleet.now
--- a/tests/features/steps/store_away_steps.py
+++ b/tests/features/steps/store_away_steps.py
@@ -62,11 +62,11 @@
     fleet = context.fleet
     fleet.blackboard.backends.confirmed_at = fleet.now
     fleet.now += seconds
-    name = next(iter(fleet.blackboard.backends.listed))
-    engine = fleet.blackboard.backends.listed[name]
+    listed = fleet.blackboard.backends.listed.values()
+    engine = next(each for each in listed if each.state is backends.BackendState.READY)
     draining = attrs.evolve(engine, state=backends.BackendState.DRAINING)
     fleet.list_engines([draining])
-    return fleet.now - fleet.blackboard.backends.draining_since.pop(name)
+    return fleet.now - fleet.blackboard.backends.draining_since[engine.name]
 
 
 @behave.then(
