Reject answers with a status line that HTTP does not define

Other operators saw an engine's answer with status 000 reach its client. h11 rejects 000 to 099 but accepts 600 to 999 and versions of any two digits; these reached callers as answers, a 200 in HTTP/2.0 as a success. The connection of all clients now rejects such heads as malformed.

--- a/src/jujubepass/transport/_client_connection.py
+++ b/src/jujubepass/transport/_client_connection.py
@@ -6,6 +6,9 @@
 
 from jujubepass.transport import _socket_io
 
+# HTTP defines no other versions of this framing, and no higher status codes.
+_VERSIONS = (b"1.0", b"1.1")
+_MAX_STATUS = 599
 # A request up to this size is sent in one write.
 _MAX_JOINED_BYTES = 65_536
 
@@ -73,9 +76,27 @@
     def read_event(self) -> object:
         """Return the next event of what has been received."""
         try:
-            return self._protocol.next_event()
+            event = self._protocol.next_event()
         except h11.RemoteProtocolError as error:
             raise InterruptedAnswerError(f"answer broke off: {error}") from error
+        if isinstance(event, (h11.InformationalResponse, h11.Response)):
+            self._check_status_line(event)
+        return event
+
+    def _check_status_line(
+        self, head: h11.InformationalResponse | h11.Response
+    ) -> None:
+        """Raise InterruptedAnswerError for a status line that HTTP does not define.
+
+        h11 accepts status codes up to 999 and versions of any two digits.
+        """
+        if head.http_version in _VERSIONS and head.status_code <= _MAX_STATUS:
+            return
+        self._is_broken = True
+        version = head.http_version.decode()
+        raise InterruptedAnswerError(
+            f"undefined status line: HTTP/{version} {head.status_code}"
+        )
 
     def is_reusable(self) -> bool:
         """Return whether another request may be sent on the connection."""
--- a/standins/path_engine.py
+++ b/standins/path_engine.py
@@ -78,6 +78,9 @@
     """Whether only answers of resumed streams stop so."""
     cut_head_left: int = -1
     """Number of answers that still stop so; negative for all."""
+    status_line: str = ""
+    """Status line of answers that `status_lines` counts."""
+    status_lines: float = 0
     cut_after: int = 0
     """Events after which a stream from its start on is cut; 0 for none."""
     event_filler_bytes: int = 0
@@ -407,6 +410,13 @@
         if self.settings.unframed:
             responder = raw_answers.UnframedResponder(responder=responder)
         await self._cut_head(request, responder)
+        if self._draw_fault("status_lines"):
+            self._runs[request_id] += 1
+            fields = [*echo, ("x-server-seal", "seal")]
+            line = self.settings.status_line
+            await raw_answers.write_status_line(
+                responder._stream, line, fields, b"engine failed\n\n"
+            )
         path = request.headers.get("x-hop-count")
         if path is not None:
             await self._stream(request, responder, path, echo)
--- a/standins/raw_answers.py
+++ b/standins/raw_answers.py
@@ -40,7 +40,7 @@
     async def start_fields(self, status: int, fields: Fields) -> None:
         """Send the status line and header fields."""
         self.started = True
-        await self.write(_format_head(status, fields))
+        await self.write(_format_head(fields, status=status))
 
     async def write(self, data: bytes) -> None:
         """Send part of the body."""
@@ -77,18 +77,27 @@
     stream: trio.SocketStream, fields: Fields, size: int, *, is_reset: bool
 ) -> typing.NoReturn:
     """Write some bytes of a head, then close or reset the connection."""
-    await stream.send_all(_format_head(200, fields)[:size])
+    await stream.send_all(_format_head(fields)[:size])
     if is_reset:
         await trio.sleep(_RESET_DELAY_SECONDS)
         reset_connection(stream)
     raise trio.BrokenResourceError("stopped in the middle of a head")
 
 
+async def write_status_line(
+    stream: trio.SocketStream, line: str, fields: Fields, body: bytes
+) -> typing.NoReturn:
+    """Answer with any status line, and close the connection."""
+    length = ("content-length", str(len(body)))
+    await stream.send_all(_format_head([*fields, length], line=line) + body)
+    raise trio.BrokenResourceError("end of an answer with any status line")
+
+
 async def write_and_reset(
     stream: trio.SocketStream, fields: Fields, body: bytes
 ) -> typing.NoReturn:
     """Answer without a length before the request was read, then reset."""
-    await stream.send_all(_format_head(200, fields) + body)
+    await stream.send_all(_format_head(fields) + body)
     # What has arrived before the reset stays readable at the other end.
     await trio.sleep(_RESET_DELAY_SECONDS)
     reset_connection(stream)
@@ -121,7 +130,7 @@
 ) -> None:
     """Answer with an error in some form; `event` is the one that would come next."""
     raw = UnframedResponder(responder=responder)
-    head = _format_head(500, [("content-length", str(len(_ERROR_TEXT)))])
+    head = _format_head([("content-length", str(len(_ERROR_TEXT)))], status=500)
     bodies = {
         "an event without an id": _ERROR_EVENT,
         "an event after the next one": event + _ERROR_EVENT,
@@ -151,6 +160,7 @@
         raise trio.BrokenResourceError("ended by an error")
 
 
-def _format_head(status: int, fields: Fields) -> bytes:
-    lines = [f"HTTP/1.1 {status} X", *(f"{name}: {value}" for name, value in fields)]
+def _format_head(fields: Fields, *, status: int = 200, line: str = "") -> bytes:
+    line = line or f"HTTP/1.1 {status} X"
+    lines = [line, *(f"{name}: {value}" for name, value in fields)]
     return "\r\n".join([*lines, "", ""]).encode()
