--- a/tests/features/endless_answers.feature
+++ b/tests/features/endless_answers.feature
@@ -15,6 +15,13 @@
       | body          |
       | failure       |
 
+  # Guards against nodes whose memory grows with the number of failures without end.
+  Scenario: Many model requests whose engines answer with failures without end
+    Given a system on the platform
+    When 150 streams at a node meet engines that answer with "failure" without end
+    Then each of these streams has ended
+    And the node has not ended, and its memory has grown by less than 60 MB
+
   # Guards against waiting for an event as long as bytes arrive.
   Scenario: A model request whose engines answer with bytes that never complete an event
     Given a system on the platform
--- a/tests/features/steps/endless_answers_steps.py
+++ b/tests/features/steps/endless_answers_steps.py
@@ -19,6 +19,7 @@
 # The time limit of the routes to the plain service, and a margin.
 MAX_PLAIN_SECONDS = 1.2 + 0.3
 MAX_OTHER_SECONDS = 1.0
+CROWD_SECONDS = 4.0
 
 
 def set_knobs(context, names, **changes):
@@ -228,3 +229,46 @@
         processes.change_knobs(context.system.store_port, endless=form)
         time.sleep(seconds)
     processes.change_knobs(context.system.store_port, endless="")
+
+
+@behave.when(
+    '{count:d} streams at a node meet engines that answer with "{form}" without end'
+)
+def step_crowd(context, count, form):
+    record_memory(context)
+    set_knobs(context, ENGINES, endless_request=form)
+    context.statuses = []
+
+    def run(number):
+        with contextlib.suppress(_http_client.ClientError):
+            answer = context.system.request_stream(
+                "n1",
+                EVENTS,
+                request_id=f"n1-crowd-{number}",
+                request_timeout_seconds=CROWD_SECONDS,
+            )
+            context.statuses.append(answer.status)
+            return
+        context.statuses.append(0)
+
+    threads = [threading.Thread(target=run, args=(each,)) for each in range(count)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    set_knobs(context, ENGINES, endless_request="")
+    assert len(context.statuses) == count
+    assert list_endless(context, ENGINES, "endless begun")
+
+
+@behave.then("each of these streams has ended")
+def step_crowd_ended(context):
+    assert not set(context.statuses) - {0, 502, 503, 504}, context.statuses
+
+
+@behave.then(
+    "the node has not ended, and its memory has grown by less than {megabytes:d} MB"
+)
+def step_crowd_memory(context, megabytes):
+    assert not context.system.processes.has_exited("n1")
+    step_memory(context, megabytes)
