Spare nodes searches of all servers and nodes on each timer

Of all calls, 9% looked for the parent among the nodes of the domain (759 times), 6% compared all servers' addresses with broken runs, ten times a second for as long as one break was not confirmed, 8% looked for engines to order, a third of that for the node's turn by hashing all nodes, and 5% checked the depth of rows.

The predecessors of a node are kept until nodes or silences change, the list is searched for later runs only after it or the possible ends have changed, a turn is computed once, engines that hold what is planned are skipped first, and depth is checked for lists and objects alone.

--- a/src/jujubepass/_decoding.py
+++ b/src/jujubepass/_decoding.py
@@ -37,14 +37,12 @@
 
 def is_too_deep(value: typing.Any, *, max_depth: int = _MAX_DEPTH) -> bool:
     """Return whether lists and objects are nested too deeply."""
-    level = [value]
-    for _ in range(max_depth + 1):
-        level = [
-            inner
-            for outer in level
-            if isinstance(outer, (list, dict))
-            for inner in (outer.values() if isinstance(outer, dict) else outer)
-        ]
+    level = [value] if isinstance(value, (list, dict)) else []
+    for _ in range(max_depth):
+        found: list[typing.Any] = []
+        for outer in level:
+            found += outer.values() if isinstance(outer, dict) else outer
+        level = [each for each in found if isinstance(each, (list, dict))]
         if not level:
             return False
     return True
--- a/src/jujubepass/forwarding/members.py
+++ b/src/jujubepass/forwarding/members.py
@@ -6,6 +6,7 @@
 
 import collections
 import collections.abc
+import functools
 import hashlib
 import logging
 
@@ -183,10 +184,17 @@
     area = blackboard.members
     if blackboard.node not in area.nodes:
         return None
-    ordered = sorted(area.nodes, key=lambda node: _hash_turn(task, node))
-    return ordered.index(blackboard.node).bit_length()
+    return _find_position(area.nodes, blackboard.node, task).bit_length()
 
 
+# Nodes change rarely, and the same tasks are asked for on each timer.
+@functools.lru_cache(maxsize=64)
+def _find_position(nodes: frozenset[ids.NodeId], node: ids.NodeId, task: str) -> int:
+    own = _hash_turn(task, node)
+    return sum(_hash_turn(task, each) < own for each in nodes)
+
+
+@functools.lru_cache(maxsize=1_024)
 def _hash_turn(task: str, node: ids.NodeId) -> bytes:
     return hashlib.blake2b(f"{task}/{node}".encode(), digest_size=8).digest()
 
--- a/src/jujubepass/forwarding/ordering.py
+++ b/src/jujubepass/forwarding/ordering.py
@@ -187,7 +187,8 @@
             engine = area.backends.listed.get(name)
             if engine is None:
                 continue
-            if self._decide(plan, engine, engine.held).step is not Step.ORDER:
+            is_placed = engine.held == plan.placements[name].span
+            if is_placed or not self._needs_order(plan, engine):
                 self._differs_since.pop(name, None)
                 continue
             differing.append(engine)
@@ -222,6 +223,9 @@
             and (now < last_order.retry_at)
         )
 
+    def _needs_order(self, plan: plans.Plan, engine: backends.Backend) -> bool:
+        return self._decide(plan, engine, engine.held).step is Step.ORDER
+
     def _decide(
         self,
         plan: plans.Plan,
--- a/src/jujubepass/quarantine/ends.py
+++ b/src/jujubepass/quarantine/ends.py
@@ -42,6 +42,8 @@
     _ends: dict[suspects.ServerRun, _PossibleEnd] = attrs.field(
         factory=dict, init=False
     )
+    _compared_revision: int | None = attrs.field(default=None, init=False)
+    """Revision of the list with which all possible ends were compared."""
 
     def record_break(
         self,
@@ -87,12 +89,20 @@
         return depths
 
     def list_restarted(self) -> list[suspects.ServerRun]:
-        """Return unconfirmed runs whose addresses later runs are listed with."""
+        """Return unconfirmed runs whose addresses later runs are listed with.
+
+        The list is searched only if it or the possible ends have changed.
+        """
+        if self._compared_revision == self.area.revision:
+            return []
+        self._compared_revision = self.area.revision
         waiting = {
             end.address: run
             for run, end in self._ends.items()
             if end.confirmed_at is None and end.address is not None
         }
+        if not waiting:
+            return []
         return [
             waiting[each.address]
             for each in self.area.listed.values()
@@ -137,4 +147,5 @@
             listed = self.area.listed.get(run.server)
             address = listed.address if listed is not None else None
             self._ends[run] = _PossibleEnd(since=now, address=address)
+            self._compared_revision = None
         return self._ends[run]
--- a/src/jujubepass/relay/sources.py
+++ b/src/jujubepass/relay/sources.py
@@ -79,6 +79,18 @@
     """Whether no more nodes passed them on than the rows that this node had."""
 
 
+@attrs.frozen(kw_only=True)
+class _Predecessors:
+    """List the available nodes before this one in the order of all."""
+
+    neighbors: tuple[members.Member, ...]
+    """Nodes of the failure domain of which they are some."""
+    valid_until: float
+    """Boot-clock time at which the first silence among them ends."""
+    nodes: tuple[members.Member, ...] | None
+    """None if this node's own row was not read back yet."""
+
+
 @attrs.define(kw_only=True)
 class SourceController:
     """Choose the source of rows by rank, silence and age."""
@@ -102,6 +114,8 @@
     _reads_as_substitute: bool = attrs.field(default=False, init=False)
     _has_failed_reference: bool = attrs.field(default=False, init=False)
     """Whether the last read of the reference table failed."""
+    _predecessors: _Predecessors | None = attrs.field(default=None, init=False)
+    """Those found last; None once silences have changed."""
 
     def choose(self, now: float, row_age_seconds: float) -> members.Member | None:
         """Return the node to read from; None to read the store.
@@ -190,7 +204,8 @@
 
     def record_answer(self, answer: Answer, now: float) -> None:
         """Record that a node answered, and choose between it and the parent."""
-        self._silences.pop(answer.node, None)
+        if self._silences.pop(answer.node, None) is not None:
+            self._predecessors = None
         is_fresh = answer.row_age_seconds <= self.find_max_row_age()
         if not is_fresh:
             self._stale_until[answer.node] = now + _STALE_SECONDS
@@ -239,6 +254,7 @@
         self._silences[source.node] = _Silence(
             token=source.token, until=now + seconds, times=times
         )
+        self._predecessors = None
         _LOGGER.info(
             "node gave no rows",
             extra={"source": source.node, "seconds": seconds, "detail": detail},
@@ -247,22 +263,37 @@
     def _find_parent(self, now: float) -> members.Member | None:
         if not self._is_tree():
             return None
-        before = []
-        for each in self.blackboard.members.neighbors:
-            if each.node == self.blackboard.node:
-                break
-            if self._is_available(each, now):
-                before.append(each)
-        else:
-            # The own row was not read back yet.
-            return None
-        if len(before) < READERS_PER_DOMAIN:
+        before = self._find_predecessors(now)
+        if before is None or len(before) < READERS_PER_DOMAIN:
             return None
         if self._reads_as_substitute:
             # The reader learns from its queries that this node has fresh rows.
             return before[self._watched_reader]
         return before[(len(before) - READERS_PER_DOMAIN) // _CHILDREN_PER_NODE]
 
+    def _find_predecessors(self, now: float) -> tuple[members.Member, ...] | None:
+        """Return the available nodes before this one; None without an own row."""
+        neighbors = self.blackboard.members.neighbors
+        known = self._predecessors
+        if (
+            known is not None
+            and known.neighbors is neighbors
+            and now < known.valid_until
+        ):
+            return known.nodes
+        names = [each.node for each in neighbors]
+        nodes = None
+        if self.blackboard.node in names:
+            before = neighbors[: names.index(self.blackboard.node)]
+            nodes = tuple(each for each in before if self._is_available(each, now))
+        ends = (each.until for each in self._silences.values() if each.until > now)
+        self._predecessors = _Predecessors(
+            neighbors=neighbors,
+            valid_until=min(ends, default=math.inf),
+            nodes=nodes,
+        )
+        return nodes
+
     def _find_fresher(
         self, parent: members.Member | None, now: float
     ) -> members.Member | None:
