--- a/src/jujubepass/forwarding/service_exchange.py
+++ b/src/jujubepass/forwarding/service_exchange.py
@@ -86,7 +86,6 @@
         progress: service_progress.Progress,
     ) -> admission.Refusal | None:
         """Return why the answer is not complete, or None if it is."""
-        route = admitted.route
         while True:
             backend = await self._choose_backend(request, admitted, progress)
             now = clocks.read_boot_clock()
@@ -99,18 +98,13 @@
             is_again = progress.record_attempt(backend.name)
             progress.began_at = now
             reply.record_attempt(backend.name)
-            last = progress.runs + 1 >= route.max_attempts
+            last = progress.runs + 1 >= admitted.route.max_attempts
             may_retry = self._make_retry_check(admitted, progress, last=last)
+            limit = server_run.make_limit(admitted.route, may_retry)
             try:
                 with self.guard.watch(progress.guarded, (backend.name,)):
                     await self._send(
-                        request,
-                        admitted,
-                        backend,
-                        reply,
-                        progress,
-                        server_run.make_limit(route, may_retry),
-                        is_again=is_again,
+                        request, admitted, backend, reply, progress, limit, is_again
                     )
                 self.guard.record_proof(progress.guarded)
                 return None
@@ -118,15 +112,25 @@
                 self._record_not_run(backend, error, progress, now)
             except sending.OutcomeUnknownError as error:
                 self._record_outcome_unknown(request, backend, error, progress)
-                may_go_on = progress.may_run_again(has_begun=reply.started)
-                if not (route.is_repeatable and may_go_on) or last:
+                if last or not self._may_run_again(admitted, reply, progress):
                     return progress.refuse_none_left()
-                is_cut = progress.answer.events > 0
-                self.count_retry(
-                    reasons.RetryReason.STREAM_CUT
-                    if is_cut
-                    else reasons.RetryReason.LOOKUP_FAILED
-                )
+
+    def _may_run_again(
+        self,
+        admitted: exchange.Admitted,
+        reply: replies.Reply,
+        progress: service_progress.Progress,
+    ) -> bool:
+        """Return whether another run may follow a broken one, and count that."""
+        has_begun = reply.started
+        if not admitted.route.is_repeatable or not progress.may_run_again(has_begun):
+            return False
+        self.count_retry(
+            reasons.RetryReason.STREAM_CUT
+            if progress.answer.events
+            else reasons.RetryReason.LOOKUP_FAILED
+        )
+        return True
 
     async def _choose_backend(
         self,
@@ -340,7 +344,6 @@
         reply: replies.Reply,
         progress: service_progress.Progress,
         limit: attempt_limit.AttemptLimit,
-        *,
         is_again: bool,
     ) -> None:
         """Send one attempt and forward its answer; raises sending.AttemptError."""
--- a/src/jujubepass/forwarding/service_progress.py
+++ b/src/jujubepass/forwarding/service_progress.py
@@ -58,7 +58,7 @@
         self.runs += 1
         self.answer.record_broken_run()
 
-    def may_run_again(self, *, has_begun: bool) -> bool:
+    def may_run_again(self, has_begun: bool) -> bool:
         """Return whether a further run can serve a caller that has what was sent."""
         return self.answer.can_resume and (self.answer.events > 0 or not has_begun)
 
