Teach two fakes what the code relies on now

A list of servers that a test changes counts the change, as the controller of the list does: ends are searched only after one. The fake reply of shortage ends as a whole: the exchanges leave to the reply whether a refusal or a break is due. Both scenarios check what they did, and passed after this.

--- a/tests/features/steps/quarantine_ends_steps.py
+++ b/tests/features/steps/quarantine_ends_steps.py
@@ -52,6 +52,8 @@
         started_at=context.engine.started_at + 1,
     )
     context.area.listed[other.name] = other
+    # As the controller of the list does with each change.
+    context.area.revision += 1
 
 
 @behave.then("the end of the first one is confirmed")
--- a/tests/features/steps/shortage_waits_steps.py
+++ b/tests/features/steps/shortage_waits_steps.py
@@ -264,7 +264,8 @@
     def record_attempt(self, backend):
         """Ignore the attempt."""
 
-    async def refuse(self, refusal):
+    async def end(self, refusal):
+        assert not self.started
         self.refusal = refusal
 
 
