Review: show that a drill and lost history list a gone server again

Cause: servers that were removed are filtered only from the first rows of a new era; a later complete read in the same era lists them as ready.

--- a/review/common-3/engine.py
+++ b/review/common-3/engine.py
@@ -3,7 +3,8 @@
 The form of endless bytes `tiny chunks` is a body in chunks of one byte. A server that
 has crashed is back after AWAY_SECONDS under another name. Until then connections to
 its address are refused, or unanswered if AWAY_SILENT is 1. With GREY=NAME:SHARE, that
-server answers a share of its requests with an error and does not run them.
+server answers a share of its requests with an error and does not run them. In state
+`gone` a server removes its entry and goes on serving.
 """
 
 import json
@@ -19,6 +20,7 @@
 from standins import path_engine, raw_answers
 
 _TINY_CHUNKS = b"1\r\nx\r\n" * 10_922
+_GONE = "gone"
 _CRASH_DELAY_SECONDS = 0.06
 _GREY_SERVER, _, _GREY_TEXT = os.environ.get("GREY", "").partition(":")
 _GREY_SHARE = float(_GREY_TEXT or "0")
@@ -29,6 +31,8 @@
 class Engine(path_engine.Engine):
     """Add the faults."""
 
+    _has_left = False
+
     async def _write_endless(
         self,
         request: _http_server.Request,
@@ -47,6 +51,14 @@
         while True:
             await raw.write(_TINY_CHUNKS)
 
+    async def _write_entry(self) -> None:
+        """Write the entry, or remove it for good once the server leaves so."""
+        if self.settings.state != _GONE:
+            await super()._write_entry()
+        elif not self._has_left:
+            self._has_left = True
+            await self._put_entry(self._arguments.name, b"")
+
     async def _serve_plain(
         self,
         request: _http_server.Request,
