--- a/review/common-3/engine.py
+++ b/review/common-3/engine.py
@@ -4,7 +4,8 @@
 has crashed is back after AWAY_SECONDS under another name. Until then connections to
 its address are refused, or unanswered if AWAY_SILENT is 1. With GREY=NAME:SHARE, that
 server answers a share of its requests with an error and does not run them. In state
-`gone` a server removes its entry and goes on serving.
+`gone` a server removes its entry and goes on serving. ENTRY_SECONDS after its start it
+writes its entry for the first time.
 """
 
 import json
@@ -20,6 +21,7 @@
 from standins import path_engine, raw_answers
 
 _TINY_CHUNKS = b"1\r\nx\r\n" * 10_922
+_ENTRY_SECONDS = float(os.environ.get("ENTRY_SECONDS", "0"))
 _GONE = "gone"
 _CRASH_DELAY_SECONDS = 0.06
 _GREY_SERVER, _, _GREY_TEXT = os.environ.get("GREY", "").partition(":")
@@ -51,6 +53,11 @@
         while True:
             await raw.write(_TINY_CHUNKS)
 
+    async def send_heartbeats(self) -> None:
+        """Begin to write the entry some time after the start."""
+        await trio.sleep(_ENTRY_SECONDS)
+        await super().send_heartbeats()
+
     async def _write_entry(self) -> None:
         """Write the entry, or remove it for good once the server leaves so."""
         if self.settings.state != _GONE:
