--- a/review/common-3/fleet.py
+++ b/review/common-3/fleet.py
@@ -5,6 +5,7 @@
 import os
 import pathlib
 import signal
+import socket
 import sys
 import time
 
@@ -19,11 +20,27 @@
 _LONGEST_WAIT_SECONDS = 15.0
 
 
+def _hold_ports() -> tuple[socket.socket, int]:
+    """Return a socket at the first one of a range of ports, and that port."""
+    start = os.getpid() % len(_FIRST_PORTS)
+    for port in (*_FIRST_PORTS[start:], *_FIRST_PORTS[:start]):
+        guard = socket.socket()
+        try:
+            guard.bind((processes.HOST, port))
+        except OSError:
+            guard.close()
+        else:
+            return guard, port
+    raise processes.TrialError("no range of ports is free")
+
+
 class Fleet(forwarding_system.ForwardingSystem):
     """A store, engines, plain servers and nodes as processes."""
 
     def __init__(self) -> None:
-        super().__init__(first_port=_FIRST_PORTS[os.getpid() % len(_FIRST_PORTS)])
+        # Held while the fleet lasts, so that no other fleet takes the same ports.
+        self._guard, first_port = _hold_ports()
+        super().__init__(first_port=first_port + 1)
         self.processes.start = self._wrap_start(self.processes.start)
 
     def start_node(self, name: str, domain: str, first_start: bool = False) -> None:
